Thin whole path: caller, entry node, gate node, backend server, class from the store

Cause: an empty tree; every later part needs a spine that carries a real call. Change: nodes linked by QUIC with mutual TLS, one stream a call; classes read from the object API stand-in; a gate that runs calls on the backend server that announced itself; one JSON log line a decision; formatter, linter, import check and tests in one command. Left: limits, retries, membership and at-most-once are placeholders.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# make test is the whole gate: the same command the README and .ci/run use.
+
+TOOLS := $(CURDIR)/.tools
+LINT_VERSION := v2.15.0
+LINT := $(TOOLS)/golangci-lint-$(LINT_VERSION)
+RACE_TIMEOUT := 15m
+
+export CGO_ENABLED = 1
+
+.PHONY: test build format lint vet unit imports docs slopes bench
+
+test: build lint vet imports docs-check unit
+
+build:
+	go build ./...
+
+$(LINT):
+	mkdir -p $(TOOLS)
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+	mv $(TOOLS)/golangci-lint $(LINT)
+
+format: $(LINT)
+	$(LINT) fmt
+
+lint: $(LINT)
+	$(LINT) fmt --diff
+	$(LINT) run
+
+vet:
+	go vet ./...
+
+# imports keeps core free of clocks, sockets and io.
+imports:
+	bash _scripts/check-imports
+
+.PHONY: docs-check
+docs-check:
+	bash _scripts/check-docs
+
+unit:
+	bash _scripts/run-tests $(RACE_TIMEOUT)
--- /dev/null
+++ b/io/kqcli/serve.go
@@ -0,0 +1,152 @@
+package kqcli
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"kumquatlink/io/kqbackend"
+	"kumquatlink/io/kqlog"
+	"kumquatlink/io/kqnode"
+	"kumquatlink/io/kqobject"
+	"kumquatlink/io/kqsettings"
+	"kumquatlink/io/kqstore"
+	"kumquatlink/io/kqtrust"
+	"kumquatlink/io/kqwire"
+)
+
+// shutdownTimeout bounds a graceful shutdown.
+const shutdownTimeout = time.Minute
+
+type nodeCommand struct {
+	Settings string `required:"" placeholder:"FILE" help:"Settings of the node, as JSON."`
+}
+
+// Run runs a node until it is told to end.
+func (k *nodeCommand) Run(e *environment) error {
+	s, err := kqsettings.ReadNode(k.Settings)
+	if err != nil {
+		return err
+	}
+	level, err := zerolog.ParseLevel(s.LogLevel)
+	if err != nil {
+		return errors.Mark(err, ErrInput)
+	}
+	identity, err := kqtrust.Load(s.CertificateFile, s.KeyFile, s.AuthorityFile)
+	if err != nil {
+		return errors.Mark(err, ErrInput)
+	}
+	log := kqlog.New(e.output, kqlog.WithNode(s.NodeID, s.FailureDomain), kqlog.WithLevel(level))
+	defer log.Close()
+	n, err := kqnode.New(*s, identity, kqstore.NewHTTP(s.StoreAddress), kqnode.WithLog(log))
+	if err != nil {
+		return err
+	}
+	if err := n.Start(); err != nil {
+		return err
+	}
+	log.Event(zerolog.InfoLevel, fmt.Sprintf("node serves callers at %s, its backend server at %s, peers at %s", n.CallerAddress(), n.BackendAddress(), n.PeerAddress()), nil)
+	<-e.ctx.Done()
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	return n.Shutdown(ctx)
+}
+
+type storeCommand struct {
+	Settings string `required:"" placeholder:"FILE" help:"Settings of the stand-in, as JSON."`
+}
+
+// Run runs the object API stand-in until it is told to end.
+func (k *storeCommand) Run(e *environment) error {
+	s, err := kqsettings.ReadStore(k.Settings)
+	if err != nil {
+		return err
+	}
+	store := kqobject.New()
+	if err := store.Listen(s.Address); err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(e.output, "store serves at %s\n", store.Address())
+	<-e.ctx.Done()
+	return store.Close()
+}
+
+type backendCommand struct {
+	Settings string `required:"" placeholder:"FILE" help:"Settings of the stand-in, as JSON."`
+}
+
+// Run runs the backend server stand-in until it is told to end.
+func (k *backendCommand) Run(e *environment) error {
+	s, err := kqsettings.ReadBackend(k.Settings)
+	if err != nil {
+		return err
+	}
+	b := kqbackend.New(kqbackend.Settings{
+		Service: s.Service, Slots: s.Slots, ServiceTime: time.Duration(s.ServiceTime), NodeAddress: s.NodeAddress, Onward: s.Onward,
+	})
+	if err := b.Listen(s.Address); err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(e.output, "backend server of %s serves at %s\n", s.Service, b.Address())
+	<-e.ctx.Done()
+	if err := b.Announce(kqwire.StateLeaving); err != nil {
+		_, _ = fmt.Fprintf(e.errors, "kumquatlink: %v\n", err)
+	}
+	return b.Close()
+}
+
+type settingsCommand struct {
+	Check settingsCheckCommand `cmd:"" help:"Check a settings file and list every fault of it."`
+}
+
+type settingsCheckCommand struct {
+	File string `arg:"" help:"The settings file."`
+	Kind string `enum:"node,store,backend" default:"node" help:"Whose settings it holds: ${enum}."`
+}
+
+// Run checks a settings file.
+func (k *settingsCheckCommand) Run(e *environment) error {
+	var err error
+	switch k.Kind {
+	case "store":
+		_, err = kqsettings.ReadStore(k.File)
+	case "backend":
+		_, err = kqsettings.ReadBackend(k.File)
+	default:
+		_, err = kqsettings.ReadNode(k.File)
+	}
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(e.output, "%s: no faults\n", k.File)
+	return errors.Wrap(err, "write")
+}
+
+type identityCommand struct {
+	Directory string   `required:"" placeholder:"DIR" help:"Where NAME.crt, NAME.key and fleet.crt are written."`
+	Nodes     []string `arg:"" help:"Names of the nodes."`
+}
+
+// Run issues identities from an authority whose key is then forgotten.
+func (k *identityCommand) Run(e *environment) error {
+	authority, err := kqtrust.NewAuthority()
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(k.Directory, 0o700); err != nil {
+		return errors.Mark(errors.Wrap(err, "make directory"), ErrInput)
+	}
+	in := func(name string) string { return filepath.Join(k.Directory, name) }
+	for _, n := range k.Nodes {
+		if err := authority.Write(n, in(n+".crt"), in(n+".key"), in("fleet.crt")); err != nil {
+			return err
+		}
+	}
+	_, err = fmt.Fprintf(e.output, "issued %d identities in %s\n", len(k.Nodes), k.Directory)
+	return errors.Wrap(err, "write")
+}
--- /dev/null
+++ b/io/kqfleet/kqfleet.go
@@ -0,0 +1,154 @@
+// Package kqfleet puts a small fleet on loopback in one process: a store
+// stand-in, nodes, and a backend server stand-in beside each node that has
+// one. Tests, the demo and trials build on it.
+//
+// # Usage
+//
+//	fleet, err := kqfleet.New()
+//	defer fleet.Close()
+//	err = fleet.Configure(ctx, classes)
+//	entry, err := fleet.AddNode(kqfleet.Place{NodeID: "entry-1", Region: "lothian", FailureDomain: "lothian-a"})
+//	place, backend := kqfleet.Place{...}, kqbackend.Settings{...}
+//	deep, err := fleet.AddBackend(place, backend)
+package kqfleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"kumquatlink/core/kqclass"
+	"kumquatlink/io/kqbackend"
+	"kumquatlink/io/kqnode"
+	"kumquatlink/io/kqobject"
+	"kumquatlink/io/kqsettings"
+	"kumquatlink/io/kqstore"
+	"kumquatlink/io/kqtrust"
+)
+
+// ErrFleet marks all errors of this package.
+var ErrFleet = errors.New("fleet on loopback failed")
+
+// anyPort lets the system choose a free port on loopback.
+const anyPort = "127.0.0.1:0"
+
+// closeTimeout bounds the shutdown of one node.
+const closeTimeout = 10 * time.Second
+
+// Place names a node and says where it stands.
+type Place struct {
+	NodeID        string
+	Region        string
+	FailureDomain string
+}
+
+// Member is a node and the backend server beside it, if any.
+type Member struct {
+	Node    *kqnode.Node
+	Backend *kqbackend.Backend
+}
+
+// Fleet is the whole.
+type Fleet struct {
+	Store     *kqobject.Store
+	Client    *kqstore.Client
+	Authority *kqtrust.Authority
+	Members   []*Member
+	peers     []string
+}
+
+// New starts a fleet that has only its store.
+func New() (*Fleet, error) {
+	authority, err := kqtrust.NewAuthority()
+	if err != nil {
+		return nil, errors.Mark(err, ErrFleet)
+	}
+	f := &Fleet{Store: kqobject.New(), Authority: authority}
+	if err := f.Store.Listen(anyPort); err != nil {
+		return nil, errors.Mark(err, ErrFleet)
+	}
+	f.Client = kqstore.NewHTTP(f.Store.Address())
+	return f, nil
+}
+
+// Configure writes the classes to the store as the next version.
+func (f *Fleet) Configure(ctx context.Context, classes []kqclass.Class) error {
+	held, version, err := kqstore.ReadConfiguration(ctx, f.Client)
+	if err != nil && !errors.Is(err, kqstore.ErrNotFound) {
+		return errors.Mark(err, ErrFleet)
+	}
+	next := kqclass.Configuration{Version: held.Version + 1, ChangeID: "fleet", Classes: classes}
+	_, err = kqstore.WriteConfiguration(ctx, f.Client, next, version)
+	return errors.Mark(err, ErrFleet)
+}
+
+// AddNode starts a node without a backend server.
+func (f *Fleet) AddNode(place Place, options ...kqnode.Option) (*Member, error) {
+	identity, err := f.Authority.Issue(place.NodeID)
+	if err != nil {
+		return nil, errors.Mark(err, ErrFleet)
+	}
+	settings := kqsettings.Node{
+		NodeID: place.NodeID, Region: place.Region, FailureDomain: place.FailureDomain,
+		CallerAddress: anyPort, BackendAddress: anyPort, PeerAddress: anyPort, StoreAddress: f.Store.Address(),
+		Peers: append([]string(nil), f.peers...),
+	}
+	n, err := kqnode.New(settings, identity, kqstore.NewHTTP(f.Store.Address()), options...)
+	if err != nil {
+		return nil, errors.Mark(err, ErrFleet)
+	}
+	if err := n.Start(); err != nil {
+		return nil, errors.Mark(err, ErrFleet)
+	}
+	f.peers = append(f.peers, n.PeerAddress())
+	m := &Member{Node: n}
+	f.Members = append(f.Members, m)
+	return m, nil
+}
+
+// AddBackend starts a node with a backend server beside it.
+func (f *Fleet) AddBackend(place Place, backend kqbackend.Settings, options ...kqnode.Option) (*Member, error) {
+	m, err := f.AddNode(place, options...)
+	if err != nil {
+		return nil, err
+	}
+	backend.NodeAddress = m.Node.BackendAddress()
+	m.Backend = kqbackend.New(backend)
+	if err := m.Backend.Listen(anyPort); err != nil {
+		return nil, errors.Mark(err, ErrFleet)
+	}
+	return m, nil
+}
+
+// Settle waits until every node knows all services and has a configuration.
+func (f *Fleet) Settle(ctx context.Context, services ...string) error {
+	for _, m := range f.Members {
+		err := m.Node.WaitFor(ctx, func(s *kqnode.State) bool {
+			for _, name := range services {
+				if len(s.Members.Upstreams(name)) == 0 {
+					return false
+				}
+			}
+			return s.Classes != nil
+		})
+		if err != nil {
+			return errors.Mark(err, ErrFleet)
+		}
+	}
+	return nil
+}
+
+// Close shuts the nodes down, callers' side first, then the rest.
+func (f *Fleet) Close() error {
+	var first error
+	for _, m := range f.Members {
+		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		first = errors.CombineErrors(first, m.Node.Shutdown(ctx))
+		cancel()
+		if m.Backend != nil {
+			first = errors.CombineErrors(first, m.Backend.Close())
+		}
+	}
+	return errors.CombineErrors(first, f.Store.Close())
+}
--- /dev/null
+++ b/io/kqhttp/kqhttp.go
@@ -0,0 +1,198 @@
+// Package kqhttp sends HTTP/1.1 calls with fasthttp's codec over connections
+// that it owns itself, since fasthttp's client neither tells whether a failed
+// call was sent nor gives up a connection when a call is cancelled.
+//
+// # Usage
+//
+//	pool := kqhttp.NewPool("127.0.0.1:8080", kqhttp.WithMaxIdle(64))
+//	err := pool.Do(ctx, request, response)
+//
+// Errors marked [ErrNotSent] prove that no byte of the call was written; those
+// marked [ErrLost] leave open whether the server ran it. A cancelled call
+// closes its connection, which is how the server learns of it. Nothing is ever
+// repeated here.
+package kqhttp
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// Errors of this package.
+var (
+	// ErrNotSent marks errors that prove that nothing was written.
+	ErrNotSent = errors.New("call was not sent")
+	// ErrLost marks errors after which the server may have run the call.
+	ErrLost = errors.New("answer was lost")
+)
+
+// Defaults of a pool.
+const (
+	defaultMaxIdle  = 64
+	defaultMaxAge   = 5 * time.Second
+	defaultMaxBody  = 16 << 20
+	dialTimeout     = time.Second
+	bufferSize      = 4 << 10
+	keepAlivePeriod = 15 * time.Second
+)
+
+// Pool keeps idle connections to one server.
+type Pool struct {
+	address string
+	maxIdle int
+	maxAge  time.Duration
+	maxBody int
+	dial    func(ctx context.Context, address string) (net.Conn, error)
+	now     func() time.Time
+
+	mutex sync.Mutex
+	idle  []*connection
+}
+
+// connection is one connection with its buffers.
+type connection struct {
+	net.Conn
+	reader *bufio.Reader
+	writer *bufio.Writer
+	since  time.Time
+}
+
+func newConnection(c net.Conn) *connection {
+	return &connection{Conn: c, reader: bufio.NewReaderSize(c, bufferSize), writer: bufio.NewWriterSize(c, bufferSize)}
+}
+
+// Option changes a pool.
+type Option func(*Pool)
+
+// WithMaxIdle sets how many idle connections are kept.
+func WithMaxIdle(n int) Option {
+	return func(p *Pool) { p.maxIdle = n }
+}
+
+// WithMaxAge sets how long a connection may stay idle. It should be shorter
+// than the server's own idle timeout, so that no call is written into a
+// connection that the server is closing.
+func WithMaxAge(d time.Duration) Option {
+	return func(p *Pool) { p.maxAge = d }
+}
+
+// WithDial replaces how connections are opened.
+func WithDial(dial func(ctx context.Context, address string) (net.Conn, error)) Option {
+	return func(p *Pool) { p.dial = dial }
+}
+
+// NewPool makes a pool without connections.
+func NewPool(address string, options ...Option) *Pool {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
+	p := &Pool{
+		address: address,
+		maxIdle: defaultMaxIdle,
+		maxAge:  defaultMaxAge,
+		maxBody: defaultMaxBody,
+		now:     time.Now,
+		dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		},
+	}
+	for _, o := range options {
+		o(p)
+	}
+	return p
+}
+
+// Do sends the call and reads the whole answer.
+func (p *Pool) Do(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response) error {
+	c, err := p.take(ctx)
+	if err != nil {
+		return errors.Mark(errors.Wrapf(err, "connect to %s", p.address), ErrNotSent)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	if ctx.Err() != nil {
+		_ = c.Close()
+		return errors.Mark(errors.Wrap(ctx.Err(), "call was cancelled"), ErrNotSent)
+	}
+	if err := exchange(c, request, response, p.maxBody); err != nil {
+		stop()
+		_ = c.Close()
+		return errors.Mark(errors.Wrapf(err, "call %s", p.address), ErrLost)
+	}
+	if !stop() || response.ConnectionClose() || request.ConnectionClose() {
+		_ = c.Close()
+		return nil
+	}
+	p.put(c)
+	return nil
+}
+
+func exchange(c *connection, request *fasthttp.Request, response *fasthttp.Response, maxBody int) error {
+	if err := request.Write(c.writer); err != nil {
+		return errors.Wrap(err, "write call")
+	}
+	if err := c.writer.Flush(); err != nil {
+		return errors.Wrap(err, "write call")
+	}
+	if err := response.ReadLimitBody(c.reader, maxBody); err != nil {
+		return errors.Wrap(err, "read answer")
+	}
+	return nil
+}
+
+// take gives the idle connection that was used last, or opens one.
+func (p *Pool) take(ctx context.Context) (*connection, error) {
+	if c := p.takeIdle(); c != nil {
+		return c, nil
+	}
+	c, err := p.dial(ctx, p.address)
+	if err != nil {
+		return nil, err
+	}
+	return newConnection(c), nil
+}
+
+func (p *Pool) takeIdle() *connection {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if len(p.idle) == 0 {
+		return nil
+	}
+	last := len(p.idle) - 1
+	c := p.idle[last]
+	if p.now().Sub(c.since) > p.maxAge {
+		closeAll(p.idle)
+		p.idle = nil
+		return nil
+	}
+	p.idle = p.idle[:last]
+	return c
+}
+
+func (p *Pool) put(c *connection) {
+	c.since = p.now()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if len(p.idle) >= p.maxIdle {
+		_ = c.Close()
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
+// Close closes the idle connections.
+func (p *Pool) Close() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	closeAll(p.idle)
+	p.idle = nil
+}
+
+func closeAll(connections []*connection) {
+	for _, c := range connections {
+		_ = c.Close()
+	}
+}
--- /dev/null
+++ b/io/kqlog/kqlog.go
@@ -0,0 +1,153 @@
+// Package kqlog writes the node's JSON log lines, one for each routing or
+// placement decision, without holding up the call that decided.
+//
+// # Usage
+//
+//	log := kqlog.New(os.Stdout, kqlog.WithNode("node-1", "lothian-a"))
+//	log.Decide(kqlog.Decision{RequestID: id, Decision: "Route", Chosen: peer})
+//	log.Close()
+//
+// Lines are queued and written by one goroutine. A line that finds the queue
+// full is counted, and the count is written as a line of its own.
+package kqlog
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+const defaultQueueLength = 8192
+
+// Decision is one routing or placement decision.
+type Decision struct {
+	RequestID string
+	Class     string
+	Service   string
+	// Decision names what was decided, such as "Route" or "Admit".
+	Decision string
+	Cause    string
+	Outcome  string
+	// Chosen is what was chosen, and Others what else was possible.
+	Chosen string
+	Others []string
+	Took   time.Duration
+}
+
+// Log is a node's log.
+type Log struct {
+	logger  zerolog.Logger
+	queue   chan func()
+	dropped atomic.Int64
+	done    chan struct{}
+	closing sync.RWMutex
+	closed  bool
+	level   zerolog.Level
+}
+
+// Option changes a log.
+type Option func(*options)
+
+type options struct {
+	node   string
+	domain string
+	level  zerolog.Level
+	queue  int
+}
+
+// WithNode names the node and its failure domain on every line.
+func WithNode(nodeID, failureDomain string) Option {
+	return func(o *options) { o.node, o.domain = nodeID, failureDomain }
+}
+
+// WithLevel sets the lowest level that is written.
+func WithLevel(l zerolog.Level) Option {
+	return func(o *options) { o.level = l }
+}
+
+// WithQueueLength sets how many lines may wait.
+func WithQueueLength(n int) Option {
+	return func(o *options) { o.queue = n }
+}
+
+// New starts a log.
+func New(w io.Writer, opts ...Option) *Log {
+	o := options{level: zerolog.InfoLevel, queue: defaultQueueLength}
+	for _, f := range opts {
+		f(&o)
+	}
+	logger := zerolog.New(w).Level(o.level).With().Str("Node", o.node).Str("FailureDomain", o.domain).Logger()
+	l := &Log{logger: logger, queue: make(chan func(), o.queue), done: make(chan struct{}), level: o.level}
+	go l.write()
+	return l
+}
+
+// Dropped is how many lines found the queue full.
+func (l *Log) Dropped() int64 {
+	return l.dropped.Load()
+}
+
+// Close writes what is queued and stops.
+func (l *Log) Close() {
+	l.closing.Lock()
+	defer l.closing.Unlock()
+	if l.closed {
+		return
+	}
+	l.closed = true
+	close(l.queue)
+	<-l.done
+}
+
+// Decide logs a decision.
+func (l *Log) Decide(d Decision) {
+	if l.level > zerolog.InfoLevel {
+		return
+	}
+	at := time.Now()
+	l.enqueue(func() {
+		e := l.logger.Info().Time("Time", at).Str("Decision", d.Decision).Str("RequestID", d.RequestID)
+		e = e.Str("Class", d.Class).Str("Service", d.Service).Str("Cause", d.Cause).Str("Outcome", d.Outcome)
+		e.Str("Chosen", d.Chosen).Strs("Others", d.Others).Int64("TookMicros", d.Took.Microseconds()).Send()
+	})
+}
+
+// Event logs something other than a decision.
+func (l *Log) Event(level zerolog.Level, message string, err error) {
+	if level < l.level {
+		return
+	}
+	at := time.Now()
+	l.enqueue(func() {
+		l.logger.WithLevel(level).Time("Time", at).Err(err).Msg(message)
+	})
+}
+
+func (l *Log) enqueue(line func()) {
+	l.closing.RLock()
+	defer l.closing.RUnlock()
+	if l.closed {
+		l.dropped.Add(1)
+		return
+	}
+	select {
+	case l.queue <- line:
+	default:
+		l.dropped.Add(1)
+	}
+}
+
+func (l *Log) write() {
+	defer close(l.done)
+	reported := int64(0)
+	for line := range l.queue {
+		line()
+		if n := l.dropped.Load(); n != reported && len(l.queue) == 0 {
+			l.logger.Warn().Time("Time", time.Now()).Int64("Dropped", n-reported).Msg("log lines were dropped")
+			reported = n
+		}
+	}
+}
--- /dev/null
+++ b/io/kqnode/entry.go
@@ -0,0 +1,164 @@
+package kqnode
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"kumquatlink/core/kqcall"
+	"kumquatlink/core/kqclass"
+	"kumquatlink/io/kqlog"
+	"kumquatlink/io/kqwire"
+)
+
+// maxRequestIDLength bounds a request ID that a caller chose.
+const maxRequestIDLength = 64
+
+// handleCaller takes a call from a caller outside the fleet.
+func (n *Node) handleCaller(c *fasthttp.RequestCtx) {
+	q := readCall(c)
+	q.head.RequestID = string(c.Request.Header.Peek(kqwire.HeaderRequestID))
+	if q.head.RequestID == "" {
+		q.head.RequestID = newID()
+	}
+	cause := n.classify(q, string(c.Request.Header.Peek(kqwire.HeaderClass)), string(c.Request.Header.Peek(kqwire.HeaderBudget)))
+	n.serve(c, q, cause)
+}
+
+// classify fills in what the class of a caller's call decides.
+func (n *Node) classify(q *call, class, budget string) kqcall.Cause {
+	if !validRequestID(q.head.RequestID) {
+		q.head.RequestID = newID()
+		return kqcall.CauseBadRequest
+	}
+	s := n.State()
+	if s.Classes == nil {
+		return kqcall.CauseNoConfiguration
+	}
+	if !s.Members.KnowsService(q.head.Service) {
+		return kqcall.CauseNoService
+	}
+	rule, found := s.Classes.ForService(q.head.Service)
+	if class != "" {
+		rule, found = s.Classes.Find(class)
+	}
+	if !found {
+		return kqcall.CauseNoClass
+	}
+	left, cause := budgetOf(rule, budget)
+	if cause != "" {
+		return cause
+	}
+	q.head.Class = rule.Class.Name
+	q.head.Rank = rule.Rank
+	q.head.Repeatable = !rule.Class.RunOnce
+	q.head.Budget = left
+	q.head.Retries = retryAllowance
+	return ""
+}
+
+// budgetOf is the class's deadline unless the caller gives a nearer one.
+func budgetOf(rule kqclass.Rule, text string) (time.Duration, kqcall.Cause) {
+	if text == "" {
+		return rule.Deadline(), ""
+	}
+	milliseconds, err := strconv.ParseInt(text, 10, 32)
+	if err != nil {
+		return 0, kqcall.CauseBadRequest
+	}
+	if milliseconds <= 0 {
+		return 0, kqcall.CauseDeadline
+	}
+	return min(rule.Deadline(), time.Duration(milliseconds)*time.Millisecond), ""
+}
+
+func validRequestID(id string) bool {
+	if len(id) > maxRequestIDLength {
+		return false
+	}
+	for _, r := range id {
+		if r <= ' ' || r > '~' || r == '"' || r == '\\' {
+			return false
+		}
+	}
+	return true
+}
+
+// handleBackend takes onward calls and announcements of the backend server on
+// this host.
+func (n *Node) handleBackend(c *fasthttp.RequestCtx) {
+	if string(c.Path()) == kqwire.PathAnnounce {
+		n.handleAnnouncement(c)
+		return
+	}
+	q := readCall(c)
+	parent := n.gate.find(string(c.Request.Header.Peek(kqwire.HeaderContext)))
+	n.serve(c, q, n.adopt(q, parent))
+}
+
+// adopt fills in what an onward call takes from the call it is made for.
+func (n *Node) adopt(q *call, parent *running) kqcall.Cause {
+	if parent == nil {
+		q.head.RequestID = newID()
+		return kqcall.CauseParentOver
+	}
+	left := parent.deadline.Sub(n.now())
+	key := q.head.Key
+	q.parent = parent
+	q.head = parent.head.Onward(q.head.Service, left)
+	q.head.Key = key
+	if q.head.Depth >= kqcall.MaxDepth {
+		return kqcall.CauseDepth
+	}
+	if left <= 0 {
+		return kqcall.CauseDeadline
+	}
+	if !n.State().Members.KnowsService(q.head.Service) {
+		return kqcall.CauseNoService
+	}
+	return ""
+}
+
+// serve runs a call on the pool and answers it. The answer goes out as soon as
+// it is final.
+func (n *Node) serve(c *fasthttp.RequestCtx, q *call, cause kqcall.Cause) {
+	begun := n.now()
+	r := refused(cause)
+	if cause == "" {
+		done := make(chan *result, 1)
+		if err := n.pool.Submit(func() { done <- n.dispatch(q) }); err != nil {
+			r = refused(kqcall.CausePoolFull)
+		} else {
+			r = <-done
+		}
+	}
+	n.log.Decide(kqlog.Decision{
+		RequestID: q.head.RequestID, Class: q.head.Class, Service: q.head.Service, Decision: "Answer",
+		Cause: string(r.end.Cause), Outcome: string(r.end.Outcome), Took: n.now().Sub(begun),
+	})
+	writeResult(c, q.head.RequestID, r)
+}
+
+// dispatch routes a call within its budget.
+func (n *Node) dispatch(q *call) *result {
+	parent := context.Background()
+	if q.parent != nil {
+		parent = q.parent.ctx
+	}
+	ctx, cancel := withBudget(parent, q.head)
+	defer cancel()
+	return n.router.route(ctx, q)
+}
+
+func (n *Node) handleAnnouncement(c *fasthttp.RequestCtx) {
+	var a kqwire.Announcement
+	if err := json.Unmarshal(c.PostBody(), &a); err != nil || !kqclass.ValidName(a.Service) || a.Address == "" {
+		c.SetStatusCode(fasthttp.StatusBadRequest)
+		c.SetBodyString("want {\"Service\", \"Address\", \"Slots\", \"State\"}\n")
+		return
+	}
+	n.control.send(event{kind: eventAnnounce, backend: &Backend{Announcement: a}})
+}
--- /dev/null
+++ b/io/kqnode/kqnode.go
@@ -0,0 +1,241 @@
+// Package kqnode is the process that stands beside every backend server. It
+// is three things at once: the entry takes calls from callers and its own
+// backend server's onward calls, the gate decides what its backend server
+// runs, and the member knows the other nodes and the configuration.
+//
+// # Usage
+//
+//	node, err := kqnode.New(settings, identity, client, kqnode.WithLog(log))
+//	err = node.Start()
+//	...
+//	err = node.Shutdown(ctx)
+//
+// One goroutine owns control state and publishes an immutable [State]; call
+// traffic runs on a pool and only ever reads the state of the moment.
+package kqnode
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/panjf2000/ants/v2"
+	"github.com/valyala/fasthttp"
+
+	"kumquatlink/core/kqcall"
+	"kumquatlink/core/kqclass"
+	"kumquatlink/core/kqmember"
+	"kumquatlink/io/kqlink"
+	"kumquatlink/io/kqlog"
+	"kumquatlink/io/kqsettings"
+	"kumquatlink/io/kqstore"
+	"kumquatlink/io/kqtrust"
+)
+
+// ErrNode marks all errors of this package.
+var ErrNode = errors.New("node failed")
+
+// Defaults of a node.
+const (
+	defaultPoolSize = 8192
+	maxBodyBytes    = kqlink.MaxBodyBytes
+	// readBufferBytes bounds the header of an HTTP call.
+	readBufferBytes = 16 << 10
+)
+
+// State is what call traffic reads; it is immutable.
+type State struct {
+	Members *kqmember.Snapshot
+	Classes *kqclass.Table
+	// Configuration is what Classes was derived from.
+	Configuration kqclass.Configuration
+	// Life is the state of the node's own chart.
+	Life kqmember.Life
+	// Backend is the backend server's announcement, or nil.
+	Backend *Backend
+}
+
+// Node is one process of the system.
+type Node struct {
+	settings kqsettings.Node
+	identity *kqtrust.Identity
+	store    *kqstore.Client
+	log      *kqlog.Log
+	ownsLog  bool
+	now      func() time.Time
+
+	pool    *ants.Pool
+	dialer  *kqlink.Dialer
+	server  *kqlink.Server
+	callers *fasthttp.Server
+	backend *fasthttp.Server
+
+	callerAddress  string
+	backendAddress string
+
+	state   atomic.Pointer[State]
+	control *control
+	gate    *gate
+	router  *router
+
+	cancel context.CancelFunc
+	loops  sync.WaitGroup
+}
+
+// Option changes a node.
+type Option func(*Node)
+
+// WithLog sets the log that decisions are written to.
+func WithLog(l *kqlog.Log) Option {
+	return func(n *Node) { n.log = l }
+}
+
+// New makes a node from checked settings.
+func New(settings kqsettings.Node, identity *kqtrust.Identity, store *kqstore.Client, options ...Option) (*Node, error) {
+	pool, err := ants.NewPool(defaultPoolSize, ants.WithNonblocking(true))
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "make pool"), ErrNode)
+	}
+	n := &Node{settings: settings, identity: identity, store: store, now: time.Now, pool: pool}
+	for _, o := range options {
+		o(n)
+	}
+	if n.log == nil {
+		n.log = kqlog.New(io.Discard, kqlog.WithNode(settings.NodeID, settings.FailureDomain))
+		n.ownsLog = true
+	}
+	n.dialer = kqlink.NewDialer(identity)
+	n.gate = newGate(n)
+	n.router = newRouter(n)
+	n.control = newControl(n)
+	return n, nil
+}
+
+// Start opens the node's addresses and joins the fleet.
+func (n *Node) Start() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	var err error
+	n.server, err = kqlink.Listen(n.settings.PeerAddress, n.identity, kqlink.Handlers{
+		Call:    n.handlePeerCall,
+		Message: n.handlePeerMessage,
+		Submit:  n.pool.Submit,
+	})
+	if err != nil {
+		return errors.Mark(err, ErrNode)
+	}
+	n.control.start(n.server.Address())
+	n.callers = newHTTPServer(n.handleCaller)
+	n.backend = newHTTPServer(n.handleBackend)
+	if n.settings.CallerAddress != "" {
+		if n.callerAddress, err = listen(n.callers, n.settings.CallerAddress); err != nil {
+			return err
+		}
+	}
+	if n.backendAddress, err = listen(n.backend, n.settings.BackendAddress); err != nil {
+		return err
+	}
+	n.loop(ctx, n.control.run)
+	n.loop(ctx, n.runConfigurationWatch)
+	n.loop(ctx, n.runExchange)
+	return nil
+}
+
+func (n *Node) loop(ctx context.Context, run func(context.Context)) {
+	n.loops.Add(1)
+	go func() {
+		defer n.loops.Done()
+		run(ctx)
+	}()
+}
+
+// Shutdown stops taking work, lets what is in flight finish, and ends.
+func (n *Node) Shutdown(ctx context.Context) error {
+	n.control.send(event{kind: eventLeave})
+	for _, s := range []*fasthttp.Server{n.callers, n.backend} {
+		if err := s.ShutdownWithContext(ctx); err != nil {
+			return errors.Mark(errors.Wrap(err, "finish calls"), ErrNode)
+		}
+	}
+	n.cancel()
+	n.loops.Wait()
+	err := n.server.Close()
+	n.dialer.Close()
+	n.pool.Release()
+	if n.ownsLog {
+		n.log.Close()
+	}
+	return errors.Mark(err, ErrNode)
+}
+
+// CallerAddress is the TCP address that callers use.
+func (n *Node) CallerAddress() string { return n.callerAddress }
+
+// BackendAddress is the TCP address that the backend server uses.
+func (n *Node) BackendAddress() string { return n.backendAddress }
+
+// PeerAddress is the UDP address that other nodes use.
+func (n *Node) PeerAddress() string { return n.server.Address() }
+
+// State is the state of the moment.
+func (n *Node) State() *State { return n.state.Load() }
+
+// WaitFor waits until the node's state satisfies the condition.
+func (n *Node) WaitFor(ctx context.Context, condition func(*State) bool) error {
+	for {
+		changed := n.control.changed()
+		if condition(n.State()) {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return errors.Mark(errors.Wrap(ctx.Err(), "wait for state"), ErrNode)
+		}
+	}
+}
+
+func newHTTPServer(handler fasthttp.RequestHandler) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:               handler,
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+		MaxRequestBodySize:    maxBodyBytes,
+		ReadBufferSize:        readBufferBytes,
+		ErrorHandler:          handleMalformed,
+	}
+}
+
+// handleMalformed answers a caller whose call could not be read at all.
+func handleMalformed(c *fasthttp.RequestCtx, err error) {
+	cause := kqcall.CauseBadRequest
+	var small *fasthttp.ErrSmallBuffer
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &small) {
+		cause = kqcall.CauseTooLarge
+	}
+	writeResult(c, "", &result{end: kqcall.NotRun(cause)})
+}
+
+func listen(s *fasthttp.Server, address string) (string, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", errors.Mark(errors.Wrapf(err, "listen at %s", address), ErrNode)
+	}
+	go func() { _ = s.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
+// newID makes an identifier that nobody can guess.
+func newID() string {
+	var b [16]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		panic(err)
+	}
+	return hex.EncodeToString(b[:])
+}
--- /dev/null
+++ b/io/kqnode/member.go
@@ -0,0 +1,119 @@
+package kqnode
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+
+	"kumquatlink/core/kqclass"
+	"kumquatlink/core/kqmember"
+	"kumquatlink/io/kqstore"
+)
+
+// Periods of the control loops.
+const (
+	exchangePeriod  = 250 * time.Millisecond
+	exchangeTimeout = 2 * time.Second
+	watchPause      = 500 * time.Millisecond
+)
+
+// exchange is what two nodes tell each other.
+type exchange struct {
+	Records       []kqmember.Record
+	Configuration kqclass.Configuration
+}
+
+// runExchange tells the peers of the settings what this node knows and takes
+// in what they know.
+func (n *Node) runExchange(ctx context.Context) {
+	ticker := time.NewTicker(exchangePeriod)
+	defer ticker.Stop()
+	for {
+		for _, p := range n.settings.Peers {
+			n.exchangeWith(ctx, p)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (n *Node) exchangeWith(ctx context.Context, peer string) {
+	if peer == n.server.Address() {
+		return
+	}
+	message, err := cbor.Marshal(n.told())
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	reply, err := n.dialer.Message(ctx, peer, message)
+	if err != nil {
+		n.log.Event(zerolog.DebugLevel, "exchange with "+peer, err)
+		return
+	}
+	if err := n.hear(reply); err != nil {
+		n.log.Event(zerolog.WarnLevel, "exchange with "+peer, err)
+	}
+}
+
+func (n *Node) told() exchange {
+	s := n.State()
+	return exchange{Records: s.Members.Records, Configuration: s.Configuration}
+}
+
+func (n *Node) hear(message []byte) error {
+	var x exchange
+	if err := cbor.Unmarshal(message, &x); err != nil {
+		return errors.Mark(errors.Wrap(err, "read exchange"), ErrNode)
+	}
+	n.control.send(event{kind: eventRecords, records: x.Records})
+	if x.Configuration.Version > 0 {
+		n.control.send(event{kind: eventConfiguration, configuration: x.Configuration})
+	}
+	return nil
+}
+
+// handlePeerMessage answers a peer's exchange.
+func (n *Node) handlePeerMessage(_ context.Context, _ string, message []byte) ([]byte, error) {
+	if err := n.hear(message); err != nil {
+		return nil, err
+	}
+	reply, err := cbor.Marshal(n.told())
+	return reply, errors.Mark(err, ErrNode)
+}
+
+// runConfigurationWatch follows the configuration in the store.
+func (n *Node) runConfigurationWatch(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := n.followConfiguration(ctx); err != nil && ctx.Err() == nil {
+			n.log.Event(zerolog.WarnLevel, "follow configuration", err)
+		}
+		select {
+		case <-time.After(watchPause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (n *Node) followConfiguration(ctx context.Context) error {
+	configuration, version, err := kqstore.ReadConfiguration(ctx, n.store)
+	if err != nil {
+		return err
+	}
+	n.control.send(event{kind: eventConfiguration, configuration: configuration})
+	return n.store.Watch(ctx, kqstore.KindConfiguration, kqstore.NameConfiguration, version, func(o kqstore.Object) error {
+		next, err := kqstore.DecodeConfiguration(o)
+		if err != nil {
+			return err
+		}
+		n.control.send(event{kind: eventConfiguration, configuration: next})
+		return nil
+	})
+}
--- /dev/null
+++ b/io/kqnode/path_test.go
@@ -0,0 +1,140 @@
+package kqnode_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"kumquatlink/core/kqclass"
+	"kumquatlink/io/kqbackend"
+	"kumquatlink/io/kqfleet"
+	"kumquatlink/io/kqlog"
+	"kumquatlink/io/kqnode"
+	"kumquatlink/io/kqwire"
+)
+
+// testPatience only ends a test that hangs.
+const testPatience = time.Minute
+
+func testClasses() []kqclass.Class {
+	return []kqclass.Class{
+		{Name: "purchase", Target: kqclass.Target{Complete: 99.9, Within: kqclass.Duration(30 * time.Second)}, RunOnce: true},
+		{Name: "browse", Target: kqclass.Target{Complete: 95, Within: kqclass.Duration(30 * time.Second)}, Services: []string{"catalog"}},
+	}
+}
+
+// lines is a log's output that tests may read while it is written.
+type lines struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.buffer.Write(p)
+}
+
+func (l *lines) decisions(t *testing.T) []map[string]any {
+	t.Helper()
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var all []map[string]any
+	for line := range strings.Lines(l.buffer.String()) {
+		var fields map[string]any
+		if err := json.Unmarshal([]byte(line), &fields); err != nil {
+			t.Fatalf("log line %q: %v", line, err)
+		}
+		all = append(all, fields)
+	}
+	return all
+}
+
+// call sends one call to an entry and gives the answer.
+func call(t *testing.T, address string, fill func(*fasthttp.Request)) *fasthttp.Response {
+	t.Helper()
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	response := &fasthttp.Response{}
+	request.SetRequestURI("/list?page=2")
+	request.Header.SetHost(address)
+	fill(request)
+	client := &fasthttp.HostClient{Addr: address, MaxIdemponentCallAttempts: 1}
+	if err := client.Do(request, response); err != nil {
+		t.Fatalf("call: %v", err)
+	}
+	return response
+}
+
+func TestWholePathThroughTwoNodes(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
+	defer cancel()
+	fleet, err := kqfleet.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		if err := fleet.Close(); err != nil {
+			t.Errorf("close: %v", err)
+		}
+	}()
+	if err := fleet.Configure(ctx, testClasses()); err != nil {
+		t.Fatal(err)
+	}
+	output := &lines{}
+	log := kqlog.New(output, kqlog.WithNode("entry-1", "lothian-a"))
+	entry, err := fleet.AddNode(kqfleet.Place{NodeID: "entry-1", Region: "lothian", FailureDomain: "lothian-a"}, kqnode.WithLog(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	deep, err := fleet.AddBackend(
+		kqfleet.Place{NodeID: "catalog-1", Region: "lothian", FailureDomain: "lothian-b"},
+		kqbackend.Settings{Service: "catalog", Slots: 4},
+	)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := fleet.Settle(ctx, "catalog"); err != nil {
+		t.Fatal(err)
+	}
+	response := call(t, entry.Node.CallerAddress(), func(r *fasthttp.Request) {
+		r.Header.SetMethod(fasthttp.MethodPost)
+		r.Header.Set(kqwire.HeaderService, "catalog")
+		r.Header.Set(kqwire.HeaderRequestID, "request-1")
+		r.SetBodyString("voices")
+	})
+	if got, want := string(response.Body()), "catalog POST /list?page=2 voices"; got != want {
+		t.Errorf("body: got %q, want %q", got, want)
+	}
+	for name, want := range map[string]string{kqwire.HeaderOutcome: "ran", kqwire.HeaderCause: "Done", kqwire.HeaderRequestID: "request-1"} {
+		if got := string(response.Header.Peek(name)); got != want {
+			t.Errorf("%s: got %q, want %q", name, got, want)
+		}
+	}
+	runs := deep.Backend.Runs()
+	if got, want := len(runs), 1; got != want {
+		t.Fatalf("runs: got %d, want %d", got, want)
+	}
+	if got, want := runs[0].Class, "browse"; got != want {
+		t.Errorf("class at the backend server: got %q, want %q", got, want)
+	}
+	log.Close()
+	routes := 0
+	for _, d := range output.decisions(t) {
+		if d["Decision"] == "Route" {
+			routes++
+			if got, want := d["Chosen"], "catalog-1"; got != want {
+				t.Errorf("chosen: got %v, want %v", got, want)
+			}
+		}
+	}
+	if got, want := routes, 1; got != want {
+		t.Errorf("routing lines: got %d, want %d", got, want)
+	}
+}
