Give each control event a type of its own

Cause: one event struct with a kind made every part of the node edit one switch. Change: events are types that stand beside the loop that sends them.

--- a/io/kqnode/control.go
+++ b/io/kqnode/control.go
@@ -5,10 +5,7 @@
 	"embed"
 	"sync"
 
-	"github.com/rs/zerolog"
-
 	"kumquatlink/core/kqchart"
-	"kumquatlink/core/kqclass"
 	"kumquatlink/core/kqmember"
 	"kumquatlink/io/kqhttp"
 	"kumquatlink/io/kqwire"
@@ -20,22 +17,11 @@
 // eventQueueLength bounds the events that wait for the control goroutine.
 const eventQueueLength = 1024
 
-// eventKind says what an event is.
-type eventKind int
-
-const (
-	eventAnnounce eventKind = iota
-	eventRecords
-	eventConfiguration
-	eventLeave
-)
-
-// event is a message to the control goroutine.
-type event struct {
-	kind          eventKind
-	backend       *Backend
-	records       []kqmember.Record
-	configuration kqclass.Configuration
+// event is a message to the control goroutine. Each kind is a type of its own
+// that stands beside the loop that sends it.
+type event interface {
+	// apply changes the control state and says whether it did.
+	apply(c *control) bool
 }
 
 // control owns all control state; only its goroutine touches it.
@@ -101,7 +87,7 @@
 	for {
 		select {
 		case e := <-c.events:
-			if c.handle(e) {
+			if e.apply(c) {
 				c.publish()
 			}
 		case <-ctx.Done():
@@ -110,22 +96,13 @@
 	}
 }
 
-// handle takes one event and says whether the state changed.
-func (c *control) handle(e event) bool {
-	switch e.kind {
-	case eventAnnounce:
-		return c.handleAnnounce(e.backend)
-	case eventRecords:
-		return c.view.Merge(e.records)
-	case eventConfiguration:
-		return c.handleConfiguration(e.configuration)
-	case eventLeave:
-		return c.fire("Leave")
-	}
-	return false
+// announceEvent is the backend server's word about itself.
+type announceEvent struct {
+	backend *Backend
 }
 
-func (c *control) handleAnnounce(b *Backend) bool {
+func (e announceEvent) apply(c *control) bool {
+	b := e.backend
 	if b.Announcement.State == kqwire.StateLeaving {
 		return c.fire("Leave")
 	}
@@ -139,6 +116,13 @@
 	return true
 }
 
+// leaveEvent begins the node's own leaving.
+type leaveEvent struct{}
+
+func (leaveEvent) apply(c *control) bool {
+	return c.fire("Leave")
+}
+
 // fire takes an event of the node's life, if its state takes it.
 func (c *control) fire(name string) bool {
 	if !c.life.Can(name) {
@@ -150,18 +134,3 @@
 	c.view.UpdateOwn(func(r *kqmember.Record) { r.Life = kqmember.Life(c.life.State()) })
 	return true
 }
-
-// handleConfiguration takes a configuration into force unless its version has
-// passed.
-func (c *control) handleConfiguration(configuration kqclass.Configuration) bool {
-	if configuration.Version <= c.state.Configuration.Version {
-		return false
-	}
-	if faults := configuration.Check(); len(faults) > 0 {
-		c.node.log.Event(zerolog.ErrorLevel, "configuration refused: "+faults[0].String(), nil)
-		return false
-	}
-	c.state.Configuration = configuration
-	c.state.Classes = kqclass.NewTable(configuration)
-	return true
-}
--- a/io/kqnode/entry.go
+++ b/io/kqnode/entry.go
@@ -160,5 +160,5 @@
 		c.SetBodyString("want {\"Service\", \"Address\", \"Slots\", \"State\"}\n")
 		return
 	}
-	n.control.send(event{kind: eventAnnounce, backend: &Backend{Announcement: a}})
+	n.control.send(announceEvent{backend: &Backend{Announcement: a}})
 }
--- a/io/kqnode/kqnode.go
+++ b/io/kqnode/kqnode.go
@@ -157,7 +157,7 @@
 
 // Shutdown stops taking work, lets what is in flight finish, and ends.
 func (n *Node) Shutdown(ctx context.Context) error {
-	n.control.send(event{kind: eventLeave})
+	n.control.send(leaveEvent{})
 	for _, s := range []*fasthttp.Server{n.callers, n.backend} {
 		if err := s.ShutdownWithContext(ctx); err != nil {
 			return errors.Mark(errors.Wrap(err, "finish calls"), ErrNode)
--- a/io/kqnode/member.go
+++ b/io/kqnode/member.go
@@ -10,14 +10,12 @@
 
 	"kumquatlink/core/kqclass"
 	"kumquatlink/core/kqmember"
-	"kumquatlink/io/kqstore"
 )
 
 // Periods of the control loops.
 const (
 	exchangePeriod  = 250 * time.Millisecond
 	exchangeTimeout = 2 * time.Second
-	watchPause      = 500 * time.Millisecond
 )
 
 // exchange is what two nodes tell each other.
@@ -73,9 +71,9 @@
 	if err := cbor.Unmarshal(message, &x); err != nil {
 		return errors.Mark(errors.Wrap(err, "read exchange"), ErrNode)
 	}
-	n.control.send(event{kind: eventRecords, records: x.Records})
+	n.control.send(recordsEvent{records: x.Records})
 	if x.Configuration.Version > 0 {
-		n.control.send(event{kind: eventConfiguration, configuration: x.Configuration})
+		n.control.send(configurationEvent{configuration: x.Configuration})
 	}
 	return nil
 }
@@ -89,31 +87,11 @@
 	return reply, errors.Mark(err, ErrNode)
 }
 
-// runConfigurationWatch follows the configuration in the store.
-func (n *Node) runConfigurationWatch(ctx context.Context) {
-	for ctx.Err() == nil {
-		if err := n.followConfiguration(ctx); err != nil && ctx.Err() == nil {
-			n.log.Event(zerolog.WarnLevel, "follow configuration", err)
-		}
-		select {
-		case <-time.After(watchPause):
-		case <-ctx.Done():
-		}
-	}
+// recordsEvent is what a peer told of the fleet.
+type recordsEvent struct {
+	records []kqmember.Record
 }
 
-func (n *Node) followConfiguration(ctx context.Context) error {
-	configuration, version, err := kqstore.ReadConfiguration(ctx, n.store)
-	if err != nil {
-		return err
-	}
-	n.control.send(event{kind: eventConfiguration, configuration: configuration})
-	return n.store.Watch(ctx, kqstore.KindConfiguration, kqstore.NameConfiguration, version, func(o kqstore.Object) error {
-		next, err := kqstore.DecodeConfiguration(o)
-		if err != nil {
-			return err
-		}
-		n.control.send(event{kind: eventConfiguration, configuration: next})
-		return nil
-	})
+func (e recordsEvent) apply(c *control) bool {
+	return c.view.Merge(e.records)
 }
