Bound retries by one allowance a request and a brake an entry

Cause: an onward call got no retries and never drew any; a call was retried only by the entry, and a try in doubt followed by one that was not run was answered "not run", which may be untrue. Change: core/kqretry holds the allowance (granted on the way down, put back with the answer, closed with the call) and the brake. Conclusion: the sum is bounded by construction; the share is not yet measured under load.

--- /dev/null
+++ b/core/kqretry/kqretry_test.go
@@ -0,0 +1,218 @@
+package kqretry_test
+
+import (
+	"flag"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"kumquatlink/core/kqcall"
+	"kumquatlink/core/kqretry"
+)
+
+// TestMain fixes the seed, so that every run checks the same cases.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "2843"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// counter is the naive twin: one counter for the whole request that every hop
+// can see, which no fleet has.
+type counter struct {
+	retries atomic.Int64
+}
+
+// tree runs one request over random hops with random losses.
+type tree struct {
+	faults  []byte
+	next    atomic.Int64
+	counter counter
+}
+
+// fault gives the next fault; faults that run out mean that all goes well.
+func (r *tree) fault() byte {
+	i := int(r.next.Add(1)) - 1
+	if i >= len(r.faults) {
+		return 0
+	}
+	return r.faults[i]
+}
+
+// hop runs a call that was granted n retries and gives what its answer says
+// is left. It may end before the calls below it do.
+func (r *tree) hop(n, depth int) int {
+	held := kqretry.NewAllowance(n)
+	var below sync.WaitGroup
+	if depth < kqcall.MaxDepth {
+		for range int(r.fault() % 4) {
+			below.Add(1)
+			go func() {
+				defer below.Done()
+				r.send(held, depth+1)
+			}()
+		}
+	}
+	if r.fault()%5 != 0 {
+		below.Wait()
+	}
+	left := held.Close()
+	below.Wait()
+	return left
+}
+
+// send is what a router does: grant, send, put back or lose, retry.
+func (r *tree) send(held *kqretry.Allowance, depth int) {
+	for {
+		grant := held.Grant()
+		left := r.hop(grant, depth)
+		switch r.fault() % 3 {
+		case 0:
+			held.PutBack(left, grant)
+			return
+		case 1:
+			held.PutBack(left, grant)
+		case 2:
+			// The answer is lost, and the grant with it.
+		}
+		if !held.Draw() {
+			return
+		}
+		r.counter.retries.Add(1)
+	}
+}
+
+func TestTotalRetriesNeverPassTheBound(t *testing.T) {
+	reached := 0
+	rapid.Check(t, func(t *rapid.T) {
+		r := &tree{faults: rapid.SliceOfN(rapid.Byte(), 60, 400).Draw(t, "faults")}
+		held := kqretry.NewAllowance(kqretry.Bound)
+		r.send(held, 0)
+		got := int(r.counter.retries.Load())
+		if got > kqretry.Bound {
+			t.Fatalf("retries: got %d, want at most %d", got, kqretry.Bound)
+		}
+		if got == kqretry.Bound {
+			reached++
+		}
+	})
+	if reached == 0 {
+		t.Error("no tree used the whole bound, so that the test proves nothing")
+	}
+}
+
+// TestSequentialTreeMatchesCounter holds the allowance against the naive twin
+// where no answer is lost and calls run one after the other: then nothing is
+// forfeited, and both allow the same number of retries.
+func TestSequentialTreeMatchesCounter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		failures := rapid.SliceOfN(rapid.IntRange(0, 4), 1, 12).Draw(t, "failures")
+		held := kqretry.NewAllowance(kqretry.Bound)
+		naive, got := kqretry.Bound, 0
+		for _, n := range failures {
+			for range n {
+				grant := held.Grant()
+				held.PutBack(grant, grant)
+				if held.Draw() {
+					got++
+				}
+				naive = max(0, naive-1)
+			}
+		}
+		if want := kqretry.Bound - naive; got != want {
+			t.Fatalf("retries: got %d, want %d", got, want)
+		}
+	})
+}
+
+func TestClosedAllowanceGivesAndTakesNothing(t *testing.T) {
+	held := kqretry.NewAllowance(kqretry.Bound)
+	grant := held.Grant()
+	if got, want := held.Close(), kqretry.Bound-grant; got != want {
+		t.Errorf("left at close: got %d, want %d", got, want)
+	}
+	held.PutBack(grant, grant)
+	if held.Draw() || held.Grant() != 0 || held.Left() != 0 || held.Close() != 0 {
+		t.Error("a closed allowance still holds retries")
+	}
+}
+
+func TestPutBackIsCutToTheGrant(t *testing.T) {
+	held := kqretry.NewAllowance(kqretry.Bound)
+	grant := held.Grant()
+	held.PutBack(grant+5, grant)
+	if got, want := held.Left(), kqretry.Bound; got != want {
+		t.Errorf("held: got %d, want %d", got, want)
+	}
+}
+
+func TestAllowanceFromWrongPeerIsCut(t *testing.T) {
+	for _, n := range []int{-4, kqretry.Bound + 1, 1 << 40} {
+		if got, want := kqretry.NewAllowance(n).Left(), min(max(n, 0), kqretry.Bound); got != want {
+			t.Errorf("allowance of %d: got %d, want %d", n, got, want)
+		}
+	}
+}
+
+// TestBrakeMatchesLedger holds the brake against a naive ledger of everything
+// that ever happened: in any stretch of it, retries are at most a tenth of the
+// first tries plus the burst.
+func TestBrakeMatchesLedger(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		events := rapid.SliceOfN(rapid.IntRange(0, 5), 0, 600).Draw(t, "events")
+		brake := kqretry.NewBrake()
+		var ledger []int
+		for _, e := range events {
+			switch {
+			case e == 0:
+				brake.Resend()
+			case e < 3:
+				brake.FirstTry()
+				ledger = append(ledger, 1)
+			case brake.Draw():
+				ledger = append(ledger, -10)
+			}
+		}
+		for from := range ledger {
+			sum := 10 * kqretry.MaxBurst
+			for _, n := range ledger[from:] {
+				sum += n
+				if sum < 0 {
+					t.Fatalf("retries from event %d on pass a tenth of the first tries", from)
+				}
+			}
+		}
+	})
+}
+
+func TestResendsLeaveNoRetries(t *testing.T) {
+	brake := kqretry.NewBrake()
+	for range kqretry.MaxBurst {
+		brake.FirstTry()
+		brake.Resend()
+	}
+	if got, want := brake.Left(), 0; got != want {
+		t.Errorf("retries left: got %d, want %d", got, want)
+	}
+}
+
+func TestRecentForgetsAfterWindow(t *testing.T) {
+	var recent kqretry.Recent
+	failed := time.Unix(1000, 0)
+	recent.Add("request-1", failed)
+	if !recent.Has("request-1", failed.Add(kqretry.RecentWindow-1)) {
+		t.Error("a failed request is not recognised")
+	}
+	if recent.Has("request-1", failed.Add(kqretry.RecentWindow)) {
+		t.Error("a failed request is recognised for too long")
+	}
+	if recent.Has("request-2", failed) {
+		t.Error("a request that did not fail is recognised")
+	}
+}
--- a/io/kqnode/entry.go
+++ b/io/kqnode/entry.go
@@ -10,6 +10,7 @@
 
 	"kumquatlink/core/kqcall"
 	"kumquatlink/core/kqclass"
+	"kumquatlink/core/kqretry"
 	"kumquatlink/io/kqlog"
 	"kumquatlink/io/kqwire"
 )
@@ -56,7 +57,7 @@
 	q.head.Rank = rule.Rank
 	q.head.Repeatable = !rule.Class.RunOnce
 	q.head.Budget = left
-	q.head.Retries = retryAllowance
+	q.head.Retries = kqretry.Bound
 	return ""
 }
 
--- a/io/kqnode/gate.go
+++ b/io/kqnode/gate.go
@@ -4,7 +4,6 @@
 	"context"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,6 +11,7 @@
 
 	"kumquatlink/core/kqcall"
 	"kumquatlink/core/kqmember"
+	"kumquatlink/core/kqretry"
 	"kumquatlink/io/kqhttp"
 	"kumquatlink/io/kqlink"
 	"kumquatlink/io/kqlog"
@@ -33,7 +33,7 @@
 	ctx      context.Context
 	deadline time.Time
 	// retries is the part of the allowance that onward calls may still draw.
-	retries atomic.Int64
+	retries kqretry.Allowance
 }
 
 // gate is the only thing that hands work to the backend server.
@@ -110,7 +110,7 @@
 	token := newID()
 	run := &running{head: q.head, ctx: ctx}
 	run.deadline, _ = ctx.Deadline()
-	run.retries.Store(int64(q.head.Retries))
+	run.retries.Open(q.head.Retries)
 	g.mutex.Lock()
 	g.calls[token] = run
 	g.mutex.Unlock()
@@ -124,7 +124,7 @@
 	defer fasthttp.ReleaseResponse(response)
 	g.fill(request, q, b, token)
 	err := b.pool.Do(ctx, request, response)
-	r := &result{retriesLeft: int(run.retries.Load())}
+	r := &result{retriesLeft: run.retries.Close()}
 	if err != nil {
 		r.end = backendEnd(ctx, err)
 		return r
