Route by place, load and evidence in place of by chance

Cause: an upstream was picked at random over the fleet, with a slice of the others built for each call; load reports and failed calls were not used. The names of the others are a slice of the table. Lying and lagging reports are not yet measured.

--- /dev/null
+++ b/core/kqroute/kqroute.go
@@ -0,0 +1,234 @@
+// Package kqroute decides to which upstream of a service a call goes. It
+// prefers the own failure domain, then the own region; takes the less loaded
+// of two that chance names; and leaves out upstreams that calls have shown to
+// be bad, but never more than half of them.
+//
+// # Usage
+//
+// A [Table] holds the upstreams of one service as one entry sees them. A new
+// table takes over what a former one had learned:
+//
+//	table := kqroute.NewTable(own, records, former, now)
+//	choice := table.Pick(kqroute.Ask{Now: now, Random: rand.Uint64(), Tried: &tried})
+//	choice.Begin()
+//	// ... send the call ...
+//	choice.End(kqroute.Answer{Now: now, Verdict: kqroute.Good, Load: load})
+//
+// Picking allocates nothing. Tables and upstreams are safe for concurrent use.
+package kqroute
+
+import (
+	"slices"
+	"time"
+
+	"kumquatlink/core/kqmember"
+)
+
+// Ring says how far away an upstream is.
+type Ring int
+
+// The rings, from the nearest.
+const (
+	// RingDomain is the entry's own failure domain.
+	RingDomain Ring = iota
+	// RingRegion is another failure domain of the entry's own region.
+	RingRegion
+	// RingFar is another region.
+	RingFar
+	rings
+)
+
+// Shares of an upstream's limit from which on another ring is looked at.
+const (
+	// busyShare lets a call go to another failure domain, which costs half a
+	// millisecond.
+	busyShare = 0.5
+	// fullShare lets a call go to another region, which costs 20 ms and money.
+	fullShare = 1.0
+)
+
+// Ask is one call that wants an upstream.
+type Ask struct {
+	Now time.Time
+	// Random is 64 random bits.
+	Random uint64
+	// Tried are the upstreams that the call was sent to before.
+	Tried Tried
+	// Far is whether the call may go to another region although its own has
+	// upstreams.
+	Far bool
+	// Probe is whether the call may try out an upstream that was set aside. It
+	// should be one that may run more than once.
+	Probe bool
+	// Usable is whether the upstream can be reached at this moment; nil means
+	// that all can.
+	Usable func(u *Upstream) bool
+	// Allowance is what may be sent to other regions; nil means no limit.
+	Allowance *Allowance
+}
+
+// Table holds the upstreams of one service, nearest first.
+type Table struct {
+	upstreams []*Upstream
+	ends      [rings]int
+	// names lists every upstream twice over, so that the others of any of them
+	// are one slice of it.
+	names []string
+}
+
+// NewTable makes a table of the records for an entry at own. Upstreams that
+// stand in former with the same incarnation keep what was learned of them.
+func NewTable(own kqmember.Record, records []kqmember.Record, former *Table, now time.Time) *Table {
+	t := &Table{upstreams: make([]*Upstream, 0, len(records)), names: make([]string, 0, 2*len(records))}
+	for _, r := range records {
+		t.upstreams = append(t.upstreams, newUpstream(own, r, former.find(r), now))
+	}
+	slices.SortStableFunc(t.upstreams, func(a, b *Upstream) int { return int(a.Ring) - int(b.Ring) })
+	for i, u := range t.upstreams {
+		for ring := u.Ring; ring < rings; ring++ {
+			t.ends[ring] = i + 1
+		}
+		t.names = append(t.names, u.Record.NodeID)
+	}
+	t.names = append(t.names, t.names...)
+	return t
+}
+
+// find gives what was learned of the upstream, or nil.
+func (t *Table) find(r kqmember.Record) *learned {
+	if t == nil {
+		return nil
+	}
+	for _, u := range t.upstreams {
+		if u.Record.NodeID == r.NodeID && u.Record.Incarnation == r.Incarnation {
+			return u.learned
+		}
+	}
+	return nil
+}
+
+// Upstreams lists the upstreams, nearest first. The caller must not change
+// the slice.
+func (t *Table) Upstreams() []*Upstream {
+	return t.upstreams
+}
+
+// Others lists the names of all upstreams but u. The caller must not change
+// the slice.
+func (t *Table) Others(u *Upstream) []string {
+	i := slices.Index(t.upstreams, u)
+	if i < 0 {
+		return t.names[:len(t.upstreams)]
+	}
+	return t.names[i+1 : i+len(t.upstreams)]
+}
+
+// Pick chooses an upstream, or gives nil when none is left for this call.
+func (t *Table) Pick(a Ask) *Upstream {
+	ignoreFaults := t.tooManyAside(a.Now)
+	domain := t.pickFrom(RingDomain, &a, ignoreFaults)
+	if domain != nil && domain.share(a.Now) < busyShare {
+		return domain
+	}
+	near := lighter(domain, t.pickFrom(RingRegion, &a, ignoreFaults), a.Now)
+	if near != nil && (!a.Far || near.share(a.Now) < fullShare) {
+		return near
+	}
+	far := t.pickFrom(RingFar, &a, ignoreFaults)
+	if near == nil {
+		return far
+	}
+	if far != nil && far.share(a.Now) < fullShare {
+		return far
+	}
+	return near
+}
+
+// lighter gives the one with the smaller share of its limit in use; near
+// stands when they are alike.
+func lighter(near, further *Upstream, now time.Time) *Upstream {
+	if near == nil || (further != nil && further.share(now) < near.share(now)) {
+		return further
+	}
+	return near
+}
+
+// tooManyAside is whether so many are set aside that the fault must lie
+// elsewhere, and leaving them out would crush the rest.
+func (t *Table) tooManyAside(now time.Time) bool {
+	aside := 0
+	for _, u := range t.upstreams {
+		if u.aside(now) {
+			aside++
+		}
+	}
+	return aside > len(t.upstreams)/2
+}
+
+// pickFrom takes the less loaded of two open upstreams of a ring.
+func (t *Table) pickFrom(ring Ring, a *Ask, ignoreFaults bool) *Upstream {
+	start := 0
+	if ring > 0 {
+		start = t.ends[ring-1]
+	}
+	candidates := t.upstreams[start:t.ends[ring]]
+	count := 0
+	for _, u := range candidates {
+		if u.open(a, ignoreFaults) {
+			count++
+		}
+	}
+	if count == 0 {
+		return nil
+	}
+	i := int(a.Random>>32) % count
+	first := nthOpen(candidates, i, a, ignoreFaults)
+	if count == 1 {
+		return first
+	}
+	j := (i + 1 + int(a.Random&0xffffffff)%(count-1)) % count
+	second := nthOpen(candidates, j, a, ignoreFaults)
+	return lighter(first, second, a.Now)
+}
+
+func nthOpen(candidates []*Upstream, n int, a *Ask, ignoreFaults bool) *Upstream {
+	for _, u := range candidates {
+		if !u.open(a, ignoreFaults) {
+			continue
+		}
+		if n == 0 {
+			return u
+		}
+		n--
+	}
+	return nil
+}
+
+// Tried holds the upstreams that one call was sent to. Its zero value is
+// empty.
+type Tried struct {
+	upstreams [maxTried]*Upstream
+	count     int
+}
+
+// maxTried bounds the upstreams that one call remembers; a request has fewer
+// retries than that.
+const maxTried = 8
+
+// Add remembers an upstream.
+func (t *Tried) Add(u *Upstream) {
+	if t.count < maxTried {
+		t.upstreams[t.count] = u
+		t.count++
+	}
+}
+
+// Has is whether the upstream was added, under whatever table.
+func (t *Tried) Has(u *Upstream) bool {
+	for _, held := range t.upstreams[:t.count] {
+		if held.learned == u.learned {
+			return true
+		}
+	}
+	return false
+}
--- a/io/kqlink/dialer.go
+++ b/io/kqlink/dialer.go
@@ -158,6 +158,14 @@
 	}
 }
 
+// Usable is whether nothing is known against sending to the peer now.
+func (d *Dialer) Usable(address string) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	l, found := d.links[address]
+	return !found || !l.over()
+}
+
 // over is whether the link was opened and has ended since, or failed to open.
 func (l *link) over() bool {
 	select {
--- a/io/kqnode/call.go
+++ b/io/kqnode/call.go
@@ -32,7 +32,9 @@
 	headers     []kqlink.Header
 	body        []byte
 	retriesLeft int
-	load        kqlink.Load
+	// load is what the gate told of itself, if it was heard at all.
+	load  kqlink.Load
+	heard bool
 }
 
 func refused(c kqcall.Cause) *result {
--- a/io/kqnode/router.go
+++ b/io/kqnode/router.go
@@ -3,24 +3,97 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 
 	"kumquatlink/core/kqcall"
 	"kumquatlink/core/kqmember"
 	"kumquatlink/core/kqretry"
+	"kumquatlink/core/kqroute"
 	"kumquatlink/io/kqlink"
 	"kumquatlink/io/kqlog"
+	"kumquatlink/io/kqsettings"
 )
 
+// callOverheadBytes is what a call and its answer need besides their bodies,
+// for the allowance between regions.
+const callOverheadBytes = 1024
+
 // router sends calls to the nodes beside upstreams.
 type router struct {
-	node  *Node
-	brake *kqretry.Brake
+	node      *Node
+	brake     *kqretry.Brake
+	needs     *kqroute.Needs
+	allowance *kqroute.Allowance
+	usable    func(u *kqroute.Upstream) bool
+
+	mutex  sync.RWMutex
+	tables map[string]*serviceTable
+}
+
+// serviceTable is a table and the records that it was made of.
+type serviceTable struct {
+	records []kqmember.Record
+	table   *kqroute.Table
 }
 
 func newRouter(n *Node) *router {
-	return &router{node: n, brake: kqretry.NewBrake()}
+	rate := n.settings.RegionLinkBytesPerSecond
+	if rate <= 0 {
+		rate = kqsettings.DefaultRegionLinkBytesPerSecond
+	}
+	r := &router{
+		node:      n,
+		brake:     kqretry.NewBrake(),
+		needs:     kqroute.NewNeeds(),
+		allowance: kqroute.NewAllowance(rate),
+		tables:    map[string]*serviceTable{},
+	}
+	r.usable = r.isUsable
+	return r
+}
+
+// isUsable is whether the upstream's link is not known to be down.
+func (r *router) isUsable(u *kqroute.Upstream) bool {
+	return u.Record.NodeID == r.node.settings.NodeID || r.node.dialer.Usable(u.Record.Address)
+}
+
+// table gives the table of a service as the fleet's records stand.
+func (r *router) table(service string) *kqroute.Table {
+	members := r.node.State().Members
+	records := members.Upstreams(service)
+	r.mutex.RLock()
+	held := r.tables[service]
+	r.mutex.RUnlock()
+	if held != nil && sameRecords(held.records, records) {
+		return held.table
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var former *kqroute.Table
+	if held = r.tables[service]; held != nil {
+		if sameRecords(held.records, records) {
+			return held.table
+		}
+		former = held.table
+	}
+	t := kqroute.NewTable(members.Own, records, former, r.node.now())
+	r.tables[service] = &serviceTable{records: records, table: t}
+	return t
+}
+
+// sameRecords is whether the lists hold the same versions.
+func sameRecords(a, b []kqmember.Record) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].NodeID != b[i].NodeID || a[i].Newer(b[i]) || b[i].Newer(a[i]) {
+			return false
+		}
+	}
+	return true
 }
 
 // route sends the call to an upstream, and to others while it may be retried
@@ -39,34 +112,95 @@
 // try sends the call with a grant from the allowance that is held, until it
 // has an answer that stands.
 func (r *router) try(ctx context.Context, q *call, held *kqretry.Allowance) *result {
-	tried := map[string]bool{}
+	ask := kqroute.Ask{Far: r.needsFar(q), Probe: q.head.Repeatable, Usable: r.usable, Allowance: r.allowance}
 	last := refused(kqcall.CauseNoUpstream)
 	var doubt *result
 	for {
-		upstream, others := r.pick(q.head.Service, tried)
-		if upstream.NodeID == "" {
-			return settle(last, doubt)
+		ask.Now, ask.Random = r.node.now(), rand.Uint64()
+		table := r.table(q.head.Service)
+		upstream := table.Pick(ask)
+		if upstream == nil {
+			return r.settle(q, last, doubt)
 		}
-		tried[upstream.NodeID] = true
+		ask.Tried.Add(upstream)
 		q.head.Retries = held.Grant()
-		last = r.send(ctx, q, upstream)
+		last = r.sendTo(ctx, q, upstream)
 		held.PutBack(last.retriesLeft, q.head.Retries)
 		r.node.log.Decide(kqlog.Decision{
 			RequestID: q.head.RequestID, Class: q.head.Class, Service: q.head.Service, Decision: "Route",
-			Cause: string(last.end.Cause), Outcome: string(last.end.Outcome), Chosen: upstream.NodeID, Others: others,
+			Cause: string(last.end.Cause), Outcome: string(last.end.Outcome),
+			Chosen: upstream.Record.NodeID, Others: table.Others(upstream),
 		})
 		if last.end.Outcome == kqcall.OutcomeUnknown {
 			doubt = last
 		}
 		if ctx.Err() != nil || !mayRepeat(q, last.end) || !r.drawRetry(held) {
-			return settle(last, doubt)
+			return r.settle(q, last, doubt)
 		}
 	}
 }
 
+// needsFar is whether the call's class needs another region's upstreams to
+// reach its target.
+func (r *router) needsFar(q *call) bool {
+	classes := r.node.State().Classes
+	if classes == nil {
+		return false
+	}
+	rule, found := classes.Find(q.head.Class)
+	if !found {
+		return false
+	}
+	return r.needs.Offered(q.head.Class, rule.Class.Target.Complete) || rule.Class.RunOnce
+}
+
+// sendTo sends the call to the upstream and learns from how it ended.
+func (r *router) sendTo(ctx context.Context, q *call, u *kqroute.Upstream) *result {
+	u.Begin()
+	u.Probing(r.node.now())
+	answer := r.send(ctx, q, u.Record)
+	now := r.node.now()
+	end := kqroute.Answer{Now: now, Verdict: verdictOf(answer.end)}
+	if answer.heard {
+		end.Load = &kqroute.Load{InFlight: answer.load.InFlight, Queued: answer.load.Queued, Limit: answer.load.Limit}
+	}
+	u.End(end)
+	if u.Ring == kqroute.RingFar {
+		r.allowance.Charge(u.Record.Region, len(q.body)+len(answer.body)+callOverheadBytes, now)
+	}
+	return answer
+}
+
+// verdicts maps causes to what they say about the upstream. A cause that is
+// not listed says nothing.
+var verdicts = map[kqcall.Cause]kqroute.Verdict{
+	kqcall.CauseDone:          kqroute.Good,
+	kqcall.CauseShedGate:      kqroute.Full,
+	kqcall.CauseDisplaced:     kqroute.Full,
+	kqcall.CauseBackendShed:   kqroute.Full,
+	kqcall.CausePoolFull:      kqroute.Full,
+	kqcall.CauseWouldMiss:     kqroute.Full,
+	kqcall.CauseDraining:      kqroute.Leaving,
+	kqcall.CauseNoUpstream:    kqroute.Leaving,
+	kqcall.CauseLinkLost:      kqroute.Faulty,
+	kqcall.CauseLinkSilent:    kqroute.Faulty,
+	kqcall.CauseBackendLost:   kqroute.Faulty,
+	kqcall.CauseBackendSilent: kqroute.Faulty,
+}
+
+func verdictOf(end kqcall.End) kqroute.Verdict {
+	if end.Cause == kqcall.CauseDeadline && end.Outcome == kqcall.OutcomeUnknown {
+		return kqroute.Faulty
+	}
+	return verdicts[end.Cause]
+}
+
 // settle gives the end of the whole call. What one try left in doubt, a later
 // one that was not run does not clear up.
-func settle(last, doubt *result) *result {
+func (r *router) settle(q *call, last, doubt *result) *result {
+	if last.end.Outcome != kqcall.OutcomeRan {
+		r.needs.Missed(q.head.Class)
+	}
 	if last.end.Outcome == kqcall.OutcomeNotRun && doubt != nil {
 		return doubt
 	}
@@ -109,27 +243,6 @@
 	return true
 }
 
-// pick chooses an upstream that was not tried.
-func (r *router) pick(service string, tried map[string]bool) (kqmember.Record, []string) {
-	var open []kqmember.Record
-	for _, u := range r.node.State().Members.Upstreams(service) {
-		if !tried[u.NodeID] {
-			open = append(open, u)
-		}
-	}
-	if len(open) == 0 {
-		return kqmember.Record{}, nil
-	}
-	i := rand.IntN(len(open))
-	others := make([]string, 0, len(open)-1)
-	for j, u := range open {
-		if j != i {
-			others = append(others, u.NodeID)
-		}
-	}
-	return open[i], others
-}
-
 // send runs the call at the upstream's gate, which may be this node's own.
 func (r *router) send(ctx context.Context, q *call, upstream kqmember.Record) *result {
 	if deadline, set := ctx.Deadline(); set {
@@ -139,7 +252,9 @@
 		return &result{end: kqcall.NotRun(kqcall.CauseDeadline), retriesLeft: q.head.Retries}
 	}
 	if upstream.NodeID == r.node.settings.NodeID {
-		return r.node.gate.run(ctx, q)
+		answer := r.node.gate.run(ctx, q)
+		answer.heard = true
+		return answer
 	}
 	answer, err := r.node.dialer.Call(ctx, upstream.Address, kqlink.CallHead{
 		Head: q.head, Method: q.method, Path: q.path, Headers: q.headers,
@@ -148,7 +263,7 @@
 		return lostResult(ctx, err, q.head.Retries)
 	}
 	h := answer.Head
-	return &result{end: h.End, status: h.Status, headers: h.Headers, body: answer.Body, retriesLeft: h.RetriesLeft, load: h.Load}
+	return &result{end: h.End, status: h.Status, headers: h.Headers, body: answer.Body, retriesLeft: h.RetriesLeft, load: h.Load, heard: true}
 }
 
 // lostResult is the result of a call without an answer. The grant comes back
--- a/io/kqsettings/kqsettings.go
+++ b/io/kqsettings/kqsettings.go
@@ -58,6 +58,9 @@
 	OperatorAddress string `json:",omitempty"`
 	// StoreAddress is the TCP address of the object API.
 	StoreAddress string
+	// RegionLinkBytesPerSecond is how many bytes of calls and answers this
+	// node exchanges with each other region. Default 131072.
+	RegionLinkBytesPerSecond int `json:",omitempty"`
 	// Peers are addresses of other nodes to start from.
 	Peers []string `json:",omitempty"`
 	// CertificateFile, KeyFile and AuthorityFile hold PEM.
@@ -69,6 +72,10 @@
 	LogLevel string `json:",omitempty"`
 }
 
+// DefaultRegionLinkBytesPerSecond keeps 720 nodes of a region at a fifth of a
+// link of 4,000 Mbit/s.
+const DefaultRegionLinkBytesPerSecond = 128 << 10
+
 // Store are the settings of the object API stand-in.
 type Store struct {
 	Address string
@@ -89,7 +96,7 @@
 
 // ReadNode reads and checks a node's settings.
 func ReadNode(path string) (*Node, error) {
-	n := &Node{LogLevel: "info"}
+	n := &Node{LogLevel: "info", RegionLinkBytesPerSecond: DefaultRegionLinkBytesPerSecond}
 	if err := read(path, n); err != nil {
 		return nil, err
 	}
@@ -155,6 +162,9 @@
 	faults = checkPresent(faults, "CertificateFile", n.CertificateFile)
 	faults = checkPresent(faults, "KeyFile", n.KeyFile)
 	faults = checkPresent(faults, "AuthorityFile", n.AuthorityFile)
+	if n.RegionLinkBytesPerSecond < 1 {
+		faults = append(faults, kqclass.Fault{Field: "RegionLinkBytesPerSecond", Value: fmt.Sprint(n.RegionLinkBytesPerSecond), Expect: "at least 1"})
+	}
 	switch n.LogLevel {
 	case "debug", "info", "warn", "error":
 	default:
