Find silent links by lack of progress and retire them for all calls

Cause: a QUIC link whose packets were swallowed kept its calls until their deadlines and took new ones until the idle timeout of 30 s. Calls end as unknown with LinkSilent. Peers that can't be reached are left out by routing and redialled in the background. Head and small bodies are written at once.

--- a/io/kqlink/dialer.go
+++ b/io/kqlink/dialer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/quic-go/quic-go"
@@ -11,18 +12,38 @@
 )
 
 // Dialer reaches peers over links that it opens on demand and shares between
-// calls.
+// calls. Each link has a UDP port of its own, so that something between the
+// ends that has lost track of one link does not lose the next one as well.
 type Dialer struct {
 	identity *kqtrust.Identity
-	mutex    sync.Mutex
-	links    map[string]*link
+	now      func() time.Time
+
+	mutex sync.Mutex
+	peers map[string]*peer
+	// links are all links that are not over, also those that are no longer
+	// the current one of their peer.
+	links  map[*link]struct{}
+	closed chan struct{}
 }
 
-// link is one connection to a peer, or one that is being opened.
-type link struct {
-	ready chan struct{}
-	conn  *quic.Conn
-	err   error
+// peer is what the dialer holds of one address.
+type peer struct {
+	// current is the link that new calls take.
+	current *link
+	// failedAt is when the last try to open a link failed, or zero, and
+	// failures how many did in a row.
+	failedAt time.Time
+	failures int
+	// wantedAt is when a call last asked for the peer.
+	wantedAt time.Time
+}
+
+// resting is whether it is too early to try again to reach the peer.
+func (p *peer) resting(now time.Time) bool {
+	if p.failures == 0 {
+		return false
+	}
+	return now.Sub(p.failedAt) < redialPause<<min(p.failures-1, maxRedialDoublings)
 }
 
 // Answer is a whole answer.
@@ -33,24 +54,27 @@
 
 // NewDialer makes a dialer without links.
 func NewDialer(identity *kqtrust.Identity) *Dialer {
-	return &Dialer{identity: identity, links: map[string]*link{}}
+	d := &Dialer{
+		identity: identity,
+		now:      time.Now,
+		peers:    map[string]*peer{},
+		links:    map[*link]struct{}{},
+		closed:   make(chan struct{}),
+	}
+	go d.watch()
+	return d
 }
 
-// Close closes all links.
+// Close closes all links. It must be called once.
 func (d *Dialer) Close() {
+	close(d.closed)
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	for address, l := range d.links {
-		delete(d.links, address)
-		go closeLink(l)
-	}
-}
-
-func closeLink(l *link) {
-	<-l.ready
-	if l.conn != nil {
-		_ = l.conn.CloseWithError(0, "closed")
+	for l := range d.links {
+		go l.closeWhenReady()
 	}
+	d.peers = map[string]*peer{}
+	d.links = map[*link]struct{}{}
 }
 
 // Call sends a call to the peer and reads its whole answer. When ctx ends
@@ -64,18 +88,17 @@
 	if len(frame) > MaxHeadBytes {
 		return nil, errors.Mark(errors.Newf("head of %d bytes, at most %d are sent", len(frame), MaxHeadBytes), ErrNotSent)
 	}
-	stream, err := d.send(ctx, address, frame, body)
-	if err != nil {
-		return nil, err
-	}
-	defer context.AfterFunc(ctx, func() { stream.CancelRead(codeCancelled) })()
 	answer := &Answer{}
-	if err := readFrame(stream, MaxHeadBytes, &answer.Head); err != nil {
-		return nil, d.lost(stream, err)
-	}
-	answer.Body, err = readBody(stream, answer.Head.BodyLength, MaxBodyBytes)
+	err = d.exchange(ctx, address, frame, body, func(s *quic.Stream) error {
+		if err := readFrame(s, MaxHeadBytes, &answer.Head); err != nil {
+			return err
+		}
+		var err error
+		answer.Body, err = readBody(s, answer.Head.BodyLength, MaxBodyBytes)
+		return err
+	})
 	if err != nil {
-		return nil, d.lost(stream, err)
+		return nil, err
 	}
 	return answer, nil
 }
@@ -86,112 +109,139 @@
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
-	stream, err := d.send(ctx, address, frame, nil)
-	if err != nil {
-		return nil, err
-	}
-	defer context.AfterFunc(ctx, func() { stream.CancelRead(codeCancelled) })()
 	var reply []byte
-	if err := readFrame(stream, MaxMessageBytes, &reply); err != nil {
-		return nil, d.lost(stream, err)
-	}
-	return reply, nil
+	err = d.exchange(ctx, address, frame, nil, func(s *quic.Stream) error {
+		return readFrame(s, MaxMessageBytes, &reply)
+	})
+	return reply, err
 }
 
-// send opens a stream and writes the whole request. A request that was not
-// written to its end is reset, and the peer acts only on whole requests, so
-// that every error here proves that the peer did not run it.
-func (d *Dialer) send(ctx context.Context, address string, frame, body []byte) (*quic.Stream, error) {
-	c, err := d.open(ctx, address)
+// exchange sends a request over a stream of its own and lets read take the
+// whole answer.
+func (d *Dialer) exchange(ctx context.Context, address string, frame, body []byte, read func(*quic.Stream) error) error {
+	l, err := d.open(ctx, address)
 	if err != nil {
-		return nil, errors.Mark(err, ErrNotSent)
+		return errors.Mark(err, ErrNotSent)
 	}
-	stream, err := c.OpenStreamSync(ctx)
+	l.begin(d.now())
+	defer l.end()
+	stream, err := l.conn.OpenStreamSync(ctx)
 	if err != nil {
-		d.retire(address, c)
-		return nil, errors.Mark(errors.Wrap(err, "open stream"), ErrNotSent)
+		return errors.Mark(errors.Wrap(err, "open stream"), ErrNotSent)
 	}
-	stop := context.AfterFunc(ctx, func() { stream.CancelWrite(codeCancelled) })
-	defer stop()
-	for _, p := range [][]byte{frame, body} {
+	defer context.AfterFunc(ctx, func() { refuse(stream, codeCancelled) })()
+	if err := send(stream, frame, body); err != nil {
+		return errors.Mark(err, ErrNotSent)
+	}
+	if err := read(stream); err != nil {
+		return l.lost(stream, err)
+	}
+	l.progressed(d.now(), 1)
+	return nil
+}
+
+// send writes the whole request. A request that was not written to its end is
+// reset, and the peer acts only on whole requests, so that every error here
+// proves that the peer did not run it.
+func send(stream *quic.Stream, frame, body []byte) error {
+	for _, p := range joinSmall(frame, body) {
 		if _, err := stream.Write(p); err != nil {
 			refuse(stream, codeCancelled)
-			return nil, errors.Mark(errors.Wrap(err, "write call"), ErrNotSent)
+			return errors.Wrap(err, "write call")
 		}
 	}
 	if err := stream.Close(); err != nil {
 		refuse(stream, codeCancelled)
-		return nil, errors.Mark(errors.Wrap(err, "end call"), ErrNotSent)
+		return errors.Wrap(err, "end call")
 	}
-	return stream, nil
+	return nil
 }
 
-// lost turns a failed read into this layer's error.
-func (d *Dialer) lost(stream *quic.Stream, err error) error {
-	var reset *quic.StreamError
-	if errors.As(err, &reset) && reset.Remote && (reset.ErrorCode == codeRefused || reset.ErrorCode == codeMalformed) {
-		return errors.Mark(errors.Mark(err, ErrRefused), ErrNotSent)
+// Usable is whether calls can be sent to the peer at this moment. A peer that
+// could not be reached is tried again in the background, and becomes usable
+// when a link to it stands.
+func (d *Dialer) Usable(address string) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	p, found := d.peers[address]
+	if !found || p.failures == 0 {
+		return true
 	}
-	stream.CancelRead(codeCancelled)
-	return errors.Mark(err, ErrLost)
+	p.wantedAt = d.now()
+	return false
 }
 
 // open gives the link to the peer, opening it when there is none. Calls that
-// come while it opens wait for the same handshake.
-func (d *Dialer) open(ctx context.Context, address string) (*quic.Conn, error) {
-	d.mutex.Lock()
-	l, found := d.links[address]
-	if found && l.over() {
-		found = false
+// come while it opens wait for the same handshake, but not for long.
+func (d *Dialer) open(ctx context.Context, address string) (*link, error) {
+	l, err := d.current(address)
+	if err != nil {
+		return nil, err
 	}
-	if !found {
-		l = &link{ready: make(chan struct{})}
-		d.links[address] = l
-		go d.dial(address, l)
+	select {
+	case <-l.ready:
+		return l, l.err
+	default:
 	}
-	d.mutex.Unlock()
+	patience := time.NewTimer(linkPatience)
+	defer patience.Stop()
 	select {
 	case <-l.ready:
-		return l.conn, l.err
+		return l, l.err
+	case <-patience.C:
+		return nil, errors.Newf("no link to %s within %s", address, linkPatience)
 	case <-ctx.Done():
 		return nil, errors.Wrap(ctx.Err(), "wait for link")
 	}
 }
 
-// Usable is whether nothing is known against sending to the peer now.
-func (d *Dialer) Usable(address string) bool {
+// current gives the link that new calls to the peer take.
+func (d *Dialer) current(address string) (*link, error) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	l, found := d.links[address]
-	return !found || !l.over()
+	p, found := d.peers[address]
+	if !found {
+		p = &peer{}
+		d.peers[address] = p
+	}
+	if p.current != nil && !p.current.over() {
+		return p.current, nil
+	}
+	p.wantedAt = d.now()
+	if p.resting(p.wantedAt) {
+		return nil, errors.Wrapf(p.current.err, "%s could not be reached a moment ago", address)
+	}
+	return d.begin(address, p), nil
 }
 
-// over is whether the link was opened and has ended since, or failed to open.
-func (l *link) over() bool {
-	select {
-	case <-l.ready:
-		return l.err != nil || l.conn.Context().Err() != nil
-	default:
-		return false
-	}
+// begin opens a new current link to the peer. The mutex must be held.
+func (d *Dialer) begin(address string, p *peer) *link {
+	l := newLink(address)
+	p.current = l
+	d.links[l] = struct{}{}
+	go d.dial(l)
+	return l
 }
 
-func (d *Dialer) dial(address string, l *link) {
-	defer close(l.ready)
+func (d *Dialer) dial(l *link) {
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
 	defer cancel()
-	l.conn, l.err = quic.DialAddr(ctx, address, d.identity.ClientTLS(), quicConfig())
-	if l.err != nil {
-		l.err = errors.Wrapf(l.err, "open link to %s", address)
+	conn, err := quic.DialAddr(ctx, l.address, d.identity.ClientTLS(), quicConfig())
+	if err != nil {
+		err = errors.Wrapf(err, "open link to %s", l.address)
 	}
-}
-
-// retire closes a link for all calls on it; the next call opens another.
-func (d *Dialer) retire(address string, c *quic.Conn) {
+	l.conn, l.err = conn, err
+	close(l.ready)
 	d.mutex.Lock()
-	if l, found := d.links[address]; found && l.conn == c {
-		delete(d.links, address)
+	defer d.mutex.Unlock()
+	p, found := d.peers[l.address]
+	if !found || p.current != l {
+		return
+	}
+	if err == nil {
+		p.failures = 0
+		return
 	}
-	d.mutex.Unlock()
-	_ = c.CloseWithError(0, "retired")
+	p.failures++
+	p.failedAt = d.now()
 }
--- a/io/kqlink/frames.go
+++ b/io/kqlink/frames.go
@@ -22,6 +22,7 @@
 const (
 	kindCall    streamKind = 1
 	kindMessage streamKind = 2
+	kindPing    streamKind = 3
 )
 
 // Header is one HTTP header field of a call or an answer.
@@ -85,6 +86,20 @@
 	return append(buffer, data...), nil
 }
 
+// joinLimit is the size up to which a head and a body are written at once.
+const joinLimit = 16 << 10
+
+// joinSmall gives what to write, in as few pieces as is cheap.
+func joinSmall(frame, body []byte) [][]byte {
+	if len(body) == 0 {
+		return [][]byte{frame}
+	}
+	if len(frame)+len(body) <= joinLimit {
+		return [][]byte{append(frame, body...)}
+	}
+	return [][]byte{frame, body}
+}
+
 // readFrame reads a value that appendFrame wrote.
 func readFrame(r io.Reader, limit int, value any) error {
 	var size [4]byte
--- a/io/kqlink/kqlink.go
+++ b/io/kqlink/kqlink.go
@@ -27,6 +27,8 @@
 	ErrNotSent = errors.New("call was not sent")
 	// ErrLost marks errors after which the peer may have run the call.
 	ErrLost = errors.New("answer was lost")
+	// ErrSilent marks lost answers of a link that had stopped passing bytes.
+	ErrSilent = errors.New("link went silent")
 	// ErrFrame marks malformed or oversized frames.
 	ErrFrame = errors.New("malformed frame")
 	// ErrRefused marks calls that the peer refused to read at all.
@@ -44,9 +46,15 @@
 // Settings of all links.
 const (
 	// MaxBodyBytes bounds a call's and an answer's body.
-	MaxBodyBytes      = 16 << 20
-	handshakeTimeout  = 2 * time.Second
-	idleTimeout       = 30 * time.Second
+	MaxBodyBytes     = 16 << 20
+	handshakeTimeout = 2 * time.Second
+	idleTimeout      = 30 * time.Second
+	// linkPatience is how long a call waits for a link that is being opened.
+	linkPatience = 500 * time.Millisecond
+	// redialPause lies between two tries to reach a peer. It doubles with each
+	// failure, up to maxRedialDoublings times.
+	redialPause        = 500 * time.Millisecond
+	maxRedialDoublings = 4
 	maxStreamsPerLink = 4096
 )
 
--- a/io/kqlink/server.go
+++ b/io/kqlink/server.go
@@ -107,6 +107,8 @@
 		s.serveCall(stream, peer)
 	case kindMessage:
 		s.serveMessage(stream, peer)
+	case kindPing:
+		writeAll(stream, kind[:], nil)
 	default:
 		refuse(stream, codeMalformed)
 	}
@@ -152,10 +154,10 @@
 	writeAll(stream, frame, nil)
 }
 
-// writeAll writes the parts and ends the stream; a part that fails resets it,
+// writeAll writes an answer and ends the stream; a part that fails resets it,
 // so that a cut answer never looks whole.
-func writeAll(stream *quic.Stream, parts ...[]byte) {
-	for _, p := range parts {
+func writeAll(stream *quic.Stream, frame, body []byte) {
+	for _, p := range joinSmall(frame, body) {
 		if _, err := stream.Write(p); err != nil {
 			stream.CancelWrite(codeFailed)
 			return
--- a/io/kqnode/gate.go
+++ b/io/kqnode/gate.go
@@ -165,7 +165,7 @@
 func backendEnd(ctx context.Context, err error) kqcall.End {
 	cause := kqcall.CauseBackendLost
 	if ctx.Err() != nil {
-		cause = kqcall.CauseDeadline
+		cause = endedCause(ctx)
 	}
 	if errors.Is(err, kqhttp.ErrNotSent) {
 		return kqcall.NotRun(cause)
--- a/io/kqnode/router.go
+++ b/io/kqnode/router.go
@@ -279,8 +279,11 @@
 // endOf turns a link's error into the end of the call.
 func endOf(ctx context.Context, err error) kqcall.End {
 	cause := kqcall.CauseLinkLost
-	if ctx.Err() != nil {
-		cause = kqcall.CauseDeadline
+	switch {
+	case ctx.Err() != nil:
+		cause = endedCause(ctx)
+	case errors.Is(err, kqlink.ErrSilent):
+		cause = kqcall.CauseLinkSilent
 	}
 	if errors.Is(err, kqlink.ErrNotSent) {
 		return kqcall.NotRun(cause)
@@ -288,6 +291,14 @@
 	return kqcall.Unknown(cause)
 }
 
+// endedCause is why a call's context has ended.
+func endedCause(ctx context.Context) kqcall.Cause {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return kqcall.CauseDeadline
+	}
+	return kqcall.CauseCallerGone
+}
+
 // handlePeerCall runs a call that a peer's entry sent to this node's gate.
 func (n *Node) handlePeerCall(ctx context.Context, _ string, head kqlink.CallHead, body []byte) (kqlink.AnswerHead, []byte) {
 	q := &call{head: head.Head, method: head.Method, path: head.Path, headers: head.Headers, body: body}
