--- a/io/kqlink/dialer.go
+++ b/io/kqlink/dialer.go
@@ -209,7 +209,7 @@
 	}
 	p.wantedAt = d.now()
 	if p.resting(p.wantedAt) {
-		return nil, errors.Wrapf(p.current.err, "%s could not be reached a moment ago", address)
+		return nil, errors.Newf("%s could not be reached a moment ago", address)
 	}
 	return d.begin(address, p), nil
 }
--- a/io/kqlink/kqlink.go
+++ b/io/kqlink/kqlink.go
@@ -55,7 +55,7 @@
 	// failure, up to maxRedialDoublings times.
 	redialPause        = 500 * time.Millisecond
 	maxRedialDoublings = 4
-	maxStreamsPerLink = 4096
+	maxStreamsPerLink  = 4096
 )
 
 func quicConfig() *quic.Config {
--- a/io/kqlink/watch.go
+++ b/io/kqlink/watch.go
@@ -15,9 +15,9 @@
 	// pingAfter is how long a link with calls on it may be quiet.
 	pingAfter = 150 * time.Millisecond
 	// suspectAfter is how long a ping may take, beside some round trips.
-	suspectAfter   = 200 * time.Millisecond
-	suspectTrips   = 4
-	silenceBound   = 1800 * time.Millisecond
+	suspectAfter = 200 * time.Millisecond
+	suspectTrips = 4
+	silenceBound = 1800 * time.Millisecond
 	// forgetPeerTime is how long a peer that can't be reached is tried again
 	// after the last call that wanted it.
 	forgetPeerTime = 30 * time.Second
