Configuration: holder that never goes back, settled changes, few watchers, repair

Cause: the spine watched the store from every node and took any higher version; a lost answer or a store restored from a copy was not dealt with. Change: core/kqconfig decides (offer, apply, settle, who watches); a history of change IDs in the configuration settles lost answers; two nodes a failure domain watch and also read every 2 s; a store that fell behind is written back by a conditional write. The store client has a breaker with full jitter and an observer. Metrics by tally, read at the operator address with status.

--- a/core/kqclass/kqclass.go
+++ b/core/kqclass/kqclass.go
@@ -84,7 +84,16 @@
 	// ChangeID identifies the change that made this version, so that a write
 	// whose answer was lost can be settled by reading.
 	ChangeID string
-	Classes  []Class
+	// History lists the latest changes, oldest first and this one last, so
+	// that a lost answer is settled even when others changed more since.
+	History []Change `json:",omitempty"`
+	Classes []Class
+}
+
+// Change names one accepted change.
+type Change struct {
+	Version  int64
+	ChangeID string
 }
 
 // Fault is one fault of a configuration.
--- a/core/kqmember/kqmember.go
+++ b/core/kqmember/kqmember.go
@@ -35,11 +35,13 @@
 	// records of lower ones.
 	Incarnation uint64
 	// Version counts the changes of the record within an incarnation.
-	Version       uint64
-	Address       string
-	FailureDomain string
-	Region        string
-	Life          Life
+	Version uint64
+	Address string
+	// OperatorAddress is where the node answers operators, or empty.
+	OperatorAddress string
+	FailureDomain   string
+	Region          string
+	Life            Life
 	// Service is the service of the backend server beside the node, or empty.
 	Service string
 }
--- /dev/null
+++ b/io/kqmetric/kqmetric.go
@@ -0,0 +1,177 @@
+// Package kqmetric holds the node's metrics, kept with tally and read at the
+// operator address in the Prometheus text format.
+//
+// # Usage
+//
+//	metrics, err := kqmetric.New()
+//	metrics.Count(kqmetric.Answers, "ran", "Done")
+//	metrics.Set(kqmetric.ConfigurationVersion, 12)
+//	handler := metrics.Handler()
+//
+// Every metric stands in [Definitions], from which the reference page is made.
+// Tags only take values of a bounded set: outcomes, causes, operations. A
+// value that would make more series than a metric may have is counted under
+// [Overflow].
+package kqmetric
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/uber-go/tally/v4"
+	tallyprometheus "github.com/uber-go/tally/v4/prometheus"
+)
+
+// Overflow is the tag value that stands for all that are too many.
+const Overflow = "other"
+
+// maxSeries bounds the series of one metric.
+const maxSeries = 128
+
+// reportPeriod is how often values are handed to the reporter.
+const reportPeriod = time.Second
+
+// Kind is the kind of a metric.
+type Kind string
+
+// The kinds of metrics.
+const (
+	KindCounter Kind = "counter"
+	KindGauge   Kind = "gauge"
+	KindTimer   Kind = "timer"
+)
+
+// Definition describes one metric.
+type Definition struct {
+	Name string
+	Kind Kind
+	Tags []string
+	// Unit is the unit of its values.
+	Unit string
+	Help string
+}
+
+// The metrics of a node.
+var (
+	Answers              = Definition{"answers", KindCounter, []string{"outcome", "cause"}, "calls", "Calls answered by this node's entry."}
+	AnswerTime           = Definition{"answer_time", KindTimer, nil, "seconds", "Time from taking a call at the entry to its answer."}
+	Routes               = Definition{"routes", KindCounter, []string{"outcome", "cause"}, "tries", "Tries that this entry sent to an upstream."}
+	Admissions           = Definition{"admissions", KindCounter, []string{"outcome", "cause"}, "calls", "Calls that this node's gate decided on."}
+	StoreCalls           = Definition{"store_calls", KindCounter, []string{"operation", "result"}, "calls", "Calls of the object API, and those held back while it fails."}
+	StoreTime            = Definition{"store_time", KindTimer, []string{"operation"}, "seconds", "Time of a call of the object API."}
+	ConfigurationVersion = Definition{"configuration_version", KindGauge, nil, "version", "Version of the configuration in force."}
+	ConfigurationRefused = Definition{"configuration_refused", KindGauge, []string{"verdict"}, "offers", "Offered configurations that were refused since the start."}
+	Members              = Definition{"members", KindGauge, []string{"life"}, "nodes", "Nodes in this node's view, by life."}
+	LogDropped           = Definition{"log_dropped", KindGauge, nil, "lines", "Log lines that found the queue full since the start."}
+)
+
+// Definitions lists every metric, in the order of the reference page.
+func Definitions() []Definition {
+	return []Definition{
+		Answers, AnswerTime, Routes, Admissions, StoreCalls, StoreTime,
+		ConfigurationVersion, ConfigurationRefused, Members, LogDropped,
+	}
+}
+
+// Metrics are the metrics of one node.
+type Metrics struct {
+	scope    tally.Scope
+	closer   io.Closer
+	registry *prometheus.Registry
+
+	mutex  sync.RWMutex
+	scopes map[string]map[string]tally.Scope
+}
+
+// New makes metrics that are not shared with any other node of the process.
+func New() (*Metrics, error) {
+	registry := prometheus.NewRegistry()
+	var failed error
+	reporter := tallyprometheus.NewReporter(tallyprometheus.Options{
+		Registerer:      registry,
+		Gatherer:        registry,
+		OnRegisterError: func(err error) { failed = err },
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "kumquatlink", Separator: tallyprometheus.DefaultSeparator, CachedReporter: reporter,
+		OmitCardinalityMetrics: true,
+	}, reportPeriod)
+	if failed != nil {
+		return nil, errors.Wrap(failed, "register metrics")
+	}
+	return &Metrics{scope: scope, closer: closer, registry: registry, scopes: map[string]map[string]tally.Scope{}}, nil
+}
+
+// Close stops reporting.
+func (m *Metrics) Close() error {
+	return errors.Wrap(m.closer.Close(), "stop metrics")
+}
+
+// Handler answers in the Prometheus text format.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Count adds one to a counter; the values are those of its tags in order.
+func (m *Metrics) Count(d Definition, values ...string) {
+	m.tagged(d, values).Counter(d.Name).Inc(1)
+}
+
+// Set sets a gauge.
+func (m *Metrics) Set(d Definition, value float64, values ...string) {
+	m.tagged(d, values).Gauge(d.Name).Update(value)
+}
+
+// Time records a duration.
+func (m *Metrics) Time(d Definition, took time.Duration, values ...string) {
+	m.tagged(d, values).Timer(d.Name).Record(took)
+}
+
+// tagged gives the scope of a series, and keeps the number of series of one
+// metric within its bound.
+func (m *Metrics) tagged(d Definition, values []string) tally.Scope {
+	key := ""
+	for _, v := range values {
+		key += v + "\x00"
+	}
+	m.mutex.RLock()
+	s, found := m.scopes[d.Name][key]
+	m.mutex.RUnlock()
+	if found {
+		return s
+	}
+	return m.addSeries(d, key, values)
+}
+
+func (m *Metrics) addSeries(d Definition, key string, values []string) tally.Scope {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	series := m.scopes[d.Name]
+	if series == nil {
+		series = map[string]tally.Scope{}
+		m.scopes[d.Name] = series
+	}
+	if s, found := series[key]; found {
+		return s
+	}
+	tags := map[string]string{}
+	for i, t := range d.Tags {
+		tags[t] = Overflow
+		if i < len(values) && values[i] != "" && len(series) < maxSeries {
+			tags[t] = values[i]
+		}
+	}
+	s := m.scope
+	if len(tags) > 0 {
+		s = m.scope.Tagged(tags)
+	}
+	if len(series) < maxSeries {
+		series[key] = s
+	}
+	return s
+}
--- a/io/kqnode/control.go
+++ b/io/kqnode/control.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"kumquatlink/core/kqchart"
+	"kumquatlink/core/kqconfig"
 	"kumquatlink/core/kqmember"
 	"kumquatlink/io/kqhttp"
 	"kumquatlink/io/kqwire"
@@ -30,6 +31,7 @@
 	events chan event
 	life   *kqchart.Machine
 	view   *kqmember.View
+	holder *kqconfig.Holder
 	state  State
 
 	mutex  sync.Mutex
@@ -37,7 +39,7 @@
 }
 
 func newControl(n *Node) *control {
-	c := &control{node: n, events: make(chan event, eventQueueLength), signal: make(chan struct{})}
+	c := &control{node: n, events: make(chan event, eventQueueLength), signal: make(chan struct{}), holder: kqconfig.NewHolder()}
 	c.life = kqchart.NewMachine(readChart("charts/node.json"))
 	return c
 }
@@ -55,7 +57,7 @@
 	s := c.node.settings
 	c.view = kqmember.NewView(kqmember.Record{
 		NodeID: s.NodeID, Incarnation: uint64(c.node.now().UnixNano()), Version: 1,
-		Address: peerAddress, FailureDomain: s.FailureDomain, Region: s.Region, Life: kqmember.Life(c.life.State()),
+		Address: peerAddress, OperatorAddress: c.node.operatorAddress, FailureDomain: s.FailureDomain, Region: s.Region, Life: kqmember.Life(c.life.State()),
 	})
 	c.publish()
 }
--- a/io/kqnode/kqnode.go
+++ b/io/kqnode/kqnode.go
@@ -30,9 +30,11 @@
 
 	"kumquatlink/core/kqcall"
 	"kumquatlink/core/kqclass"
+	"kumquatlink/core/kqconfig"
 	"kumquatlink/core/kqmember"
 	"kumquatlink/io/kqlink"
 	"kumquatlink/io/kqlog"
+	"kumquatlink/io/kqmetric"
 	"kumquatlink/io/kqsettings"
 	"kumquatlink/io/kqstore"
 	"kumquatlink/io/kqtrust"
@@ -53,8 +55,13 @@
 type State struct {
 	Members *kqmember.Snapshot
 	Classes *kqclass.Table
-	// Configuration is what Classes was derived from.
+	// Configuration is what Classes was derived from, and InForceSince when it
+	// was, by this node's clock.
 	Configuration kqclass.Configuration
+	InForceSince  time.Time
+	// Refusals counts the configurations that were refused.
+	Refusals kqconfig.Refusals
+	Store    StoreView
 	// Life is the state of the node's own chart.
 	Life kqmember.Life
 	// Backend is the backend server's announcement, or nil.
@@ -67,17 +74,20 @@
 	identity *kqtrust.Identity
 	store    *kqstore.Client
 	log      *kqlog.Log
+	metrics  *kqmetric.Metrics
 	ownsLog  bool
 	now      func() time.Time
 
-	pool    *ants.Pool
-	dialer  *kqlink.Dialer
-	server  *kqlink.Server
-	callers *fasthttp.Server
-	backend *fasthttp.Server
+	pool     *ants.Pool
+	dialer   *kqlink.Dialer
+	server   *kqlink.Server
+	callers  *fasthttp.Server
+	backend  *fasthttp.Server
+	operator *fasthttp.Server
 
-	callerAddress  string
-	backendAddress string
+	callerAddress   string
+	operatorAddress string
+	backendAddress  string
 
 	state   atomic.Pointer[State]
 	control *control
@@ -102,7 +112,7 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "make pool"), ErrNode)
 	}
-	n := &Node{settings: settings, identity: identity, store: store, now: time.Now, pool: pool}
+	n := &Node{settings: settings, identity: identity, now: time.Now, pool: pool}
 	for _, o := range options {
 		o(n)
 	}
@@ -110,6 +120,10 @@
 		n.log = kqlog.New(io.Discard, kqlog.WithNode(settings.NodeID, settings.FailureDomain))
 		n.ownsLog = true
 	}
+	if n.metrics, err = kqmetric.New(); err != nil {
+		return nil, errors.Mark(err, ErrNode)
+	}
+	n.store = kqstore.Guard(store, kqstore.WithObserver(n.observeStore))
 	n.dialer = kqlink.NewDialer(identity)
 	n.gate = newGate(n)
 	n.router = newRouter(n)
@@ -130,6 +144,12 @@
 	if err != nil {
 		return errors.Mark(err, ErrNode)
 	}
+	n.operator = newHTTPServer(n.handleOperator)
+	if n.settings.OperatorAddress != "" {
+		if n.operatorAddress, err = listen(n.operator, n.settings.OperatorAddress); err != nil {
+			return err
+		}
+	}
 	n.control.start(n.server.Address())
 	n.callers = newHTTPServer(n.handleCaller)
 	n.backend = newHTTPServer(n.handleBackend)
@@ -158,14 +178,14 @@
 // Shutdown stops taking work, lets what is in flight finish, and ends.
 func (n *Node) Shutdown(ctx context.Context) error {
 	n.control.send(leaveEvent{})
-	for _, s := range []*fasthttp.Server{n.callers, n.backend} {
+	for _, s := range []*fasthttp.Server{n.callers, n.backend, n.operator} {
 		if err := s.ShutdownWithContext(ctx); err != nil {
 			return errors.Mark(errors.Wrap(err, "finish calls"), ErrNode)
 		}
 	}
 	n.cancel()
 	n.loops.Wait()
-	err := n.server.Close()
+	err := errors.CombineErrors(n.server.Close(), n.metrics.Close())
 	n.dialer.Close()
 	n.pool.Release()
 	if n.ownsLog {
@@ -174,6 +194,9 @@
 	return errors.Mark(err, ErrNode)
 }
 
+// OperatorAddress is the TCP address that operators use, or empty.
+func (n *Node) OperatorAddress() string { return n.operatorAddress }
+
 // CallerAddress is the TCP address that callers use.
 func (n *Node) CallerAddress() string { return n.callerAddress }
 
