class and status commands; change settled, reported where in force; fault tests of the store

Cause: nothing let an operator change a target or see where it is in force, and no test lost an answer, raced operators, restored a copy or silenced a watch.

--- a/io/kqcli/kqcli.go
+++ b/io/kqcli/kqcli.go
@@ -42,6 +42,8 @@
 	Node     nodeCommand     `cmd:"" help:"Run a node beside a backend server."`
 	Store    storeCommand    `cmd:"" help:"Run the stand-in of the platform's object API."`
 	Backend  backendCommand  `cmd:"" help:"Run the stand-in of a backend server."`
+	Class    classCommand    `cmd:"" help:"Work with the classes and their targets."`
+	Status   statusCommand   `cmd:"" help:"Show the fleet as one node sees it."`
 	Settings settingsCommand `cmd:"" help:"Work with settings files."`
 	Identity identityCommand `cmd:"" help:"Issue identities for trials, from an authority made for them."`
 }
--- /dev/null
+++ b/io/kqcli/status.go
@@ -0,0 +1,97 @@
+package kqcli
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"kumquatlink/core/kqmember"
+	"kumquatlink/io/kqnode"
+	"kumquatlink/io/kqoperator"
+)
+
+type statusCommand struct {
+	Node   string `required:"" placeholder:"ADDRESS" help:"Operator address of any node."`
+	Output string `enum:"text,json" default:"text" help:"Form of the output: ${enum}."`
+}
+
+// Run shows the fleet as one node sees it.
+func (k *statusCommand) Run(e *environment) error {
+	status, err := kqoperator.Status(e.ctx, k.Node)
+	if err != nil {
+		return err
+	}
+	if k.Output == "json" {
+		return writeJSON(e.output, status)
+	}
+	return writeStatus(e.output, status)
+}
+
+func writeStatus(w io.Writer, s kqnode.Status) error {
+	_, _ = fmt.Fprintf(w, "node %s in %s (%s) is %s\n", s.InForce.NodeID, s.InForce.FailureDomain, s.InForce.Region, s.Life)
+	_, _ = fmt.Fprintf(w, "configuration: version %d (change %s) in force since %s\n", s.InForce.Version, s.InForce.ChangeID, s.InForce.Since.Format(time.RFC3339))
+	_, _ = fmt.Fprintf(w, "refused configurations: %d older, %d rival, %d faulty\n", s.Refusals.Older, s.Refusals.Rival, s.Refusals.Faulty)
+	writeAlarms(w, s)
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "FAILURE DOMAIN\tREGION\tNODES\tLIVES\tSERVICES\tWATCHERS")
+	for _, d := range domainsOf(s.Members) {
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%s\t%d\t%s\n", d.name, d.region, d.nodes, countsText(d.lives), len(d.services), strings.Join(s.Watchers[d.name], ","))
+	}
+	return errors.Wrap(table.Flush(), "write status")
+}
+
+// writeAlarms names what an operator should look at, with its page.
+func writeAlarms(w io.Writer, s kqnode.Status) {
+	if s.Store.Behind {
+		_, _ = fmt.Fprintf(w, "ALARM StoreBehind: the store holds version %d, older than is in force (docs/operators/store.md)\n", s.Store.Version)
+	}
+	if s.Refusals.Faulty > 0 {
+		_, _ = fmt.Fprintf(w, "ALARM ConfigurationFaulty: %s (docs/operators/store.md)\n", s.Refusals.LastFault)
+	}
+	if s.LogDropped > 0 {
+		_, _ = fmt.Fprintf(w, "ALARM LogDropped: %d log lines were lost (docs/operators/logs.md)\n", s.LogDropped)
+	}
+}
+
+// domainSummary counts what one failure domain has.
+type domainSummary struct {
+	name     string
+	region   string
+	nodes    int
+	lives    map[string]int
+	services map[string]int
+}
+
+func domainsOf(members []kqmember.Record) []*domainSummary {
+	byName := map[string]*domainSummary{}
+	var domains []*domainSummary
+	for _, m := range members {
+		d := byName[m.FailureDomain]
+		if d == nil {
+			d = &domainSummary{name: m.FailureDomain, region: m.Region, lives: map[string]int{}, services: map[string]int{}}
+			byName[m.FailureDomain] = d
+			domains = append(domains, d)
+		}
+		d.nodes++
+		d.lives[string(m.Life)]++
+		if m.Service != "" {
+			d.services[m.Service]++
+		}
+	}
+	slices.SortFunc(domains, func(a, b *domainSummary) int { return strings.Compare(a.name, b.name) })
+	return domains
+}
+
+func countsText(counts map[string]int) string {
+	var parts []string
+	for name, count := range counts {
+		parts = append(parts, fmt.Sprintf("%d %s", count, name))
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, ", ")
+}
--- a/io/kqfleet/kqfleet.go
+++ b/io/kqfleet/kqfleet.go
@@ -91,7 +91,7 @@
 	}
 	settings := kqsettings.Node{
 		NodeID: place.NodeID, Region: place.Region, FailureDomain: place.FailureDomain,
-		CallerAddress: anyPort, BackendAddress: anyPort, PeerAddress: anyPort, StoreAddress: f.Store.Address(),
+		CallerAddress: anyPort, BackendAddress: anyPort, PeerAddress: anyPort, OperatorAddress: anyPort, StoreAddress: f.Store.Address(),
 		Peers: append([]string(nil), f.peers...),
 	}
 	n, err := kqnode.New(settings, identity, kqstore.NewHTTP(f.Store.Address()), options...)
--- a/io/kqobject/kqobject.go
+++ b/io/kqobject/kqobject.go
@@ -15,6 +15,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"strconv"
 	"strings"
 	"sync"
@@ -58,6 +59,8 @@
 	LoseAnswers int
 	// CutWatches ends every watch and refuses new ones.
 	CutWatches bool
+	// SilentWatches keeps every watch open without telling it anything.
+	SilentWatches bool
 }
 
 // Counts are the calls taken since the start.
@@ -77,6 +80,8 @@
 type Store struct {
 	mutex   sync.Mutex
 	changed chan struct{}
+	// epoch counts the restores; a watch of an earlier epoch ends.
+	epoch   int
 	version int64
 	objects map[string]Object
 	history []entry
@@ -99,6 +104,31 @@
 	s.wake()
 }
 
+// Copy is a copy of all objects, as a backup would hold it.
+type Copy struct {
+	version int64
+	objects map[string]Object
+}
+
+// Backup makes a copy of all objects.
+func (s *Store) Backup() Copy {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return Copy{version: s.version, objects: maps.Clone(s.objects)}
+}
+
+// Restore puts an older copy in the place of all objects and ends all watches,
+// as an operator of the platform would after a loss.
+func (s *Store) Restore(c Copy) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.version = c.version
+	s.objects = maps.Clone(c.objects)
+	s.history = nil
+	s.epoch++
+	s.wake()
+}
+
 // Counts gives the calls taken so far.
 func (s *Store) Counts() Counts {
 	s.mutex.Lock()
--- a/io/kqobject/server.go
+++ b/io/kqobject/server.go
@@ -137,6 +137,7 @@
 	s.counts.Watches++
 	tooOld := len(s.history) > 0 && from < s.history[0].version-1
 	cut := s.faults.CutWatches
+	epoch := s.epoch
 	s.mutex.Unlock()
 	if tooOld {
 		answer(c, fasthttp.StatusGone, status{"Expired", "the version is too old"})
@@ -146,15 +147,15 @@
 		answer(c, fasthttp.StatusServiceUnavailable, status{"Unavailable", "watches are cut"})
 		return
 	}
-	c.SetBodyStreamWriter(func(w *bufio.Writer) { s.stream(w, p, from) })
+	c.SetBodyStreamWriter(func(w *bufio.Writer) { s.stream(w, p, from, epoch) })
 }
 
 // stream writes events until the watcher has gone or the watch is cut.
-func (s *Store) stream(w *bufio.Writer, p path, from int64) {
+func (s *Store) stream(w *bufio.Writer, p path, from int64, epoch int) {
 	beat := time.NewTicker(watchBeat)
 	defer beat.Stop()
 	for {
-		events, changed, cut := s.after(p, from)
+		events, changed, cut := s.after(p, from, epoch)
 		if cut {
 			return
 		}
@@ -187,16 +188,19 @@
 }
 
 // after lists the events of the kind behind a version.
-func (s *Store) after(p path, from int64) ([]entry, chan struct{}, bool) {
+func (s *Store) after(p path, from int64, epoch int) ([]entry, chan struct{}, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if s.faults.SilentWatches {
+		return nil, s.changed, false
+	}
 	var events []entry
 	for _, e := range s.history {
 		if e.version > from && e.kind == p.kind && (p.name == "" || p.name == e.event.Object.Metadata.Name) {
 			events = append(events, e)
 		}
 	}
-	return events, s.changed, s.faults.CutWatches || s.faults.Down
+	return events, s.changed, s.faults.CutWatches || s.faults.Down || epoch != s.epoch
 }
 
 func answer(c *fasthttp.RequestCtx, code int, value any) {
--- /dev/null
+++ b/io/kqstore/kqstore_test.go
@@ -0,0 +1,178 @@
+package kqstore_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"kumquatlink/core/kqclass"
+	"kumquatlink/core/kqconfig"
+	"kumquatlink/io/kqobject"
+	"kumquatlink/io/kqstore"
+)
+
+func startStore(t *testing.T) (*kqobject.Store, *kqstore.Client, context.Context) {
+	t.Helper()
+	store := kqobject.New()
+	if err := store.Listen("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := store.Close(); err != nil {
+			t.Errorf("close store: %v", err)
+		}
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(cancel)
+	return store, kqstore.NewHTTP(store.Address()), ctx
+}
+
+func request(name, changeID string) kqstore.ChangeRequest {
+	class := kqclass.Class{Name: name, Target: kqclass.Target{Complete: 99, Within: kqclass.Duration(time.Second)}}
+	return kqstore.ChangeRequest{Edit: kqconfig.Edit{Set: &class}, ChangeID: changeID}
+}
+
+func TestChangeWhoseAnswerIsLostIsAcceptedOnce(t *testing.T) {
+	store, client, ctx := startStore(t)
+	store.SetFaults(kqobject.Faults{LoseAnswers: 1})
+	got, err := kqstore.Change(ctx, client, request("browse", "one"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	stored, _, err := kqstore.ReadConfiguration(ctx, client)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if stored.Version != 1 || got.Version != 1 || stored.ChangeID != "one" {
+		t.Errorf("version: got %d and stored %d/%s, want 1/one", got.Version, stored.Version, stored.ChangeID)
+	}
+	if got, want := store.Counts().Writes, int64(1); got != want {
+		t.Errorf("writes: got %d, want %d", got, want)
+	}
+}
+
+func TestRacingOperatorsOneWinsAndOthersSeeIt(t *testing.T) {
+	store, client, ctx := startStore(t)
+	const operators = 8
+	if _, err := kqstore.Change(ctx, client, request("browse", "first")); err != nil {
+		t.Fatal(err)
+	}
+	store.SetFaults(kqobject.Faults{LoseAnswers: operators / 2})
+	results := make([]error, operators)
+	var wait sync.WaitGroup
+	for i := range operators {
+		wait.Go(func() {
+			r := request(fmt.Sprintf("class-%d", i), fmt.Sprintf("operator-%d", i))
+			r.IfVersion = 1
+			_, results[i] = kqstore.Change(ctx, kqstore.NewHTTP(store.Address()), r)
+		})
+	}
+	wait.Wait()
+	stored, _, err := kqstore.ReadConfiguration(ctx, client)
+	if err != nil {
+		t.Fatal(err)
+	}
+	won := 0
+	for i, err := range results {
+		var beaten *kqstore.BeatenError
+		switch {
+		case err == nil:
+			won++
+			if got, want := stored.ChangeID, fmt.Sprintf("operator-%d", i); got != want {
+				t.Errorf("stored change: got %s, want %s", got, want)
+			}
+		case !errors.As(err, &beaten):
+			t.Errorf("operator %d: got %v, want a BeatenError", i, err)
+		case beaten.Winner.ChangeID != stored.ChangeID:
+			t.Errorf("winner shown to operator %d: got %s, want %s", i, beaten.Winner.ChangeID, stored.ChangeID)
+		}
+	}
+	if got, want := won, 1; got != want {
+		t.Errorf("winners: got %d, want %d", got, want)
+	}
+	if got, want := stored.Version, int64(2); got != want {
+		t.Errorf("version: got %d, want %d", got, want)
+	}
+}
+
+func TestChangeGoesOnFromWhatTheFleetHasInForce(t *testing.T) {
+	store, client, ctx := startStore(t)
+	if _, err := kqstore.Change(ctx, client, request("browse", "one")); err != nil {
+		t.Fatal(err)
+	}
+	backup := store.Backup()
+	inForce, err := kqstore.Change(ctx, client, request("purchase", "two"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	store.Restore(backup)
+	r := request("lookup", "three")
+	r.Floor = inForce
+	got, err := kqstore.Change(ctx, client, r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := got.Version, int64(3); got != want {
+		t.Errorf("version: got %d, want %d", got, want)
+	}
+	if got, want := len(got.Classes), 3; got != want {
+		t.Errorf("classes: got %d, want %d", got, want)
+	}
+}
+
+func TestWatchTellsChangesAndEndsWithItsContext(t *testing.T) {
+	_, client, ctx := startStore(t)
+	if _, err := kqstore.Change(ctx, client, request("browse", "one")); err != nil {
+		t.Fatal(err)
+	}
+	watch, cancel := context.WithCancel(ctx)
+	heard := make(chan kqstore.Object, 8)
+	ended := make(chan error, 1)
+	go func() {
+		ended <- client.Watch(watch, kqstore.KindConfiguration, kqstore.NameConfiguration, "1", func(o kqstore.Object) error {
+			heard <- o
+			return nil
+		})
+	}()
+	if _, err := kqstore.Change(ctx, client, request("purchase", "two")); err != nil {
+		t.Fatal(err)
+	}
+	got, err := kqstore.DecodeConfiguration(<-heard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := got.ChangeID, "two"; got != want {
+		t.Errorf("change heard: got %s, want %s", got, want)
+	}
+	cancel()
+	if err := <-ended; !errors.Is(err, kqstore.ErrUnavailable) {
+		t.Errorf("end of the watch: got %v, want ErrUnavailable", err)
+	}
+}
+
+func TestGuardStopsCallingAStoreThatIsDown(t *testing.T) {
+	calls := 0
+	inner := &kqstore.Client{Get: func(context.Context, string, string) (kqstore.Object, error) {
+		calls++
+		return kqstore.Object{}, errors.Mark(errors.New("down"), kqstore.ErrUnavailable)
+	}}
+	now := time.Unix(0, 0)
+	clock := kqstore.WithClock(func() time.Time { return now }, func() float64 { return 0.999 })
+	guarded := kqstore.Guard(inner, clock)
+	for range 36_000 {
+		if _, err := guarded.Get(context.Background(), "kind", "name"); !errors.Is(err, kqstore.ErrUnavailable) {
+			t.Fatalf("error: got %v, want ErrUnavailable", err)
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	if got, want := calls, 1900; got > want {
+		t.Errorf("calls in an hour of outage: got %d, want at most %d", got, want)
+	}
+	if calls < 100 {
+		t.Errorf("calls in an hour of outage: got %d, want at least 100", calls)
+	}
+}
