--- a/Makefile
+++ b/Makefile
@@ -39,3 +39,7 @@
 
 unit:
 	bash _scripts/run-tests $(RACE_TIMEOUT)
+
+# docs writes the pages that are made from the code.
+docs:
+	go run ./cmd/kumquatlink docs --directory docs
--- a/io/kqcli/class.go
+++ b/io/kqcli/class.go
@@ -47,6 +47,11 @@
 	storeFlags
 }
 
+// Help is the longer help of the command.
+func (classListCommand) Help() string {
+	return "Example:\n\n  kumquatlink class list --store 127.0.0.1:7000 --output json"
+}
+
 // Run lists the classes.
 func (k *classListCommand) Run(e *environment) error {
 	configuration, err := readConfiguration(e, k.Store)
@@ -64,6 +69,11 @@
 	Name string `arg:"" help:"Name of the class."`
 }
 
+// Help is the longer help of the command.
+func (classGetCommand) Help() string {
+	return "Example:\n\n  kumquatlink class get --store 127.0.0.1:7000 purchase"
+}
+
 // Run shows one class.
 func (k *classGetCommand) Run(e *environment) error {
 	configuration, err := readConfiguration(e, k.Store)
@@ -92,6 +102,11 @@
 	Services []string      `placeholder:"NAME" help:"Services whose calls belong to the class when the caller names none."`
 }
 
+// Help is the longer help of the command.
+func (classSetCommand) Help() string {
+	return "Nothing is written unless the configuration has no faults afterwards. When another\noperator was first, the command fails and shows the version that won.\n\nExample:\n\n  kumquatlink class set --store 127.0.0.1:7000 --node 127.0.0.1:9000 --complete 99.9 --within 2s --run-once purchase"
+}
+
 // Run adds or changes a class.
 func (k *classSetCommand) Run(e *environment) error {
 	class := kqclass.Class{
@@ -107,6 +122,11 @@
 	Name string `arg:"" help:"Name of the class."`
 }
 
+// Help is the longer help of the command.
+func (classDeleteCommand) Help() string {
+	return "Example:\n\n  kumquatlink class delete --store 127.0.0.1:7000 browse"
+}
+
 // Run deletes a class.
 func (k *classDeleteCommand) Run(e *environment) error {
 	return change(e, k.storeFlags, k.changeFlags, kqconfig.Edit{Delete: k.Name})
--- /dev/null
+++ b/io/kqcli/docs.go
@@ -0,0 +1,112 @@
+package kqcli
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
+
+	"kumquatlink/io/kqmetric"
+)
+
+// docsCommand writes the pages that are made from the code.
+type docsCommand struct {
+	Directory string `required:"" placeholder:"DIR" help:"Where cli/ and metrics.md are written."`
+}
+
+// Help is the longer help of the command.
+func (docsCommand) Help() string {
+	return "Example:\n\n  kumquatlink docs --directory docs"
+}
+
+// Run writes one page for each command and one for the metrics.
+func (k *docsCommand) Run(e *environment) error {
+	directory := filepath.Join(k.Directory, "cli")
+	if err := os.MkdirAll(directory, 0o750); err != nil {
+		return errors.Mark(errors.Wrap(err, "make directory"), ErrInput)
+	}
+	for _, command := range e.model.Children {
+		if command.Hidden {
+			continue
+		}
+		path := filepath.Join(directory, command.Name+".md")
+		if err := os.WriteFile(path, []byte(commandPage(command)), 0o600); err != nil {
+			return errors.Mark(errors.Wrap(err, "write page"), ErrInput)
+		}
+	}
+	path := filepath.Join(k.Directory, "metrics.md")
+	return errors.Mark(errors.Wrap(os.WriteFile(path, []byte(metricsPage()), 0o600), "write page"), ErrInput)
+}
+
+func commandPage(command *kong.Node) string {
+	var b strings.Builder
+	_, _ = fmt.Fprintf(&b, "# kumquatlink %s\n\n", command.Name)
+	b.WriteString("Made from the program's help by `make docs`.\n\n")
+	writeCommand(&b, command, "kumquatlink "+command.Name)
+	b.WriteString("Exit codes: 0 done, 1 failed, 2 bad input.\n")
+	return b.String()
+}
+
+func writeCommand(b *strings.Builder, command *kong.Node, path string) {
+	_, _ = fmt.Fprintf(b, "%s\n\n", command.Help)
+	if len(command.Children) > 0 {
+		for _, child := range command.Children {
+			_, _ = fmt.Fprintf(b, "## %s %s\n\n", path, child.Name)
+			writeCommand(b, child, path+" "+child.Name)
+		}
+		return
+	}
+	_, _ = fmt.Fprintf(b, "```\n%s%s\n```\n\n", path, strings.TrimPrefix(usage(command), command.Name))
+	writeArguments(b, command)
+	if command.Detail != "" {
+		_, _ = fmt.Fprintf(b, "%s\n\n", command.Detail)
+	}
+}
+
+// usage is the command's own part of its summary line.
+func usage(command *kong.Node) string {
+	text := command.Name
+	for _, f := range command.Flags {
+		if f.Required {
+			text += " --" + f.Name + "=" + strings.ToUpper(f.FormatPlaceHolder())
+		}
+	}
+	for _, p := range command.Positional {
+		text += " " + p.Summary()
+	}
+	return text + " [flags]"
+}
+
+func writeArguments(b *strings.Builder, command *kong.Node) {
+	if len(command.Positional)+len(command.Flags) == 0 {
+		return
+	}
+	b.WriteString("| argument | meaning |\n|---|---|\n")
+	for _, p := range command.Positional {
+		_, _ = fmt.Fprintf(b, "| `%s` | %s |\n", p.Summary(), p.Help)
+	}
+	for _, f := range command.Flags {
+		if f.Name == "help" {
+			continue
+		}
+		text := f.Help
+		if f.HasDefault {
+			text += " Default `" + f.Default + "`."
+		}
+		_, _ = fmt.Fprintf(b, "| `--%s` | %s |\n", f.Name, text)
+	}
+	b.WriteString("\n")
+}
+
+func metricsPage() string {
+	var b strings.Builder
+	b.WriteString("# Metrics\n\nMade from the code by `make docs`. A node serves them at `/metrics` of its\noperator address in the Prometheus text format, each with the prefix\n`kumquatlink_`.\n\n")
+	b.WriteString("| name | kind | tags | unit | meaning |\n|---|---|---|---|---|\n")
+	for _, d := range kqmetric.Definitions() {
+		_, _ = fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", d.Name, d.Kind, strings.Join(d.Tags, ", "), d.Unit, d.Help)
+	}
+	return b.String()
+}
--- a/io/kqcli/kqcli.go
+++ b/io/kqcli/kqcli.go
@@ -35,6 +35,8 @@
 	ctx    context.Context
 	output io.Writer
 	errors io.Writer
+	// model is the table of commands, for the pages made from it.
+	model *kong.Application
 }
 
 // commands is the one table that help and docs are made from.
@@ -45,6 +47,7 @@
 	Class    classCommand    `cmd:"" help:"Work with the classes and their targets."`
 	Status   statusCommand   `cmd:"" help:"Show the fleet as one node sees it."`
 	Settings settingsCommand `cmd:"" help:"Work with settings files."`
+	Docs     docsCommand     `cmd:"" help:"Write the pages that are made from the code."`
 	Identity identityCommand `cmd:"" help:"Issue identities for trials, from an authority made for them."`
 }
 
@@ -79,7 +82,7 @@
 		_, _ = fmt.Fprintf(errorOutput, "kumquatlink: %v\n", err)
 		return ExitBadInput
 	}
-	err = parsed.Run(&environment{ctx: ctx, output: output, errors: errorOutput})
+	err = parsed.Run(&environment{ctx: ctx, output: output, errors: errorOutput, model: parser.Model})
 	return exitCode(err, errorOutput)
 }
 
--- a/io/kqcli/serve.go
+++ b/io/kqcli/serve.go
@@ -27,6 +27,11 @@
 	Settings string `required:"" placeholder:"FILE" help:"Settings of the node, as JSON."`
 }
 
+// Help is the longer help of the command.
+func (nodeCommand) Help() string {
+	return "The node ends on SIGTERM when all that is in flight has been answered.\n\nExample:\n\n  kumquatlink node --settings node.json"
+}
+
 // Run runs a node until it is told to end.
 func (k *nodeCommand) Run(e *environment) error {
 	s, err := kqsettings.ReadNode(k.Settings)
@@ -50,7 +55,7 @@
 	if err := n.Start(); err != nil {
 		return err
 	}
-	log.Event(zerolog.InfoLevel, fmt.Sprintf("node serves callers at %s, its backend server at %s, peers at %s", n.CallerAddress(), n.BackendAddress(), n.PeerAddress()), nil)
+	log.Event(zerolog.InfoLevel, fmt.Sprintf("node serves callers at %s, its backend server at %s, peers at %s, operators at %s", n.CallerAddress(), n.BackendAddress(), n.PeerAddress(), n.OperatorAddress()), nil)
 	<-e.ctx.Done()
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
@@ -61,6 +66,11 @@
 	Settings string `required:"" placeholder:"FILE" help:"Settings of the stand-in, as JSON."`
 }
 
+// Help is the longer help of the command.
+func (storeCommand) Help() string {
+	return "Example:\n\n  kumquatlink store --settings store.json"
+}
+
 // Run runs the object API stand-in until it is told to end.
 func (k *storeCommand) Run(e *environment) error {
 	s, err := kqsettings.ReadStore(k.Settings)
@@ -80,6 +90,11 @@
 	Settings string `required:"" placeholder:"FILE" help:"Settings of the stand-in, as JSON."`
 }
 
+// Help is the longer help of the command.
+func (backendCommand) Help() string {
+	return "Example:\n\n  kumquatlink backend --settings backend.json"
+}
+
 // Run runs the backend server stand-in until it is told to end.
 func (k *backendCommand) Run(e *environment) error {
 	s, err := kqsettings.ReadBackend(k.Settings)
@@ -109,6 +124,11 @@
 	Kind string `enum:"node,store,backend" default:"node" help:"Whose settings it holds: ${enum}."`
 }
 
+// Help is the longer help of the command.
+func (settingsCheckCommand) Help() string {
+	return "Every fault of the file is listed with its field, its value and what is expected.\n\nExample:\n\n  kumquatlink settings check --kind node node.json"
+}
+
 // Run checks a settings file.
 func (k *settingsCheckCommand) Run(e *environment) error {
 	var err error
@@ -132,6 +152,11 @@
 	Nodes     []string `arg:"" help:"Names of the nodes."`
 }
 
+// Help is the longer help of the command.
+func (identityCommand) Help() string {
+	return "The authority's key is forgotten: issue the identities of all nodes of a trial at once.\n\nExample:\n\n  kumquatlink identity --directory identities node-1 node-2"
+}
+
 // Run issues identities from an authority whose key is then forgotten.
 func (k *identityCommand) Run(e *environment) error {
 	authority, err := kqtrust.NewAuthority()
--- a/io/kqcli/status.go
+++ b/io/kqcli/status.go
@@ -20,6 +20,11 @@
 	Output string `enum:"text,json" default:"text" help:"Form of the output: ${enum}."`
 }
 
+// Help is the longer help of the command.
+func (statusCommand) Help() string {
+	return "Example:\n\n  kumquatlink status --node 127.0.0.1:9000"
+}
+
 // Run shows the fleet as one node sees it.
 func (k *statusCommand) Run(e *environment) error {
 	status, err := kqoperator.Status(e.ctx, k.Node)
--- a/io/kqsettings/kqsettings.go
+++ b/io/kqsettings/kqsettings.go
@@ -11,18 +11,24 @@
 package kqsettings
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"kumquatlink/core/kqclass"
 )
 
+// Defaults of the backend server stand-in.
+const (
+	defaultSlots       = 36
+	defaultServiceTime = 5 * time.Millisecond
+)
+
 // ErrRead marks files that can't be read at all.
 var ErrRead = errors.New("settings can't be read")
 
@@ -90,50 +96,54 @@
 // ReadNode reads and checks a node's settings.
 func ReadNode(path string) (*Node, error) {
 	n := &Node{LogLevel: "info"}
-	if err := read(path, n); err != nil {
-		return nil, err
-	}
-	return n, faultsError(n.Check())
+	return n, read(path, n, n.Check)
 }
 
 // ReadStore reads and checks a store stand-in's settings.
 func ReadStore(path string) (*Store, error) {
 	s := &Store{}
-	if err := read(path, s); err != nil {
-		return nil, err
-	}
-	return s, faultsError(checkAddress(nil, "Address", s.Address))
+	return s, read(path, s, s.Check)
 }
 
 // ReadBackend reads and checks a backend server stand-in's settings.
 func ReadBackend(path string) (*Backend, error) {
-	b := &Backend{Slots: 36, ServiceTime: kqclass.Duration(5e6)}
-	if err := read(path, b); err != nil {
-		return nil, err
-	}
-	return b, faultsError(b.Check())
-}
-
-func faultsError(faults []kqclass.Fault) error {
-	if len(faults) == 0 {
-		return nil
-	}
-	return &FaultyError{Faults: faults}
+	b := &Backend{Slots: defaultSlots, ServiceTime: kqclass.Duration(defaultServiceTime)}
+	return b, read(path, b, b.Check)
 }
 
-func read(path string, value any) error {
+// read reads a file into value and gives every fault of it in one error.
+func read(path string, value any, check func() []kqclass.Fault) error {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return errors.Mark(errors.Wrap(err, "read settings"), ErrRead)
 	}
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(value); err != nil {
+	faults, err := decode(data, value)
+	if err != nil {
 		return errors.Mark(errors.Wrapf(err, "read settings %s", path), ErrRead)
 	}
+	faults = withoutRepeats(append(faults, check()...))
+	if len(faults) > 0 {
+		return &FaultyError{Faults: faults}
+	}
 	return nil
 }
 
+// withoutRepeats keeps the first fault of each field: a field that could not
+// be read is also empty.
+func withoutRepeats(faults []kqclass.Fault) []kqclass.Fault {
+	seen := map[string]bool{}
+	return slices.DeleteFunc(faults, func(f kqclass.Fault) bool {
+		repeated := seen[f.Field]
+		seen[f.Field] = true
+		return repeated
+	})
+}
+
+// Check lists every fault of the settings.
+func (s *Store) Check() []kqclass.Fault {
+	return checkAddress(nil, "Address", s.Address)
+}
+
 // Check lists every fault of the settings.
 func (n *Node) Check() []kqclass.Fault {
 	var faults []kqclass.Fault
@@ -169,6 +179,9 @@
 	faults = checkName(faults, "Service", b.Service)
 	faults = checkAddress(faults, "Address", b.Address)
 	faults = checkAddress(faults, "NodeAddress", b.NodeAddress)
+	if b.ServiceTime < 0 {
+		faults = append(faults, kqclass.Fault{Field: "ServiceTime", Value: time.Duration(b.ServiceTime).String(), Expect: "no negative duration"})
+	}
 	if b.Slots < 1 {
 		faults = append(faults, kqclass.Fault{Field: "Slots", Value: fmt.Sprint(b.Slots), Expect: "at least 1"})
 	}
--- /dev/null
+++ b/io/kqsettings/kqsettings_test.go
@@ -0,0 +1,91 @@
+package kqsettings_test
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"kumquatlink/io/kqsettings"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+func TestEveryFaultIsReportedInOneGo(t *testing.T) {
+	_, err := kqsettings.ReadNode(filepath.Join("testdata", "faulty.json"))
+	var faulty *kqsettings.FaultyError
+	if !errors.As(err, &faulty) {
+		t.Fatalf("error: got %v, want a FaultyError", err)
+	}
+	golden := filepath.Join("testdata", "faulty.golden")
+	got := faulty.Error() + "\n"
+	if *update {
+		if err := os.WriteFile(golden, []byte(got), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(golden)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got != string(want) {
+		t.Errorf("faults: got\n%swant\n%s", got, want)
+	}
+}
+
+func TestExamplesOfTheDocsHaveNoFaults(t *testing.T) {
+	examples := filepath.Join("..", "..", "_fixtures", "settings")
+	if _, err := kqsettings.ReadNode(filepath.Join(examples, "node.json")); err != nil {
+		t.Errorf("node.json: got %v, want no faults", err)
+	}
+	if _, err := kqsettings.ReadStore(filepath.Join(examples, "store.json")); err != nil {
+		t.Errorf("store.json: got %v, want no faults", err)
+	}
+	if _, err := kqsettings.ReadBackend(filepath.Join(examples, "backend.json")); err != nil {
+		t.Errorf("backend.json: got %v, want no faults", err)
+	}
+}
+
+func TestFilesThatCannotBeReadAtAll(t *testing.T) {
+	for name, text := range map[string]string{
+		"empty": "", "list": "[]", "cut": `{"Address": "127.0`, "two": "{} {}", "bytes": "\xff\xfe", "deep": `{"Address": [[[[`,
+	} {
+		path := filepath.Join(t.TempDir(), name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := kqsettings.ReadStore(path); !errors.Is(err, kqsettings.ErrRead) {
+			t.Errorf("%s: got %v, want ErrRead", name, err)
+		}
+	}
+	if _, err := kqsettings.ReadStore(filepath.Join(t.TempDir(), "missing")); !errors.Is(err, kqsettings.ErrRead) {
+		t.Errorf("missing file: got %v, want ErrRead", err)
+	}
+}
+
+// FuzzReadNode reads any bytes as settings: it must not panic, and what it
+// takes without faults must have none when it is checked again.
+func FuzzReadNode(f *testing.F) {
+	for _, path := range []string{"testdata/faulty.json", "../../_fixtures/settings/node.json"} {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		path := filepath.Join(t.TempDir(), "node.json")
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		n, err := kqsettings.ReadNode(path)
+		if err != nil {
+			return
+		}
+		if faults := n.Check(); len(faults) > 0 {
+			t.Errorf("faults of settings that were taken: got %v, want none", faults)
+		}
+	})
+}
