Replace the gate's fixed slots by a learned limit, an ordered queue and a cut

Cause: the gate was a placeholder with fixed slots and no queue, so it could not tell important work from the rest and took the backend server's word for its slots.

--- /dev/null
+++ b/core/kqadmit/guard.go
@@ -0,0 +1,58 @@
+package kqadmit
+
+import "time"
+
+// guard remembers for each rank when a call was last let in and refused, so
+// that no call is refused while a less important one is let in.
+type guard struct {
+	ranks []rankTimes
+}
+
+type rankTimes struct {
+	// let is when a call was last let in, and shut until when less important
+	// ones are not; zero means never.
+	let  time.Duration
+	shut time.Duration
+	seen bool
+}
+
+func (g *guard) rank(r int) *rankTimes {
+	for len(g.ranks) <= r {
+		g.ranks = append(g.ranks, rankTimes{})
+	}
+	return &g.ranks[r]
+}
+
+func (g *guard) letIn(now time.Duration, rank int) {
+	r := g.rank(rank)
+	r.let, r.seen = now, true
+}
+
+func (g *guard) refused(now time.Duration, rank int) {
+	g.close(now, rank)
+}
+
+// close refuses all that is less important than the rank for the guard time.
+func (g *guard) close(now time.Duration, rank int) {
+	g.rank(rank).shut = now + Guard
+}
+
+// closed is whether a more important call was refused just before.
+func (g *guard) closed(now time.Duration, rank int) bool {
+	for r := range min(rank, len(g.ranks)) {
+		if now < g.ranks[r].shut {
+			return true
+		}
+	}
+	return false
+}
+
+// mayRefuse is whether no less important call was let in just before.
+func (g *guard) mayRefuse(now time.Duration, rank int) bool {
+	for r := rank + 1; r < len(g.ranks); r++ {
+		if g.ranks[r].seen && now-g.ranks[r].let < Guard {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/core/kqadmit/kqadmit.go
@@ -0,0 +1,256 @@
+// Package kqadmit decides what a gate lets its backend server run: a bounded
+// queue that is ordered by importance, a cut below which arrivals are refused
+// at once, and a guard that never refuses a call while a less important one
+// is let in.
+//
+// # Usage
+//
+// A gate makes one [Queue] and tells it of arrivals, ends and time. Every
+// method gives the verdicts that are final by then, for whichever calls they
+// are; a call without a verdict waits:
+//
+//	queue := kqadmit.New()
+//	queue.SetLimit(now, 36)
+//	verdicts := queue.Offer(now, kqadmit.Item{ID: 1, Level: level, Class: "browse", Deadline: now + left})
+//	verdicts = queue.Done(now, kqadmit.Finished{Class: "browse", Took: took})
+//	verdicts = queue.Tick(now)
+//
+// Times are durations since an arbitrary start of the gate's own clock. A
+// Queue is not safe for concurrent use.
+package kqadmit
+
+import (
+	"slices"
+	"time"
+
+	"kumquatlink/core/kqcall"
+)
+
+// Constants of the queue.
+const (
+	// Guard is how long before a refusal no less important call was let in,
+	// and how long after it none is.
+	Guard = 110 * time.Millisecond
+	// window is the interval over which a queue must stand to count as one.
+	window = 50 * time.Millisecond
+	// minQueue is the least number of calls that may wait.
+	minQueue = 4
+	// hardQueue bounds the waiting calls whatever the guard says.
+	hardQueue = 4096
+	// minSojourn is the least time after which a waiting call is given up.
+	minSojourn = 50 * time.Millisecond
+	// holdWeight is the weight of one call in the mean time of a slot's use.
+	holdWeight = 0.1
+	// maxArrivals bounds the arrivals that one window remembers.
+	maxArrivals = 8192
+)
+
+// Item is a call at the gate.
+type Item struct {
+	// ID tells calls of one gate apart; it goes up with every call.
+	ID    uint64
+	Level Level
+	Class string
+	// Deadline is when the call's time is over, on the gate's clock.
+	Deadline time.Duration
+	// Came is when the call came; Offer sets it.
+	Came time.Duration
+}
+
+// Verdict is the final word on a call: run it now, or it was refused.
+type Verdict struct {
+	ID  uint64
+	Run bool
+	// Cause is why the call was refused, or empty.
+	Cause kqcall.Cause
+	// RetryAfter is when a refused call may come again.
+	RetryAfter time.Duration
+}
+
+// Finished tells how a call that ran ended.
+type Finished struct {
+	Class string
+	// Took is how long the call held its slot.
+	Took time.Duration
+	// Counts is whether Took says something about the class's service time.
+	Counts bool
+}
+
+// Queue is the admission of one gate.
+type Queue struct {
+	limit    int
+	inFlight int
+	waiting  []Item
+	guard    guard
+	cut      cut
+	classes  map[string]*serviceTimes
+	hold     time.Duration
+}
+
+// New makes a queue that lets in one call at a time.
+func New() *Queue {
+	return &Queue{limit: 1, cut: newCut(), classes: map[string]*serviceTimes{}}
+}
+
+// InFlight is how many calls were let in and have not ended.
+func (q *Queue) InFlight() int { return q.inFlight }
+
+// Waiting is how many calls wait.
+func (q *Queue) Waiting() int { return len(q.waiting) }
+
+// Cut is the level up to which calls are let in at this moment.
+func (q *Queue) Cut() Level { return q.cut.level }
+
+// SetLimit sets how many calls may be in flight.
+func (q *Queue) SetLimit(now time.Duration, limit int) []Verdict {
+	q.limit = max(1, limit)
+	return q.settle(now, nil)
+}
+
+// Offer takes an arrival.
+func (q *Queue) Offer(now time.Duration, i Item) []Verdict {
+	verdicts := q.advance(now, nil)
+	i.Came = now
+	q.cut.arrived(i.Level)
+	if q.refusesAtOnce(now, i) {
+		return append(verdicts, q.refuse(now, i, kqcall.CauseShedGate))
+	}
+	if q.wouldMiss(now, i) {
+		return append(verdicts, Verdict{ID: i.ID, Cause: kqcall.CauseWouldMiss, RetryAfter: q.cut.retryAfter(i.Level)})
+	}
+	q.insert(i)
+	verdicts = q.settle(now, verdicts)
+	return q.trim(now, i.ID, verdicts)
+}
+
+// Done takes the end of a call that was let in.
+func (q *Queue) Done(now time.Duration, f Finished) []Verdict {
+	q.inFlight--
+	if f.Counts {
+		q.learn(now, f)
+	}
+	return q.settle(now, q.advance(now, nil))
+}
+
+// Leave takes a waiting call out, since its caller has gone, and says whether
+// it was still waiting.
+func (q *Queue) Leave(id uint64) bool {
+	before := len(q.waiting)
+	q.waiting = slices.DeleteFunc(q.waiting, func(i Item) bool { return i.ID == id })
+	q.cut.saw(len(q.waiting), q.inFlight < q.limit)
+	return len(q.waiting) < before
+}
+
+// Tick lets time pass without an event.
+func (q *Queue) Tick(now time.Duration) []Verdict {
+	return q.settle(now, q.advance(now, nil))
+}
+
+// Bound is how many calls may wait: about what the slots can run in the time
+// of one call.
+func (q *Queue) Bound() int {
+	return max(minQueue, q.limit)
+}
+
+// Sojourn is how long a call may wait before it is given up.
+func (q *Queue) Sojourn() time.Duration {
+	return max(minSojourn, q.hold)
+}
+
+func (q *Queue) refusesAtOnce(now time.Duration, i Item) bool {
+	if q.guard.closed(now, i.Level.Rank()) {
+		return true
+	}
+	return i.Level > q.cut.level && q.guard.mayRefuse(now, i.Level.Rank())
+}
+
+func (q *Queue) insert(i Item) {
+	at, _ := slices.BinarySearchFunc(q.waiting, i, compareItems)
+	q.waiting = slices.Insert(q.waiting, at, i)
+}
+
+// compareItems puts the more important call first, and of two equal ones that
+// which came first.
+func compareItems(a, b Item) int {
+	if a.Level != b.Level {
+		if a.Level < b.Level {
+			return -1
+		}
+		return 1
+	}
+	if a.ID < b.ID {
+		return -1
+	}
+	if a.ID > b.ID {
+		return 1
+	}
+	return 0
+}
+
+// settle lets in waiting calls while there is room.
+func (q *Queue) settle(now time.Duration, verdicts []Verdict) []Verdict {
+	for q.inFlight < q.limit && len(q.waiting) > 0 {
+		i := q.waiting[0]
+		q.waiting = slices.Delete(q.waiting, 0, 1)
+		switch {
+		case now >= i.Deadline:
+			verdicts = append(verdicts, q.refuse(now, i, kqcall.CauseDeadline))
+		case q.guard.closed(now, i.Level.Rank()):
+			verdicts = append(verdicts, q.refuse(now, i, kqcall.CauseShedGate))
+		case i.Came < now && q.wouldMiss(now, i) && q.guard.mayRefuse(now, i.Level.Rank()):
+			verdicts = append(verdicts, q.refuse(now, i, kqcall.CauseWouldMiss))
+		default:
+			q.inFlight++
+			q.guard.letIn(now, i.Level.Rank())
+			q.cut.started()
+			verdicts = append(verdicts, Verdict{ID: i.ID, Run: true})
+		}
+	}
+	q.cut.saw(len(q.waiting), q.inFlight < q.limit)
+	return verdicts
+}
+
+// trim refuses the least important waiting calls beyond the bound. A call
+// stays beyond the bound while a less important one was let in just before.
+func (q *Queue) trim(now time.Duration, arrived uint64, verdicts []Verdict) []Verdict {
+	for len(q.waiting) > q.Bound() {
+		last := q.waiting[len(q.waiting)-1]
+		if len(q.waiting) <= hardQueue && !q.guard.mayRefuse(now, last.Level.Rank()) {
+			q.guard.close(now, last.Level.Rank())
+			return verdicts
+		}
+		q.waiting = q.waiting[:len(q.waiting)-1]
+		cause := kqcall.CauseDisplaced
+		if last.ID == arrived {
+			cause = kqcall.CauseShedGate
+		}
+		verdicts = append(verdicts, q.refuse(now, last, cause))
+	}
+	return verdicts
+}
+
+// advance ends the windows that have passed and gives up what waits too long.
+func (q *Queue) advance(now time.Duration, verdicts []Verdict) []Verdict {
+	q.cut.advance(now, len(q.waiting))
+	verdicts = q.giveUp(now, verdicts, func(i Item) bool { return i.Level > q.cut.level })
+	return q.giveUp(now, verdicts, func(i Item) bool { return now-i.Came >= q.Sojourn() })
+}
+
+// giveUp refuses the waiting calls that meet the condition, the least
+// important ones first.
+func (q *Queue) giveUp(now time.Duration, verdicts []Verdict, over func(Item) bool) []Verdict {
+	for j := len(q.waiting) - 1; j >= 0; j-- {
+		i := q.waiting[j]
+		if !over(i) || !q.guard.mayRefuse(now, i.Level.Rank()) {
+			continue
+		}
+		q.waiting = slices.Delete(q.waiting, j, j+1)
+		verdicts = append(verdicts, q.refuse(now, i, kqcall.CauseShedGate))
+	}
+	return verdicts
+}
+
+func (q *Queue) refuse(now time.Duration, i Item, cause kqcall.Cause) Verdict {
+	q.guard.refused(now, i.Level.Rank())
+	return Verdict{ID: i.ID, Cause: cause, RetryAfter: q.cut.retryAfter(i.Level)}
+}
--- /dev/null
+++ b/core/kqadmit/level.go
@@ -0,0 +1,80 @@
+package kqadmit
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"kumquatlink/core/kqcall"
+)
+
+// maxRank bounds the ranks that are told apart.
+const maxRank = 255
+
+// Times that a refused caller is told to wait.
+const (
+	baseRetry = 500 * time.Millisecond
+	maxRetry  = 10 * time.Second
+)
+
+// Layout of a level: the rank, one bit for a call that begins a request, and
+// 32 bits that are drawn from the request ID.
+const (
+	freshBit  = 32
+	rankShift = 33
+	rankSpan  = Level(1) << rankShift
+)
+
+// Level orders calls by importance; a lower level is more important. All
+// calls of one request have the same tie-break, so that every service of a
+// chain keeps the same requests.
+type Level uint64
+
+// Open is the cut that lets every call in.
+const Open Level = math.MaxUint64
+
+// LevelOf gives the level of a call. At the same rank, a call of a request on
+// which work was already done goes first.
+func LevelOf(h kqcall.Head) Level {
+	level := Started(h)
+	if h.Depth == 0 {
+		level |= 1 << freshBit
+	}
+	return level
+}
+
+// Started gives the level that the request's onward calls have.
+func Started(h kqcall.Head) Level {
+	rank := min(max(h.Rank, 0), maxRank)
+	tie := xxhash.Sum64String(h.RequestID) >> 32
+	return Level(uint64(rank)<<rankShift | tie)
+}
+
+// Rank is the rank that the level stands for.
+func (l Level) Rank() int {
+	return min(int(l>>rankShift), maxRank)
+}
+
+// Withheld gives a cut as its distance from an open one, so that the zero
+// value of a message says that nothing is refused.
+func (l Level) Withheld() uint64 {
+	return uint64(Open - l)
+}
+
+// CutOf gives the cut that Withheld was taken of.
+func CutOf(withheld uint64) Level {
+	return Open - Level(withheld)
+}
+
+// RetryAfter tells the caller of a call that was refused at an entry when to
+// come again, spread so that not all come at once.
+func RetryAfter(l Level) time.Duration {
+	return retryAfter(l, 1)
+}
+
+func retryAfter(l Level, excess float64) time.Duration {
+	spread := 1 + float64(l&(1<<freshBit-1))/float64(uint64(1)<<freshBit)
+	after := time.Duration(float64(baseRetry) * max(1, excess) * spread)
+	return min(after, maxRetry)
+}
--- a/io/kqlink/frames.go
+++ b/io/kqlink/frames.go
@@ -45,6 +45,11 @@
 	InFlight int
 	Queued   int
 	Limit    int
+	// Withheld and DeepWithheld give the gate's cut, and the strictest cut
+	// behind it for the call's class, as kqadmit.Level.Withheld does; 0 lets
+	// every call in.
+	Withheld     uint64
+	DeepWithheld uint64
 }
 
 // AnswerHead opens the answer; BodyLength bytes of body follow it.
--- a/io/kqnode/entry.go
+++ b/io/kqnode/entry.go
@@ -96,6 +96,10 @@
 	}
 	q := readCall(c)
 	parent := n.gate.find(string(c.Request.Header.Peek(kqwire.HeaderContext)))
+	if parent != nil {
+		parent.onward.begin(n.now())
+		defer func() { parent.onward.end(n.now()) }()
+	}
 	n.serve(c, q, n.adopt(q, parent))
 }
 
@@ -144,6 +148,9 @@
 
 // dispatch routes a call within its budget.
 func (n *Node) dispatch(q *call) *result {
+	if r := n.shed.refuses(q); r != nil {
+		return r
+	}
 	parent := context.Background()
 	if q.parent != nil {
 		parent = q.parent.ctx
--- a/io/kqnode/kqnode.go
+++ b/io/kqnode/kqnode.go
@@ -83,6 +83,7 @@
 	control *control
 	gate    *gate
 	router  *router
+	shed    *shedder
 
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
@@ -112,6 +113,7 @@
 	}
 	n.dialer = kqlink.NewDialer(identity)
 	n.gate = newGate(n)
+	n.shed = newShedder(n)
 	n.router = newRouter(n)
 	n.control = newControl(n)
 	return n, nil
--- a/io/kqnode/router.go
+++ b/io/kqnode/router.go
@@ -36,6 +36,7 @@
 		}
 		tried[upstream.NodeID] = true
 		answer := r.send(ctx, q, upstream)
+		r.node.shed.heard(q, upstream.NodeID, answer)
 		r.node.log.Decide(kqlog.Decision{
 			RequestID: q.head.RequestID, Class: q.head.Class, Service: q.head.Service, Decision: "Route",
 			Cause: string(answer.end.Cause), Outcome: string(answer.end.Outcome), Chosen: upstream.NodeID, Others: others,
