--- a/io/kqnode/backend.go
+++ b/io/kqnode/backend.go
@@ -4,13 +4,13 @@
 	"context"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"kumquatlink/core/kqcall"
+	"kumquatlink/core/kqretry"
 	"kumquatlink/io/kqhttp"
 	"kumquatlink/io/kqlink"
 	"kumquatlink/io/kqwire"
@@ -28,7 +28,7 @@
 	ctx      context.Context
 	deadline time.Time
 	// retries is the part of the allowance that onward calls may still draw.
-	retries atomic.Int64
+	retries kqretry.Allowance
 	onward  onwardTime
 }
 
@@ -82,7 +82,7 @@
 	token := newID()
 	run := &running{head: q.head, ctx: ctx}
 	run.deadline, _ = ctx.Deadline()
-	run.retries.Store(int64(q.head.Retries))
+	run.retries.Open(q.head.Retries)
 	g.mutex.Lock()
 	g.calls[token] = run
 	g.mutex.Unlock()
@@ -96,7 +96,7 @@
 	defer fasthttp.ReleaseResponse(response)
 	fillRequest(request, q, b, token)
 	err := b.pool.Do(ctx, request, response)
-	r := &result{retriesLeft: int(run.retries.Load())}
+	r := &result{retriesLeft: run.retries.Close()}
 	readResponse(ctx, r, response, err)
 	return r, run.onward.sum(g.node.now())
 }
