--- a/core/kqspread/digest.go
+++ b/core/kqspread/digest.go
@@ -91,7 +91,7 @@
 }
 
 func itemSummary(i Item) Summary {
-	return Summary{Key: itemKey(i.Name), Version: i.Version}
+	return Summary{Key: itemKey(i.Name), Incarnation: i.Version, Version: i.Tie}
 }
 
 // part gives the bytes of every bucket's digest that the round sends.
--- a/core/kqspread/kqspread.go
+++ b/core/kqspread/kqspread.go
@@ -93,6 +93,8 @@
 	lastTick  time.Duration
 	changedAt time.Duration
 	relink    bool
+	// quiet keeps a view that was taken over whole from being told on.
+	quiet bool
 
 	contacts  contacts
 	presence  presence
@@ -135,11 +137,7 @@
 
 // Publish spreads an item unless a version as high is held.
 func (m *Machine) Publish(i Item) bool {
-	if !m.takeItem(i, "") {
-		return false
-	}
-	m.fresh = nil
-	return true
+	return m.takeItem(i, "")
 }
 
 // Item gives the item of that name as it is held.
@@ -193,9 +191,11 @@
 	}
 	m.notice(now)
 	m.hear(now, from, message)
+	m.quiet = message.Answers != 0 && message.From != ""
 	for _, c := range message.Changes {
 		m.merge(now, from, c)
 	}
+	m.quiet = false
 	reply := Message{}
 	m.answerPing(now, from, message, &reply)
 	m.compare(now, from, message, &reply)
--- a/core/kqspread/links.go
+++ b/core/kqspread/links.go
@@ -183,7 +183,7 @@
 // is not what it says of itself.
 func (m *Machine) answerPing(now time.Duration, from string, message Message, reply *Message) {
 	if message.Answers != 0 {
-		m.presence.answered(now, message)
+		m.presence.answered(message)
 	}
 	if message.Sequence == 0 {
 		return
--- a/core/kqspread/message.go
+++ b/core/kqspread/message.go
@@ -7,14 +7,20 @@
 )
 
 // Item is a small named value that spreads to all nodes; of two versions the
-// higher one stands.
+// higher one stands, and of two with one version the one with the higher Tie.
 type Item struct {
 	_       struct{} `cbor:",toarray"`
 	Name    string
 	Version uint64
+	Tie     uint64
 	Payload []byte
 }
 
+// stamp orders versions of one item.
+func (i Item) stamp() kqmember.Stamp {
+	return kqmember.Stamp{Incarnation: i.Version, Version: i.Tie}
+}
+
 // Change tells of one member or one item. Exactly one of Record, Note, Item
 // and Offer is set.
 type Change struct {
@@ -57,7 +63,8 @@
 	Name string
 }
 
-// Summary says which version of something a node holds.
+// Summary says which version of something a node holds. For an item,
+// Incarnation is its version and Version its tie.
 type Summary struct {
 	_           struct{} `cbor:",toarray"`
 	Key         Key
--- a/core/kqspread/news.go
+++ b/core/kqspread/news.go
@@ -24,6 +24,9 @@
 
 // tell queues news for every link but the one it came over.
 func (m *Machine) tell(k Key, from string) {
+	if m.quiet {
+		return
+	}
 	for _, name := range m.order {
 		if name == from {
 			continue
@@ -125,8 +128,7 @@
 		m.changedAt = now
 		return
 	}
-	held := m.items[i.Name]
-	if held.Version == i.Version {
+	if m.items[i.Name].stamp() == i.stamp() {
 		m.told(itemKey(i.Name), from)
 	}
 }
@@ -134,7 +136,7 @@
 // takeItem holds an item if its version is higher, and tells it on.
 func (m *Machine) takeItem(i Item, from string) bool {
 	held, found := m.items[i.Name]
-	if i.Name == "" || i.Version == 0 || found && i.Version <= held.Version {
+	if i.Name == "" || !held.stamp().Less(i.stamp()) {
 		return false
 	}
 	k := itemKey(i.Name)
@@ -145,25 +147,26 @@
 	m.digest.toggle(itemSummary(i))
 	m.digest.hold(k)
 	delete(m.wanted, k)
-	m.fresh = append(m.fresh, i)
+	if from != "" {
+		m.fresh = append(m.fresh, i)
+	}
 	m.tell(k, from)
 	return true
 }
 
 func (m *Machine) mergeOffer(now time.Duration, from string, s Summary) {
-	held := m.items[s.Key.Name]
-	if s.Key.Kind != KindItem || s.Version <= held.Version {
+	if s.Key.Kind != KindItem || !m.items[s.Key.Name].stamp().Less(s.stamp()) {
 		m.told(s.Key, from)
 		return
 	}
 	w := m.wanted[s.Key]
-	if w == nil || w.summary.Version < s.Version {
+	if w == nil || w.summary.stamp().Less(s.stamp()) {
 		w = &want{summary: s, askedAt: now}
 		m.wanted[s.Key] = w
 		m.ask(from, s.Key)
 		return
 	}
-	if w.summary.Version == s.Version {
+	if w.summary.stamp() == s.stamp() {
 		w.offers = append(w.offers, from)
 	}
 }
--- a/core/kqspread/presence.go
+++ b/core/kqspread/presence.go
@@ -18,7 +18,7 @@
 }
 
 // answered notes an answer to one of this node's pings.
-func (p *presence) answered(_ time.Duration, message Message) {
+func (p *presence) answered(message Message) {
 	if message.Answers >= p.since && !message.Join {
 		p.confirmed = true
 	}
@@ -58,9 +58,14 @@
 // it may have been suspected or removed meanwhile, and the silence of its
 // neighbours was its own.
 func (m *Machine) notice(now time.Duration) {
-	if m.lastTick == neverTicked || now-m.lastTick < PauseAfter {
-		return
+	if m.lastTick != neverTicked && now-m.lastTick >= PauseAfter {
+		m.Woke(now)
 	}
+}
+
+// Woke says that this node was paused, as far as its own clock does not show
+// it.
+func (m *Machine) Woke(now time.Duration) {
 	m.lastTick = now
 	m.presence.pauses++
 	m.presence.confirmed = false
--- a/core/kqspread/reconcile.go
+++ b/core/kqspread/reconcile.go
@@ -151,7 +151,7 @@
 // supply adds what was wanted, as far as the rate allows.
 func (m *Machine) supply(now time.Duration, wants []Key, reply *Message) {
 	for _, k := range wants {
-		if len(reply.Changes) >= MaxChanges && !reply.Join {
+		if len(reply.Changes) >= MaxChanges {
 			return
 		}
 		c, found := m.changeOf(now, k, false)
--- a/io/kqnode/control.go
+++ b/io/kqnode/control.go
@@ -31,6 +31,7 @@
 	events chan event
 	life   *kqchart.Machine
 	view   *kqmember.View
+	member *member
 	holder *kqconfig.Holder
 	state  State
 
@@ -59,6 +60,8 @@
 		NodeID: s.NodeID, Incarnation: uint64(c.node.now().UnixNano()), Version: 1,
 		Address: peerAddress, OperatorAddress: c.node.operatorAddress, FailureDomain: s.FailureDomain, Region: s.Region, Life: kqmember.Life(c.life.State()),
 	})
+	c.member = newMember(c.node.now(), c.view)
+	c.member.spread.SetContacts(s.Peers, true)
 	c.publish()
 }
 
@@ -77,7 +80,7 @@
 func (c *control) publish() {
 	s := c.state
 	s.Life = kqmember.Life(c.life.State())
-	s.Members = c.view.Snapshot()
+	s.Members = c.view.Current()
 	c.node.state.Store(&s)
 	c.mutex.Lock()
 	close(c.signal)
@@ -113,7 +116,7 @@
 	}
 	b.pool = kqhttp.NewPool(b.Announcement.Address)
 	c.state.Backend = b
-	c.view.UpdateOwn(func(r *kqmember.Record) { r.Service = b.Announcement.Service })
+	c.member.spread.UpdateOwn(func(r *kqmember.Record) { r.Service = b.Announcement.Service })
 	c.fire("Ready")
 	return true
 }
@@ -133,6 +136,6 @@
 	if err := c.life.Fire(name); err != nil {
 		return false
 	}
-	c.view.UpdateOwn(func(r *kqmember.Record) { r.Life = kqmember.Life(c.life.State()) })
+	c.member.spread.UpdateOwn(func(r *kqmember.Record) { r.Life = kqmember.Life(c.life.State()) })
 	return true
 }
--- a/io/kqnode/kqnode.go
+++ b/io/kqnode/kqnode.go
@@ -78,12 +78,14 @@
 	ownsLog  bool
 	now      func() time.Time
 
-	pool     *ants.Pool
-	dialer   *kqlink.Dialer
-	server   *kqlink.Server
-	callers  *fasthttp.Server
-	backend  *fasthttp.Server
-	operator *fasthttp.Server
+	pool *ants.Pool
+	// exchanges sends control messages.
+	exchanges *ants.Pool
+	dialer    *kqlink.Dialer
+	server    *kqlink.Server
+	callers   *fasthttp.Server
+	backend   *fasthttp.Server
+	operator  *fasthttp.Server
 
 	callerAddress   string
 	operatorAddress string
@@ -112,7 +114,11 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "make pool"), ErrNode)
 	}
-	n := &Node{settings: settings, identity: identity, now: time.Now, pool: pool}
+	exchanges, err := ants.NewPool(exchangePoolSize, ants.WithNonblocking(true))
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "make pool"), ErrNode)
+	}
+	n := &Node{settings: settings, identity: identity, now: time.Now, pool: pool, exchanges: exchanges}
 	for _, o := range options {
 		o(n)
 	}
@@ -163,7 +169,7 @@
 	}
 	n.loop(ctx, n.control.run)
 	n.loop(ctx, n.runConfigurationWatch)
-	n.loop(ctx, n.runExchange)
+	n.loop(ctx, n.runMembership)
 	return nil
 }
 
@@ -188,6 +194,7 @@
 	err := errors.CombineErrors(n.server.Close(), n.metrics.Close())
 	n.dialer.Close()
 	n.pool.Release()
+	n.exchanges.Release()
 	if n.ownsLog {
 		n.log.Close()
 	}
--- a/io/kqnode/member.go
+++ b/io/kqnode/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -10,29 +11,53 @@
 
 	"kumquatlink/core/kqclass"
 	"kumquatlink/core/kqmember"
+	"kumquatlink/core/kqspread"
 )
 
-// Periods of the control loops.
+// Limits of the exchange with neighbours.
 const (
-	exchangePeriod  = 250 * time.Millisecond
 	exchangeTimeout = 2 * time.Second
+	// exchangePoolSize bounds the exchanges that are under way.
+	exchangePoolSize = 64
 )
 
-// exchange is what two nodes tell each other.
-type exchange struct {
-	Records       []kqmember.Record
-	Configuration kqclass.Configuration
+// itemConfiguration names the item that carries the configuration.
+const itemConfiguration = "Configuration"
+
+// spreadMode bounds what is read from a peer.
+var spreadMode = newSpreadMode()
+
+func newSpreadMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		MaxArrayElements: 1 << 16,
+		MaxNestedLevels:  8,
+		IndefLength:      cbor.IndefLengthForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// member is this node's part in spreading; the control goroutine owns it.
+type member struct {
+	spread *kqspread.Machine
+	begun  time.Time
+	ticked time.Time
 }
 
-// runExchange tells the peers of the settings what this node knows and takes
-// in what they know.
-func (n *Node) runExchange(ctx context.Context) {
-	ticker := time.NewTicker(exchangePeriod)
+func newMember(begun time.Time, view *kqmember.View) *member {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &member{spread: kqspread.New(0, view, random), begun: begun, ticked: begun}
+}
+
+// runMembership moves the member's time on.
+func (n *Node) runMembership(ctx context.Context) {
+	ticker := time.NewTicker(kqspread.TickPeriod)
 	defer ticker.Stop()
 	for {
-		for _, p := range n.settings.Peers {
-			n.exchangeWith(ctx, p)
-		}
+		n.control.send(tickEvent{})
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -41,57 +66,168 @@
 	}
 }
 
-func (n *Node) exchangeWith(ctx context.Context, peer string) {
-	if peer == n.server.Address() {
+// tickEvent moves the control state's time on.
+type tickEvent struct{}
+
+func (tickEvent) apply(c *control) bool {
+	now := c.member.advance(c.node.now())
+	c.offerConfiguration()
+	c.dispatch(c.member.spread.Tick(now))
+	return c.settle()
+}
+
+// advance gives the member's time. A host that was suspended stops its
+// monotonic clock, so that a jump of the wall clock alone counts as a pause
+// too: a needless check after a clock was set costs little.
+func (m *member) advance(at time.Time) time.Duration {
+	now := at.Sub(m.begun)
+	wall := at.Round(0).Sub(m.ticked.Round(0))
+	if wall-at.Sub(m.ticked) >= kqspread.PauseAfter {
+		m.spread.Woke(now)
+	}
+	m.ticked = at
+	return now
+}
+
+// settle takes over what spreading changed, and says whether to publish.
+func (c *control) settle() bool {
+	changed := c.view.Dirty()
+	for _, i := range c.member.spread.TakeItems() {
+		changed = c.takeItem(i) || changed
+	}
+	c.view.Snapshot()
+	return changed
+}
+
+// offerConfiguration spreads the configuration in force.
+func (c *control) offerConfiguration() {
+	configuration := c.state.Configuration
+	if configuration.Version <= 0 {
 		return
 	}
-	message, err := cbor.Marshal(n.told())
+	item := kqspread.Item{Name: itemConfiguration, Version: uint64(configuration.Version), Tie: tieOf(configuration.ChangeID)}
+	held, found := c.member.spread.Item(itemConfiguration)
+	if found && held.Version == item.Version && held.Tie == item.Tie {
+		return
+	}
+	payload, err := cbor.Marshal(configuration)
 	if err != nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	item.Payload = payload
+	c.member.spread.Publish(item)
+}
+
+// tieOf orders changes of one version as their IDs are ordered.
+func tieOf(changeID string) uint64 {
+	var tie uint64
+	for i := range 8 {
+		tie <<= 8
+		if i < len(changeID) {
+			tie |= uint64(changeID[i])
+		}
+	}
+	return tie
+}
+
+// takeItem hands an item that others published to what it is for.
+func (c *control) takeItem(i kqspread.Item) bool {
+	if i.Name != itemConfiguration {
+		return false
+	}
+	var configuration kqclass.Configuration
+	if err := spreadMode.Unmarshal(i.Payload, &configuration); err != nil {
+		c.node.log.Event(zerolog.WarnLevel, "configuration of a peer can't be read", err)
+		return false
+	}
+	return configurationEvent{configuration: configuration}.apply(c)
+}
+
+// dispatch sends messages to their nodes, off the control goroutine.
+func (c *control) dispatch(envelopes []kqspread.Envelope) {
+	for _, e := range envelopes {
+		if err := c.node.exchanges.Submit(func() { c.node.exchange(e) }); err != nil {
+			c.node.log.Event(zerolog.DebugLevel, "too many exchanges under way", err)
+		}
+	}
+}
+
+// exchange sends one message and hands the replies to control.
+func (n *Node) exchange(e kqspread.Envelope) {
+	message, err := cbor.Marshal(e.Message)
+	if err != nil {
+		n.log.Event(zerolog.ErrorLevel, "encode message", err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
 	defer cancel()
-	reply, err := n.dialer.Message(ctx, peer, message)
+	peer, reply, err := n.dialer.Exchange(ctx, e.Address, message)
 	if err != nil {
-		n.log.Event(zerolog.DebugLevel, "exchange with "+peer, err)
+		n.log.Event(zerolog.DebugLevel, "exchange with "+e.Address, err)
 		return
 	}
-	if err := n.hear(reply); err != nil {
-		n.log.Event(zerolog.WarnLevel, "exchange with "+peer, err)
+	var replies []kqspread.Message
+	if err := spreadMode.Unmarshal(reply, &replies); err != nil {
+		n.log.Event(zerolog.WarnLevel, "reply of "+e.Address+" can't be read", err)
+		return
 	}
+	n.control.send(repliesEvent{peer: peer, envelope: e, replies: replies})
 }
 
-func (n *Node) told() exchange {
-	s := n.State()
-	return exchange{Records: s.Members.Records, Configuration: s.Configuration}
+// repliesEvent is what a peer replied.
+type repliesEvent struct {
+	peer     string
+	envelope kqspread.Envelope
+	replies  []kqspread.Message
 }
 
-func (n *Node) hear(message []byte) error {
-	var x exchange
-	if err := cbor.Unmarshal(message, &x); err != nil {
-		return errors.Mark(errors.Wrap(err, "read exchange"), ErrNode)
+func (e repliesEvent) apply(c *control) bool {
+	now := c.member.advance(c.node.now())
+	if e.envelope.To == "" {
+		c.member.spread.JoinAnswered(now, e.envelope.Address)
 	}
-	n.control.send(recordsEvent{records: x.Records})
-	if x.Configuration.Version > 0 {
-		n.control.send(configurationEvent{configuration: x.Configuration})
+	for _, m := range e.replies {
+		c.dispatch(c.member.spread.Receive(now, e.peer, m))
 	}
-	return nil
+	return false
 }
 
-// handlePeerMessage answers a peer's exchange.
-func (n *Node) handlePeerMessage(_ context.Context, _ string, message []byte) ([]byte, error) {
-	if err := n.hear(message); err != nil {
-		return nil, err
+// handlePeerMessage answers a peer's message.
+func (n *Node) handlePeerMessage(ctx context.Context, peer string, message []byte) ([]byte, error) {
+	e := messageEvent{peer: peer, replies: make(chan []kqspread.Message, 1)}
+	if err := spreadMode.Unmarshal(message, &e.message); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "read message"), ErrNode)
+	}
+	n.control.send(e)
+	select {
+	case replies := <-e.replies:
+		reply, err := cbor.Marshal(replies)
+		return reply, errors.Mark(err, ErrNode)
+	case <-ctx.Done():
+		return nil, errors.Mark(errors.Wrap(ctx.Err(), "answer message"), ErrNode)
 	}
-	reply, err := cbor.Marshal(n.told())
-	return reply, errors.Mark(err, ErrNode)
 }
 
-// recordsEvent is what a peer told of the fleet.
-type recordsEvent struct {
-	records []kqmember.Record
+// messageEvent is what a peer sent; what is meant for that peer goes back on
+// the same stream.
+type messageEvent struct {
+	peer    string
+	message kqspread.Message
+	replies chan []kqspread.Message
 }
 
-func (e recordsEvent) apply(c *control) bool {
-	return c.view.Merge(e.records)
+func (e messageEvent) apply(c *control) bool {
+	now := c.member.advance(c.node.now())
+	replies := []kqspread.Message{}
+	var others []kqspread.Envelope
+	for _, o := range c.member.spread.Receive(now, e.peer, e.message) {
+		if o.To == e.peer {
+			replies = append(replies, o.Message)
+			continue
+		}
+		others = append(others, o)
+	}
+	e.replies <- replies
+	c.dispatch(others)
+	return false
 }
