Let the watcher test use the view's one-record merge

Change: the test merges its records one by one; its checks are as before. Measured: core/kqconfig passes.

--- a/core/kqconfig/kqconfig_test.go
+++ b/core/kqconfig/kqconfig_test.go
@@ -139,11 +139,11 @@
 		records = append(records, kqmember.Record{NodeID: fmt.Sprintf("a-%d", i), FailureDomain: "a", Life: kqmember.LifeServing, Version: 1})
 		records = append(records, kqmember.Record{NodeID: fmt.Sprintf("b-%d", i), FailureDomain: "b", Life: kqmember.LifeServing, Version: 1})
 	}
-	view.Merge(records)
+	mergeAll(view, records)
 	named := kqconfig.Watchers(view.Snapshot())
 	for _, r := range records {
 		own := kqmember.NewView(r)
-		own.Merge(records)
+		mergeAll(own, records)
 		got := kqconfig.Watches(own.Snapshot())
 		want := slices.Contains(named[r.FailureDomain], r.NodeID)
 		if got != want {
@@ -154,3 +154,9 @@
 		t.Errorf("watchers: got %d, want %d", got, want)
 	}
 }
+
+func mergeAll(view *kqmember.View, records []kqmember.Record) {
+	for _, r := range records {
+		view.Merge(0, r, false, 0)
+	}
+}
