Let trials replace a node's UDP sockets and clock

Change: kqlink takes WithSockets, kqnode takes WithLinkOptions and WithNow. Without them nothing differs. Each link still dials from a socket of its own, so that a silent flow is left behind by a new link.

--- a/io/kqlink/dialer.go
+++ b/io/kqlink/dialer.go
@@ -14,6 +14,7 @@
 // calls.
 type Dialer struct {
 	identity *kqtrust.Identity
+	options  options
 	mutex    sync.Mutex
 	links    map[string]*link
 }
@@ -32,8 +33,8 @@
 }
 
 // NewDialer makes a dialer without links.
-func NewDialer(identity *kqtrust.Identity) *Dialer {
-	return &Dialer{identity: identity, links: map[string]*link{}}
+func NewDialer(identity *kqtrust.Identity, list ...Option) *Dialer {
+	return &Dialer{identity: identity, options: newOptions(list), links: map[string]*link{}}
 }
 
 // Close closes all links.
@@ -172,7 +173,7 @@
 	defer close(l.ready)
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
 	defer cancel()
-	l.conn, l.err = quic.DialAddr(ctx, address, d.identity.ClientTLS(), quicConfig())
+	l.conn, l.err = d.options.dial(ctx, address, d.identity.ClientTLS())
 	if l.err != nil {
 		l.err = errors.Wrapf(l.err, "open link to %s", address)
 	}
--- a/io/kqlink/server.go
+++ b/io/kqlink/server.go
@@ -26,16 +26,18 @@
 	listener *quic.Listener
 	handlers Handlers
 	cancel   context.CancelFunc
+	// closeSocket closes the socket below the listener.
+	closeSocket func()
 }
 
 // Listen starts a server at a UDP address.
-func Listen(address string, identity *kqtrust.Identity, handlers Handlers) (*Server, error) {
-	listener, err := quic.ListenAddr(address, identity.ServerTLS(), quicConfig())
+func Listen(address string, identity *kqtrust.Identity, handlers Handlers, list ...Option) (*Server, error) {
+	listener, closeSocket, err := newOptions(list).listen(address, identity.ServerTLS())
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for peers at %s", address)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Server{listener: listener, handlers: handlers, cancel: cancel}
+	s := &Server{listener: listener, handlers: handlers, cancel: cancel, closeSocket: closeSocket}
 	go s.acceptLinks(ctx)
 	return s, nil
 }
@@ -56,6 +58,7 @@
 // Close ends all links at once.
 func (s *Server) Close() error {
 	s.cancel()
+	defer s.closeSocket()
 	return errors.Wrap(s.listener.Close(), "close listener")
 }
 
--- a/io/kqnode/kqnode.go
+++ b/io/kqnode/kqnode.go
@@ -69,6 +69,8 @@
 	log      *kqlog.Log
 	ownsLog  bool
 	now      func() time.Time
+	// linkOptions are options of the links to other nodes.
+	linkOptions []kqlink.Option
 
 	pool    *ants.Pool
 	dialer  *kqlink.Dialer
@@ -96,6 +98,16 @@
 	return func(n *Node) { n.log = l }
 }
 
+// WithLinkOptions sets options of the links to other nodes.
+func WithLinkOptions(list ...kqlink.Option) Option {
+	return func(n *Node) { n.linkOptions = list }
+}
+
+// WithNow sets the clock that the node reads.
+func WithNow(now func() time.Time) Option {
+	return func(n *Node) { n.now = now }
+}
+
 // New makes a node from checked settings.
 func New(settings kqsettings.Node, identity *kqtrust.Identity, store *kqstore.Client, options ...Option) (*Node, error) {
 	pool, err := ants.NewPool(defaultPoolSize, ants.WithNonblocking(true))
@@ -110,7 +122,7 @@
 		n.log = kqlog.New(io.Discard, kqlog.WithNode(settings.NodeID, settings.FailureDomain))
 		n.ownsLog = true
 	}
-	n.dialer = kqlink.NewDialer(identity)
+	n.dialer = kqlink.NewDialer(identity, n.linkOptions...)
 	n.gate = newGate(n)
 	n.router = newRouter(n)
 	n.control = newControl(n)
@@ -126,7 +138,7 @@
 		Call:    n.handlePeerCall,
 		Message: n.handlePeerMessage,
 		Submit:  n.pool.Submit,
-	})
+	}, n.linkOptions...)
 	if err != nil {
 		return errors.Mark(err, ErrNode)
 	}
