Give the backend server stand-in a queue, faults, cancellation and plans

Cause: measure must judge by what the backend servers did, and a stand-in that never queues, sheds, slows, thrashes or notices a caller that has gone shows nothing of overload. Change: bounded queue with its own shed, lognormal service times, cold start, collapse above its slots, fault switches at run time, plans of onward calls in turn or at once, a record of runs, sheds and onward calls, and connections that read one buffer ahead so that their end stops the work.

--- a/io/kqbackend/kqbackend.go
+++ b/io/kqbackend/kqbackend.go
@@ -1,6 +1,6 @@
 // Package kqbackend is a stand-in of a backend server for tests and trials: it
-// has slots and a service time, announces itself to the node on its host, and
-// makes onward calls through that node.
+// has slots, a bounded queue and a service time, announces itself to the node
+// on its host, sheds, starts cold, leaves, and makes onward calls.
 //
 // # Usage
 //
@@ -10,46 +10,74 @@
 //	})
 //	err := backend.Listen("127.0.0.1:0")
 //
-// Its own record, [Backend.Runs], says what ran; trials count from it and
-// never from what the nodes claim.
+// A call whose path is that of a [Call] of a plan makes the onward calls of
+// its step; any other call makes those of Settings.Onward. Work stops when the
+// connection that a call came on is closed. [Backend.SetFaults] makes the
+// stand-in slow, stalled, refusing or silent while it runs.
+//
+// Its own record, [Backend.Runs] and [Backend.Sheds], says what ran; trials
+// count from it and never from what the nodes claim.
 package kqbackend
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"kumquatlink/io/kqhttp"
 	"kumquatlink/io/kqwire"
 )
 
 // ErrBackend marks all errors of this package.
 var ErrBackend = errors.New("backend server stand-in failed")
 
+// Defaults of a stand-in.
+const (
+	defaultQueue    = 256
+	announceTimeout = 2 * time.Second
+	maxIdleOnward   = 512
+)
+
 // Settings describe a stand-in.
 type Settings struct {
 	Service string
 	// Slots is how many calls run at once; more wait.
 	Slots int
-	// ServiceTime is how long a call holds its slot.
+	// Queue is how many calls may wait before the stand-in sheds. Default 256.
+	Queue int
+	// ServiceTime is how long a call works in its slot, in the mean.
 	ServiceTime time.Duration
+	// Spread is the sigma of the lognormal distribution of the service time;
+	// 0 means that each call works for exactly ServiceTime.
+	Spread float64
+	// Seed seeds the service times.
+	Seed uint64
+	// ColdStart is how long a fresh stand-in is slower than usual: ColdFactor
+	// times at first, falling evenly to once.
+	ColdStart  time.Duration
+	ColdFactor float64
+	// Collapse is how much longer a call works for each multiple of Slots that
+	// waits when it begins, as in a server that thrashes; CollapseLimit bounds
+	// the whole factor.
+	Collapse      float64
+	CollapseLimit float64
+	// Renew is how often the stand-in announces itself again, or 0.
+	Renew time.Duration
 	// NodeAddress is where the node on this host takes announcements and
-	// onward calls.
+	// onward calls, or empty when there is none.
 	NodeAddress string
 	// Onward lists the services called while a call runs.
 	Onward []string
-}
-
-// Run is one call that the stand-in ran.
-type Run struct {
-	RequestID string
-	Key       string
-	Class     string
-	Path      string
-	At        time.Time
+	// Plans are the calls that each kind of request makes, by kind.
+	Plans map[string]Step
+	// Send makes an onward call. By default it goes to the node on this host.
+	Send SendFunc
 }
 
 // Backend is the stand-in.
@@ -57,22 +85,38 @@
 	settings Settings
 	slots    chan struct{}
 	server   *fasthttp.Server
-	client   *fasthttp.HostClient
+	node     *kqhttp.Pool
 	address  string
+	started  time.Time
+	closing  chan struct{}
+	once     sync.Once
 
-	mutex sync.Mutex
-	runs  []Run
+	inside atomic.Int64
+	serial atomic.Int64
+	faults faultSwitches
+
+	randomMutex sync.Mutex
+	random      *rand.Rand
+
+	record record
 }
 
 // New makes a stand-in that does not listen yet.
 func New(settings Settings) *Backend {
-	b := &Backend{settings: settings, slots: make(chan struct{}, settings.Slots)}
-	b.server = &fasthttp.Server{Handler: b.handle, NoDefaultServerHeader: true}
-	b.client = &fasthttp.HostClient{
-		Addr:                      settings.NodeAddress,
-		MaxConns:                  1024,
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	if settings.Queue == 0 {
+		settings.Queue = defaultQueue
+	}
+	b := &Backend{
+		settings: settings,
+		slots:    make(chan struct{}, settings.Slots),
+		closing:  make(chan struct{}),
+		random:   rand.New(rand.NewPCG(settings.Seed, uint64(settings.Slots))),
+	}
+	b.faults.changed = make(chan struct{})
+	b.server = &fasthttp.Server{Handler: b.handle, NoDefaultServerHeader: true, CloseOnShutdown: true}
+	b.node = kqhttp.NewPool(settings.NodeAddress, kqhttp.WithMaxIdle(maxIdleOnward))
+	if b.settings.Send == nil {
+		b.settings.Send = b.sendToNode
 	}
 	return b
 }
@@ -84,7 +128,14 @@
 		return errors.Mark(errors.Wrapf(err, "listen at %s", address), ErrBackend)
 	}
 	b.address = listener.Addr().String()
-	go func() { _ = b.server.Serve(listener) }()
+	b.started = time.Now()
+	go func() { _ = b.server.Serve(&watchedListener{Listener: listener}) }()
+	if b.settings.NodeAddress == "" {
+		return nil
+	}
+	if b.settings.Renew > 0 {
+		go b.renew()
+	}
 	return b.Announce(kqwire.StateReady)
 }
 
@@ -93,9 +144,43 @@
 	return b.address
 }
 
+// Service is the service that the stand-in belongs to.
+func (b *Backend) Service() string {
+	return b.settings.Service
+}
+
 // Close stops serving when the running calls are done.
 func (b *Backend) Close() error {
-	return errors.Mark(errors.Wrap(b.server.Shutdown(), "stop"), ErrBackend)
+	b.once.Do(func() { close(b.closing) })
+	b.SetFaults(Faults{})
+	err := b.server.Shutdown()
+	b.node.Close()
+	return errors.Mark(errors.Wrap(err, "stop"), ErrBackend)
+}
+
+// renew announces the stand-in again and again, as one that does not know
+// whether its node was restarted.
+func (b *Backend) renew() {
+	ticker := time.NewTicker(b.settings.Renew)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-b.closing:
+			return
+		}
+		if !b.faults.get().Leaving {
+			_ = b.Announce(kqwire.StateReady)
+		}
+	}
+}
+
+// Leave announces that the stand-in is leaving and renews no announcement.
+func (b *Backend) Leave() error {
+	f := b.faults.get()
+	f.Leaving = true
+	b.SetFaults(f)
+	return b.Announce(kqwire.StateLeaving)
 }
 
 // Announce tells the node of the stand-in and its state.
@@ -104,6 +189,8 @@
 	if err != nil {
 		return errors.Mark(err, ErrBackend)
 	}
+	ctx, cancel := contextWithin(announceTimeout)
+	defer cancel()
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
@@ -111,7 +198,7 @@
 	request.SetRequestURI(kqwire.PathAnnounce)
 	request.Header.SetHost(b.settings.NodeAddress)
 	request.SetBody(body)
-	if err := b.client.Do(request, response); err != nil {
+	if err := b.node.Do(ctx, request, response); err != nil {
 		return errors.Mark(errors.Wrap(err, "announce"), ErrBackend)
 	}
 	if response.StatusCode() != fasthttp.StatusOK {
@@ -119,54 +206,3 @@
 	}
 	return nil
 }
-
-// Runs lists the calls that were run, in the order they began.
-func (b *Backend) Runs() []Run {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return append([]Run(nil), b.runs...)
-}
-
-func (b *Backend) handle(c *fasthttp.RequestCtx) {
-	b.slots <- struct{}{}
-	defer func() { <-b.slots }()
-	b.record(c)
-	time.Sleep(b.settings.ServiceTime)
-	for _, s := range b.settings.Onward {
-		if !b.callOnward(c, s) {
-			c.SetStatusCode(fasthttp.StatusBadGateway)
-			return
-		}
-	}
-	c.Response.Header.Set("Content-Type", "text/plain")
-	c.Response.AppendBodyString(b.settings.Service + " " + string(c.Method()) + " " + string(c.RequestURI()) + " ")
-	c.Response.AppendBody(c.PostBody())
-}
-
-func (b *Backend) record(c *fasthttp.RequestCtx) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	b.runs = append(b.runs, Run{
-		RequestID: string(c.Request.Header.Peek(kqwire.HeaderRequestID)),
-		Key:       string(c.Request.Header.Peek(kqwire.HeaderKey)),
-		Class:     string(c.Request.Header.Peek(kqwire.HeaderClass)),
-		Path:      string(c.Path()),
-		At:        time.Now(),
-	})
-}
-
-// callOnward calls a deeper service through the node and says whether it
-// answered well.
-func (b *Backend) callOnward(c *fasthttp.RequestCtx, service string) bool {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI(string(c.Path()))
-	request.Header.SetHost(b.settings.NodeAddress)
-	request.Header.Set(kqwire.HeaderService, service)
-	request.Header.SetBytesV(kqwire.HeaderContext, c.Request.Header.Peek(kqwire.HeaderContext))
-	if err := b.client.Do(request, response); err != nil {
-		return false
-	}
-	return response.StatusCode() == fasthttp.StatusOK
-}
--- /dev/null
+++ b/io/kqbackend/onward.go
@@ -0,0 +1,156 @@
+package kqbackend
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"kumquatlink/io/kqwire"
+)
+
+// Call is a call as its maker sees it.
+type Call struct {
+	Service   string
+	Path      string
+	Class     string
+	RequestID string
+	Key       string
+	// Context is the token of the running call that this one is made for.
+	Context string
+	Body    []byte
+}
+
+// Answer is how a call ended as its maker sees it.
+type Answer struct {
+	Status  int
+	Outcome string
+	Cause   string
+	Body    []byte
+	Err     error
+}
+
+// Whole is whether the answer is complete and is the one to this call.
+func (a Answer) Whole(c Call) bool {
+	return string(a.Body) == Echo(c.Service, fasthttp.MethodPost, c.Path, c.Body)
+}
+
+// Echo is the body of the whole answer to a call.
+func Echo(service, method, path string, body []byte) string {
+	return service + " " + method + " " + path + " " + string(body)
+}
+
+// SendFunc makes a call; the end of ctx cancels it.
+type SendFunc func(ctx context.Context, c Call) Answer
+
+func contextWithin(d time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), d)
+}
+
+// FillRequest writes the call as HTTP.
+func FillRequest(request *fasthttp.Request, host string, c Call) {
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetRequestURI(c.Path)
+	request.Header.SetHost(host)
+	for _, f := range [][2]string{
+		{kqwire.HeaderService, c.Service},
+		{kqwire.HeaderClass, c.Class},
+		{kqwire.HeaderRequestID, c.RequestID},
+		{kqwire.HeaderContext, c.Context},
+		{kqwire.HeaderKey, c.Key},
+	} {
+		if f[1] != "" {
+			request.Header.Set(f[0], f[1])
+		}
+	}
+	request.SetBodyRaw(c.Body)
+}
+
+// ReadAnswer copies an answer out of its buffers.
+func ReadAnswer(response *fasthttp.Response) Answer {
+	return Answer{
+		Status:  response.StatusCode(),
+		Outcome: string(response.Header.Peek(kqwire.HeaderOutcome)),
+		Cause:   string(response.Header.Peek(kqwire.HeaderCause)),
+		Body:    append([]byte(nil), response.Body()...),
+	}
+}
+
+// sendToNode makes an onward call through the node on this host.
+func (b *Backend) sendToNode(ctx context.Context, c Call) Answer {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	FillRequest(request, b.settings.NodeAddress, c)
+	if err := b.node.Do(ctx, request, response); err != nil {
+		return Answer{Err: err}
+	}
+	return ReadAnswer(response)
+}
+
+// onward lists the onward calls that a running call makes.
+func (b *Backend) onward(w *work) (calls []Call, parallel bool) {
+	base := Call{Class: w.run.Class, RequestID: w.run.RequestID, Context: w.context}
+	p, planned := ParsePosition(w.run.Path)
+	if !planned {
+		for _, s := range b.settings.Onward {
+			c := base
+			c.Service, c.Path = s, w.run.Path
+			calls = append(calls, c)
+		}
+		return calls, false
+	}
+	step, found := b.settings.Plans[p.Kind].Find(p)
+	if !found {
+		return nil, false
+	}
+	serial := b.settings.Service + strconv.FormatInt(b.serial.Add(1), 36)
+	for i, s := range step.Steps {
+		c := base
+		c.Service = s.Service
+		c.Path = p.Onward(i, serial).Path()
+		if w.run.Key != "" {
+			c.Key = w.run.Key + "." + strconv.Itoa(i)
+		}
+		calls = append(calls, c)
+	}
+	return calls, step.Parallel
+}
+
+// callOnward makes the onward calls and says whether all were answered well.
+func (b *Backend) callOnward(w *work) bool {
+	calls, parallel := b.onward(w)
+	if !parallel {
+		for _, c := range calls {
+			if !b.callOne(w, c) {
+				return false
+			}
+		}
+		return true
+	}
+	var group sync.WaitGroup
+	var failed atomic.Bool
+	for _, c := range calls {
+		group.Go(func() {
+			if !b.callOne(w, c) {
+				failed.Store(true)
+			}
+		})
+	}
+	group.Wait()
+	return !failed.Load()
+}
+
+func (b *Backend) callOne(w *work, c Call) bool {
+	begun := time.Now()
+	answer := b.settings.Send(w.ctx, c)
+	if _, planned := ParsePosition(c.Path); planned {
+		b.record.change(func() {
+			b.record.sends = append(b.record.sends, Send{Call: c, Answer: answer, At: begun, Ended: time.Now()})
+		})
+	}
+	return answer.Err == nil && answer.Status == fasthttp.StatusOK
+}
