--- a/io/kqbackend/onward.go
+++ b/io/kqbackend/onward.go
@@ -147,10 +147,11 @@
 func (b *Backend) callOne(w *work, c Call) bool {
 	begun := time.Now()
 	answer := b.settings.Send(w.ctx, c)
+	good := answer.Err == nil && answer.Status == fasthttp.StatusOK
 	if _, planned := ParsePosition(c.Path); planned {
-		b.record.change(func() {
-			b.record.sends = append(b.record.sends, Send{Call: c, Answer: answer, At: begun, Ended: time.Now()})
-		})
+		s := Send{Call: c, Answer: answer, At: begun, Ended: time.Now(), Wrong: good && !answer.Whole(c)}
+		s.Answer.Body = nil
+		b.record.change(func() { b.record.sends = append(b.record.sends, s) })
 	}
-	return answer.Err == nil && answer.Status == fasthttp.StatusOK
+	return good
 }
--- a/io/kqbackend/record.go
+++ b/io/kqbackend/record.go
@@ -37,6 +37,8 @@
 	Answer Answer
 	At     time.Time
 	Ended  time.Time
+	// Wrong is whether an answer came that is not the whole one to this call.
+	Wrong bool
 }
 
 // record is the ground truth of a trial.
--- a/io/kqcli/kqcli.go
+++ b/io/kqcli/kqcli.go
@@ -42,6 +42,7 @@
 	Node     nodeCommand     `cmd:"" help:"Run a node beside a backend server."`
 	Store    storeCommand    `cmd:"" help:"Run the stand-in of the platform's object API."`
 	Backend  backendCommand  `cmd:"" help:"Run the stand-in of a backend server."`
+	Measure  measureCommand  `cmd:"" help:"Measure goodput and recovery under faults, against a naive policy."`
 	Settings settingsCommand `cmd:"" help:"Work with settings files."`
 	Identity identityCommand `cmd:"" help:"Issue identities for trials, from an authority made for them."`
 }
--- a/io/kqfleet/kqfleet.go
+++ b/io/kqfleet/kqfleet.go
@@ -14,12 +14,14 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"kumquatlink/core/kqclass"
 	"kumquatlink/io/kqbackend"
+	"kumquatlink/io/kqlink"
 	"kumquatlink/io/kqnode"
 	"kumquatlink/io/kqobject"
 	"kumquatlink/io/kqsettings"
@@ -36,6 +38,9 @@
 // closeTimeout bounds the shutdown of one node.
 const closeTimeout = 10 * time.Second
 
+// maxPeers is how many addresses of other nodes a node starts from.
+const maxPeers = 6
+
 // Place names a node and says where it stands.
 type Place struct {
 	NodeID        string
@@ -45,8 +50,37 @@
 
 // Member is a node and the backend server beside it, if any.
 type Member struct {
+	Place   Place
 	Node    *kqnode.Node
 	Backend *kqbackend.Backend
+	network *Network
+	clock   *clock
+}
+
+// Pause stops the whole host: the node's packets both ways, whatever reads
+// its clock, and the backend server.
+func (m *Member) Pause() {
+	m.freeze(true)
+}
+
+// Resume wakes the host, which does not know that it was stopped.
+func (m *Member) Resume() {
+	m.freeze(false)
+}
+
+func (m *Member) freeze(paused bool) {
+	m.clock.pause(paused)
+	m.network.pause(m.Place.NodeID, paused)
+	if m.Backend != nil {
+		f := m.Backend.Faults()
+		f.Stall = paused
+		m.Backend.SetFaults(f)
+	}
+}
+
+// Stalls is how often the node waited for its clock while it was paused.
+func (m *Member) Stalls() int64 {
+	return m.clock.stalled()
 }
 
 // Fleet is the whole.
@@ -54,6 +88,7 @@
 	Store     *kqobject.Store
 	Client    *kqstore.Client
 	Authority *kqtrust.Authority
+	Network   *Network
 	Members   []*Member
 	peers     []string
 }
@@ -64,7 +99,7 @@
 	if err != nil {
 		return nil, errors.Mark(err, ErrFleet)
 	}
-	f := &Fleet{Store: kqobject.New(), Authority: authority}
+	f := &Fleet{Store: kqobject.New(), Authority: authority, Network: NewNetwork()}
 	if err := f.Store.Listen(anyPort); err != nil {
 		return nil, errors.Mark(err, ErrFleet)
 	}
@@ -92,17 +127,21 @@
 	settings := kqsettings.Node{
 		NodeID: place.NodeID, Region: place.Region, FailureDomain: place.FailureDomain,
 		CallerAddress: anyPort, BackendAddress: anyPort, PeerAddress: anyPort, StoreAddress: f.Store.Address(),
-		Peers: append([]string(nil), f.peers...),
+		Peers: append([]string(nil), f.peers[:min(len(f.peers), maxPeers)]...),
 	}
-	n, err := kqnode.New(settings, identity, kqstore.NewHTTP(f.Store.Address()), options...)
+	m := &Member{Place: place, network: f.Network, clock: newClock()}
+	options = append([]kqnode.Option{
+		kqnode.WithLinkOptions(kqlink.WithSockets(f.Network.Sockets(place))),
+		kqnode.WithNow(m.clock.now),
+	}, options...)
+	m.Node, err = kqnode.New(settings, identity, kqstore.NewHTTP(f.Store.Address()), options...)
 	if err != nil {
 		return nil, errors.Mark(err, ErrFleet)
 	}
-	if err := n.Start(); err != nil {
+	if err := m.Node.Start(); err != nil {
 		return nil, errors.Mark(err, ErrFleet)
 	}
-	f.peers = append(f.peers, n.PeerAddress())
-	m := &Member{Node: n}
+	f.peers = append(f.peers, m.Node.PeerAddress())
 	f.Members = append(f.Members, m)
 	return m, nil
 }
@@ -121,6 +160,20 @@
 	return m, nil
 }
 
+// Retire shuts a member down gracefully, the node before its backend server.
+func (f *Fleet) Retire(ctx context.Context, m *Member) error {
+	f.Members = slices.DeleteFunc(f.Members, func(o *Member) bool { return o == m })
+	return errors.Mark(m.shutDown(ctx), ErrFleet)
+}
+
+func (m *Member) shutDown(ctx context.Context) error {
+	err := m.Node.Shutdown(ctx)
+	if m.Backend != nil {
+		err = errors.CombineErrors(err, m.Backend.Close())
+	}
+	return err
+}
+
 // Settle waits until every node knows all services and has a configuration.
 func (f *Fleet) Settle(ctx context.Context, services ...string) error {
 	for _, m := range f.Members {
@@ -139,16 +192,38 @@
 	return nil
 }
 
+// SettleAll waits until every node has a configuration and knows the node
+// beside every backend server.
+func (f *Fleet) SettleAll(ctx context.Context) error {
+	upstreams := map[string]int{}
+	for _, m := range f.Members {
+		if m.Backend != nil {
+			upstreams[m.Backend.Service()]++
+		}
+	}
+	for _, m := range f.Members {
+		err := m.Node.WaitFor(ctx, func(s *kqnode.State) bool {
+			for name, n := range upstreams {
+				if len(s.Members.Upstreams(name)) < n {
+					return false
+				}
+			}
+			return s.Classes != nil
+		})
+		if err != nil {
+			return errors.Mark(errors.Wrapf(err, "settle %s", m.Place.NodeID), ErrFleet)
+		}
+	}
+	return nil
+}
+
 // Close shuts the nodes down, callers' side first, then the rest.
 func (f *Fleet) Close() error {
 	var first error
 	for _, m := range f.Members {
 		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-		first = errors.CombineErrors(first, m.Node.Shutdown(ctx))
+		first = errors.CombineErrors(first, m.shutDown(ctx))
 		cancel()
-		if m.Backend != nil {
-			first = errors.CombineErrors(first, m.Backend.Close())
-		}
 	}
 	return errors.CombineErrors(first, f.Store.Close())
 }
