--- a/io/kqcli/kqcli.go
+++ b/io/kqcli/kqcli.go
@@ -46,6 +46,7 @@
 	Backend  backendCommand  `cmd:"" help:"Run the stand-in of a backend server."`
 	Class    classCommand    `cmd:"" help:"Work with the classes and their targets."`
 	Status   statusCommand   `cmd:"" help:"Show the fleet as one node sees it."`
+	Measure  measureCommand  `cmd:"" help:"Measure goodput and recovery under faults, against a naive policy."`
 	Settings settingsCommand `cmd:"" help:"Work with settings files."`
 	Docs     docsCommand     `cmd:"" help:"Write the pages that are made from the code."`
 	Identity identityCommand `cmd:"" help:"Issue identities for trials, from an authority made for them."`
--- a/io/kqnode/kqnode.go
+++ b/io/kqnode/kqnode.go
@@ -77,6 +77,8 @@
 	metrics  *kqmetric.Metrics
 	ownsLog  bool
 	now      func() time.Time
+	// linkOptions are options of the links to other nodes.
+	linkOptions []kqlink.Option
 
 	pool *ants.Pool
 	// exchanges sends control messages.
@@ -109,6 +111,16 @@
 	return func(n *Node) { n.log = l }
 }
 
+// WithLinkOptions sets options of the links to other nodes.
+func WithLinkOptions(list ...kqlink.Option) Option {
+	return func(n *Node) { n.linkOptions = list }
+}
+
+// WithNow sets the clock that the node reads.
+func WithNow(now func() time.Time) Option {
+	return func(n *Node) { n.now = now }
+}
+
 // New makes a node from checked settings.
 func New(settings kqsettings.Node, identity *kqtrust.Identity, store *kqstore.Client, options ...Option) (*Node, error) {
 	pool, err := ants.NewPool(defaultPoolSize, ants.WithNonblocking(true))
@@ -131,7 +143,7 @@
 		return nil, errors.Mark(err, ErrNode)
 	}
 	n.store = kqstore.Guard(store, kqstore.WithObserver(n.observeStore))
-	n.dialer = kqlink.NewDialer(identity)
+	n.dialer = kqlink.NewDialer(identity, n.linkOptions...)
 	n.gate = newGate(n)
 	n.shed = newShedder(n)
 	n.router = newRouter(n)
@@ -148,7 +160,7 @@
 		Call:    n.handlePeerCall,
 		Message: n.handlePeerMessage,
 		Submit:  n.pool.Submit,
-	})
+	}, n.linkOptions...)
 	if err != nil {
 		return errors.Mark(err, ErrNode)
 	}
