--- a/core/kqspread/kqspread.go
+++ b/core/kqspread/kqspread.go
@@ -237,13 +237,13 @@
 	return budget{rate: rate, burst: burst, held: burst, at: now}
 }
 
-// take takes n tokens, if there are as many.
-func (b *budget) take(now time.Duration, n float64) bool {
+// take takes a token, if there is one.
+func (b *budget) take(now time.Duration) bool {
 	b.held = min(b.burst, b.held+b.rate*(now-b.at).Seconds())
 	b.at = now
-	if b.held < n {
+	if b.held < 1 {
 		return false
 	}
-	b.held -= n
+	b.held--
 	return true
 }
--- a/core/kqspread/news.go
+++ b/core/kqspread/news.go
@@ -110,7 +110,7 @@
 		return
 	}
 	address := m.addressOf(from)
-	if !heard.Less(held.Stamp()) || address == "" || !m.changes.take(now, 1) {
+	if !heard.Less(held.Stamp()) || address == "" || !m.changes.take(now) {
 		return
 	}
 	m.send(from, address, Message{Changes: []Change{m.memberChange(now, held)}})
@@ -241,7 +241,7 @@
 		}
 		delete(l.pending, k)
 		c, found := m.changeOf(now, k, true)
-		if found && (m.urgent(c) || m.changes.take(now, 1)) {
+		if found && (m.urgent(c) || m.changes.take(now)) {
 			changes = append(changes, c)
 		}
 	}
--- a/core/kqspread/presence.go
+++ b/core/kqspread/presence.go
@@ -145,7 +145,7 @@
 func (m *Machine) answerJoin(now time.Duration, reply *Message) {
 	own := m.view.Own()
 	reply.From = own.NodeID
-	if !m.joins.take(now, 1) {
+	if !m.joins.take(now) {
 		reply.Join = true
 		reply.Changes = append(reply.Changes, Change{Record: &own})
 		return
--- a/core/kqspread/reconcile.go
+++ b/core/kqspread/reconcile.go
@@ -155,7 +155,7 @@
 			return
 		}
 		c, found := m.changeOf(now, k, false)
-		if found && (m.urgent(c) || m.changes.take(now, 1)) {
+		if found && (m.urgent(c) || m.changes.take(now)) {
 			reply.Changes = append(reply.Changes, c)
 		}
 	}
--- a/core/kqspread/rings.go
+++ b/core/kqspread/rings.go
@@ -97,15 +97,11 @@
 // Where these are fewer than Degree, further nodes of the fleet fill up.
 func (r *rings) neighbours(own *kqmember.Member, fits func(*kqmember.Member) bool) []*kqmember.Member {
 	var chosen []*kqmember.Member
-	take := func(ring, step int, more func(*kqmember.Member) bool) bool {
+	take := func(ring, step int, more func(*kqmember.Member) bool) {
 		m := r.nearest(ring, step, own, func(m *kqmember.Member) bool { return fits(m) && more(m) })
-		if m == nil {
-			return false
-		}
-		if !slices.Contains(chosen, m) {
+		if m != nil && !slices.Contains(chosen, m) {
 			chosen = append(chosen, m)
 		}
-		return true
 	}
 	home := own.Record
 	for _, step := range []int{1, -1} {
