--- /dev/null
+++ b/io/kqlog/kqlog_test.go
@@ -0,0 +1,85 @@
+package kqlog_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"kumquatlink/io/kqlog"
+)
+
+// valve is an output that blocks until it is opened.
+type valve struct {
+	open   chan struct{}
+	buffer bytes.Buffer
+}
+
+func (v *valve) Write(p []byte) (int, error) {
+	<-v.open
+	return v.buffer.Write(p)
+}
+
+func TestDecisionIsOneLineWithAllFields(t *testing.T) {
+	var output bytes.Buffer
+	log := kqlog.New(&output, kqlog.WithNode("node-1", "lothian-a"))
+	log.Decide(kqlog.Decision{
+		RequestID: "request-1", Class: "purchase", Service: "orders", Decision: "Route", Cause: "Done",
+		Outcome: "ran", Chosen: "orders-2", Others: []string{"orders-1", "orders-3"},
+	})
+	log.Event(zerolog.WarnLevel, "something", errors.New("odd \"bytes\"\n"))
+	log.Event(zerolog.DebugLevel, "not written", nil)
+	log.Close()
+	lines := strings.Split(strings.TrimSpace(output.String()), "\n")
+	if got, want := len(lines), 2; got != want {
+		t.Fatalf("lines: got %d, want %d", got, want)
+	}
+	var fields map[string]any
+	if err := json.Unmarshal([]byte(lines[0]), &fields); err != nil {
+		t.Fatal(err)
+	}
+	for name, want := range map[string]any{
+		"Node": "node-1", "FailureDomain": "lothian-a", "RequestID": "request-1", "Class": "purchase", "Service": "orders",
+		"Decision": "Route", "Cause": "Done", "Outcome": "ran", "Chosen": "orders-2",
+	} {
+		if got := fields[name]; got != want {
+			t.Errorf("%s: got %v, want %v", name, got, want)
+		}
+	}
+}
+
+func TestFullQueueIsCountedAndNeverHoldsUpTheCaller(t *testing.T) {
+	const queue, sent = 8, 100
+	output := &valve{open: make(chan struct{})}
+	log := kqlog.New(output, kqlog.WithQueueLength(queue))
+	var wait sync.WaitGroup
+	for range 4 {
+		wait.Go(func() {
+			for range sent / 4 {
+				log.Decide(kqlog.Decision{Decision: "Route"})
+			}
+		})
+	}
+	wait.Wait()
+	dropped := log.Dropped()
+	if dropped < sent-queue-1 {
+		t.Errorf("dropped: got %d, want at least %d", dropped, sent-queue-1)
+	}
+	close(output.open)
+	log.Close()
+	written := int64(strings.Count(output.buffer.String(), `"Decision":"Route"`))
+	if got, want := written+dropped, int64(sent); got != want {
+		t.Errorf("written and dropped: got %d, want %d", got, want)
+	}
+	if !strings.Contains(output.buffer.String(), "log lines were dropped") {
+		t.Error("log: got no line about dropped lines, want one")
+	}
+	log.Decide(kqlog.Decision{Decision: "Route"})
+	if got, want := log.Dropped(), dropped+1; got != want {
+		t.Errorf("dropped after close: got %d, want %d", got, want)
+	}
+}
--- a/io/kqnode/kqnode.go
+++ b/io/kqnode/kqnode.go
@@ -18,6 +18,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -26,6 +27,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/panjf2000/ants/v2"
+	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"kumquatlink/core/kqcall"
@@ -164,15 +166,15 @@
 	if err != nil {
 		return errors.Mark(err, ErrNode)
 	}
-	n.operator = newHTTPServer(n.handleOperator)
+	n.operator = n.newHTTPServer(n.handleOperator)
 	if n.settings.OperatorAddress != "" {
 		if n.operatorAddress, err = listen(n.operator, n.settings.OperatorAddress); err != nil {
 			return err
 		}
 	}
 	n.control.start(n.server.Address())
-	n.callers = newHTTPServer(n.handleCaller)
-	n.backend = newHTTPServer(n.handleBackend)
+	n.callers = n.newHTTPServer(n.handleCaller)
+	n.backend = n.newHTTPServer(n.handleBackend)
 	if n.settings.CallerAddress != "" {
 		if n.callerAddress, err = listen(n.callers, n.settings.CallerAddress); err != nil {
 			return err
@@ -245,7 +247,7 @@
 	}
 }
 
-func newHTTPServer(handler fasthttp.RequestHandler) *fasthttp.Server {
+func (n *Node) newHTTPServer(handler fasthttp.RequestHandler) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler:               handler,
 		NoDefaultServerHeader: true,
@@ -253,9 +255,20 @@
 		MaxRequestBodySize:    maxBodyBytes,
 		ReadBufferSize:        readBufferBytes,
 		ErrorHandler:          handleMalformed,
+		Logger:                serverLog{log: n.log},
 	}
 }
 
+// serverLog writes what the HTTP server has to say as lines of the node's log.
+type serverLog struct {
+	log *kqlog.Log
+}
+
+// Printf writes one line.
+func (l serverLog) Printf(format string, values ...any) {
+	l.log.Event(zerolog.DebugLevel, fmt.Sprintf(format, values...), nil)
+}
+
 // handleMalformed answers a caller whose call could not be read at all.
 func handleMalformed(c *fasthttp.RequestCtx, err error) {
 	cause := kqcall.CauseBadRequest
