Log times with microseconds and fields in Pascal case; gauges kept up to date

Cause: trying the start page by hand showed whole seconds in log lines, lower case field names of the library, and gauges of 0 on the first look. Change: names and format set once; gauges are gathered every second; the README's example is tested against the checked file.

--- a/io/kqlog/kqlog.go
+++ b/io/kqlog/kqlog.go
@@ -22,6 +22,17 @@
 
 const defaultQueueLength = 8192
 
+// timeFormat is RFC 3339 in UTC with microseconds.
+const timeFormat = "2006-01-02T15:04:05.000000Z07:00"
+
+// init names the library's own fields as all others are named.
+func init() {
+	zerolog.LevelFieldName = "Level"
+	zerolog.MessageFieldName = "Message"
+	zerolog.ErrorFieldName = "Error"
+	zerolog.TimeFieldFormat = timeFormat
+}
+
 // Decision is one routing or placement decision.
 type Decision struct {
 	RequestID string
@@ -107,7 +118,7 @@
 	if l.level > zerolog.InfoLevel {
 		return
 	}
-	at := time.Now()
+	at := time.Now().UTC()
 	l.enqueue(func() {
 		e := l.logger.Info().Time("Time", at).Str("Decision", d.Decision).Str("RequestID", d.RequestID)
 		e = e.Str("Class", d.Class).Str("Service", d.Service).Str("Cause", d.Cause).Str("Outcome", d.Outcome)
@@ -120,7 +131,7 @@
 	if level < l.level {
 		return
 	}
-	at := time.Now()
+	at := time.Now().UTC()
 	l.enqueue(func() {
 		l.logger.WithLevel(level).Time("Time", at).Err(err).Msg(message)
 	})
@@ -146,7 +157,7 @@
 	for line := range l.queue {
 		line()
 		if n := l.dropped.Load(); n != reported && len(l.queue) == 0 {
-			l.logger.Warn().Time("Time", time.Now()).Int64("Dropped", n-reported).Msg("log lines were dropped")
+			l.logger.Warn().Time("Time", time.Now().UTC()).Int64("Dropped", n-reported).Msg("log lines were dropped")
 			reported = n
 		}
 	}
--- a/io/kqnode/operator.go
+++ b/io/kqnode/operator.go
@@ -1,6 +1,7 @@
 package kqnode
 
 import (
+	"context"
 	"encoding/json"
 	"strconv"
 	"time"
@@ -32,6 +33,9 @@
 // maxInForceWait bounds how long a question for a version may wait.
 const maxInForceWait = 10 * time.Second
 
+// gatherPeriod is how often the gauges are brought up to date.
+const gatherPeriod = time.Second
+
 // InForce says which configuration a node has in force.
 type InForce struct {
 	NodeID        string
@@ -91,7 +95,6 @@
 	case PathConfiguration:
 		writeJSON(c, n.State().Configuration)
 	case PathMetrics:
-		n.gatherMetrics()
 		fasthttpadaptor.NewFastHTTPHandler(n.metrics.Handler())(c)
 	default:
 		c.SetStatusCode(fasthttp.StatusNotFound)
@@ -132,6 +135,20 @@
 	c.SetBody(data)
 }
 
+// runMetrics keeps the gauges up to date.
+func (n *Node) runMetrics(ctx context.Context) {
+	ticker := time.NewTicker(gatherPeriod)
+	defer ticker.Stop()
+	for {
+		n.gatherMetrics()
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // gatherMetrics brings the gauges up to date.
 func (n *Node) gatherMetrics() {
 	s := n.State()
--- a/io/kqsettings/kqsettings_test.go
+++ b/io/kqsettings/kqsettings_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -89,3 +90,17 @@
 		}
 	})
 }
+
+func TestExampleOfTheReadmeIsTheCheckedFile(t *testing.T) {
+	readme, err := os.ReadFile(filepath.Join("..", "..", "README.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want, err := os.ReadFile(filepath.Join("..", "..", "_fixtures", "settings", "node.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, rest, found := strings.Cut(string(readme), "```json\n"); !found || !strings.HasPrefix(rest, string(want)+"```") {
+		t.Errorf("example of the README: got another text than _fixtures/settings/node.json, want the same")
+	}
+}
