--- a/io/kqlink/dialer.go
+++ b/io/kqlink/dialer.go
@@ -16,6 +16,7 @@
 // ends that has lost track of one link does not lose the next one as well.
 type Dialer struct {
 	identity *kqtrust.Identity
+	options  options
 	now      func() time.Time
 
 	mutex sync.Mutex
@@ -53,9 +54,10 @@
 }
 
 // NewDialer makes a dialer without links.
-func NewDialer(identity *kqtrust.Identity) *Dialer {
+func NewDialer(identity *kqtrust.Identity, list ...Option) *Dialer {
 	d := &Dialer{
 		identity: identity,
+		options:  newOptions(list),
 		now:      time.Now,
 		peers:    map[string]*peer{},
 		links:    map[*link]struct{}{},
@@ -226,7 +228,7 @@
 func (d *Dialer) dial(l *link) {
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
 	defer cancel()
-	conn, err := quic.DialAddr(ctx, l.address, d.identity.ClientTLS(), quicConfig())
+	conn, err := d.options.dial(ctx, l.address, d.identity.ClientTLS())
 	if err != nil {
 		err = errors.Wrapf(err, "open link to %s", l.address)
 	}
--- a/io/kqnode/kqnode.go
+++ b/io/kqnode/kqnode.go
@@ -18,6 +18,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -26,13 +27,16 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/panjf2000/ants/v2"
+	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"kumquatlink/core/kqcall"
 	"kumquatlink/core/kqclass"
+	"kumquatlink/core/kqconfig"
 	"kumquatlink/core/kqmember"
 	"kumquatlink/io/kqlink"
 	"kumquatlink/io/kqlog"
+	"kumquatlink/io/kqmetric"
 	"kumquatlink/io/kqsettings"
 	"kumquatlink/io/kqstore"
 	"kumquatlink/io/kqtrust"
@@ -53,8 +57,13 @@
 type State struct {
 	Members *kqmember.Snapshot
 	Classes *kqclass.Table
-	// Configuration is what Classes was derived from.
+	// Configuration is what Classes was derived from, and InForceSince when it
+	// was, by this node's clock.
 	Configuration kqclass.Configuration
+	InForceSince  time.Time
+	// Refusals counts the configurations that were refused.
+	Refusals kqconfig.Refusals
+	Store    StoreView
 	// Life is the state of the node's own chart.
 	Life kqmember.Life
 	// Backend is the backend server's announcement, or nil.
@@ -67,22 +76,30 @@
 	identity *kqtrust.Identity
 	store    *kqstore.Client
 	log      *kqlog.Log
+	metrics  *kqmetric.Metrics
 	ownsLog  bool
 	now      func() time.Time
+	// linkOptions are options of the links to other nodes.
+	linkOptions []kqlink.Option
 
-	pool    *ants.Pool
-	dialer  *kqlink.Dialer
-	server  *kqlink.Server
-	callers *fasthttp.Server
-	backend *fasthttp.Server
+	pool *ants.Pool
+	// exchanges sends control messages.
+	exchanges *ants.Pool
+	dialer    *kqlink.Dialer
+	server    *kqlink.Server
+	callers   *fasthttp.Server
+	backend   *fasthttp.Server
+	operator  *fasthttp.Server
 
-	callerAddress  string
-	backendAddress string
+	callerAddress   string
+	operatorAddress string
+	backendAddress  string
 
 	state   atomic.Pointer[State]
 	control *control
 	gate    *gate
 	router  *router
+	shed    *shedder
 
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
@@ -96,13 +113,27 @@
 	return func(n *Node) { n.log = l }
 }
 
+// WithLinkOptions sets options of the links to other nodes.
+func WithLinkOptions(list ...kqlink.Option) Option {
+	return func(n *Node) { n.linkOptions = list }
+}
+
+// WithNow sets the clock that the node reads.
+func WithNow(now func() time.Time) Option {
+	return func(n *Node) { n.now = now }
+}
+
 // New makes a node from checked settings.
 func New(settings kqsettings.Node, identity *kqtrust.Identity, store *kqstore.Client, options ...Option) (*Node, error) {
 	pool, err := ants.NewPool(defaultPoolSize, ants.WithNonblocking(true))
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "make pool"), ErrNode)
 	}
-	n := &Node{settings: settings, identity: identity, store: store, now: time.Now, pool: pool}
+	exchanges, err := ants.NewPool(exchangePoolSize, ants.WithNonblocking(true))
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "make pool"), ErrNode)
+	}
+	n := &Node{settings: settings, identity: identity, now: time.Now, pool: pool, exchanges: exchanges}
 	for _, o := range options {
 		o(n)
 	}
@@ -110,8 +141,13 @@
 		n.log = kqlog.New(io.Discard, kqlog.WithNode(settings.NodeID, settings.FailureDomain))
 		n.ownsLog = true
 	}
-	n.dialer = kqlink.NewDialer(identity)
+	if n.metrics, err = kqmetric.New(); err != nil {
+		return nil, errors.Mark(err, ErrNode)
+	}
+	n.store = kqstore.Guard(store, kqstore.WithObserver(n.observeStore))
+	n.dialer = kqlink.NewDialer(identity, n.linkOptions...)
 	n.gate = newGate(n)
+	n.shed = newShedder(n)
 	n.router = newRouter(n)
 	n.control = newControl(n)
 	return n, nil
@@ -126,13 +162,19 @@
 		Call:    n.handlePeerCall,
 		Message: n.handlePeerMessage,
 		Submit:  n.pool.Submit,
-	})
+	}, n.linkOptions...)
 	if err != nil {
 		return errors.Mark(err, ErrNode)
 	}
+	n.operator = n.newHTTPServer(n.handleOperator)
+	if n.settings.OperatorAddress != "" {
+		if n.operatorAddress, err = listen(n.operator, n.settings.OperatorAddress); err != nil {
+			return err
+		}
+	}
 	n.control.start(n.server.Address())
-	n.callers = newHTTPServer(n.handleCaller)
-	n.backend = newHTTPServer(n.handleBackend)
+	n.callers = n.newHTTPServer(n.handleCaller)
+	n.backend = n.newHTTPServer(n.handleBackend)
 	if n.settings.CallerAddress != "" {
 		if n.callerAddress, err = listen(n.callers, n.settings.CallerAddress); err != nil {
 			return err
@@ -143,7 +185,8 @@
 	}
 	n.loop(ctx, n.control.run)
 	n.loop(ctx, n.runConfigurationWatch)
-	n.loop(ctx, n.runExchange)
+	n.loop(ctx, n.runMembership)
+	n.loop(ctx, n.runMetrics)
 	return nil
 }
 
@@ -158,22 +201,26 @@
 // Shutdown stops taking work, lets what is in flight finish, and ends.
 func (n *Node) Shutdown(ctx context.Context) error {
 	n.control.send(leaveEvent{})
-	for _, s := range []*fasthttp.Server{n.callers, n.backend} {
+	for _, s := range []*fasthttp.Server{n.callers, n.backend, n.operator} {
 		if err := s.ShutdownWithContext(ctx); err != nil {
 			return errors.Mark(errors.Wrap(err, "finish calls"), ErrNode)
 		}
 	}
 	n.cancel()
 	n.loops.Wait()
-	err := n.server.Close()
+	err := errors.CombineErrors(n.server.Close(), n.metrics.Close())
 	n.dialer.Close()
 	n.pool.Release()
+	n.exchanges.Release()
 	if n.ownsLog {
 		n.log.Close()
 	}
 	return errors.Mark(err, ErrNode)
 }
 
+// OperatorAddress is the TCP address that operators use, or empty.
+func (n *Node) OperatorAddress() string { return n.operatorAddress }
+
 // CallerAddress is the TCP address that callers use.
 func (n *Node) CallerAddress() string { return n.callerAddress }
 
@@ -201,7 +248,7 @@
 	}
 }
 
-func newHTTPServer(handler fasthttp.RequestHandler) *fasthttp.Server {
+func (n *Node) newHTTPServer(handler fasthttp.RequestHandler) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler:               handler,
 		NoDefaultServerHeader: true,
@@ -209,9 +256,20 @@
 		MaxRequestBodySize:    maxBodyBytes,
 		ReadBufferSize:        readBufferBytes,
 		ErrorHandler:          handleMalformed,
+		Logger:                serverLog{log: n.log},
 	}
 }
 
+// serverLog writes what the HTTP server has to say as lines of the node's log.
+type serverLog struct {
+	log *kqlog.Log
+}
+
+// Printf writes one line.
+func (l serverLog) Printf(format string, values ...any) {
+	l.log.Event(zerolog.DebugLevel, fmt.Sprintf(format, values...), nil)
+}
+
 // handleMalformed answers a caller whose call could not be read at all.
 func handleMalformed(c *fasthttp.RequestCtx, err error) {
 	cause := kqcall.CauseBadRequest
--- a/io/kqnode/router.go
+++ b/io/kqnode/router.go
@@ -125,6 +125,7 @@
 		ask.Tried.Add(upstream)
 		q.head.Retries = held.Grant()
 		last = r.sendTo(ctx, q, upstream)
+		r.node.shed.heard(q, upstream.Record.NodeID, last)
 		held.PutBack(last.retriesLeft, q.head.Retries)
 		r.node.log.Decide(kqlog.Decision{
 			RequestID: q.head.RequestID, Class: q.head.Class, Service: q.head.Service, Decision: "Route",
@@ -281,7 +282,7 @@
 	cause := kqcall.CauseLinkLost
 	switch {
 	case ctx.Err() != nil:
-		cause = endedCause(ctx)
+		cause = goneCause(ctx)
 	case errors.Is(err, kqlink.ErrSilent):
 		cause = kqcall.CauseLinkSilent
 	}
@@ -291,14 +292,6 @@
 	return kqcall.Unknown(cause)
 }
 
-// endedCause is why a call's context has ended.
-func endedCause(ctx context.Context) kqcall.Cause {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return kqcall.CauseDeadline
-	}
-	return kqcall.CauseCallerGone
-}
-
 // handlePeerCall runs a call that a peer's entry sent to this node's gate.
 func (n *Node) handlePeerCall(ctx context.Context, _ string, head kqlink.CallHead, body []byte) (kqlink.AnswerHead, []byte) {
 	q := &call{head: head.Head, method: head.Method, path: head.Path, headers: head.Headers, body: body}
