Cancel for gone callers and find silent backend server connections

Cause: fasthttp notices no end of a caller while a handler runs, so the work went on to its deadline; a backend server's connection that had gone silent held its call as long; an idle connection that the server had closed lost the call that was written into it; onward calls outlived their run. Idle connections are peeked at before use. A run's context ends with the run. Tests under -race: callers that close or reset, with and without calls sent ahead; a server slower than several probes keeps its connection.

--- a/io/kqhttp/kqhttp.go
+++ b/io/kqhttp/kqhttp.go
@@ -18,6 +18,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,12 +35,11 @@
 
 // Defaults of a pool.
 const (
-	defaultMaxIdle  = 64
-	defaultMaxAge   = 5 * time.Second
-	defaultMaxBody  = 16 << 20
-	dialTimeout     = time.Second
-	bufferSize      = 4 << 10
-	keepAlivePeriod = 15 * time.Second
+	defaultMaxIdle = 64
+	defaultMaxAge  = 5 * time.Second
+	defaultMaxBody = 16 << 20
+	dialTimeout    = time.Second
+	bufferSize     = 4 << 10
 )
 
 // Pool keeps idle connections to one server.
@@ -61,6 +61,11 @@
 	reader *bufio.Reader
 	writer *bufio.Writer
 	since  time.Time
+
+	// timer runs while a call is on the connection.
+	timer  *time.Timer
+	busy   atomic.Bool
+	silent atomic.Bool
 }
 
 func newConnection(c net.Conn) *connection {
@@ -89,7 +94,9 @@
 
 // NewPool makes a pool without connections.
 func NewPool(address string, options ...Option) *Pool {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
+	}}
 	p := &Pool{
 		address: address,
 		maxIdle: defaultMaxIdle,
@@ -117,10 +124,13 @@
 		_ = c.Close()
 		return errors.Mark(errors.Wrap(ctx.Err(), "call was cancelled"), ErrNotSent)
 	}
-	if err := exchange(c, request, response, p.maxBody); err != nil {
+	c.watch()
+	err = exchange(c, request, response, p.maxBody)
+	c.unwatch()
+	if err != nil {
 		stop()
 		_ = c.Close()
-		return errors.Mark(errors.Wrapf(err, "call %s", p.address), ErrLost)
+		return p.lost(c, err)
 	}
 	if !stop() || response.ConnectionClose() || request.ConnectionClose() {
 		_ = c.Close()
@@ -130,6 +140,17 @@
 	return nil
 }
 
+// lost turns a failed exchange into this layer's error. What has silenced one
+// connection may have silenced those that wait in the pool, so they go too.
+func (p *Pool) lost(c *connection, err error) error {
+	err = errors.Mark(errors.Wrapf(err, "call %s", p.address), ErrLost)
+	if !c.silent.Load() {
+		return err
+	}
+	p.Close()
+	return errors.Mark(err, ErrSilent)
+}
+
 func exchange(c *connection, request *fasthttp.Request, response *fasthttp.Response, maxBody int) error {
 	if err := request.Write(c.writer); err != nil {
 		return errors.Wrap(err, "write call")
@@ -145,8 +166,11 @@
 
 // take gives the idle connection that was used last, or opens one.
 func (p *Pool) take(ctx context.Context) (*connection, error) {
-	if c := p.takeIdle(); c != nil {
-		return c, nil
+	for c := p.takeIdle(); c != nil; c = p.takeIdle() {
+		if !isStale(c.Conn) {
+			return c, nil
+		}
+		_ = c.Close()
 	}
 	c, err := p.dial(ctx, p.address)
 	if err != nil {
--- a/io/kqnode/backend.go
+++ b/io/kqnode/backend.go
@@ -77,9 +77,11 @@
 }
 
 // handOver runs the call on the backend server and gives how long its onward
-// calls took.
+// calls took. Onward calls that are still out when it ends are cancelled.
 func (g *gate) handOver(ctx context.Context, q *call, b *Backend) (*result, time.Duration) {
 	token := newID()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	run := &running{head: q.head, ctx: ctx}
 	run.deadline, _ = ctx.Deadline()
 	run.retries.Open(q.head.Retries)
@@ -140,8 +142,11 @@
 // backendEnd turns the backend connection's error into the end of the call.
 func backendEnd(ctx context.Context, err error) kqcall.End {
 	cause := kqcall.CauseBackendLost
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() != nil:
 		cause = goneCause(ctx)
+	case errors.Is(err, kqhttp.ErrSilent):
+		cause = kqcall.CauseBackendSilent
 	}
 	if errors.Is(err, kqhttp.ErrNotSent) {
 		return kqcall.NotRun(cause)
--- a/io/kqnode/entry.go
+++ b/io/kqnode/entry.go
@@ -11,6 +11,7 @@
 	"kumquatlink/core/kqcall"
 	"kumquatlink/core/kqclass"
 	"kumquatlink/core/kqretry"
+	"kumquatlink/io/kqhttp"
 	"kumquatlink/io/kqlog"
 	"kumquatlink/io/kqwire"
 )
@@ -133,12 +134,7 @@
 	begun := n.now()
 	r := refused(cause)
 	if cause == "" {
-		done := make(chan *result, 1)
-		if err := n.pool.Submit(func() { done <- n.dispatch(q) }); err != nil {
-			r = refused(kqcall.CausePoolFull)
-		} else {
-			r = <-done
-		}
+		r = n.runOnPool(c, q)
 	}
 	n.log.Decide(kqlog.Decision{
 		RequestID: q.head.RequestID, Class: q.head.Class, Service: q.head.Service, Decision: "Answer",
@@ -147,16 +143,29 @@
 	writeResult(c, q.head.RequestID, r)
 }
 
-// dispatch routes a call within its budget.
-func (n *Node) dispatch(q *call) *result {
-	if r := n.shed.refuses(q); r != nil {
-		return r
-	}
+// runOnPool runs a call on the pool until it ends or its caller has gone,
+// which cancels it.
+func (n *Node) runOnPool(c *fasthttp.RequestCtx, q *call) *result {
 	parent := context.Background()
 	if q.parent != nil {
 		parent = q.parent.ctx
 	}
-	ctx, cancel := withBudget(parent, q.head)
+	ctx, cancel := context.WithCancel(parent)
+	defer cancel()
+	defer kqhttp.OnGone(c.Conn(), cancel)()
+	done := make(chan *result, 1)
+	if err := n.pool.Submit(func() { done <- n.dispatch(ctx, q) }); err != nil {
+		return refused(kqcall.CausePoolFull)
+	}
+	return <-done
+}
+
+// dispatch routes a call within its budget.
+func (n *Node) dispatch(ctx context.Context, q *call) *result {
+	if r := n.shed.refuses(q); r != nil {
+		return r
+	}
+	ctx, cancel := withBudget(ctx, q.head)
 	defer cancel()
 	return n.router.route(ctx, q)
 }
--- a/io/kqnode/kqnode.go
+++ b/io/kqnode/kqnode.go
@@ -34,6 +34,7 @@
 	"kumquatlink/core/kqclass"
 	"kumquatlink/core/kqconfig"
 	"kumquatlink/core/kqmember"
+	"kumquatlink/io/kqhttp"
 	"kumquatlink/io/kqlink"
 	"kumquatlink/io/kqlog"
 	"kumquatlink/io/kqmetric"
@@ -285,7 +286,11 @@
 	if err != nil {
 		return "", errors.Mark(errors.Wrapf(err, "listen at %s", address), ErrNode)
 	}
-	go func() { _ = s.Serve(listener) }()
+	watched, err := kqhttp.NewListener(listener)
+	if err != nil {
+		return "", errors.Mark(errors.CombineErrors(err, listener.Close()), ErrNode)
+	}
+	go func() { _ = s.Serve(watched) }()
 	return listener.Addr().String(), nil
 }
 
