Find the limit by comparing calls that began far below it with those at it

Cause: the first rule compared own times with a remembered base; in the simulated gate it ran away to 4,096 or down to 1, since a base taken under load hides waiting and a slower server looks like overload.

Change: kqlimit compares two sides of the same time, weighs the difference against its standard error and against the time a slot is held, and dips for a few calls when it lacks contrast. The cut looks at four windows and goes on until ten calls began. All numbers are in Tuning.

--- a/core/kqadmit/cut.go
+++ b/core/kqadmit/cut.go
@@ -5,34 +5,37 @@
 	"time"
 )
 
-// Constants of the cut.
-const (
-	// relaxStep is the first step by which the cut opens; it doubles with
-	// every window without a standing queue.
-	relaxStep = rankSpan / 16
-	// headroom is the part of a window's capacity that the cut lets in above
-	// it, so that the queue never runs dry.
-	headroom = 1.05
-)
-
 // cut finds the level up to which arrivals are let in: it closes when a queue
 // stood for a whole window, to what the slots could run in it, and opens by
 // doubling steps when slots stood free.
 type cut struct {
-	level Level
-	step  Level
-	ends  time.Duration
-	// Of the window that runs now:
+	tuning  Tuning
+	level   Level
+	step    Level
+	ends    time.Duration
+	excess  float64
+	highest Level
+	// past holds the windows before the one that runs now.
+	past []span
+	span
+}
+
+// span is what one window saw.
+type span struct {
 	arrivals   []Level
 	starts     int
 	minWaiting int
 	idle       bool
-	highest    Level
-	excess     float64
 }
 
-func newCut() cut {
-	return cut{level: Open, step: relaxStep}
+func newCut(t Tuning) cut {
+	c := cut{tuning: t, level: Open, past: make([]span, t.Spans-1)}
+	c.step = c.firstStep()
+	return c
+}
+
+func (c *cut) firstStep() Level {
+	return rankSpan / Level(c.tuning.RelaxParts)
 }
 
 func (c *cut) arrived(l Level) {
@@ -58,22 +61,28 @@
 		c.begin(now, waiting)
 		return
 	}
-	if now < c.ends {
+	if now < c.ends || c.tooFew(now) {
 		return
 	}
 	c.end()
-	for c.ends += window; c.ends <= now && waiting == 0 && c.level != Open; c.ends += window {
+	for c.ends += c.tuning.Window; c.ends <= now && waiting == 0 && c.level != Open; c.ends += c.tuning.Window {
 		c.relax()
 	}
 	c.begin(now, waiting)
 }
 
+// tooFew is whether a window in which a queue stands should go on, since too
+// few calls began in it to tell what the slots can run.
+func (c *cut) tooFew(now time.Duration) bool {
+	return c.minWaiting > 0 && c.starts < c.tuning.MinStarts && now < c.ends+c.tuning.Extension
+}
+
 func (c *cut) begin(now time.Duration, waiting int) {
-	c.ends = now + window
-	c.arrivals = c.arrivals[:0]
-	c.starts = 0
-	c.minWaiting = waiting
-	c.idle = false
+	c.ends = now + c.tuning.Window
+	c.past = append(c.past, c.span)
+	oldest := c.past[0].arrivals[:0]
+	c.past = slices.Delete(c.past, 0, 1)
+	c.span = span{arrivals: oldest, minWaiting: waiting}
 }
 
 func (c *cut) end() {
@@ -85,16 +94,23 @@
 	}
 }
 
-// tighten sets the cut to what the slots could run of the window's arrivals.
+// tighten sets the cut to what the slots could run of the last windows'
+// arrivals.
 func (c *cut) tighten() {
-	c.step = relaxStep
-	keep := int(float64(c.starts)*headroom) + 1
-	c.excess = float64(len(c.arrivals)) / float64(max(1, c.starts))
-	if keep >= len(c.arrivals) {
+	c.step = c.firstStep()
+	starts := c.starts
+	arrivals := slices.Clone(c.arrivals)
+	for _, s := range c.past {
+		starts += s.starts
+		arrivals = append(arrivals, s.arrivals...)
+	}
+	keep := int(float64(starts)*c.tuning.Headroom) + 1
+	c.excess = float64(len(arrivals)) / float64(max(1, starts))
+	if keep >= len(arrivals) {
 		return
 	}
-	slices.Sort(c.arrivals)
-	c.level = min(c.level, c.arrivals[keep-1])
+	slices.Sort(arrivals)
+	c.level = min(c.level, arrivals[keep-1])
 }
 
 func (c *cut) relax() {
@@ -105,7 +121,7 @@
 	if c.level >= c.highest || c.level > Open-c.step {
 		c.level = Open
 		c.highest = 0
-		c.step = relaxStep
+		c.step = c.firstStep()
 		return
 	}
 	c.level += c.step
--- a/core/kqadmit/kqadmit.go
+++ b/core/kqadmit/kqadmit.go
@@ -26,25 +26,6 @@
 	"kumquatlink/core/kqcall"
 )
 
-// Constants of the queue.
-const (
-	// Guard is how long before a refusal no less important call was let in,
-	// and how long after it none is.
-	Guard = 110 * time.Millisecond
-	// window is the interval over which a queue must stand to count as one.
-	window = 50 * time.Millisecond
-	// minQueue is the least number of calls that may wait.
-	minQueue = 4
-	// hardQueue bounds the waiting calls whatever the guard says.
-	hardQueue = 4096
-	// minSojourn is the least time after which a waiting call is given up.
-	minSojourn = 50 * time.Millisecond
-	// holdWeight is the weight of one call in the mean time of a slot's use.
-	holdWeight = 0.1
-	// maxArrivals bounds the arrivals that one window remembers.
-	maxArrivals = 8192
-)
-
 // Item is a call at the gate.
 type Item struct {
 	// ID tells calls of one gate apart; it goes up with every call.
@@ -61,6 +42,8 @@
 type Verdict struct {
 	ID  uint64
 	Run bool
+	// InFlight is how many calls are in flight with one that runs.
+	InFlight int
 	// Cause is why the call was refused, or empty.
 	Cause kqcall.Cause
 	// RetryAfter is when a refused call may come again.
@@ -78,6 +61,7 @@
 
 // Queue is the admission of one gate.
 type Queue struct {
+	tuning   Tuning
 	limit    int
 	inFlight int
 	waiting  []Item
@@ -88,8 +72,13 @@
 }
 
 // New makes a queue that lets in one call at a time.
-func New() *Queue {
-	return &Queue{limit: 1, cut: newCut(), classes: map[string]*serviceTimes{}}
+func New(options ...Option) *Queue {
+	q := &Queue{tuning: DefaultTuning(), limit: 1, classes: map[string]*serviceTimes{}}
+	for _, o := range options {
+		o(q)
+	}
+	q.cut = newCut(q.tuning)
+	return q
 }
 
 // InFlight is how many calls were let in and have not ended.
@@ -149,12 +138,12 @@
 // Bound is how many calls may wait: about what the slots can run in the time
 // of one call.
 func (q *Queue) Bound() int {
-	return max(minQueue, q.limit)
+	return max(q.tuning.MinQueue, int(q.tuning.QueuePart*float64(q.limit)))
 }
 
 // Sojourn is how long a call may wait before it is given up.
 func (q *Queue) Sojourn() time.Duration {
-	return max(minSojourn, q.hold)
+	return max(q.tuning.MinSojourn, time.Duration(q.tuning.SojournHolds*float64(q.hold)))
 }
 
 func (q *Queue) refusesAtOnce(now time.Duration, i Item) bool {
@@ -203,7 +192,7 @@
 			q.inFlight++
 			q.guard.letIn(now, i.Level.Rank())
 			q.cut.started()
-			verdicts = append(verdicts, Verdict{ID: i.ID, Run: true})
+			verdicts = append(verdicts, Verdict{ID: i.ID, Run: true, InFlight: q.inFlight})
 		}
 	}
 	q.cut.saw(len(q.waiting), q.inFlight < q.limit)
--- a/core/kqadmit/servicetime.go
+++ b/core/kqadmit/servicetime.go
@@ -6,23 +6,9 @@
 	"time"
 )
 
-// Constants of the learned service times.
-const (
-	// sampleCount is how many of the last calls of a class are remembered.
-	sampleCount = 32
-	// sampleAge is when a remembered call is forgotten.
-	sampleAge = 500 * time.Millisecond
-	// minSamples is how many remembered calls are needed to refuse by them.
-	minSamples = 4
-	// needQuantile is the part of the remembered calls that a new one must
-	// have time to be as slow as.
-	needQuantile = 0.8
-	// trialPeriod is how often a call is let try although it would miss.
-	trialPeriod = 50 * time.Millisecond
-)
-
 // serviceTimes remembers how long the last calls of a class took.
 type serviceTimes struct {
+	tuning  Tuning
 	samples []sample
 	next    int
 	need    time.Duration
@@ -36,30 +22,28 @@
 }
 
 func (s *serviceTimes) add(now, took time.Duration) {
-	if len(s.samples) < sampleCount {
+	if len(s.samples) < s.tuning.Samples {
 		s.samples = append(s.samples, sample{took, now})
 	} else {
 		s.samples[s.next] = sample{took, now}
 	}
-	s.next = (s.next + 1) % sampleCount
+	s.next = (s.next + 1) % s.tuning.Samples
 	s.newest = now
 	s.compute(now)
 }
 
 // compute finds the time that a call needs, or 0 when too little is known.
 func (s *serviceTimes) compute(now time.Duration) {
-	var fresh [sampleCount]time.Duration
-	n := 0
+	fresh := make([]time.Duration, 0, len(s.samples))
 	for _, x := range s.samples {
-		if now-x.at < sampleAge {
-			fresh[n] = x.took
-			n++
+		if now-x.at < s.tuning.SampleAge {
+			fresh = append(fresh, x.took)
 		}
 	}
 	s.need = 0
-	if n >= minSamples {
-		slices.Sort(fresh[:n])
-		s.need = fresh[int(needQuantile*float64(n-1))]
+	if len(fresh) >= s.tuning.MinSamples {
+		slices.Sort(fresh)
+		s.need = fresh[int(s.tuning.NeedQuantile*float64(len(fresh)-1))]
 	}
 }
 
@@ -67,11 +51,11 @@
 // and then one is let try, so that a class whose calls have all become too
 // slow is found again when they no longer are.
 func (s *serviceTimes) misses(now, left time.Duration) bool {
-	if now-s.newest >= sampleAge || left >= s.need {
+	if now-s.newest >= s.tuning.SampleAge || left >= s.need {
 		return false
 	}
 	if now >= s.trial {
-		s.trial = now + trialPeriod
+		s.trial = now + s.tuning.TrialPeriod
 		return false
 	}
 	return true
@@ -81,11 +65,11 @@
 	if q.hold == 0 {
 		q.hold = f.Took
 	}
-	q.hold += time.Duration(holdWeight * float64(f.Took-q.hold))
+	q.hold += time.Duration(q.tuning.HoldWeight * float64(f.Took-q.hold))
 	s, found := q.classes[f.Class]
 	if !found {
 		q.forget(now)
-		s = &serviceTimes{}
+		s = &serviceTimes{tuning: q.tuning}
 		q.classes[f.Class] = s
 	}
 	s.add(now, f.Took)
@@ -98,5 +82,5 @@
 
 // forget drops the classes of which nothing is remembered any more.
 func (q *Queue) forget(now time.Duration) {
-	maps.DeleteFunc(q.classes, func(_ string, s *serviceTimes) bool { return now-s.newest >= sampleAge })
+	maps.DeleteFunc(q.classes, func(_ string, s *serviceTimes) bool { return now-s.newest >= q.tuning.SampleAge })
 }
--- /dev/null
+++ b/core/kqadmit/tuning.go
@@ -0,0 +1,72 @@
+package kqadmit
+
+import "time"
+
+// Guard is how long before a refusal no less important call was let in, and
+// how long after it none is.
+const Guard = 110 * time.Millisecond
+
+// Bounds that no tuning changes.
+const (
+	// hardQueue bounds the waiting calls whatever the guard says.
+	hardQueue = 4096
+	// maxArrivals bounds the arrivals that one window remembers.
+	maxArrivals = 8192
+)
+
+// Tuning holds the numbers that the queue's rules depend on.
+type Tuning struct {
+	// Window is the interval over which a queue must stand to count as one.
+	Window time.Duration
+	// MinStarts is how many calls must begin in a window with a standing
+	// queue, or it goes on for up to Extension.
+	MinStarts int
+	Extension time.Duration
+	// Spans is how many windows, the last one included, the cut is found from.
+	Spans int
+	// Headroom is the part of those windows' capacity that the cut lets in, so
+	// that the queue never runs dry.
+	Headroom float64
+	// RelaxParts divides the span of a rank into the first step by which the
+	// cut opens; the step doubles with every window in which slots stood free.
+	RelaxParts int
+	// MinQueue is the least number of calls that may wait, and QueuePart the
+	// number as a part of the limit.
+	MinQueue  int
+	QueuePart float64
+	// MinSojourn is the least time after which a waiting call is given up, and
+	// SojournHolds the same as a multiple of the mean time of a slot's use.
+	MinSojourn   time.Duration
+	SojournHolds float64
+	// HoldWeight is the weight of one call in the mean time of a slot's use.
+	HoldWeight float64
+	// Samples is how many of the last calls of a class are remembered,
+	// SampleAge when one is forgotten, and MinSamples how many are needed to
+	// refuse by them.
+	Samples    int
+	SampleAge  time.Duration
+	MinSamples int
+	// NeedQuantile is the part of the remembered calls that a new one must
+	// have time to be as slow as.
+	NeedQuantile float64
+	// TrialPeriod is how often a call is let try although it would miss.
+	TrialPeriod time.Duration
+}
+
+// DefaultTuning is what gates use.
+func DefaultTuning() Tuning {
+	return Tuning{
+		Window: 50 * time.Millisecond, MinStarts: 10, Extension: 150 * time.Millisecond, Spans: 4, Headroom: 1.1, RelaxParts: 8,
+		MinQueue: 4, QueuePart: 1, MinSojourn: 50 * time.Millisecond, SojournHolds: 2, HoldWeight: 0.1,
+		Samples: 32, SampleAge: 500 * time.Millisecond, MinSamples: 4, NeedQuantile: 0.8,
+		TrialPeriod: 50 * time.Millisecond,
+	}
+}
+
+// Option changes a queue.
+type Option func(*Queue)
+
+// WithTuning replaces the numbers that the rules depend on.
+func WithTuning(t Tuning) Option {
+	return func(q *Queue) { q.tuning = t }
+}
--- a/core/kqlimit/kqlimit.go
+++ b/core/kqlimit/kqlimit.go
@@ -9,14 +9,16 @@
 //	limit.Shed(now, inFlight)
 //	room := limit.Value()
 //
-// While calls don't wait for each other inside the backend server, a low
-// quantile of their own time does not depend on how many are in flight, and
-// the limit grows by quickening steps. When the quantile rises, the limit is
-// lowered for a trial. If that brings the quantile down, the calls had waited
-// and the limit stays near what the trial showed; if it does not, the backend
-// server itself is slower, and the limit goes back to where it was. So the
-// same rule serves 5 slots and 36, and a slow server is not given less work
-// than it can run.
+// A call that begins while the backend server has a free slot takes its own
+// time, however many others run; one that begins behind n others too many
+// waits for n of them. So the calls that began far below the limit are
+// compared with those that began at it. Where the latter took longer by more
+// than chance, the limit comes down to where the two show the knee; where they
+// did not, it grows by quickening steps; where chance may explain it, it
+// stays. When too few calls began far below the limit, it is lowered for a few
+// calls. A backend server that becomes slower or quicker changes both sides
+// alike, so that it is not given less work than it can run. The same rule
+// serves 5 slots and 36.
 //
 // Times are durations since an arbitrary start. A Limit is not safe for
 // concurrent use.
@@ -36,110 +38,142 @@
 	// maxStart the most that a hint may begin it with.
 	startLimit = 4
 	maxStart   = 8
-	// lowQuantile is the quantile of own times that shows waiting best.
-	lowQuantile = 0.2
-	// tolerance is the ratio of the quantile to its base up to which calls
-	// count as not waiting.
-	tolerance = 1.15
-	// suspicion is the ratio above which a trial finds out the reason.
-	suspicion = 1.3
-	// minWindow and maxWindow bound the samples of one window.
-	minWindow = 8
-	maxWindow = 32
-	// trialPart is the part of the limit that a trial runs with.
-	trialPart = 0.75
-	// relief is the ratio of the quantile in a trial to that before, below
-	// which calls had waited.
-	relief = 0.9
-	// smoothing is the weight of one window in the quantile.
-	smoothing = 0.4
-	// firstGrowth and maxGrowth bound the factor by which a window without
-	// waiting raises the limit; the part above 1 doubles with each window.
-	firstGrowth = 0.05
-	maxGrowth   = 0.6
-	// maxBaseAge is when the base is measured anew by a trial.
-	maxBaseAge = 10 * time.Second
-	// shedFactor lowers the limit when the backend server sheds by itself.
-	shedFactor = 0.9
-	// shedPause is how long the limit does not grow after that.
-	shedPause = 200 * time.Millisecond
+	// leastMemory is the least limit that the memory is sized for.
+	leastMemory = 32
 )
 
+// Tuning holds the numbers that the rule depends on.
+type Tuning struct {
+	// Memory is how many times the limit the last samples are that are
+	// compared, and Window after how many new ones they are compared anew.
+	Memory int
+	Window int
+	// LowPart and HighPart bound, as parts of the limit, which samples began
+	// far below it and which at it.
+	LowPart  float64
+	HighPart float64
+	// Contrast is how many samples must have begun far below the limit; when
+	// fewer did, the limit dips there.
+	Contrast int
+	// The limit comes down, to where the ratio of the two means would be
+	// Aim, when the ratio lies LowerErrors standard errors above LowerAbove.
+	// It grows when the ratio lies GrowErrors of them below GrowBelow, and
+	// after Patience windows in which chance explains that it lies above 1.
+	Aim         float64
+	LowerAbove  float64
+	LowerErrors float64
+	GrowBelow   float64
+	GrowErrors  float64
+	Patience    int
+	// Settle is how many times its own number of calls must end after the
+	// limit moved before it moves again, since the quick ones end first.
+	Settle float64
+	// Change is the factor beyond what waiting explains from which the
+	// backend server itself has changed, and the memory begins anew.
+	Change float64
+	// FirstGrowth and MaxGrowth bound what a window without waiting adds to
+	// the limit, as a part of it; it doubles with each window.
+	FirstGrowth float64
+	MaxGrowth   float64
+	// ShedFactor lowers the limit when the backend server sheds by itself, and
+	// ShedPause is how long the limit does not grow after that.
+	ShedFactor float64
+	ShedPause  time.Duration
+}
+
+// DefaultTuning is what gates use.
+func DefaultTuning() Tuning {
+	return Tuning{
+		Memory: 8, Window: 8, LowPart: 0.8, HighPart: 0.9, Contrast: 8,
+		Aim: 1.15, LowerAbove: 1.22, LowerErrors: 1.5, GrowBelow: 1.1, GrowErrors: 0.5, Patience: 4, Settle: 1, Change: 2, FirstGrowth: 0.05, MaxGrowth: 0.6,
+		ShedFactor: 0.9, ShedPause: 200 * time.Millisecond,
+	}
+}
+
 // Sample is one call that ended.
 type Sample struct {
 	// Own is how long the call took apart from its onward calls.
 	Own time.Duration
+	// Hold is how long it took with them.
+	Hold time.Duration
 	// InFlight is how many calls were in flight when it began, itself too.
 	InFlight int
-	// Limited is whether the limit kept calls waiting when it ended.
+	// Limited is whether the limit held calls back when it ended.
 	Limited bool
-	// Began and Ended are when the call was let in and when it ended.
-	Began time.Duration
+	// Ended is when the call ended.
 	Ended time.Duration
 }
 
 // Limit is the concurrency limit of one gate.
 type Limit struct {
+	tuning Tuning
 	value  float64
 	growth float64
-	// base is the quantile of own times when calls don't wait, and since when
-	// it is known.
-	base     time.Duration
-	baseFrom time.Duration
-	low      time.Duration
-	trial    trial
-	paused   time.Duration
-	// Of the window that runs now:
-	own     []time.Duration
+	// dips is whether the limit is lowered to see calls begin far below it.
+	dips    bool
+	paused  time.Duration
+	memory  []Sample
+	fresh   int
 	limited int
-	highest int
+	// unsure counts windows that decided nothing.
+	unsure int
+	// settle is how many calls must end before the limit moves.
+	settle int
 }
 
-// trial is a window with a lowered limit.
-type trial struct {
-	runs   bool
-	began  time.Duration
-	before float64
-	low    time.Duration
+// Option changes a limit.
+type Option func(*Limit)
+
+// WithTuning replaces the numbers that the rule depends on.
+func WithTuning(t Tuning) Option {
+	return func(l *Limit) { l.tuning = t }
 }
 
 // New makes a limit for a backend server that says it has that many slots, or
 // 0. What it says only decides where the ramp begins.
-func New(slots int) *Limit {
+func New(slots int, options ...Option) *Limit {
 	start := startLimit
 	if slots > 0 {
 		start = min(slots, maxStart)
 	}
-	return &Limit{value: float64(start), growth: maxGrowth}
+	l := &Limit{tuning: DefaultTuning(), value: float64(start)}
+	for _, o := range options {
+		o(l)
+	}
+	l.growth = l.tuning.MaxGrowth
+	return l
 }
 
 // Value is how many calls may be in flight.
 func (l *Limit) Value() int {
-	value := l.value
-	if l.trial.runs {
-		value *= trialPart
+	if l.dips {
+		return max(int(l.tuning.LowPart*float64(l.whole())), minLimit)
 	}
-	return min(max(int(math.Ceil(value-0.01)), minLimit), maxLimit)
+	return l.whole()
 }
 
-// Base is the own time of calls that don't wait, or 0 when not known yet.
-func (l *Limit) Base() time.Duration {
-	return l.base
+// whole is the limit apart from dips.
+func (l *Limit) whole() int {
+	return min(max(int(math.Ceil(l.value-0.01)), minLimit), maxLimit)
 }
 
 // Observe takes a call that ended.
 func (l *Limit) Observe(s Sample) {
-	if l.trial.runs && s.Began < l.trial.began {
-		return
+	if most := l.tuning.Memory * max(l.whole(), leastMemory); len(l.memory) >= most {
+		l.memory = slices.Delete(l.memory, 0, len(l.memory)-most+1)
 	}
-	l.own = append(l.own, s.Own)
-	l.highest = max(l.highest, s.InFlight)
+	l.memory = append(l.memory, s)
+	l.fresh++
+	l.settle--
 	if s.Limited {
 		l.limited++
 	}
-	if len(l.own) >= l.windowSize() {
-		l.end(s.Ended)
+	if l.fresh < l.tuning.Window || l.settle > 0 {
+		return
 	}
+	limited := l.limited*2 > l.fresh
+	l.fresh, l.limited = 0, 0
+	l.decide(s.Ended, limited)
 }
 
 // Shed takes a call that the backend server refused by itself.
@@ -147,78 +181,120 @@
 	if now < l.paused {
 		return
 	}
-	l.paused = now + shedPause
-	l.value = max(minLimit, min(l.value, float64(inFlight))*shedFactor)
-	l.growth = firstGrowth
-	l.stopTrial()
+	l.paused = now + l.tuning.ShedPause
+	l.lower(min(l.value, float64(inFlight)) * l.tuning.ShedFactor)
+}
+
+func (l *Limit) lower(value float64) {
+	l.value = max(minLimit, value)
+	l.growth = l.tuning.FirstGrowth
+	l.forget()
+	l.rest()
+}
+
+// rest lets a generation of calls end before the limit moves again.
+func (l *Limit) rest() {
+	l.unsure = 0
+	l.settle = int(l.tuning.Settle * float64(l.whole()))
 }
 
-func (l *Limit) windowSize() int {
-	return min(max(minWindow, l.Value()), maxWindow)
+// forget keeps only the last window, so that what follows is compared with
+// calls of the same time.
+func (l *Limit) forget() {
+	l.memory = slices.Delete(l.memory, 0, max(0, len(l.memory)-l.tuning.Window))
 }
 
-// end ends a window and decides by its quantile.
-func (l *Limit) end(now time.Duration) {
-	slices.Sort(l.own)
-	low := l.own[int(lowQuantile*float64(len(l.own)-1))]
-	limited := l.limited*2 > len(l.own)
-	spare := float64(l.highest) <= trialPart*l.value
-	l.clear()
-	if l.trial.runs {
-		l.judge(now, low)
+func (l *Limit) grow(now time.Duration) {
+	if now < l.paused {
 		return
 	}
-	if l.low == 0 {
-		l.low = low
+	l.value = min(maxLimit, l.value*(1+l.growth))
+	l.growth = min(l.tuning.MaxGrowth, 2*l.growth)
+	l.rest()
+}
+
+// decide moves the limit after a window.
+func (l *Limit) decide(now time.Duration, limited bool) {
+	low, high := l.sides()
+	if l.dips && (!limited || low.count >= l.tuning.Contrast) {
+		l.dips = false
+		l.rest()
+		return
 	}
-	l.low += time.Duration(smoothing * float64(low-l.low))
-	if l.base == 0 || l.low < l.base {
-		l.base = l.low
-		l.baseFrom = now
+	switch {
+	case l.dips, high.count < max(l.tuning.Contrast, l.whole()/2):
+	case l.whole() == minLimit && limited:
+		l.grow(now)
+	case low.count < l.tuning.Contrast:
+		l.dips = limited
+	default:
+		l.compare(now, limited, low, high)
 	}
-	l.decide(now, limited, spare)
 }
 
-func (l *Limit) decide(now time.Duration, limited, spare bool) {
-	ratio := float64(l.low) / float64(max(1, l.base))
+// compare decides by how much longer calls wait at the limit, as a ratio of
+// the time that a call holds its slot, its onward calls included.
+func (l *Limit) compare(now time.Duration, limited bool, low, high side) {
+	ratio := 1 + (high.mean-low.mean)/low.hold
+	spread := math.Sqrt(low.variance()+high.variance()) / low.hold
+	most := high.inFlight / low.inFlight
 	switch {
-	case spare:
-		// What calls show far below the limit is their own time.
-		l.base, l.baseFrom = l.low, now
-	case !limited:
-	case ratio > suspicion || now-l.baseFrom > maxBaseAge:
-		l.trial = trial{runs: true, began: now, before: l.value, low: l.low}
-	case ratio > tolerance:
-		l.growth = firstGrowth
-		l.value = max(minLimit, l.value*tolerance/ratio)
-	case now >= l.paused:
-		l.value = min(maxLimit, l.value*(1+l.growth))
-		l.growth = min(maxGrowth, 2*l.growth)
+	case ratio > most*l.tuning.Change, high.mean < low.mean/l.tuning.Change:
+		l.forget()
+	case ratio-l.tuning.LowerErrors*spread > l.tuning.LowerAbove:
+		l.lower(max(l.tuning.LowPart*l.value, l.value*l.tuning.Aim/ratio))
+	case ratio+l.tuning.GrowErrors*spread < l.tuning.GrowBelow && limited:
+		l.grow(now)
+	case ratio-l.tuning.LowerErrors*spread < 1 && limited:
+		l.tryGrowth(now)
 	}
 }
 
-// judge ends a trial: when fewer calls in flight made each quicker, they had
-// waited for each other.
-func (l *Limit) judge(now time.Duration, low time.Duration) {
-	before := l.trial
-	l.stopTrial()
-	l.base, l.baseFrom = low, now
-	ratio := float64(low) / float64(max(1, before.low))
-	l.low = low
-	l.growth = firstGrowth
-	if ratio < relief {
-		l.value = max(minLimit, before.before*max(ratio, trialPart)*tolerance)
+// tryGrowth grows when windows went by that decided nothing.
+func (l *Limit) tryGrowth(now time.Duration) {
+	l.unsure++
+	if l.unsure < l.tuning.Patience {
+		return
+	}
+	l.grow(now)
+}
+
+// sides sums up the samples that began far below the limit and those at it.
+func (l *Limit) sides() (low, high side) {
+	limit := float64(l.whole())
+	for _, s := range l.memory {
+		n := float64(s.InFlight)
+		switch {
+		case n <= l.tuning.LowPart*limit:
+			low.add(s)
+		case n > l.tuning.HighPart*limit && n <= limit/l.tuning.HighPart:
+			high.add(s)
+		}
 	}
+	return low, high
+}
+
+// side sums up samples by Welford's method.
+type side struct {
+	count    int
+	mean     float64
+	squares  float64
+	inFlight float64
+	hold     float64
 }
 
-func (l *Limit) stopTrial() {
-	l.trial = trial{}
-	l.clear()
+func (s *side) add(x Sample) {
+	own := float64(x.Own)
+	s.count++
+	off := own - s.mean
+	s.mean += off / float64(s.count)
+	s.squares += off * (own - s.mean)
+	s.inFlight += (float64(x.InFlight) - s.inFlight) / float64(s.count)
+	s.hold += (float64(x.Hold) - s.hold) / float64(s.count)
 }
 
-// clear begins a window.
-func (l *Limit) clear() {
-	l.own = l.own[:0]
-	l.limited = 0
-	l.highest = 0
+// variance is that of the mean.
+func (s *side) variance() float64 {
+	n := float64(s.count)
+	return s.squares / ((n - 1) * n)
 }
--- a/io/kqnode/admission.go
+++ b/io/kqnode/admission.go
@@ -49,9 +49,7 @@
 	if !v.Run {
 		return nil, kqcall.End{Outcome: kqcall.OutcomeNotRun, Cause: v.Cause, RetryAfter: v.RetryAfter}
 	}
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	return &place{began: g.clock(), inFlight: g.queue.InFlight(), class: q.head.Class}, kqcall.End{}
+	return &place{began: g.clock(), inFlight: v.InFlight, class: q.head.Class}, kqcall.End{}
 }
 
 // meet begins a new limit for a backend server that was not known before.
@@ -132,8 +130,8 @@
 	}
 	if counts {
 		g.limit.Observe(kqlimit.Sample{
-			Own: took - onward, InFlight: p.inFlight, Limited: g.queue.Waiting() > 0 || g.queue.Cut() != kqadmit.Open,
-			Began: p.began, Ended: now,
+			Own: took - onward, Hold: took, InFlight: p.inFlight, Limited: g.queue.Waiting() > 0 || g.queue.Cut() != kqadmit.Open,
+			Ended: now,
 		})
 	}
 	g.deliver(g.queue.Done(now, kqadmit.Finished{Class: p.class, Took: took, Counts: counts}))
