--- a/core/kqadmit/cut.go
+++ b/core/kqadmit/cut.go
@@ -55,20 +55,21 @@
 	c.idle = c.idle || (waiting == 0 && free)
 }
 
-// advance ends the windows that have passed by now.
-func (c *cut) advance(now time.Duration, waiting int) {
+// advance ends the windows that have passed by now and says whether any did.
+func (c *cut) advance(now time.Duration, waiting int) bool {
 	if c.ends == 0 {
 		c.begin(now, waiting)
-		return
+		return false
 	}
 	if now < c.ends || c.tooFew(now) {
-		return
+		return false
 	}
 	c.end()
 	for c.ends += c.tuning.Window; c.ends <= now && waiting == 0 && c.level != Open; c.ends += c.tuning.Window {
 		c.relax()
 	}
 	c.begin(now, waiting)
+	return true
 }
 
 // tooFew is whether a window in which a queue stands should go on, since too
--- a/core/kqadmit/kqadmit.go
+++ b/core/kqadmit/kqadmit.go
@@ -69,6 +69,8 @@
 	cut      cut
 	classes  map[string]*serviceTimes
 	hold     time.Duration
+	// sweep is when waiting calls are looked through next.
+	sweep time.Duration
 }
 
 // New makes a queue that lets in one call at a time.
@@ -220,7 +222,10 @@
 
 // advance ends the windows that have passed and gives up what waits too long.
 func (q *Queue) advance(now time.Duration, verdicts []Verdict) []Verdict {
-	q.cut.advance(now, len(q.waiting))
+	if !q.cut.advance(now, len(q.waiting)) && now < q.sweep {
+		return verdicts
+	}
+	q.sweep = now + sweepPeriod
 	verdicts = q.giveUp(now, verdicts, func(i Item) bool { return i.Level > q.cut.level })
 	return q.giveUp(now, verdicts, func(i Item) bool { return now-i.Came >= q.Sojourn() })
 }
--- a/core/kqadmit/tuning.go
+++ b/core/kqadmit/tuning.go
@@ -12,6 +12,8 @@
 	hardQueue = 4096
 	// maxArrivals bounds the arrivals that one window remembers.
 	maxArrivals = 8192
+	// sweepPeriod is how often waiting calls are looked through at most.
+	sweepPeriod = 5 * time.Millisecond
 )
 
 // Tuning holds the numbers that the queue's rules depend on.
--- a/core/kqlimit/kqlimit.go
+++ b/core/kqlimit/kqlimit.go
@@ -159,8 +159,9 @@
 
 // Observe takes a call that ended.
 func (l *Limit) Observe(s Sample) {
-	if most := l.tuning.Memory * max(l.whole(), leastMemory); len(l.memory) >= most {
-		l.memory = slices.Delete(l.memory, 0, len(l.memory)-most+1)
+	most := l.tuning.Memory * max(l.whole(), leastMemory)
+	if len(l.memory) >= 2*most {
+		l.memory = slices.Delete(l.memory, 0, len(l.memory)-most)
 	}
 	l.memory = append(l.memory, s)
 	l.fresh++
@@ -262,7 +263,8 @@
 // sides sums up the samples that began far below the limit and those at it.
 func (l *Limit) sides() (low, high side) {
 	limit := float64(l.whole())
-	for _, s := range l.memory {
+	most := l.tuning.Memory * max(l.whole(), leastMemory)
+	for _, s := range l.memory[max(0, len(l.memory)-most):] {
 		n := float64(s.InFlight)
 		switch {
 		case n <= l.tuning.LowPart*limit:
