--- a/core/kqadmit/sensitivity_test.go
+++ b/core/kqadmit/sensitivity_test.go
@@ -72,7 +72,7 @@
 		for _, k := range knobs {
 			fmt.Fprintf(table, "%-22s %-30s %s\n", k.name, k.worst(0.5), k.worst(2))
 		}
-		b.Log("\n" + table.String())
+		fmt.Print(table.String())
 	}
 }
 
