--- a/io/kqnode/control.go
+++ b/io/kqnode/control.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"kumquatlink/core/kqchart"
+	"kumquatlink/core/kqconfig"
 	"kumquatlink/core/kqmember"
 	"kumquatlink/io/kqhttp"
 	"kumquatlink/io/kqwire"
@@ -30,6 +31,8 @@
 	events chan event
 	life   *kqchart.Machine
 	view   *kqmember.View
+	member *member
+	holder *kqconfig.Holder
 	state  State
 
 	mutex  sync.Mutex
@@ -37,7 +40,7 @@
 }
 
 func newControl(n *Node) *control {
-	c := &control{node: n, events: make(chan event, eventQueueLength), signal: make(chan struct{})}
+	c := &control{node: n, events: make(chan event, eventQueueLength), signal: make(chan struct{}), holder: kqconfig.NewHolder()}
 	c.life = kqchart.NewMachine(readChart("charts/node.json"))
 	return c
 }
@@ -55,8 +58,10 @@
 	s := c.node.settings
 	c.view = kqmember.NewView(kqmember.Record{
 		NodeID: s.NodeID, Incarnation: uint64(c.node.now().UnixNano()), Version: 1,
-		Address: peerAddress, FailureDomain: s.FailureDomain, Region: s.Region, Life: kqmember.Life(c.life.State()),
+		Address: peerAddress, OperatorAddress: c.node.operatorAddress, FailureDomain: s.FailureDomain, Region: s.Region, Life: kqmember.Life(c.life.State()),
 	})
+	c.member = newMember(c.node.now(), c.view)
+	c.member.spread.SetContacts(s.Peers, true)
 	c.publish()
 }
 
@@ -75,7 +80,7 @@
 func (c *control) publish() {
 	s := c.state
 	s.Life = kqmember.Life(c.life.State())
-	s.Members = c.view.Snapshot()
+	s.Members = c.view.Current()
 	c.node.state.Store(&s)
 	c.mutex.Lock()
 	close(c.signal)
@@ -111,7 +116,7 @@
 	}
 	b.pool = kqhttp.NewPool(b.Announcement.Address)
 	c.state.Backend = b
-	c.view.UpdateOwn(func(r *kqmember.Record) { r.Service = b.Announcement.Service })
+	c.member.spread.UpdateOwn(func(r *kqmember.Record) { r.Service = b.Announcement.Service })
 	c.fire("Ready")
 	return true
 }
@@ -131,6 +136,6 @@
 	if err := c.life.Fire(name); err != nil {
 		return false
 	}
-	c.view.UpdateOwn(func(r *kqmember.Record) { r.Life = kqmember.Life(c.life.State()) })
+	c.member.spread.UpdateOwn(func(r *kqmember.Record) { r.Life = kqmember.Life(c.life.State()) })
 	return true
 }
