Tell of every class's deep cut on each answer, ask while calls are held back

Change: a gate's answer lists the strictest cut behind it for each class; the newest one counts. An entry that holds calls back asks one gate of each service for its load after 200 ms of silence, a question that runs nothing, so that no call is spent on probing. Work that must not be repeated is never refused for a deeper cut. The guard also waits for less important calls that still hold a slot.

--- a/core/kqadmit/guard.go
+++ b/core/kqadmit/guard.go
@@ -2,8 +2,9 @@
 
 import "time"
 
-// guard remembers for each rank when a call was last let in and refused, so
-// that no call is refused while a less important one is let in.
+// guard remembers for each rank when a call was last let in and refused and
+// how many are in flight, so that no call is refused while a less important
+// one is let in or holds a slot.
 type guard struct {
 	ranks []rankTimes
 }
@@ -14,6 +15,8 @@
 	let  time.Duration
 	shut time.Duration
 	seen bool
+	// inFlight is how many calls of the rank hold a slot.
+	inFlight int
 }
 
 func (g *guard) rank(r int) *rankTimes {
@@ -26,6 +29,11 @@
 func (g *guard) letIn(now time.Duration, rank int) {
 	r := g.rank(rank)
 	r.let, r.seen = now, true
+	r.inFlight++
+}
+
+func (g *guard) ended(rank int) {
+	g.rank(rank).inFlight--
 }
 
 func (g *guard) refused(now time.Duration, rank int) {
@@ -47,10 +55,11 @@
 	return false
 }
 
-// mayRefuse is whether no less important call was let in just before.
+// mayRefuse is whether no less important call holds a slot or was let in just
+// before.
 func (g *guard) mayRefuse(now time.Duration, rank int) bool {
 	for r := rank + 1; r < len(g.ranks); r++ {
-		if g.ranks[r].seen && now-g.ranks[r].let < Guard {
+		if g.ranks[r].inFlight > 0 || g.ranks[r].seen && now-g.ranks[r].let < Guard {
 			return false
 		}
 	}
--- a/core/kqadmit/kqadmit.go
+++ b/core/kqadmit/kqadmit.go
@@ -52,6 +52,7 @@
 
 // Finished tells how a call that ran ended.
 type Finished struct {
+	Level Level
 	Class string
 	// Took is how long the call held its slot.
 	Took time.Duration
@@ -117,6 +118,7 @@
 // Done takes the end of a call that was let in.
 func (q *Queue) Done(now time.Duration, f Finished) []Verdict {
 	q.inFlight--
+	q.guard.ended(f.Level.Rank())
 	if f.Counts {
 		q.learn(now, f)
 	}
--- a/core/kqadmit/simulation_test.go
+++ b/core/kqadmit/simulation_test.go
@@ -232,7 +232,7 @@
 			Ended: m.now,
 		})
 	}
-	m.apply(m.queue.Done(m.now, kqadmit.Finished{Class: c.load.class, Took: took, Counts: counts}))
+	m.apply(m.queue.Done(m.now, kqadmit.Finished{Level: c.level, Class: c.load.class, Took: took, Counts: counts}))
 	m.apply(m.queue.SetLimit(m.now, m.limit.Value()))
 }
 
--- a/core/kqshed/kqshed.go
+++ b/core/kqshed/kqshed.go
@@ -9,19 +9,22 @@
 //	table := kqshed.New()
 //	table.Heard(now, kqshed.Answer{Service: "orders", Upstream: "orders-1", Class: "browse", Cut: cut, Deep: deep})
 //	if table.Refuses(now, call) { ... }
+//	for _, service := range table.Stale(now) { ... } // ask one of its gates
 //
-// A gate puts [Table.Deep] on its answers: the strictest cut among the
-// services that its backend server calls for the class. So an entry learns
-// what the whole chain would refuse, and no work is begun for a request that
-// a deeper service sheds.
+// A gate puts [Table.Deep] on its answers: for each class, the strictest cut
+// among the services that its backend server calls for the class. So an entry
+// learns what the whole chain would refuse, and no work is begun for a request
+// that a deeper service sheds.
 //
-// A cut that was heard is forgotten after [Life]. When nothing was heard of a
-// service for a while, one call is let through to learn of it. Times are
+// A cut that was heard is forgotten after [Life]. While calls are refused few
+// answers come, so that [Table.Stale] names the services to ask. Times are
 // durations since an arbitrary start. A Table is not safe for concurrent use.
 package kqshed
 
 import (
 	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"kumquatlink/core/kqadmit"
@@ -30,29 +33,40 @@
 // Constants of the table.
 const (
 	// Life is how long a cut that was heard is held.
-	Life = 300 * time.Millisecond
-	// probePeriod is the silence after which one call is let through.
-	probePeriod = 25 * time.Millisecond
+	Life = time.Second
+	// AskPeriod is the silence after which a service is asked for its cuts.
+	AskPeriod = 200 * time.Millisecond
 	// minHeard is how many upstreams, if there are so many, must have been
 	// heard of before a call is refused by what they said.
 	minHeard = 2
 	// callsLife is how long it is remembered that a class calls a service.
-	callsLife = 2 * time.Second
+	callsLife = time.Minute
+	// shutLife is how long an open cut is still told of after it was not open.
+	shutLife = 2 * time.Second
+	// MaxClasses bounds the classes of which one answer tells.
+	MaxClasses = 64
 	// pruneAt is how many entries a map may have before old ones are dropped.
 	pruneAt = 256
 )
 
+// ClassCut is the strictest cut behind a gate for a class.
+type ClassCut struct {
+	Class string
+	Level kqadmit.Level
+}
+
 // Answer is what the answer of a gate told.
 type Answer struct {
 	Service  string
 	Upstream string
-	Class    string
+	// Class is the class of the call, or empty when the gate was only asked.
+	Class string
 	// Onward is whether the call was made for a call that this node's own
 	// backend server runs.
 	Onward bool
-	// Cut is the gate's own cut, and Deep the strictest one behind it.
+	// Cut is the gate's own cut, and Deep what it knows of those behind it.
 	Cut  kqadmit.Level
-	Deep kqadmit.Level
+	Deep []ClassCut
 }
 
 // Call is a call that is about to be sent.
@@ -64,12 +78,17 @@
 	Started kqadmit.Level
 	// Upstreams is how many upstreams the service has.
 	Upstreams int
+	// Whole is whether the cuts of deeper services count too.
+	Whole bool
 }
 
 // Table is what one entry has heard.
 type Table struct {
 	services map[string]*service
-	calls    map[onward]time.Duration
+	// calls is when a class last called a service onward.
+	calls map[onward]time.Duration
+	// shut is when a class's deep cut was last not open.
+	shut map[string]time.Duration
 }
 
 type onward struct {
@@ -77,18 +96,18 @@
 	service string
 }
 
+// service is what was heard of one service.
 type service struct {
+	// cuts holds the cuts of its upstreams, and last the newest of them.
 	cuts map[string]held
-	deep map[from]held
-	// newest is when an upstream was last heard of or a call let through.
-	newest time.Duration
-}
-
-type from struct {
-	upstream string
-	class    string
+	last held
+	// deep holds the newest deep cut of each class.
+	deep map[string]held
+	// asked is when an answer last came or was asked for.
+	asked time.Duration
 }
 
+// held is a cut and when it was heard.
 type held struct {
 	level kqadmit.Level
 	at    time.Duration
@@ -100,39 +119,41 @@
 
 // New makes an empty table.
 func New() *Table {
-	return &Table{services: map[string]*service{}, calls: map[onward]time.Duration{}}
+	return &Table{services: map[string]*service{}, calls: map[onward]time.Duration{}, shut: map[string]time.Duration{}}
 }
 
 // Heard takes what an answer told.
 func (t *Table) Heard(now time.Duration, a Answer) {
 	s, found := t.services[a.Service]
 	if !found {
-		s = &service{cuts: map[string]held{}, deep: map[from]held{}}
+		s = &service{cuts: map[string]held{}, deep: map[string]held{}}
 		t.services[a.Service] = s
 	}
-	s.cuts[a.Upstream] = held{a.Cut, now}
-	s.deep[from{a.Upstream, a.Class}] = held{a.Deep, now}
-	s.newest = now
-	s.prune(now)
-	if a.Onward {
-		t.calls[onward{a.Class, a.Service}] = now
-		t.prune(now)
+	s.last = held{a.Cut, now}
+	s.cuts[a.Upstream] = s.last
+	s.asked = now
+	for _, d := range a.Deep[:min(len(a.Deep), MaxClasses)] {
+		s.deep[d.Class] = held{d.Level, now}
+	}
+	prune(s.cuts, now)
+	prune(s.deep, now)
+	if a.Onward && a.Class != "" {
+		t.called(now, onward{a.Class, a.Service})
 	}
 }
 
-func (s *service) prune(now time.Duration) {
-	if len(s.cuts)+len(s.deep) <= pruneAt {
-		return
+// called remembers that a class calls a service onward.
+func (t *Table) called(now time.Duration, o onward) {
+	t.calls[o] = now
+	if len(t.calls) > pruneAt {
+		maps.DeleteFunc(t.calls, func(_ onward, at time.Duration) bool { return now-at >= callsLife })
 	}
-	maps.DeleteFunc(s.cuts, func(_ string, h held) bool { return !h.fresh(now) })
-	maps.DeleteFunc(s.deep, func(_ from, h held) bool { return !h.fresh(now) })
 }
 
-func (t *Table) prune(now time.Duration) {
-	if len(t.calls) <= pruneAt {
-		return
+func prune(cuts map[string]held, now time.Duration) {
+	if len(cuts) > pruneAt {
+		maps.DeleteFunc(cuts, func(_ string, h held) bool { return !h.fresh(now) })
 	}
-	maps.DeleteFunc(t.calls, func(_ onward, at time.Duration) bool { return now-at >= callsLife })
 }
 
 // Refuses is whether every upstream that was heard of lately would refuse the
@@ -142,52 +163,105 @@
 	if !found {
 		return false
 	}
-	cut, deep := s.loosest(now, c.Class, min(minHeard, c.Upstreams))
-	if c.Level <= cut && c.Started <= deep {
-		return false
+	if c.Level > s.loosest(now, max(1, min(minHeard, c.Upstreams))) {
+		return true
 	}
-	if now-s.newest >= probePeriod {
-		s.newest = now
-		return false
+	deep, heard := s.deep[c.Class]
+	return c.Whole && heard && deep.fresh(now) && c.Started > deep.level
+}
+
+// loosest gives the loosest fresh cut of the service's upstreams, or an open
+// one when fewer than needed were heard of.
+func (s *service) loosest(now time.Duration, needed int) kqadmit.Level {
+	heard, cut := 0, kqadmit.Level(0)
+	for _, h := range s.cuts {
+		if h.fresh(now) {
+			heard++
+			cut = max(cut, h.level)
+		}
 	}
-	return true
+	if heard < needed {
+		return kqadmit.Open
+	}
+	return cut
 }
 
-// Deep is the strictest cut among the services that are called onward for the
-// class, and those behind them.
-func (t *Table) Deep(now time.Duration, class string) kqadmit.Level {
-	strictest := kqadmit.Open
+// Deep lists the strictest cuts among the services that each class calls
+// onward and those behind them, of the classes for which one is not open or
+// was not a little while ago.
+func (t *Table) Deep(now time.Duration) []ClassCut {
+	strictest := map[string]kqadmit.Level{}
 	for o, at := range t.calls {
-		if o.class != class || now-at >= callsLife {
+		if now-at >= callsLife {
+			continue
+		}
+		level, known := t.services[o.service].behind(now, o.class)
+		if !known {
 			continue
 		}
-		cut, deep := t.services[o.service].loosest(now, class, 1)
-		strictest = min(strictest, cut, deep)
+		if held, found := strictest[o.class]; !found || level < held {
+			strictest[o.class] = level
+		}
 	}
-	return strictest
+	var cuts []ClassCut
+	for class, level := range strictest {
+		if t.tells(now, class, level) && len(cuts) < MaxClasses {
+			cuts = append(cuts, ClassCut{class, level})
+		}
+	}
+	slices.SortFunc(cuts, func(a, b ClassCut) int { return strings.Compare(a.Class, b.Class) })
+	return cuts
 }
 
-// loosest gives the loosest fresh cuts, or open ones when fewer upstreams than
-// needed were heard of.
-func (s *service) loosest(now time.Duration, class string, needed int) (cut, deep kqadmit.Level) {
-	heard, heardDeep := 0, 0
-	for _, h := range s.cuts {
-		if h.fresh(now) {
-			heard++
-			cut = max(cut, h.level)
-		}
+// tells is whether the cut of a class is worth telling of.
+func (t *Table) tells(now time.Duration, class string, level kqadmit.Level) bool {
+	if level != kqadmit.Open {
+		t.shut[class] = now
+		return true
+	}
+	at, found := t.shut[class]
+	if found && now-at >= shutLife {
+		delete(t.shut, class)
+		return false
 	}
-	for f, h := range s.deep {
-		if f.class == class && h.fresh(now) {
-			heardDeep++
-			deep = max(deep, h.level)
+	return found
+}
+
+// behind gives the newest cut of the service or behind it for a class.
+func (s *service) behind(now time.Duration, class string) (kqadmit.Level, bool) {
+	if !s.last.fresh(now) {
+		return kqadmit.Open, false
+	}
+	if deep, found := s.deep[class]; found && deep.fresh(now) {
+		return min(s.last.level, deep.level), true
+	}
+	return s.last.level, true
+}
+
+// Stale lists the services that hold calls back and of which nothing was
+// heard for a while. Whoever takes the list asks each for its cuts.
+func (t *Table) Stale(now time.Duration) []string {
+	var names []string
+	for name, s := range t.services {
+		if now-s.asked >= AskPeriod && s.holdsBack(now) {
+			s.asked = now
+			names = append(names, name)
 		}
 	}
-	if heard < max(1, needed) {
-		cut = kqadmit.Open
+	slices.Sort(names)
+	return names
+}
+
+// holdsBack is whether any fresh cut of the service is not open.
+func (s *service) holdsBack(now time.Duration) bool {
+	shut := func(h held) bool { return h.fresh(now) && h.level != kqadmit.Open }
+	if shut(s.last) {
+		return true
 	}
-	if heardDeep < max(1, needed) {
-		deep = kqadmit.Open
+	for _, h := range s.deep {
+		if shut(h) {
+			return true
+		}
 	}
-	return cut, deep
+	return s.loosest(now, minHeard) != kqadmit.Open
 }
--- a/io/kqlink/frames.go
+++ b/io/kqlink/frames.go
@@ -38,6 +38,9 @@
 	Headers []Header
 	// BodyLength is the exact number of body bytes; the stream ends there.
 	BodyLength int
+	// AskLoad is whether the stream only asks for the gate's load; nothing is
+	// run then.
+	AskLoad bool
 }
 
 // Load is what a gate tells about itself on every answer.
@@ -45,11 +48,17 @@
 	InFlight int
 	Queued   int
 	Limit    int
-	// Withheld and DeepWithheld give the gate's cut, and the strictest cut
-	// behind it for the call's class, as kqadmit.Level.Withheld does; 0 lets
+	// Withheld gives the gate's cut as kqadmit.Level.Withheld does; 0 lets
 	// every call in.
-	Withheld     uint64
-	DeepWithheld uint64
+	Withheld uint64
+	// Deep lists the strictest cuts behind the gate, by class.
+	Deep []ClassCut
+}
+
+// ClassCut is the strictest cut behind a gate for a class of work.
+type ClassCut struct {
+	Class    string
+	Withheld uint64
 }
 
 // AnswerHead opens the answer; BodyLength bytes of body follow it.
--- a/io/kqnode/admission.go
+++ b/io/kqnode/admission.go
@@ -19,6 +19,7 @@
 	began    time.Duration
 	inFlight int
 	class    string
+	level    kqadmit.Level
 }
 
 // clock is the gate's own time.
@@ -49,7 +50,7 @@
 	if !v.Run {
 		return nil, kqcall.End{Outcome: kqcall.OutcomeNotRun, Cause: v.Cause, RetryAfter: v.RetryAfter}
 	}
-	return &place{began: g.clock(), inFlight: v.InFlight, class: q.head.Class}, kqcall.End{}
+	return &place{began: g.clock(), inFlight: v.InFlight, class: q.head.Class, level: item.Level}, kqcall.End{}
 }
 
 // meet begins a new limit for a backend server that was not known before.
@@ -134,7 +135,7 @@
 			Ended: now,
 		})
 	}
-	g.deliver(g.queue.Done(now, kqadmit.Finished{Class: p.class, Took: took, Counts: counts}))
+	g.deliver(g.queue.Done(now, kqadmit.Finished{Level: p.level, Class: p.class, Took: took, Counts: counts}))
 	g.deliver(g.queue.SetLimit(now, g.limit.Value()))
 }
 
--- a/io/kqnode/gate.go
+++ b/io/kqnode/gate.go
@@ -67,13 +67,9 @@
 
 // finish counts and logs the gate's decision and adds its load to the answer.
 func (g *gate) finish(q *call, r *result) *result {
-	deep := g.node.shed.deep(q.head.Class)
+	r.load = g.load()
 	g.mutex.Lock()
 	g.count(q, r)
-	r.load = kqlink.Load{
-		InFlight: g.queue.InFlight(), Queued: g.queue.Waiting(), Limit: g.limit.Value(),
-		Withheld: g.queue.Cut().Withheld(), DeepWithheld: deep.Withheld(),
-	}
 	g.mutex.Unlock()
 	g.node.log.Decide(kqlog.Decision{
 		RequestID: q.head.RequestID, Class: q.head.Class, Service: q.head.Service, Decision: "Admit",
@@ -81,3 +77,15 @@
 	})
 	return r
 }
+
+// load is what the gate tells of itself and of what is behind it.
+func (g *gate) load() kqlink.Load {
+	deep := g.node.shed.deep()
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.deliver(g.queue.Tick(g.clock()))
+	return kqlink.Load{
+		InFlight: g.queue.InFlight(), Queued: g.queue.Waiting(), Limit: g.limit.Value(),
+		Withheld: g.queue.Cut().Withheld(), Deep: deep,
+	}
+}
--- a/io/kqnode/router.go
+++ b/io/kqnode/router.go
@@ -291,6 +291,9 @@
 
 // handlePeerCall runs a call that a peer's entry sent to this node's gate.
 func (n *Node) handlePeerCall(ctx context.Context, _ string, head kqlink.CallHead, body []byte) (kqlink.AnswerHead, []byte) {
+	if head.AskLoad {
+		return kqlink.AnswerHead{End: kqcall.NotRun(""), Load: n.gate.load()}, nil
+	}
 	q := &call{head: head.Head, method: head.Method, path: head.Path, headers: head.Headers, body: body}
 	ctx, cancel := withBudget(ctx, q.head)
 	defer cancel()
--- a/io/kqnode/shed.go
+++ b/io/kqnode/shed.go
@@ -1,14 +1,23 @@
 package kqnode
 
 import (
+	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"kumquatlink/core/kqadmit"
 	"kumquatlink/core/kqcall"
+	"kumquatlink/core/kqmember"
 	"kumquatlink/core/kqshed"
+	"kumquatlink/io/kqlink"
 )
 
+// askTimeout bounds one question for a gate's load.
+const askTimeout = 500 * time.Millisecond
+
 // shedder refuses calls at the entry by the cuts that gates told of.
 type shedder struct {
 	node  *Node
@@ -26,40 +35,102 @@
 	return s.node.now().Sub(s.begun)
 }
 
-// refuses gives the end of a call that is not sent, or nil.
+// refuses gives the end of a call that is not sent, or nil. Work that must not
+// be repeated is never refused for what a deeper service said, since less
+// important work may still be let in at the first one.
 func (s *shedder) refuses(q *call) *result {
 	c := kqshed.Call{
 		Service: q.head.Service, Class: q.head.Class, Upstreams: len(s.node.State().Members.Upstreams(q.head.Service)),
-		Level: kqadmit.LevelOf(q.head), Started: kqadmit.Started(q.head),
+		Level: kqadmit.LevelOf(q.head), Started: kqadmit.Started(q.head), Whole: q.head.Repeatable,
 	}
+	now := s.clock()
 	s.mutex.Lock()
-	refuses := s.table.Refuses(s.clock(), c)
+	refuses := s.table.Refuses(now, c)
+	var stale []string
+	if refuses {
+		stale = s.table.Stale(now)
+	}
 	s.mutex.Unlock()
 	if !refuses {
 		return nil
 	}
+	s.ask(stale)
 	end := kqcall.NotRun(kqcall.CauseShedEntry)
 	end.RetryAfter = kqadmit.RetryAfter(c.Level)
 	return &result{end: end, retriesLeft: q.head.Retries}
 }
 
-// heard takes the load that a gate put on its answer. An answer that no gate
-// made has a limit of 0.
+// heard takes the load that a gate put on its answer.
 func (s *shedder) heard(q *call, upstream string, r *result) {
-	if r.load.Limit == 0 {
+	if !r.heard {
 		return
 	}
+	a := answerOf(q.head.Service, upstream, r.load)
+	a.Class, a.Onward = q.head.Class, q.parent != nil
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.table.Heard(s.clock(), kqshed.Answer{
-		Service: q.head.Service, Upstream: upstream, Class: q.head.Class, Onward: q.parent != nil,
-		Cut: kqadmit.CutOf(r.load.Withheld), Deep: kqadmit.CutOf(r.load.DeepWithheld),
-	})
+	s.table.Heard(s.clock(), a)
+}
+
+func answerOf(service, upstream string, l kqlink.Load) kqshed.Answer {
+	a := kqshed.Answer{Service: service, Upstream: upstream, Cut: kqadmit.CutOf(l.Withheld)}
+	for _, d := range l.Deep {
+		a.Deep = append(a.Deep, kqshed.ClassCut{Class: d.Class, Level: kqadmit.CutOf(d.Withheld)})
+	}
+	return a
+}
+
+// deep lists the strictest cuts behind this node's backend server.
+func (s *shedder) deep() []kqlink.ClassCut {
+	now := s.clock()
+	s.mutex.Lock()
+	held := s.table.Deep(now)
+	stale := s.table.Stale(now)
+	s.mutex.Unlock()
+	s.ask(stale)
+	var cuts []kqlink.ClassCut
+	for _, d := range held {
+		cuts = append(cuts, kqlink.ClassCut{Class: d.Class, Withheld: d.Level.Withheld()})
+	}
+	return cuts
 }
 
-// deep is the strictest cut behind this node's backend server for the class.
-func (s *shedder) deep(class string) kqadmit.Level {
+// ask asks one gate of each service for its load, off the call's way.
+func (s *shedder) ask(services []string) {
+	for _, name := range services {
+		upstreams := s.node.State().Members.Upstreams(name)
+		if len(upstreams) == 0 {
+			continue
+		}
+		u := upstreams[rand.IntN(len(upstreams))]
+		if err := s.node.pool.Submit(func() { s.askGate(name, u) }); err != nil {
+			s.node.log.Event(zerolog.DebugLevel, "ask for load of "+name, err)
+		}
+	}
+}
+
+func (s *shedder) askGate(service string, u kqmember.Record) {
+	l, err := s.loadOf(service, u)
+	if err != nil {
+		s.node.log.Event(zerolog.DebugLevel, "ask "+u.NodeID+" for its load", err)
+		return
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.table.Deep(s.clock(), class)
+	s.table.Heard(s.clock(), answerOf(service, u.NodeID, l))
+}
+
+func (s *shedder) loadOf(service string, u kqmember.Record) (kqlink.Load, error) {
+	if u.NodeID == s.node.settings.NodeID {
+		return s.node.gate.load(), nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	answer, err := s.node.dialer.Call(ctx, u.Address, kqlink.CallHead{
+		Head: kqcall.Head{Service: service, Budget: askTimeout}, AskLoad: true,
+	}, nil)
+	if err != nil {
+		return kqlink.Load{}, err
+	}
+	return answer.Head.Load, nil
 }
