Prove spreading in virtual time against the naive model

Cause: the spreading machine had no test. Change: core/kqvirtual runs many machines on a fake network; tests inject loss, doubling, late messages, pauses, splits, skewed clocks and dead nodes. Found and mended: a node with a high name was never confirmed, since only the lower end of a link pings; unknown senders got no answer and raised false suspicions at start; queues dropped news that a neighbour then told twice.

--- a/core/kqmember/view.go
+++ b/core/kqmember/view.go
@@ -150,6 +150,15 @@
 	return v.own.Record.Life == LifeJoining || stamp.Suspected || heard.Life == LifeGone
 }
 
+// Adopt takes over members that another view holds, without a check.
+func (v *View) Adopt(members []*Member) {
+	for _, m := range members {
+		if m.Record.NodeID != v.own.Record.NodeID {
+			v.put(m)
+		}
+	}
+}
+
 // Advance moves members on that time alone changes.
 func (v *View) Advance(now time.Duration) {
 	for id, m := range v.leaving {
--- a/core/kqspread/digest.go
+++ b/core/kqspread/digest.go
@@ -21,7 +21,6 @@
 type digest struct {
 	top     uint64
 	buckets [bucketCount]uint64
-	keys    [bucketCount]map[Key]struct{}
 }
 
 func bucketOf(k Key) uint8 {
@@ -49,31 +48,13 @@
 	d.buckets[bucketOf(s.Key)] ^= h
 }
 
-func (d *digest) hold(k Key) {
-	b := bucketOf(k)
-	if d.keys[b] == nil {
-		d.keys[b] = map[Key]struct{}{}
-	}
-	d.keys[b][k] = struct{}{}
-}
-
-func (d *digest) release(k Key) {
-	delete(d.keys[bucketOf(k)], k)
-}
-
 // observe follows a change of the view. Hidden members are not summed up, so
 // that they are not told to others.
 func (d *digest) observe(before, after *kqmember.Member) {
-	if before != nil && before.Status != kqmember.StatusHidden {
-		d.toggle(memberSummary(before))
-	}
-	if after != nil && after.Status != kqmember.StatusHidden {
-		d.toggle(memberSummary(after))
-		d.hold(memberKey(after.Record.NodeID))
-		return
-	}
-	if before != nil {
-		d.release(memberKey(before.Record.NodeID))
+	for _, held := range []*kqmember.Member{before, after} {
+		if held != nil && held.Status != kqmember.StatusHidden {
+			d.toggle(memberSummary(held))
+		}
 	}
 }
 
--- a/core/kqspread/kqspread.go
+++ b/core/kqspread/kqspread.go
@@ -44,6 +44,8 @@
 	// PauseAfter is the time between two ticks that shows that this node was
 	// paused itself.
 	PauseAfter = 2 * time.Second
+	// relinkPeriod is how often neighbours are chosen anew at most.
+	relinkPeriod = 500 * time.Millisecond
 	// probePeriod is how often one removed node is tried again.
 	probePeriod = 20 * time.Second
 	// joinPeriod is how often a node that has not joined asks again.
@@ -93,6 +95,7 @@
 	lastTick  time.Duration
 	changedAt time.Duration
 	relink    bool
+	relinked  time.Duration
 	// quiet keeps a view that was taken over whole from being told on.
 	quiet bool
 
@@ -114,7 +117,7 @@
 		changes: newBudget(now, changeRate, changeBurst), joins: newBudget(now, joinRate, joinBurst),
 	}
 	m.contacts = newContacts(now)
-	m.probed = now
+	m.probed, m.relinked = now, now-relinkPeriod
 	view.Observe = m.observe
 	for _, held := range view.Members() {
 		m.observe(nil, held)
@@ -200,8 +203,8 @@
 	m.answerPing(now, from, message, &reply)
 	m.compare(now, from, message, &reply)
 	m.supply(now, message.Wants, &reply)
-	if address := m.addressOf(from); address != "" && !reply.empty() {
-		m.send(from, address, reply)
+	if !reply.empty() {
+		m.send(from, m.addressOf(from), reply)
 	}
 	return m.take()
 }
@@ -237,13 +240,18 @@
 	return budget{rate: rate, burst: burst, held: burst, at: now}
 }
 
-// take takes n tokens, if there are as many.
-func (b *budget) take(now time.Duration, n float64) bool {
+// take takes a token, if there is one.
+func (b *budget) take(now time.Duration) bool {
 	b.held = min(b.burst, b.held+b.rate*(now-b.at).Seconds())
 	b.at = now
-	if b.held < n {
+	if b.held < 1 {
 		return false
 	}
-	b.held -= n
+	b.held--
 	return true
 }
+
+// scarce is whether less than half of the burst is left.
+func (b *budget) scarce() bool {
+	return b.held < b.burst/2
+}
--- /dev/null
+++ b/core/kqspread/kqspread_test.go
@@ -0,0 +1,190 @@
+package kqspread_test
+
+import (
+	"testing"
+	"time"
+
+	"kumquatlink/core/kqmember"
+	"kumquatlink/core/kqspread"
+	"kumquatlink/core/kqvirtual"
+)
+
+func TestFleetJoinsThroughAFewContacts(t *testing.T) {
+	for _, seed := range seeds {
+		f := startFleet(t, seed, 60)
+		f.Run(2 * time.Second)
+		for id, n := range f.Nodes {
+			if !n.Machine.Confirmed() {
+				t.Errorf("seed %d: %s is not confirmed", seed, id)
+			}
+			if got, want := len(n.Machine.Neighbours()), kqspread.Degree; got != want {
+				t.Errorf("seed %d: neighbours of %s: got %d, want %d", seed, id, got, want)
+			}
+		}
+	}
+}
+
+func TestItemReachesAllNodesWithinSeconds(t *testing.T) {
+	for _, seed := range seeds {
+		f := startFleet(t, seed, 120)
+		for version, payload := range [][]byte{make([]byte, 100), make([]byte, 20_000)} {
+			item := kqspread.Item{Name: "Configuration", Version: uint64(version + 1), Payload: payload}
+			f.Nodes[record(7).NodeID].Machine.Publish(item)
+			f.Run(4 * time.Second)
+			for id, n := range f.Nodes {
+				held, _ := n.Machine.Item("Configuration")
+				if got, want := held.Version, item.Version; got != want {
+					t.Errorf("seed %d: version at %s: got %d, want %d", seed, id, got, want)
+				}
+			}
+		}
+	}
+}
+
+func TestOlderItemIsRefused(t *testing.T) {
+	f := startFleet(t, 1, 12)
+	m := f.Nodes[record(0).NodeID].Machine
+	m.Publish(kqspread.Item{Name: "Configuration", Version: 5, Tie: 2})
+	for _, i := range []kqspread.Item{
+		{Name: "Configuration", Version: 4, Tie: 9},
+		{Name: "Configuration", Version: 5, Tie: 2},
+		{Name: "Configuration", Version: 5, Tie: 1},
+	} {
+		if m.Publish(i) {
+			t.Errorf("item %+v was taken over version 5 tie 2", i)
+		}
+	}
+	f.Run(4 * time.Second)
+	for id, n := range f.Nodes {
+		held, _ := n.Machine.Item("Configuration")
+		if got, want := held.Version, uint64(5); got != want {
+			t.Errorf("version at %s: got %d, want %d", id, got, want)
+		}
+	}
+}
+
+func TestDrainingIsKnownEverywhereWithinTwoSeconds(t *testing.T) {
+	for _, seed := range seeds {
+		f := startFleet(t, seed, 120)
+		leaving := record(17)
+		n := f.Nodes[leaving.NodeID]
+		n.Machine.UpdateOwn(func(r *kqmember.Record) { r.Life = kqmember.LifeDraining })
+		f.Run(2 * time.Second)
+		for id, n := range f.Nodes {
+			for _, u := range n.View.Snapshot().Upstreams(leaving.Service) {
+				if u.NodeID == leaving.NodeID {
+					t.Errorf("seed %d: %s still sends work to %s", seed, id, leaving.NodeID)
+				}
+			}
+		}
+	}
+}
+
+func TestDeadNodeIsRemovedAndItsRestartIsWelcome(t *testing.T) {
+	for _, seed := range seeds {
+		f := startFleet(t, seed, 60)
+		dead := record(9)
+		f.Stop(dead.NodeID)
+		f.Run(kqspread.SuspectAfter + kqmember.RemoveAfter + 5*time.Second)
+		checkModel(t, f)
+		f.Start(dead, contacts())
+		f.Run(5 * time.Second)
+		checkModel(t, f)
+	}
+}
+
+func TestRestartBehindAFasterClockIsWelcome(t *testing.T) {
+	f := startFleet(t, 1, 30)
+	restarted := record(4)
+	f.Stop(restarted.NodeID)
+	restarted.Incarnation = 1
+	restarted.Life = kqmember.LifeJoining
+	n := f.Start(restarted, contacts())
+	converge(t, f, "restart with an older clock")
+	if got, floor := n.View.Own().Incarnation, uint64(5); got <= floor {
+		t.Errorf("incarnation: got %d, want above %d", got, floor)
+	}
+	if n.View.Superseded() {
+		t.Error("the latest start counts itself as superseded")
+	}
+}
+
+func TestPausedNodeLearnsOfItsRemovalBeforeItTakesWork(t *testing.T) {
+	for _, seed := range seeds {
+		f := startFleet(t, seed, 30)
+		paused := f.Nodes[record(5).NodeID]
+		before := paused.View.Own().Version
+		f.Pause(paused.Record.NodeID, 5*time.Minute)
+		f.Run(5*time.Minute - time.Second)
+		removed := 0
+		for _, n := range f.Nodes {
+			if held := n.View.Find(paused.Record.NodeID); held.Status == kqmember.StatusRemoved {
+				removed++
+			}
+		}
+		if got, want := removed, 29; got != want {
+			t.Errorf("seed %d: nodes that removed the paused one: got %d, want %d", seed, got, want)
+		}
+		// The first thing that the node does when it wakes is to notice.
+		f.RunUntil(10*time.Second, time.Millisecond, func() bool { return paused.Machine.Pauses() > 0 })
+		if paused.Machine.Confirmed() {
+			t.Errorf("seed %d: the node takes work at once when it wakes", seed)
+		}
+		f.RunUntil(10*time.Second, time.Millisecond, paused.Machine.Confirmed)
+		if got := paused.View.Own().Version; got <= before {
+			t.Errorf("seed %d: the node takes work again with version %d, which others removed", seed, got)
+		}
+		converge(t, f, "wake")
+	}
+}
+
+func TestLostFailureDomainIsRemoved(t *testing.T) {
+	for _, seed := range seeds {
+		f := startFleet(t, seed, 60)
+		for i := range 60 {
+			if record(i).FailureDomain == "domain-2" {
+				f.Stop(record(i).NodeID)
+			}
+		}
+		f.Run(time.Minute)
+		checkModel(t, f)
+		for i := range 60 {
+			if r := record(i); r.FailureDomain == "domain-2" {
+				f.Start(r, contacts())
+			}
+		}
+		converge(t, f, "domain back")
+	}
+}
+
+// split cuts every region off from the others.
+func split(f *kqvirtual.Fleet) {
+	deliver := latency(f)
+	f.Fault = func(from, to *kqvirtual.Node) kqvirtual.Fate {
+		if from.Record.Region != to.Record.Region {
+			return kqvirtual.Fate{Lost: true}
+		}
+		return deliver(from, to)
+	}
+}
+
+func TestRegionsApartForAnHourFindEachOther(t *testing.T) {
+	for _, seed := range seeds[:1] {
+		f := startFleet(t, seed, 24)
+		split(f)
+		f.Run(time.Hour)
+		n := f.Nodes[record(0).NodeID]
+		for _, held := range n.View.Members() {
+			if got, want := held.Status == kqmember.StatusAlive, held.Record.Region == n.Record.Region; got != want {
+				t.Errorf("alive in the view of %s: %s got %v, want %v", n.Record.NodeID, held.Record.NodeID, got, want)
+			}
+		}
+		f.Nodes[record(0).NodeID].Machine.Publish(kqspread.Item{Name: "Configuration", Version: 3})
+		f.Fault = latency(f)
+		converge(t, f, "heal")
+		f.Run(10 * time.Second)
+		if !f.Converged() {
+			t.Errorf("seed %d: digests differ after healing", seed)
+		}
+	}
+}
--- a/core/kqspread/links.go
+++ b/core/kqspread/links.go
@@ -33,15 +33,11 @@
 	return m.Status == kqmember.StatusAlive && m.Record.Life != kqmember.LifeGone
 }
 
-func (m *Machine) ownMember() *kqmember.Member {
-	return m.view.Find(m.view.Own().NodeID)
-}
-
 // updateLinks follows the view: links to new neighbours begin, links to nodes
 // that are no neighbours any more are kept only while these speak.
 func (m *Machine) updateLinks(now time.Duration) {
-	if m.relink {
-		m.relink = false
+	if m.relink && now-m.relinked >= relinkPeriod {
+		m.relink, m.relinked = false, now
 		m.chooseNeighbours(now)
 	}
 	m.order = slices.DeleteFunc(m.order, func(name string) bool {
@@ -58,7 +54,7 @@
 	for _, l := range m.links {
 		l.own = false
 	}
-	for _, n := range m.rings.neighbours(m.ownMember(), alive) {
+	for _, n := range m.rings.neighbours(m.view, alive) {
 		l := m.links[n.Record.NodeID]
 		if l == nil {
 			l = m.addLink(now, n.Record.NodeID)
@@ -111,7 +107,7 @@
 	if now-l.pingedAt < PingPeriod {
 		return false
 	}
-	return m.view.Own().NodeID < l.nodeID || now-l.heardAt >= QuietPeriod
+	return m.view.Own().NodeID < l.nodeID || now-l.heardAt >= QuietPeriod || !m.presence.confirmed
 }
 
 func (m *Machine) ping(now time.Duration, l *link, address string) {
@@ -167,7 +163,7 @@
 	m.probed = now - time.Duration(m.random.Int64N(int64(probePeriod/4)))
 	var lost []*kqmember.Member
 	everyone := func(held *kqmember.Member) bool { return held.Record.Life != kqmember.LifeGone }
-	for _, held := range m.rings.neighbours(m.ownMember(), everyone) {
+	for _, held := range m.rings.neighbours(m.view, everyone) {
 		if !alive(held) {
 			lost = append(lost, held)
 		}
--- a/core/kqspread/message.go
+++ b/core/kqspread/message.go
@@ -108,7 +108,9 @@
 // Envelope is a message on its way to a node.
 type Envelope struct {
 	// To names the node, or is empty when only its address is known.
-	To      string
+	To string
+	// Address is empty when the node is not known yet: it can only be reached
+	// as the answer to what it sent.
 	Address string
 	Message Message
 }
--- a/core/kqspread/news.go
+++ b/core/kqspread/news.go
@@ -15,6 +15,9 @@
 // queueLimit bounds the news that waits on one link; digests find the rest.
 const queueLimit = 1024
 
+// scarceFanOut is to how many links news goes while the rate is used up.
+const scarceFanOut = 2
+
 // want is an item that was offered and is awaited.
 type want struct {
 	summary Summary
@@ -27,19 +30,42 @@
 	if m.quiet {
 		return
 	}
+	urgent := m.urgent(k)
+	if !urgent && m.changes.scarce() {
+		m.tellSome(k, from)
+		return
+	}
 	for _, name := range m.order {
-		if name == from {
-			continue
+		if name != from {
+			m.links[name].enqueue(k, urgent)
 		}
-		l := m.links[name]
-		if _, found := l.pending[k]; found || len(l.queue) >= queueLimit {
-			continue
+	}
+}
+
+// tellSome queues news for a few links only: while much changes at once, the
+// copies that the others would get are better spent on other news, and digests
+// find the nodes that were passed over.
+func (m *Machine) tellSome(k Key, from string) {
+	for range min(scarceFanOut, len(m.order)) {
+		if name := m.order[m.random.IntN(len(m.order))]; name != from {
+			m.links[name].enqueue(k, false)
 		}
-		l.pending[k] = struct{}{}
-		l.queue = append(l.queue, k)
 	}
 }
 
+// enqueue lets news wait for the next flush, urgent news before the rest.
+func (l *link) enqueue(k Key, urgent bool) {
+	if _, found := l.pending[k]; found || len(l.queue) >= queueLimit {
+		return
+	}
+	l.pending[k] = struct{}{}
+	if urgent {
+		l.queue = slices.Insert(l.queue, 0, k)
+		return
+	}
+	l.queue = append(l.queue, k)
+}
+
 // told takes back news for a link whose other end has it already.
 func (m *Machine) told(k Key, from string) {
 	if l := m.links[from]; l != nil {
@@ -109,11 +135,10 @@
 		m.told(k, from)
 		return
 	}
-	address := m.addressOf(from)
-	if !heard.Less(held.Stamp()) || address == "" || !m.changes.take(now, 1) {
+	if !heard.Less(held.Stamp()) || !m.changes.take(now) {
 		return
 	}
-	m.send(from, address, Message{Changes: []Change{m.memberChange(now, held)}})
+	m.send(from, m.addressOf(from), Message{Changes: []Change{m.memberChange(now, held)}})
 }
 
 // validRecord bounds what a peer may say.
@@ -145,7 +170,6 @@
 	}
 	m.items[i.Name] = i
 	m.digest.toggle(itemSummary(i))
-	m.digest.hold(k)
 	delete(m.wanted, k)
 	if from != "" {
 		m.fresh = append(m.fresh, i)
@@ -172,9 +196,7 @@
 }
 
 func (m *Machine) ask(from string, k Key) {
-	if address := m.addressOf(from); address != "" {
-		m.send(from, address, Message{Wants: []Key{k}})
-	}
+	m.send(from, m.addressOf(from), Message{Wants: []Key{k}})
 }
 
 // askAgain asks the next node that offered an item that has not come.
@@ -215,9 +237,15 @@
 	return items
 }
 
-// flush sends the news that waits on the links.
+// flush sends the news that waits on the links, from a random one on, so that
+// a short allowance is not always used up by the same.
 func (m *Machine) flush(now time.Duration) {
-	for _, name := range m.order {
+	if len(m.order) == 0 {
+		return
+	}
+	first := m.random.IntN(len(m.order))
+	for i := range m.order {
+		name := m.order[(first+i)%len(m.order)]
 		l := m.links[name]
 		if len(l.queue) == 0 {
 			continue
@@ -229,32 +257,36 @@
 	}
 }
 
-// drain takes the news of a link. News for which the rate leaves no room is
-// left to the digests.
+// drain takes news of a link, as far as the rate allows. What waits on is taken
+// back when the other end tells it first.
 func (m *Machine) drain(now time.Duration, l *link) []Change {
 	var changes []Change
 	for len(l.queue) > 0 && len(changes) < MaxChanges {
 		k := l.queue[0]
+		_, found := l.pending[k]
+		if found && !m.urgent(k) && !m.changes.take(now) {
+			break
+		}
 		l.queue = l.queue[1:]
-		if _, found := l.pending[k]; !found {
+		delete(l.pending, k)
+		if !found {
 			continue
 		}
-		delete(l.pending, k)
-		c, found := m.changeOf(now, k, true)
-		if found && (m.urgent(c) || m.changes.take(now, 1)) {
+		if c, held := m.changeOf(now, k, true); held {
 			changes = append(changes, c)
 		}
 	}
 	return changes
 }
 
-// urgent is whether a change is sent whatever the rate: the node's own word,
-// and that a node leaves.
-func (m *Machine) urgent(c Change) bool {
-	if c.Record == nil {
-		return c.Offer != nil
+// urgent is whether news is sent whatever the rate: the node's own word, that
+// a node leaves, and items.
+func (m *Machine) urgent(k Key) bool {
+	if k.Kind == KindItem {
+		return true
 	}
-	return c.Record.NodeID == m.view.Own().NodeID || c.Record.Life == kqmember.LifeDraining
+	held := m.view.Find(k.Name)
+	return k.Name == m.view.Own().NodeID || held != nil && held.Record.Life == kqmember.LifeDraining
 }
 
 // changeOf gives the state of a member or an item as a change. Pushed items
--- a/core/kqspread/presence.go
+++ b/core/kqspread/presence.go
@@ -85,8 +85,10 @@
 
 // known is whether a node that is not removed has the address.
 func (m *Machine) known(address string) bool {
-	for _, p := range m.rings[ringFleet] {
-		if p.member.Record.Address == address && p.member.Status < kqmember.StatusRemoved {
+	m.rings.settle()
+	for _, p := range m.rings.places[ringFleet] {
+		held := m.view.Find(p.nodeID)
+		if held.Record.Address == address && held.Status < kqmember.StatusRemoved {
 			return true
 		}
 	}
@@ -145,7 +147,7 @@
 func (m *Machine) answerJoin(now time.Duration, reply *Message) {
 	own := m.view.Own()
 	reply.From = own.NodeID
-	if !m.joins.take(now, 1) {
+	if !m.joins.take(now) {
 		reply.Join = true
 		reply.Changes = append(reply.Changes, Change{Record: &own})
 		return
--- a/core/kqspread/reconcile.go
+++ b/core/kqspread/reconcile.go
@@ -1,8 +1,6 @@
 package kqspread
 
 import (
-	"slices"
-	"strings"
 	"time"
 
 	"kumquatlink/core/kqmember"
@@ -81,26 +79,32 @@
 		buckets = append(buckets[first:], buckets[:first]...)[:comparedLimit]
 	}
 	reply.Compared = buckets
-	for _, b := range buckets {
-		for _, k := range m.sortedBucket(b) {
-			if s, found := m.summaryOf(k); found {
-				reply.Summaries = append(reply.Summaries, s)
-			}
+	for _, k := range m.keysIn(buckets) {
+		if s, found := m.summaryOf(k); found {
+			reply.Summaries = append(reply.Summaries, s)
 		}
 	}
 }
 
-func (m *Machine) sortedBucket(b byte) []Key {
-	keys := make([]Key, 0, len(m.digest.keys[b]))
-	for k := range m.digest.keys[b] {
-		keys = append(keys, k)
-	}
-	slices.SortFunc(keys, func(a, b Key) int {
-		if a.Kind != b.Kind {
-			return int(a.Kind) - int(b.Kind)
+// keysIn lists what is told to others in the buckets, in order.
+func (m *Machine) keysIn(buckets []byte) []Key {
+	var chosen [bucketCount]bool
+	for _, b := range buckets {
+		chosen[b] = true
+	}
+	var keys []Key
+	m.rings.settle()
+	for _, p := range m.rings.places[ringFleet] {
+		k := memberKey(p.nodeID)
+		if chosen[bucketOf(k)] && m.view.Find(p.nodeID).Status != kqmember.StatusHidden {
+			keys = append(keys, k)
 		}
-		return strings.Compare(a.Name, b.Name)
-	})
+	}
+	for _, i := range m.sortedItems() {
+		if k := itemKey(i.Name); chosen[bucketOf(k)] {
+			keys = append(keys, k)
+		}
+	}
 	return keys
 }
 
@@ -136,11 +140,9 @@
 			m.supply(now, []Key{s.Key}, reply)
 		}
 	}
-	for _, b := range message.Compared {
-		for _, k := range m.sortedBucket(b) {
-			if _, found := listed[k]; !found {
-				m.supply(now, []Key{k}, reply)
-			}
+	for _, k := range m.keysIn(message.Compared) {
+		if _, found := listed[k]; !found {
+			m.supply(now, []Key{k}, reply)
 		}
 	}
 	if l := m.links[from]; l != nil && len(reply.Changes)+len(reply.Wants) > offered+wanted {
@@ -155,7 +157,7 @@
 			return
 		}
 		c, found := m.changeOf(now, k, false)
-		if found && (m.urgent(c) || m.changes.take(now, 1)) {
+		if found && (m.urgent(k) || m.changes.take(now)) {
 			reply.Changes = append(reply.Changes, c)
 		}
 	}
--- a/core/kqspread/rings.go
+++ b/core/kqspread/rings.go
@@ -1,8 +1,8 @@
 package kqspread
 
 import (
+	"cmp"
 	"slices"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -25,68 +25,94 @@
 // place is where a node stands on a ring.
 type place struct {
 	hash   uint64
-	member *kqmember.Member
+	nodeID string
+}
+
+func newPlace(ring int, nodeID string) place {
+	d := xxhash.NewWithSeed(uint64(ring))
+	_, _ = d.WriteString(nodeID)
+	return place{hash: d.Sum64(), nodeID: nodeID}
 }
 
 func comparePlaces(a, b place) int {
 	if a.hash != b.hash {
-		if a.hash < b.hash {
-			return -1
-		}
-		return 1
+		return cmp.Compare(a.hash, b.hash)
 	}
-	return strings.Compare(a.member.Record.NodeID, b.member.Record.NodeID)
+	return cmp.Compare(a.nodeID, b.nodeID)
 }
 
 // rings hold every node that a view does, removed ones too.
-type rings [ringCount][]place
-
-func ringHash(ring int, nodeID string) uint64 {
-	d := xxhash.NewWithSeed(uint64(ring))
-	_, _ = d.WriteString(nodeID)
-	return d.Sum64()
+type rings struct {
+	places [ringCount][]place
+	// added are nodes that are not on the rings yet.
+	added []string
 }
 
 // observe follows a change of the view.
 func (r *rings) observe(before, after *kqmember.Member) {
-	for ring := range r {
-		if after == nil {
-			r.drop(ring, before)
-			continue
+	if before == nil {
+		r.added = append(r.added, after.Record.NodeID)
+		return
+	}
+	if after != nil {
+		return
+	}
+	r.settle()
+	for ring, places := range r.places {
+		if at, found := slices.BinarySearchFunc(places, newPlace(ring, before.Record.NodeID), comparePlaces); found {
+			r.places[ring] = slices.Delete(places, at, at+1)
 		}
-		r.set(ring, after)
 	}
 }
 
-func (r *rings) set(ring int, m *kqmember.Member) {
-	p := place{hash: ringHash(ring, m.Record.NodeID), member: m}
-	at, found := slices.BinarySearchFunc(r[ring], p, comparePlaces)
-	if found {
-		r[ring][at] = p
+// settle puts the new nodes on the rings.
+func (r *rings) settle() {
+	if len(r.added) == 0 {
 		return
 	}
-	r[ring] = slices.Insert(r[ring], at, p)
+	for ring, places := range r.places {
+		r.places[ring] = insert(places, newPlaces(ring, r.added))
+	}
+	r.added = nil
 }
 
-func (r *rings) drop(ring int, m *kqmember.Member) {
-	p := place{hash: ringHash(ring, m.Record.NodeID), member: m}
-	if at, found := slices.BinarySearchFunc(r[ring], p, comparePlaces); found {
-		r[ring] = slices.Delete(r[ring], at, at+1)
+func newPlaces(ring int, nodeIDs []string) []place {
+	places := make([]place, len(nodeIDs))
+	for i, id := range nodeIDs {
+		places[i] = newPlace(ring, id)
 	}
+	slices.SortFunc(places, comparePlaces)
+	return places
+}
+
+// insert merges two sorted lists from their ends on.
+func insert(places, added []place) []place {
+	held, next := len(places), len(added)
+	places = append(places, added...)
+	for at := len(places) - 1; next > 0; at-- {
+		if held > 0 && comparePlaces(places[held-1], added[next-1]) > 0 {
+			held--
+			places[at] = places[held]
+			continue
+		}
+		next--
+		places[at] = added[next]
+	}
+	return places
 }
 
 // nearest gives the nearest node on one side of own that fits, or nil. Step is
 // 1 or -1.
-func (r *rings) nearest(ring, step int, own *kqmember.Member, fits func(*kqmember.Member) bool) *kqmember.Member {
-	places := r[ring]
-	at, found := slices.BinarySearchFunc(places, place{hash: ringHash(ring, own.Record.NodeID), member: own}, comparePlaces)
+func (r *rings) nearest(ring, step int, view *kqmember.View, fits func(*kqmember.Member) bool) *kqmember.Member {
+	places := r.places[ring]
+	at, found := slices.BinarySearchFunc(places, newPlace(ring, view.Own().NodeID), comparePlaces)
 	if !found {
 		return nil
 	}
 	for range len(places) - 1 {
 		at = (at + step + len(places)) % len(places)
-		if fits(places[at].member) {
-			return places[at].member
+		if held := view.Find(places[at].nodeID); fits(held) {
+			return held
 		}
 	}
 	return nil
@@ -95,31 +121,31 @@
 // neighbours gives the nodes that own keeps links with: two of its failure
 // domain, two of its region and two of the fleet, each the nearest on a ring.
 // Where these are fewer than Degree, further nodes of the fleet fill up.
-func (r *rings) neighbours(own *kqmember.Member, fits func(*kqmember.Member) bool) []*kqmember.Member {
+func (r *rings) neighbours(view *kqmember.View, fits func(*kqmember.Member) bool) []*kqmember.Member {
+	r.settle()
 	var chosen []*kqmember.Member
-	take := func(ring, step int, more func(*kqmember.Member) bool) bool {
-		m := r.nearest(ring, step, own, func(m *kqmember.Member) bool { return fits(m) && more(m) })
-		if m == nil {
-			return false
-		}
-		if !slices.Contains(chosen, m) {
-			chosen = append(chosen, m)
+	take := func(ring, step int, more func(kqmember.Record) bool) {
+		held := r.nearest(ring, step, view, func(m *kqmember.Member) bool {
+			return fits(m) && more(m.Record) && !slices.Contains(chosen, m)
+		})
+		if held != nil {
+			chosen = append(chosen, held)
 		}
-		return true
 	}
-	home := own.Record
+	own := view.Own()
+	anywhere := func(kqmember.Record) bool { return true }
 	for _, step := range []int{1, -1} {
-		take(ringDomain, step, func(m *kqmember.Member) bool { return m.Record.FailureDomain == home.FailureDomain })
-		take(ringRegion, step, func(m *kqmember.Member) bool {
-			return m.Record.Region == home.Region && !slices.Contains(chosen, m)
-		})
-		take(ringFleet, step, func(m *kqmember.Member) bool { return !slices.Contains(chosen, m) })
+		take(ringDomain, step, func(r kqmember.Record) bool { return r.FailureDomain == own.FailureDomain })
 	}
-	for _, step := range []int{1, -1, 1, -1} {
-		if len(chosen) >= Degree {
-			break
-		}
-		take(ringSpare, step, func(m *kqmember.Member) bool { return !slices.Contains(chosen, m) })
+	for _, step := range []int{1, -1} {
+		take(ringRegion, step, func(r kqmember.Record) bool { return r.Region == own.Region })
+	}
+	for _, step := range []int{1, -1} {
+		take(ringFleet, step, anywhere)
+	}
+	for step := 1; len(chosen) < Degree && step >= -1; step -= 2 {
+		take(ringSpare, step, anywhere)
+		take(ringSpare, step, anywhere)
 	}
 	return chosen
 }
--- a/io/kqnode/member.go
+++ b/io/kqnode/member.go
@@ -146,6 +146,9 @@
 // dispatch sends messages to their nodes, off the control goroutine.
 func (c *control) dispatch(envelopes []kqspread.Envelope) {
 	for _, e := range envelopes {
+		if e.Address == "" {
+			continue
+		}
 		if err := c.node.exchanges.Submit(func() { c.node.exchange(e) }); err != nil {
 			c.node.log.Event(zerolog.DebugLevel, "too many exchanges under way", err)
 		}
