--- a/io/kqnode/kqnode.go
+++ b/io/kqnode/kqnode.go
@@ -18,6 +18,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -26,6 +27,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/panjf2000/ants/v2"
+	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"kumquatlink/core/kqcall"
@@ -77,6 +79,8 @@
 	metrics  *kqmetric.Metrics
 	ownsLog  bool
 	now      func() time.Time
+	// linkOptions are options of the links to other nodes.
+	linkOptions []kqlink.Option
 
 	pool *ants.Pool
 	// exchanges sends control messages.
@@ -95,6 +99,7 @@
 	control *control
 	gate    *gate
 	router  *router
+	shed    *shedder
 
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
@@ -108,6 +113,16 @@
 	return func(n *Node) { n.log = l }
 }
 
+// WithLinkOptions sets options of the links to other nodes.
+func WithLinkOptions(list ...kqlink.Option) Option {
+	return func(n *Node) { n.linkOptions = list }
+}
+
+// WithNow sets the clock that the node reads.
+func WithNow(now func() time.Time) Option {
+	return func(n *Node) { n.now = now }
+}
+
 // New makes a node from checked settings.
 func New(settings kqsettings.Node, identity *kqtrust.Identity, store *kqstore.Client, options ...Option) (*Node, error) {
 	pool, err := ants.NewPool(defaultPoolSize, ants.WithNonblocking(true))
@@ -130,8 +145,9 @@
 		return nil, errors.Mark(err, ErrNode)
 	}
 	n.store = kqstore.Guard(store, kqstore.WithObserver(n.observeStore))
-	n.dialer = kqlink.NewDialer(identity)
+	n.dialer = kqlink.NewDialer(identity, n.linkOptions...)
 	n.gate = newGate(n)
+	n.shed = newShedder(n)
 	n.router = newRouter(n)
 	n.control = newControl(n)
 	return n, nil
@@ -146,19 +162,19 @@
 		Call:    n.handlePeerCall,
 		Message: n.handlePeerMessage,
 		Submit:  n.pool.Submit,
-	})
+	}, n.linkOptions...)
 	if err != nil {
 		return errors.Mark(err, ErrNode)
 	}
-	n.operator = newHTTPServer(n.handleOperator)
+	n.operator = n.newHTTPServer(n.handleOperator)
 	if n.settings.OperatorAddress != "" {
 		if n.operatorAddress, err = listen(n.operator, n.settings.OperatorAddress); err != nil {
 			return err
 		}
 	}
 	n.control.start(n.server.Address())
-	n.callers = newHTTPServer(n.handleCaller)
-	n.backend = newHTTPServer(n.handleBackend)
+	n.callers = n.newHTTPServer(n.handleCaller)
+	n.backend = n.newHTTPServer(n.handleBackend)
 	if n.settings.CallerAddress != "" {
 		if n.callerAddress, err = listen(n.callers, n.settings.CallerAddress); err != nil {
 			return err
@@ -170,6 +186,7 @@
 	n.loop(ctx, n.control.run)
 	n.loop(ctx, n.runConfigurationWatch)
 	n.loop(ctx, n.runMembership)
+	n.loop(ctx, n.runMetrics)
 	return nil
 }
 
@@ -231,7 +248,7 @@
 	}
 }
 
-func newHTTPServer(handler fasthttp.RequestHandler) *fasthttp.Server {
+func (n *Node) newHTTPServer(handler fasthttp.RequestHandler) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler:               handler,
 		NoDefaultServerHeader: true,
@@ -239,9 +256,20 @@
 		MaxRequestBodySize:    maxBodyBytes,
 		ReadBufferSize:        readBufferBytes,
 		ErrorHandler:          handleMalformed,
+		Logger:                serverLog{log: n.log},
 	}
 }
 
+// serverLog writes what the HTTP server has to say as lines of the node's log.
+type serverLog struct {
+	log *kqlog.Log
+}
+
+// Printf writes one line.
+func (l serverLog) Printf(format string, values ...any) {
+	l.log.Event(zerolog.DebugLevel, fmt.Sprintf(format, values...), nil)
+}
+
 // handleMalformed answers a caller whose call could not be read at all.
 func handleMalformed(c *fasthttp.RequestCtx, err error) {
 	cause := kqcall.CauseBadRequest
