Seeds: one object of the store that new nodes start from

Cause: nodes started from configured peers only. Only the first five of each failure domain look at it again and write it, after a second look.

--- /dev/null
+++ b/core/kqseed/kqseed_test.go
@@ -0,0 +1,179 @@
+package kqseed_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"kumquatlink/core/kqmember"
+	"kumquatlink/core/kqseed"
+)
+
+// store is a fake of the one object: a value, its version, and counts.
+type store struct {
+	list          kqseed.List
+	version       int
+	reads, writes int
+	conflicts     int
+}
+
+func (s *store) put(list kqseed.List, version int) bool {
+	s.writes++
+	if version != s.version {
+		s.conflicts++
+		return false
+	}
+	s.list, s.version = list, s.version+1
+	return true
+}
+
+// node is one seeder and its view.
+type node struct {
+	view   *kqmember.View
+	seeder *kqseed.Seeder
+	// write is what the node is about to put, with the version it read.
+	write   *kqseed.List
+	version int
+}
+
+func newFleet(count int) []*node {
+	nodes := make([]*node, count)
+	for i := range nodes {
+		r := kqmember.Record{
+			NodeID: fmt.Sprintf("node-%03d", i), Address: fmt.Sprintf("10.0.0.1:%d", 1+i), Incarnation: 1, Version: 1,
+			FailureDomain: fmt.Sprintf("domain-%d", i%4), Life: kqmember.LifeServing,
+		}
+		nodes[i] = &node{view: kqmember.NewView(r), seeder: kqseed.NewSeeder(0, rand.New(rand.NewPCG(7, uint64(i))))}
+	}
+	return nodes
+}
+
+// meet lets all nodes know each other.
+func meet(nodes []*node) {
+	for _, n := range nodes {
+		for _, o := range nodes {
+			n.view.Merge(0, o.view.Own(), false, 0)
+		}
+	}
+}
+
+// run looks once a second; a put follows a read a second later, so that puts
+// race.
+func run(nodes []*node, s *store, from, to time.Duration) {
+	for now := from; now < to; now += time.Second {
+		for _, n := range nodes {
+			if n.write != nil {
+				if !s.put(*n.write, n.version) {
+					n.seeder.Lost(now)
+				}
+				n.write = nil
+				continue
+			}
+			view := n.view.Snapshot()
+			if !n.seeder.Due(now, view) {
+				continue
+			}
+			s.reads++
+			if list, write := n.seeder.Read(now, view, s.list); write {
+				n.write, n.version = &list, s.version
+			}
+		}
+	}
+}
+
+// wantList is the naive model: the first nodes of each failure domain.
+func wantList(nodes []*node) []string {
+	var addresses []string
+	domains := map[string][]kqseed.Seed{}
+	for _, n := range nodes {
+		domains[n.view.Own().FailureDomain] = kqseed.Wanted(n.view.Snapshot())
+	}
+	for i := range 4 {
+		for _, s := range domains[fmt.Sprintf("domain-%d", i)] {
+			addresses = append(addresses, s.Address)
+		}
+	}
+	return addresses
+}
+
+func TestFirstStartWritesTheListWithFewWrites(t *testing.T) {
+	nodes := newFleet(100)
+	meet(nodes)
+	s := &store{}
+	run(nodes, s, 0, 5*time.Minute)
+	if got, want := s.list.Contacts(), wantList(nodes); !slices.Equal(got, want) {
+		t.Errorf("seeds: got %v, want %v", got, want)
+	}
+	if got, limit := s.writes, 20; got > limit {
+		t.Errorf("writes: got %d, want at most %d", got, limit)
+	}
+}
+
+func TestSteadyFleetOnlySeedsRead(t *testing.T) {
+	nodes := newFleet(100)
+	meet(nodes)
+	s := &store{}
+	run(nodes, s, 0, 5*time.Minute)
+	reads, writes := s.reads, s.writes
+	run(nodes, s, 5*time.Minute, time.Hour+5*time.Minute)
+	if got, want := s.writes, writes; got != want {
+		t.Errorf("writes in a quiet hour: got %d, want %d", got-writes, 0)
+	}
+	// Twenty seeds look every five minutes, give or take.
+	if got, low, high := s.reads-reads, 200, 300; got < low || got > high {
+		t.Errorf("reads in a quiet hour: got %d, want %d to %d", got, low, high)
+	}
+}
+
+func TestLostSeedIsReplaced(t *testing.T) {
+	nodes := newFleet(40)
+	meet(nodes)
+	s := &store{}
+	run(nodes, s, 0, 5*time.Minute)
+	lost := kqseed.Wanted(nodes[0].view.Snapshot())[0].NodeID
+	nodes = slices.DeleteFunc(nodes, func(n *node) bool { return n.view.Own().NodeID == lost })
+	for _, n := range nodes {
+		n.view.Suspect(0, lost, kqmember.Stamp{Incarnation: 1, Version: 1}, kqmember.RemoveAfter)
+	}
+	run(nodes, s, 5*time.Minute, 15*time.Minute)
+	if got, want := s.list.Contacts(), wantList(nodes); !slices.Equal(got, want) {
+		t.Errorf("seeds: got %v, want %v", got, want)
+	}
+}
+
+func TestNodeThatKnowsNobodyOverwritesNothing(t *testing.T) {
+	nodes := newFleet(2)
+	s := &store{version: 1, list: kqseed.List{Domains: []kqseed.Domain{{FailureDomain: "domain-0", Seeds: []kqseed.Seed{{NodeID: "other", Address: "10.0.0.9:1"}}}}}}
+	run(nodes, s, 0, 5*time.Minute)
+	if got, want := s.writes, 0; got != want {
+		t.Errorf("writes: got %d, want %d", got, want)
+	}
+}
+
+func TestRetriesSpreadWhileTheStoreIsAway(t *testing.T) {
+	const count, minutes = 200, 10
+	tries := 0
+	busiest := 0
+	nodes := newFleet(count)
+	for now := time.Duration(0); now < minutes*time.Minute; now += time.Second {
+		second := 0
+		for _, n := range nodes {
+			if n.seeder.Due(now, n.view.Snapshot()) {
+				second++
+				n.seeder.Failed(now)
+			}
+		}
+		tries += second
+		if now > time.Minute {
+			busiest = max(busiest, second)
+		}
+	}
+	if got, limit := busiest, count/5; got > limit {
+		t.Errorf("tries in the busiest second: got %d, want at most %d", got, limit)
+	}
+	if tries < count*minutes {
+		t.Errorf("tries: got %d, want at least one a node and minute", tries)
+	}
+}
--- a/io/kqnode/control.go
+++ b/io/kqnode/control.go
@@ -61,7 +61,7 @@
 		Address: peerAddress, OperatorAddress: c.node.operatorAddress, FailureDomain: s.FailureDomain, Region: s.Region, Life: kqmember.Life(c.life.State()),
 	})
 	c.member = newMember(c.node.now(), c.view)
-	c.member.spread.SetContacts(s.Peers, true)
+	c.member.spread.SetContacts(s.Peers, false)
 	c.publish()
 }
 
--- a/io/kqnode/kqnode.go
+++ b/io/kqnode/kqnode.go
@@ -186,6 +186,7 @@
 	n.loop(ctx, n.control.run)
 	n.loop(ctx, n.runConfigurationWatch)
 	n.loop(ctx, n.runMembership)
+	n.loop(ctx, n.runSeeds)
 	n.loop(ctx, n.runMetrics)
 	return nil
 }
--- a/io/kqnode/member.go
+++ b/io/kqnode/member.go
@@ -45,6 +45,8 @@
 	spread *kqspread.Machine
 	begun  time.Time
 	ticked time.Time
+	// seeds are the addresses that the store gave last.
+	seeds []string
 }
 
 func newMember(begun time.Time, view *kqmember.View) *member {
