--- a/io/kqcli/measure.go
+++ b/io/kqcli/measure.go
@@ -23,6 +23,7 @@
 	Policy   string   `enum:"naive,kumquatlink,both" default:"both" help:"What stands between callers and backend servers: ${enum}."`
 	Output   string   `enum:"table,json" default:"table" help:"How the report is printed: ${enum}."`
 	Check    bool     `help:"List missed targets and exit 1 if there are any."`
+	Load     float64  `default:"1" help:"Multiplies the number of callers."`
 	Plot     string   `placeholder:"FILE.svg" help:"Draw goodput over time by class."`
 }
 
@@ -43,7 +44,7 @@
 	}
 	var reports []*kqmeasure.Report
 	for _, s := range seeds {
-		r, err := kqmeasure.Measure(e.ctx, kqmeasure.Options{Scenario: k.Scenario, Profile: k.Profile, Seed: s, Policies: policies})
+		r, err := kqmeasure.Measure(e.ctx, kqmeasure.Options{Scenario: k.Scenario, Profile: k.Profile, Seed: s, Load: k.Load, Policies: policies})
 		if errors.Is(err, kqmeasure.ErrInput) {
 			return errors.Mark(err, ErrInput)
 		}
--- a/io/kqmeasure/account.go
+++ b/io/kqmeasure/account.go
@@ -71,7 +71,8 @@
 	r.CutInFlight, r.NewWorkOnLeaving = t.leavingFaults()
 	r.ShedOrderBreaks = t.shedOrderBreaks()
 	r.WastedWorkRatio = t.wastedWork()
-	r.AddedLatencyMicros = addedLatency(t.probes)
+	r.AddedLatencyMicros = percentiles(t.probes, func(p probe) time.Duration { return p.via - p.direct })
+	r.DirectMicros = percentiles(t.probes, func(p probe) time.Duration { return p.direct })
 	r.Classes = t.classes()
 	r.timeline = t.timeline()
 	return r
@@ -173,13 +174,14 @@
 	return causes
 }
 
-func addedLatency(probes []probe) Percentiles {
+// percentiles gives those of a quantity of the pairs, in microseconds.
+func percentiles(probes []probe, quantity func(probe) time.Duration) Percentiles {
 	if len(probes) == 0 {
 		return Percentiles{}
 	}
 	h := hdrhistogram.New(1, maxLatency.Microseconds(), latencyDigits)
 	for _, p := range probes {
-		_ = h.RecordValue(max(p.via-p.direct, 0).Microseconds())
+		_ = h.RecordValue(max(quantity(p), 0).Microseconds())
 	}
 	return Percentiles{P50: float64(h.ValueAtPercentile(medianPercentile)), P99: float64(h.ValueAtPercentile(tailPercentile))}
 }
--- a/io/kqmeasure/report.go
+++ b/io/kqmeasure/report.go
@@ -66,6 +66,8 @@
 	// AddedLatencyMicros is what the nodes add to a call, in pairs with a
 	// direct one; steady only.
 	AddedLatencyMicros Percentiles
+	// DirectMicros is what the direct calls of those pairs took.
+	DirectMicros Percentiles
 	Classes            []ClassReport
 	// FaultsInjected counts the traces that the faults left.
 	FaultsInjected int64
