--- a/io/kqnode/entry.go
+++ b/io/kqnode/entry.go
@@ -10,6 +10,7 @@
 
 	"kumquatlink/core/kqcall"
 	"kumquatlink/core/kqclass"
+	"kumquatlink/core/kqretry"
 	"kumquatlink/io/kqlog"
 	"kumquatlink/io/kqwire"
 )
@@ -56,7 +57,7 @@
 	q.head.Rank = rule.Rank
 	q.head.Repeatable = !rule.Class.RunOnce
 	q.head.Budget = left
-	q.head.Retries = retryAllowance
+	q.head.Retries = kqretry.Bound
 	return ""
 }
 
@@ -96,6 +97,10 @@
 	}
 	q := readCall(c)
 	parent := n.gate.find(string(c.Request.Header.Peek(kqwire.HeaderContext)))
+	if parent != nil {
+		parent.onward.begin(n.now())
+		defer func() { parent.onward.end(n.now()) }()
+	}
 	n.serve(c, q, n.adopt(q, parent))
 }
 
@@ -144,6 +149,9 @@
 
 // dispatch routes a call within its budget.
 func (n *Node) dispatch(q *call) *result {
+	if r := n.shed.refuses(q); r != nil {
+		return r
+	}
 	parent := context.Background()
 	if q.parent != nil {
 		parent = q.parent.ctx
--- a/io/kqnode/router.go
+++ b/io/kqnode/router.go
@@ -3,77 +3,245 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 
 	"kumquatlink/core/kqcall"
 	"kumquatlink/core/kqmember"
+	"kumquatlink/core/kqretry"
+	"kumquatlink/core/kqroute"
 	"kumquatlink/io/kqlink"
 	"kumquatlink/io/kqlog"
+	"kumquatlink/io/kqsettings"
 )
 
-// retryAllowance is the total of retries that one request may make, over all
-// of its hops.
-const retryAllowance = 2
+// callOverheadBytes is what a call and its answer need besides their bodies,
+// for the allowance between regions.
+const callOverheadBytes = 1024
 
 // router sends calls to the nodes beside upstreams.
 type router struct {
-	node *Node
+	node      *Node
+	brake     *kqretry.Brake
+	needs     *kqroute.Needs
+	allowance *kqroute.Allowance
+	usable    func(u *kqroute.Upstream) bool
+
+	mutex  sync.RWMutex
+	tables map[string]*serviceTable
+}
+
+// serviceTable is a table and the records that it was made of.
+type serviceTable struct {
+	records []kqmember.Record
+	table   *kqroute.Table
 }
 
 func newRouter(n *Node) *router {
-	return &router{node: n}
+	rate := n.settings.RegionLinkBytesPerSecond
+	if rate <= 0 {
+		rate = kqsettings.DefaultRegionLinkBytesPerSecond
+	}
+	r := &router{
+		node:      n,
+		brake:     kqretry.NewBrake(),
+		needs:     kqroute.NewNeeds(),
+		allowance: kqroute.NewAllowance(rate),
+		tables:    map[string]*serviceTable{},
+	}
+	r.usable = r.isUsable
+	return r
+}
+
+// isUsable is whether the upstream's link is not known to be down.
+func (r *router) isUsable(u *kqroute.Upstream) bool {
+	return u.Record.NodeID == r.node.settings.NodeID || r.node.dialer.Usable(u.Record.Address)
+}
+
+// table gives the table of a service as the fleet's records stand.
+func (r *router) table(service string) *kqroute.Table {
+	members := r.node.State().Members
+	records := members.Upstreams(service)
+	r.mutex.RLock()
+	held := r.tables[service]
+	r.mutex.RUnlock()
+	if held != nil && sameRecords(held.records, records) {
+		return held.table
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var former *kqroute.Table
+	if held = r.tables[service]; held != nil {
+		if sameRecords(held.records, records) {
+			return held.table
+		}
+		former = held.table
+	}
+	t := kqroute.NewTable(members.Own, records, former, r.node.now())
+	r.tables[service] = &serviceTable{records: records, table: t}
+	return t
+}
+
+// sameRecords is whether the lists hold the same versions.
+func sameRecords(a, b []kqmember.Record) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].NodeID != b[i].NodeID || a[i].Newer(b[i]) || b[i].Newer(a[i]) {
+			return false
+		}
+	}
+	return true
 }
 
-// route sends the call to an upstream, and to others while it was provably not
-// run and the allowance lasts.
+// route sends the call to an upstream, and to others while it may be retried
+// and the allowance lasts.
 func (r *router) route(ctx context.Context, q *call) *result {
-	tried := map[string]bool{}
+	r.brake.FirstTry()
+	if q.parent != nil {
+		return r.try(ctx, q, &q.parent.retries)
+	}
+	held := kqretry.NewAllowance(q.head.Retries)
+	answer := r.try(ctx, q, held)
+	answer.retriesLeft = held.Close()
+	return answer
+}
+
+// try sends the call with a grant from the allowance that is held, until it
+// has an answer that stands.
+func (r *router) try(ctx context.Context, q *call, held *kqretry.Allowance) *result {
+	ask := kqroute.Ask{Far: r.needsFar(q), Probe: q.head.Repeatable, Usable: r.usable, Allowance: r.allowance}
+	last := refused(kqcall.CauseNoUpstream)
+	var doubt *result
 	for {
-		upstream, others := r.pick(q.head.Service, tried)
-		if upstream.NodeID == "" {
-			return refused(kqcall.CauseNoUpstream)
+		ask.Now, ask.Random = r.node.now(), rand.Uint64()
+		table := r.table(q.head.Service)
+		upstream := table.Pick(ask)
+		if upstream == nil {
+			return r.settle(q, last, doubt)
 		}
-		tried[upstream.NodeID] = true
-		answer := r.send(ctx, q, upstream)
+		ask.Tried.Add(upstream)
+		q.head.Retries = held.Grant()
+		last = r.sendTo(ctx, q, upstream)
+		r.node.shed.heard(q, upstream.Record.NodeID, last)
+		held.PutBack(last.retriesLeft, q.head.Retries)
 		r.node.log.Decide(kqlog.Decision{
 			RequestID: q.head.RequestID, Class: q.head.Class, Service: q.head.Service, Decision: "Route",
-			Cause: string(answer.end.Cause), Outcome: string(answer.end.Outcome), Chosen: upstream.NodeID, Others: others,
+			Cause: string(last.end.Cause), Outcome: string(last.end.Outcome),
+			Chosen: upstream.Record.NodeID, Others: table.Others(upstream),
 		})
-		q.head.Retries = answer.retriesLeft
-		if answer.end.Outcome == kqcall.OutcomeRan || !r.mayRetry(ctx, q, answer) {
-			return answer
+		if last.end.Outcome == kqcall.OutcomeUnknown {
+			doubt = last
+		}
+		if ctx.Err() != nil || !mayRepeat(q, last.end) || !r.drawRetry(held) {
+			return r.settle(q, last, doubt)
 		}
-		q.head.Retries--
 	}
 }
 
-func (r *router) mayRetry(ctx context.Context, q *call, answer *result) bool {
-	if ctx.Err() != nil || q.head.Retries <= 0 {
+// needsFar is whether the call's class needs another region's upstreams to
+// reach its target.
+func (r *router) needsFar(q *call) bool {
+	classes := r.node.State().Classes
+	if classes == nil {
+		return false
+	}
+	rule, found := classes.Find(q.head.Class)
+	if !found {
 		return false
 	}
-	return answer.end.Outcome == kqcall.OutcomeNotRun
+	return r.needs.Offered(q.head.Class, rule.Class.Target.Complete) || rule.Class.RunOnce
 }
 
-// pick chooses an upstream that was not tried.
-func (r *router) pick(service string, tried map[string]bool) (kqmember.Record, []string) {
-	var open []kqmember.Record
-	for _, u := range r.node.State().Members.Upstreams(service) {
-		if !tried[u.NodeID] {
-			open = append(open, u)
-		}
+// sendTo sends the call to the upstream and learns from how it ended.
+func (r *router) sendTo(ctx context.Context, q *call, u *kqroute.Upstream) *result {
+	u.Begin()
+	u.Probing(r.node.now())
+	answer := r.send(ctx, q, u.Record)
+	now := r.node.now()
+	end := kqroute.Answer{Now: now, Verdict: verdictOf(answer.end)}
+	if answer.heard {
+		end.Load = &kqroute.Load{InFlight: answer.load.InFlight, Queued: answer.load.Queued, Limit: answer.load.Limit}
 	}
-	if len(open) == 0 {
-		return kqmember.Record{}, nil
+	u.End(end)
+	if u.Ring == kqroute.RingFar {
+		r.allowance.Charge(u.Record.Region, len(q.body)+len(answer.body)+callOverheadBytes, now)
 	}
-	i := rand.IntN(len(open))
-	others := make([]string, 0, len(open)-1)
-	for j, u := range open {
-		if j != i {
-			others = append(others, u.NodeID)
-		}
+	return answer
+}
+
+// verdicts maps causes to what they say about the upstream. A cause that is
+// not listed says nothing.
+var verdicts = map[kqcall.Cause]kqroute.Verdict{
+	kqcall.CauseDone:          kqroute.Good,
+	kqcall.CauseShedGate:      kqroute.Full,
+	kqcall.CauseDisplaced:     kqroute.Full,
+	kqcall.CauseBackendShed:   kqroute.Full,
+	kqcall.CausePoolFull:      kqroute.Full,
+	kqcall.CauseWouldMiss:     kqroute.Full,
+	kqcall.CauseDraining:      kqroute.Leaving,
+	kqcall.CauseNoUpstream:    kqroute.Leaving,
+	kqcall.CauseLinkLost:      kqroute.Faulty,
+	kqcall.CauseLinkSilent:    kqroute.Faulty,
+	kqcall.CauseBackendLost:   kqroute.Faulty,
+	kqcall.CauseBackendSilent: kqroute.Faulty,
+}
+
+func verdictOf(end kqcall.End) kqroute.Verdict {
+	if end.Cause == kqcall.CauseDeadline && end.Outcome == kqcall.OutcomeUnknown {
+		return kqroute.Faulty
 	}
-	return open[i], others
+	return verdicts[end.Cause]
+}
+
+// settle gives the end of the whole call. What one try left in doubt, a later
+// one that was not run does not clear up.
+func (r *router) settle(q *call, last, doubt *result) *result {
+	if last.end.Outcome != kqcall.OutcomeRan {
+		r.needs.Missed(q.head.Class)
+	}
+	if last.end.Outcome == kqcall.OutcomeNotRun && doubt != nil {
+		return doubt
+	}
+	return last
+}
+
+// finalCauses are those that another upstream would answer with as well.
+var finalCauses = map[kqcall.Cause]bool{
+	kqcall.CauseDeadline: true, kqcall.CauseCallerGone: true, kqcall.CauseParentOver: true,
+	kqcall.CauseBadRequest: true, kqcall.CauseTooLarge: true, kqcall.CauseDepth: true,
+	kqcall.CauseKeyMissing: true, kqcall.CauseKeyRunning: true, kqcall.CauseKeyInDoubt: true,
+	kqcall.CauseKeyForgotten: true, kqcall.CauseKeyMismatch: true,
+}
+
+// mayRepeat is whether a call that ended so may be sent again: it was provably
+// not run, or it may run more than once.
+func mayRepeat(q *call, end kqcall.End) bool {
+	if finalCauses[end.Cause] {
+		return false
+	}
+	switch end.Outcome {
+	case kqcall.OutcomeNotRun:
+		return true
+	case kqcall.OutcomeUnknown:
+		return q.head.Repeatable
+	default:
+		return false
+	}
+}
+
+// drawRetry takes one retry from the request and from this entry's share.
+func (r *router) drawRetry(held *kqretry.Allowance) bool {
+	if !held.Draw() {
+		return false
+	}
+	if !r.brake.Draw() {
+		held.PutBack(1, 1)
+		return false
+	}
+	return true
 }
 
 // send runs the call at the upstream's gate, which may be this node's own.
@@ -85,16 +253,28 @@
 		return &result{end: kqcall.NotRun(kqcall.CauseDeadline), retriesLeft: q.head.Retries}
 	}
 	if upstream.NodeID == r.node.settings.NodeID {
-		return r.node.gate.run(ctx, q)
+		answer := r.node.gate.run(ctx, q)
+		answer.heard = true
+		return answer
 	}
 	answer, err := r.node.dialer.Call(ctx, upstream.Address, kqlink.CallHead{
 		Head: q.head, Method: q.method, Path: q.path, Headers: q.headers,
 	}, q.body)
 	if err != nil {
-		return &result{end: endOf(ctx, err), retriesLeft: q.head.Retries}
+		return lostResult(ctx, err, q.head.Retries)
 	}
 	h := answer.Head
-	return &result{end: h.End, status: h.Status, headers: h.Headers, body: answer.Body, retriesLeft: min(h.RetriesLeft, q.head.Retries), load: h.Load}
+	return &result{end: h.End, status: h.Status, headers: h.Headers, body: answer.Body, retriesLeft: h.RetriesLeft, load: h.Load, heard: true}
+}
+
+// lostResult is the result of a call without an answer. The grant comes back
+// only if it never left.
+func lostResult(ctx context.Context, err error, grant int) *result {
+	r := &result{end: endOf(ctx, err)}
+	if r.end.Outcome == kqcall.OutcomeNotRun {
+		r.retriesLeft = grant
+	}
+	return r
 }
 
 // endOf turns a link's error into the end of the call.
