Add the demo, and count refusals of single calls by cause

Cause: the README names a demo, and a missed target can't be traced without knowing which service refused which class and why. Change: demo starts a store and 12 nodes in three regions, sends a chain, a keyed purchase twice, changes a class, drains a backend server and surges while licensing is slow. The report has Refusals by class, service and cause.

--- /dev/null
+++ b/io/kqcli/demo.go
@@ -0,0 +1,226 @@
+package kqcli
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"kumquatlink/core/kqclass"
+	"kumquatlink/io/kqbackend"
+	"kumquatlink/io/kqfleet"
+	"kumquatlink/io/kqhttp"
+	"kumquatlink/io/kqnode"
+)
+
+// Sizes and times of the demo.
+const (
+	demoTimeout       = 2 * time.Minute
+	demoWideSlots     = 36
+	demoNarrowSlots   = 5
+	demoWideTime      = 10 * time.Millisecond
+	demoNarrowTime    = 50 * time.Millisecond
+	demoSlow          = 3
+	demoSpread        = 0.3
+	demoSeed          = 1
+	demoDrainWatch    = 2 * time.Second
+	demoDrainLength   = 3 * time.Second
+	demoPatience      = 3 * time.Second
+	demoRate          = 90.0
+	demoSurge         = 3
+	demoBeforeSeconds = 1
+	demoDuringSeconds = 4
+	demoAfterSeconds  = 2
+)
+
+type demoCommand struct{}
+
+// Help is the longer help of the command.
+func (demoCommand) Help() string {
+	return "It takes no settings and opens ports on loopback only. Example:\n\n  kumquatlink demo"
+}
+
+// demo is a fleet of three regions and what callers need to reach it.
+type demo struct {
+	e       *environment
+	ctx     context.Context
+	fleet   *kqfleet.Fleet
+	regions []string
+	members map[string][]*kqfleet.Member
+	pools   map[*kqfleet.Member]*kqhttp.Pool
+}
+
+// Run shows the whole path on stand-ins.
+func (*demoCommand) Run(e *environment) (err error) {
+	ctx, cancel := context.WithTimeout(e.ctx, demoTimeout)
+	defer cancel()
+	fleet, err := kqfleet.New()
+	if err != nil {
+		return err
+	}
+	d := &demo{
+		e: e, ctx: ctx, fleet: fleet, regions: []string{"tx-central", "us-east", "us-west"},
+		members: map[string][]*kqfleet.Member{}, pools: map[*kqfleet.Member]*kqhttp.Pool{},
+	}
+	for _, act := range []func() error{d.start, d.call, d.buyTwice, d.changeClass, d.drain, d.surge} {
+		if err = act(); err != nil {
+			break
+		}
+	}
+	if ctx.Err() != nil {
+		err = errors.CombineErrors(err, errors.New("the demo ran out of time"))
+	}
+	err = errors.CombineErrors(err, fleet.Close())
+	if err == nil {
+		d.say("Every node shut down with nothing in flight cut.")
+	}
+	return err
+}
+
+func (d *demo) say(format string, values ...any) {
+	_, _ = fmt.Fprintf(d.e.output, format+"\n", values...)
+}
+
+func demoClasses(browseWithin time.Duration) []kqclass.Class {
+	return []kqclass.Class{
+		{Name: "purchase", Target: kqclass.Target{Complete: 99.9, Within: kqclass.Duration(2 * time.Second)}, RunOnce: true},
+		{Name: "download", Target: kqclass.Target{Complete: 99, Within: kqclass.Duration(time.Second)}},
+		{Name: "browse", Target: kqclass.Target{Complete: 90, Within: kqclass.Duration(browseWithin)}, Services: []string{"catalog"}},
+	}
+}
+
+// demoPlans are the calls that each class of request makes.
+func demoPlans() map[string]kqbackend.Step {
+	licensing := kqbackend.Step{Service: "licensing"}
+	orders := kqbackend.Step{Service: "orders", Steps: []kqbackend.Step{licensing}}
+	return map[string]kqbackend.Step{
+		"purchase": {Service: "orders", Steps: []kqbackend.Step{{Service: "catalog"}, licensing}},
+		"download": {Service: "packs", Steps: []kqbackend.Step{orders}},
+		"browse":   {Service: "catalog", Parallel: true, Steps: []kqbackend.Step{{Service: "packs", Steps: []kqbackend.Step{orders}}, {Service: "orders"}}},
+	}
+}
+
+// start starts the store, the backend servers and their nodes.
+func (d *demo) start() error {
+	begun := time.Now()
+	if err := d.fleet.Configure(d.ctx, demoClasses(700*time.Millisecond)); err != nil {
+		return err
+	}
+	for _, service := range []string{"catalog", "orders", "packs", "licensing"} {
+		if err := d.startService(service); err != nil {
+			return err
+		}
+	}
+	if err := d.fleet.SettleAll(d.ctx); err != nil {
+		return err
+	}
+	d.say("Started a store, and %d nodes beside backend servers of catalog, orders, packs and licensing in %v: %d ms until all knew each other and the classes.",
+		len(d.fleet.Members), d.regions, time.Since(begun).Milliseconds())
+	return nil
+}
+
+func (d *demo) startService(service string) error {
+	settings := kqbackend.Settings{
+		Service: service, Slots: demoWideSlots, ServiceTime: demoWideTime, Spread: demoSpread, Plans: demoPlans(), Seed: demoSeed,
+	}
+	if service == "licensing" {
+		settings.Slots, settings.ServiceTime = demoNarrowSlots, demoNarrowTime
+	}
+	for i := range len(d.regions) {
+		region := d.regions[i]
+		domain := region + "-" + string(rune('a'+len(d.members)%2))
+		place := kqfleet.Place{NodeID: fmt.Sprintf("%s-%d", service, i+1), Region: region, FailureDomain: domain}
+		m, err := d.fleet.AddBackend(place, settings)
+		if err != nil {
+			return err
+		}
+		d.members[service] = append(d.members[service], m)
+		d.pools[m] = kqhttp.NewPool(m.Node.CallerAddress())
+	}
+	return nil
+}
+
+// call sends one call through a node of another service.
+func (d *demo) call() error {
+	entry := d.members["licensing"][2]
+	a := d.send(entry, "browse", "first", "")
+	if a.Err != nil {
+		return a.Err
+	}
+	d.say("A browse request that entered at %s in %s: status %d, outcome %q; it ran on %d backend servers, 4 calls deep.",
+		entry.Place.NodeID, entry.Place.Region, a.Status, a.Outcome, d.runsOf("first"))
+	return nil
+}
+
+// buyTwice sends one purchase twice, through different regions.
+func (d *demo) buyTwice() error {
+	for _, entry := range []*kqfleet.Member{d.members["catalog"][0], d.members["packs"][1]} {
+		a := d.send(entry, "purchase", "bought", "order-4711")
+		if a.Err != nil {
+			return a.Err
+		}
+		d.say("A purchase with the key order-4711, sent to %s in %s: status %d, outcome %q, cause %s.",
+			entry.Place.NodeID, entry.Place.Region, a.Status, a.Outcome, a.Cause)
+	}
+	ran := 0
+	for _, m := range d.members["licensing"] {
+		for _, r := range m.Backend.Runs() {
+			if r.RequestID == "bought" {
+				ran++
+			}
+		}
+	}
+	d.say("licensing ran it %d time(s), says its own record.", ran)
+	return nil
+}
+
+// changeClass changes a target and waits until it is in force everywhere.
+func (d *demo) changeClass() error {
+	begun := time.Now()
+	if err := d.fleet.Configure(d.ctx, demoClasses(600*time.Millisecond)); err != nil {
+		return err
+	}
+	for _, m := range d.fleet.Members {
+		err := m.Node.WaitFor(d.ctx, func(s *kqnode.State) bool {
+			if s.Classes == nil {
+				return false
+			}
+			rule, found := s.Classes.Find("browse")
+			return found && rule.Deadline() == 600*time.Millisecond
+		})
+		if err != nil {
+			return err
+		}
+	}
+	d.say("Changed the target of browse from 700 ms to 600 ms: in force on all %d nodes after %.1f ms.",
+		len(d.fleet.Members), time.Since(begun).Seconds()*1000)
+	return nil
+}
+
+// drain lets a backend server leave while calls come in.
+func (d *demo) drain() error {
+	leaving := d.members["catalog"][0]
+	before := len(leaving.Backend.Runs())
+	begun := time.Now()
+	if err := leaving.Backend.Leave(); err != nil {
+		return err
+	}
+	sent, good := 0, 0
+	for ; time.Since(begun) < demoDrainLength; sent++ {
+		a := d.send(d.members["packs"][sent%len(d.members["packs"])], "browse", fmt.Sprintf("drain-%d", sent), "")
+		if a.Err == nil && a.Status == statusWhole {
+			good++
+		}
+	}
+	late := 0
+	runs := leaving.Backend.Runs()
+	for _, r := range runs {
+		if r.At.After(begun.Add(demoDrainWatch)) {
+			late++
+		}
+	}
+	d.say("%s announced that it leaves: of %d browse requests since, %d were whole; it took %d new calls, %d of them after more than %v.",
+		leaving.Place.NodeID, sent, good, len(runs)-before, late, demoDrainWatch)
+	return nil
+}
--- a/io/kqcli/kqcli.go
+++ b/io/kqcli/kqcli.go
@@ -41,6 +41,7 @@
 
 // commands is the one table that help and docs are made from.
 type commands struct {
+	Demo     demoCommand     `cmd:"" help:"Show the whole path on stand-ins in one process, in under 20 s."`
 	Node     nodeCommand     `cmd:"" help:"Run a node beside a backend server."`
 	Store    storeCommand    `cmd:"" help:"Run the stand-in of the platform's object API."`
 	Backend  backendCommand  `cmd:"" help:"Run the stand-in of a backend server."`
--- a/io/kqmeasure/account.go
+++ b/io/kqmeasure/account.go
@@ -58,7 +58,7 @@
 // account works out the report from the records.
 func account(t *trial) *Run {
 	s := t.scenario
-	r := &Run{RetryBound: retryBound, FaultsInjected: t.injected, Causes: t.countCauses()}
+	r := &Run{RetryBound: retryBound, FaultsInjected: t.injected, Causes: t.countCauses(), Refusals: t.countRefusals()}
 	r.GoodputBefore = t.goodput(s.Warm, s.trigger())
 	r.GoodputDuring = t.goodput(s.trigger(), s.recovery())
 	r.GoodputAfter = t.goodput(s.recovery(), s.length())
@@ -174,6 +174,29 @@
 	return causes
 }
 
+// countRefusals counts calls that ended without an answer, by cause.
+func (t *trial) countRefusals() map[string]int {
+	refusals := map[string]int{}
+	count := func(class, service string, a kqbackend.Answer) {
+		cause := a.Cause
+		if a.Err != nil {
+			cause = "CallerGaveUp"
+		}
+		if cause != "" && a.Outcome != string(kqcall.OutcomeRan) {
+			refusals[class+" "+service+" "+cause]++
+		}
+	}
+	for _, q := range t.counted() {
+		for _, a := range q.Attempts {
+			count(q.Kind, t.profile.kind(q.Kind).Plan.Service, a.Answer)
+		}
+	}
+	for _, s := range t.sends {
+		count(s.Call.Class, s.Call.Service, s.Answer)
+	}
+	return refusals
+}
+
 // percentiles gives those of a quantity of the pairs, in microseconds.
 func percentiles(probes []probe, quantity func(probe) time.Duration) Percentiles {
 	if len(probes) == 0 {
--- a/io/kqmeasure/report.go
+++ b/io/kqmeasure/report.go
@@ -68,11 +68,14 @@
 	AddedLatencyMicros Percentiles
 	// DirectMicros is what the direct calls of those pairs took.
 	DirectMicros Percentiles
-	Classes            []ClassReport
+	Classes      []ClassReport
 	// FaultsInjected counts the traces that the faults left.
 	FaultsInjected int64
 	// Causes counts the causes of final answers that did not complete.
 	Causes map[string]int
+	// Refusals counts the refusals of single calls, those that were made good
+	// included, by class, service and cause.
+	Refusals map[string]int
 
 	timeline []slice
 }
