--- a/io/kqmeasure/report.go
+++ b/io/kqmeasure/report.go
@@ -66,11 +66,16 @@
 	// AddedLatencyMicros is what the nodes add to a call, in pairs with a
 	// direct one; steady only.
 	AddedLatencyMicros Percentiles
-	Classes            []ClassReport
+	// DirectMicros is what the direct calls of those pairs took.
+	DirectMicros Percentiles
+	Classes      []ClassReport
 	// FaultsInjected counts the traces that the faults left.
 	FaultsInjected int64
 	// Causes counts the causes of final answers that did not complete.
 	Causes map[string]int
+	// Refusals counts the refusals of single calls, those that were made good
+	// included, by class, service and cause.
+	Refusals map[string]int
 
 	timeline []slice
 }
--- a/io/kqnode/member.go
+++ b/io/kqnode/member.go
@@ -45,6 +45,8 @@
 	spread *kqspread.Machine
 	begun  time.Time
 	ticked time.Time
+	// seeds are the addresses that the store gave last.
+	seeds []string
 }
 
 func newMember(begun time.Time, view *kqmember.View) *member {
@@ -146,6 +148,9 @@
 // dispatch sends messages to their nodes, off the control goroutine.
 func (c *control) dispatch(envelopes []kqspread.Envelope) {
 	for _, e := range envelopes {
+		if e.Address == "" {
+			continue
+		}
 		if err := c.node.exchanges.Submit(func() { c.node.exchange(e) }); err != nil {
 			c.node.log.Event(zerolog.DebugLevel, "too many exchanges under way", err)
 		}
