--- a/Makefile
+++ b/Makefile
@@ -43,3 +43,7 @@
 # docs writes the pages that are made from the code.
 docs:
 	go run ./cmd/kumquatlink docs --directory docs
+
+# slopes prints what control costs a node at several sizes of the fleet.
+slopes:
+	go run ./cmd/kumquatlink slopes --output json
--- a/core/kqmember/view.go
+++ b/core/kqmember/view.go
@@ -57,6 +57,8 @@
 type View struct {
 	own     *Member
 	members map[string]*Member
+	// ordered holds the members in the order of their names.
+	ordered []*Member
 	// leaving holds the members that time alone changes.
 	leaving    map[string]*Member
 	superseded bool
@@ -72,6 +74,7 @@
 	v := &View{members: map[string]*Member{}, leaving: map[string]*Member{}, dirty: true}
 	v.own = &Member{Record: own}
 	v.members[own.NodeID] = v.own
+	v.ordered = []*Member{v.own}
 	return v
 }
 
@@ -192,6 +195,7 @@
 	id := next.Record.NodeID
 	before := v.members[id]
 	v.members[id] = next
+	v.place(next, before != nil)
 	if id == v.own.Record.NodeID {
 		v.own = next
 	}
@@ -205,9 +209,31 @@
 	}
 }
 
+// place puts a member where its name stands in the order.
+func (v *View) place(next *Member, held bool) {
+	last := len(v.ordered) - 1
+	if !held && compareMembers(v.ordered[last], next) < 0 {
+		v.ordered = append(v.ordered, next)
+		return
+	}
+	at, _ := slices.BinarySearchFunc(v.ordered, next, compareMembers)
+	if held {
+		v.ordered[at] = next
+		return
+	}
+	v.ordered = slices.Insert(v.ordered, at, next)
+}
+
+func compareMembers(a, b *Member) int {
+	return strings.Compare(a.Record.NodeID, b.Record.NodeID)
+}
+
 func (v *View) forget(id string) {
 	before := v.members[id]
 	delete(v.members, id)
+	if at, found := slices.BinarySearchFunc(v.ordered, before, compareMembers); found {
+		v.ordered = slices.Delete(v.ordered, at, at+1)
+	}
 	delete(v.leaving, id)
 	v.dirty = true
 	if v.Observe != nil {
@@ -225,14 +251,10 @@
 	return len(v.members)
 }
 
-// Members lists what is held in the order of the nodes' names.
+// Members lists what is held in the order of the nodes' names. It must not be
+// changed, nor kept over a change of the view.
 func (v *View) Members() []*Member {
-	members := make([]*Member, 0, len(v.members))
-	for _, m := range v.members {
-		members = append(members, m)
-	}
-	slices.SortFunc(members, func(a, b *Member) int { return strings.Compare(a.Record.NodeID, b.Record.NodeID) })
-	return members
+	return v.ordered
 }
 
 // Dirty is whether the view has changed since the last snapshot.
--- a/core/kqvirtual/kqvirtual.go
+++ b/core/kqvirtual/kqvirtual.go
@@ -35,8 +35,9 @@
 type Fleet struct {
 	// Fault decides what becomes of a message.
 	Fault func(from, to *Node) Fate
-	// Sent is told of each message, if it is set.
-	Sent func(from *Node, message kqspread.Message)
+	// Sent is told of each message, if it is set, and of whether it answers
+	// the message that the node just took in.
+	Sent func(from *Node, message kqspread.Message, answer bool)
 	// Started is told of each node that starts, if it is set.
 	Started func(n *Node)
 	// Nodes holds the running nodes by name.
@@ -183,10 +184,11 @@
 	return n.Offset + time.Duration(n.Rate*float64(n.fleet.now))
 }
 
-// Send hands what a machine gave to the network.
-func (n *Node) Send(envelopes []kqspread.Envelope) {
+// send hands what a machine gave to the network. The peer is who is being
+// answered, if anyone.
+func (n *Node) send(envelopes []kqspread.Envelope, peer string) {
 	for _, e := range envelopes {
-		n.fleet.carry(n, e)
+		n.fleet.carry(n, e, peer != "" && e.To == peer)
 	}
 	n.Items = append(n.Items, n.Machine.TakeItems()...)
 }
@@ -199,7 +201,7 @@
 		n.fleet.at(n.asleep, n.tick)
 		return
 	}
-	n.Send(n.Machine.Tick(n.Clock()))
+	n.send(n.Machine.Tick(n.Clock()), "")
 	n.fleet.at(n.fleet.now+time.Duration(float64(kqspread.TickPeriod)/n.Rate), n.tick)
 }
 
@@ -211,12 +213,12 @@
 		n.fleet.at(n.asleep, func() { n.receive(from, message) })
 		return
 	}
-	n.Send(n.Machine.Receive(n.Clock(), from, message))
+	n.send(n.Machine.Receive(n.Clock(), from, message), from)
 }
 
-func (f *Fleet) carry(from *Node, e kqspread.Envelope) {
+func (f *Fleet) carry(from *Node, e kqspread.Envelope, answer bool) {
 	if f.Sent != nil {
-		f.Sent(from, e.Message)
+		f.Sent(from, e.Message, answer)
 	}
 	to := f.places[e.Address]
 	if e.Address == "" {
--- a/io/kqcli/kqcli.go
+++ b/io/kqcli/kqcli.go
@@ -47,6 +47,7 @@
 	Class    classCommand    `cmd:"" help:"Work with the classes and their targets."`
 	Status   statusCommand   `cmd:"" help:"Show the fleet as one node sees it."`
 	Measure  measureCommand  `cmd:"" help:"Measure goodput and recovery under faults, against a naive policy."`
+	Slopes   slopesCommand   `cmd:"" help:"Measure what control costs a node as the fleet grows."`
 	Settings settingsCommand `cmd:"" help:"Work with settings files."`
 	Docs     docsCommand     `cmd:"" help:"Write the pages that are made from the code."`
 	Identity identityCommand `cmd:"" help:"Issue identities for trials, from an authority made for them."`
--- /dev/null
+++ b/io/kqcli/slopes.go
@@ -0,0 +1,36 @@
+package kqcli
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
+	"kumquatlink/io/kqslopes"
+)
+
+type slopesCommand struct {
+	Members []int  `default:"60,240,960,3600" help:"Sizes of the fleets that are measured."`
+	Seed    uint64 `default:"1" help:"Seed of all random numbers."`
+	Output  string `enum:"json,text" default:"text" help:"Form of the result: ${enum}."`
+}
+
+// Run measures what control costs a node as the fleet grows.
+func (k *slopesCommand) Run(e *environment) error {
+	report, err := kqslopes.Run(kqslopes.WithSizes(k.Members...), kqslopes.WithSeed(k.Seed))
+	if err != nil {
+		return err
+	}
+	if k.Output != "text" {
+		encoder := json.NewEncoder(e.output)
+		encoder.SetIndent("", "  ")
+		return errors.Wrap(encoder.Encode(report), "write report")
+	}
+	for _, s := range report.Slopes {
+		_, err := fmt.Fprintf(e.output, "%-30s %12.3f + %10.5f a member  %s (spread %.0f%%)\n", s.Name, s.Intercept, s.PerMember, s.Unit, 100*s.Spread)
+		if err != nil {
+			return errors.Wrap(err, "write report")
+		}
+	}
+	return nil
+}
--- a/io/kqnode/member.go
+++ b/io/kqnode/member.go
@@ -19,6 +19,10 @@
 	exchangeTimeout = 2 * time.Second
 	// exchangePoolSize bounds the exchanges that are under way.
 	exchangePoolSize = 64
+	// snapshotPausePerMember keeps a fleet in which much changes at once from
+	// using a node's time for snapshots: the larger one is, the longer the
+	// pause to the next.
+	snapshotPausePerMember = 100 * time.Microsecond
 )
 
 // itemConfiguration names the item that carries the configuration.
@@ -45,6 +49,8 @@
 	spread *kqspread.Machine
 	begun  time.Time
 	ticked time.Time
+	// pictured is when the view was last made into a snapshot.
+	pictured time.Duration
 	// seeds are the addresses that the store gave last.
 	seeds []string
 }
@@ -75,7 +81,7 @@
 	now := c.member.advance(c.node.now())
 	c.offerConfiguration()
 	c.dispatch(c.member.spread.Tick(now))
-	return c.settle()
+	return c.settle(now)
 }
 
 // advance gives the member's time. A host that was suspended stops its
@@ -92,12 +98,17 @@
 }
 
 // settle takes over what spreading changed, and says whether to publish.
-func (c *control) settle() bool {
-	changed := c.view.Dirty()
+func (c *control) settle(now time.Duration) bool {
+	changed := false
 	for _, i := range c.member.spread.TakeItems() {
 		changed = c.takeItem(i) || changed
 	}
-	c.view.Snapshot()
+	pause := time.Duration(c.view.Len()) * snapshotPausePerMember
+	if c.view.Dirty() && now-c.member.pictured >= pause {
+		c.member.pictured = now
+		c.view.Snapshot()
+		changed = true
+	}
 	return changed
 }
 
--- /dev/null
+++ b/io/kqslopes/fit.go
@@ -0,0 +1,98 @@
+package kqslopes
+
+import "math"
+
+// Slope is a line through a figure at all sizes: Intercept + PerMember times
+// the members.
+type Slope struct {
+	Name      string
+	Unit      string
+	Intercept float64
+	PerMember float64
+	// Spread is the largest distance of a figure from the line, as a share of
+	// the figure at the largest size.
+	Spread float64
+}
+
+// figure names one figure of a size.
+type figure struct {
+	name, unit string
+	of         func(Size) (float64, bool)
+}
+
+func always(of func(Size) float64) func(Size) (float64, bool) {
+	return func(s Size) (float64, bool) { return of(s), true }
+}
+
+func ofRestart(of func(Restart) float64) func(Size) (float64, bool) {
+	return func(s Size) (float64, bool) {
+		if s.Restart == nil {
+			return 0, false
+		}
+		return of(*s.Restart), true
+	}
+}
+
+var figures = []figure{
+	{"Idle.Messages", "messages/s/node", always(func(s Size) float64 { return s.Idle.Messages })},
+	{"Idle.WireBytes", "bytes/s/node", always(func(s Size) float64 { return s.Idle.WireBytes })},
+	{"Idle.ProcessorPercent", "% of a core", always(func(s Size) float64 { return s.Idle.ProcessorPercent })},
+	{"Day.WireBytes", "bytes/s/node", always(func(s Size) float64 { return s.Day.WireBytes })},
+	{"Configuration.WireBytes", "bytes/change/node", always(func(s Size) float64 { return s.Configuration.WireBytes })},
+	{"Configuration.SecondsToAll", "s, slowest", always(func(s Size) float64 { return highest(s.Configuration.SecondsToAll) })},
+	{"Replacement.WireBytes", "bytes/replacement/node", always(func(s Size) float64 { return s.Replacement.WireBytes })},
+	{"Failure.WireBytes", "bytes/failure/node", always(func(s Size) float64 { return s.Failure.WireBytes })},
+	{"Memory.BytesPerNode", "bytes", always(func(s Size) float64 { return float64(s.Memory.BytesPerNode) })},
+	{"Work.Snapshot", "us", always(func(s Size) float64 { return s.Work.Snapshot })},
+	{"Work.JoinBytes", "bytes", always(func(s Size) float64 { return float64(s.Work.JoinBytes) })},
+	{"Restart.SecondsToAll", "s", ofRestart(func(r Restart) float64 { return r.SecondsToAll })},
+	{"Restart.EncodedBytesPerNode", "bytes/node", ofRestart(func(r Restart) float64 { return r.EncodedBytesPerNode })},
+	{"Restart.StoreReads", "calls", ofRestart(func(r Restart) float64 { return float64(r.StoreReads) })},
+	{"Restart.BusiestReads", "calls/s", ofRestart(func(r Restart) float64 { return float64(r.BusiestReads) })},
+}
+
+func highest(values []float64) float64 {
+	top := 0.0
+	for _, v := range values {
+		top = max(top, v)
+	}
+	return top
+}
+
+func fitAll(sizes []Size) []Slope {
+	var slopes []Slope
+	for _, f := range figures {
+		var x, y []float64
+		for _, s := range sizes {
+			if value, found := f.of(s); found {
+				x, y = append(x, float64(s.Members)), append(y, value)
+			}
+		}
+		if len(x) >= 2 {
+			slopes = append(slopes, fit(f, x, y))
+		}
+	}
+	return slopes
+}
+
+// fit gives the line of least squares.
+func fit(f figure, x, y []float64) Slope {
+	n := float64(len(x))
+	var sumX, sumY, sumXX, sumXY float64
+	for i := range x {
+		sumX += x[i]
+		sumY += y[i]
+		sumXX += x[i] * x[i]
+		sumXY += x[i] * y[i]
+	}
+	s := Slope{Name: f.name, Unit: f.unit}
+	s.PerMember = (n*sumXY - sumX*sumY) / (n*sumXX - sumX*sumX)
+	s.Intercept = (sumY - s.PerMember*sumX) / n
+	for i := range x {
+		off := math.Abs(y[i] - s.Intercept - s.PerMember*x[i])
+		if last := math.Abs(y[len(y)-1]); last > 0 {
+			s.Spread = max(s.Spread, off/last)
+		}
+	}
+	return s
+}
