--- a/io/kqmeasure/account.go
+++ b/io/kqmeasure/account.go
@@ -58,7 +58,7 @@
 // account works out the report from the records.
 func account(t *trial) *Run {
 	s := t.scenario
-	r := &Run{RetryBound: retryBound, FaultsInjected: t.injected, Causes: t.countCauses()}
+	r := &Run{RetryBound: retryBound, FaultsInjected: t.injected, Causes: t.countCauses(), Refusals: t.countRefusals()}
 	r.GoodputBefore = t.goodput(s.Warm, s.trigger())
 	r.GoodputDuring = t.goodput(s.trigger(), s.recovery())
 	r.GoodputAfter = t.goodput(s.recovery(), s.length())
@@ -71,7 +71,8 @@
 	r.CutInFlight, r.NewWorkOnLeaving = t.leavingFaults()
 	r.ShedOrderBreaks = t.shedOrderBreaks()
 	r.WastedWorkRatio = t.wastedWork()
-	r.AddedLatencyMicros = addedLatency(t.probes)
+	r.AddedLatencyMicros = percentiles(t.probes, func(p probe) time.Duration { return p.via - p.direct })
+	r.DirectMicros = percentiles(t.probes, func(p probe) time.Duration { return p.direct })
 	r.Classes = t.classes()
 	r.timeline = t.timeline()
 	return r
@@ -173,13 +174,37 @@
 	return causes
 }
 
-func addedLatency(probes []probe) Percentiles {
+// countRefusals counts calls that ended without an answer, by cause.
+func (t *trial) countRefusals() map[string]int {
+	refusals := map[string]int{}
+	count := func(class, service string, a kqbackend.Answer) {
+		cause := a.Cause
+		if a.Err != nil {
+			cause = "CallerGaveUp"
+		}
+		if cause != "" && a.Outcome != string(kqcall.OutcomeRan) {
+			refusals[class+" "+service+" "+cause]++
+		}
+	}
+	for _, q := range t.counted() {
+		for _, a := range q.Attempts {
+			count(q.Kind, t.profile.kind(q.Kind).Plan.Service, a.Answer)
+		}
+	}
+	for _, s := range t.sends {
+		count(s.Call.Class, s.Call.Service, s.Answer)
+	}
+	return refusals
+}
+
+// percentiles gives those of a quantity of the pairs, in microseconds.
+func percentiles(probes []probe, quantity func(probe) time.Duration) Percentiles {
 	if len(probes) == 0 {
 		return Percentiles{}
 	}
 	h := hdrhistogram.New(1, maxLatency.Microseconds(), latencyDigits)
 	for _, p := range probes {
-		_ = h.RecordValue(max(p.via-p.direct, 0).Microseconds())
+		_ = h.RecordValue(max(quantity(p), 0).Microseconds())
 	}
 	return Percentiles{P50: float64(h.ValueAtPercentile(medianPercentile)), P99: float64(h.ValueAtPercentile(tailPercentile))}
 }
