--- a/io/kqmeasure/account.go
+++ b/io/kqmeasure/account.go
@@ -1,6 +1,7 @@
 package kqmeasure
 
 import (
+	"math"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -19,6 +20,8 @@
 	microsPerMilli   = 1000.0
 	medianPercentile = 50
 	tailPercentile   = 99
+	// reportScale keeps three decimals.
+	reportScale = 1000
 )
 
 // served is a run with the service and the host that ran it.
@@ -62,7 +65,8 @@
 	r.GoodputBefore = t.goodput(s.Warm, s.trigger())
 	r.GoodputDuring = t.goodput(s.trigger(), s.recovery())
 	r.GoodputAfter = t.goodput(s.recovery(), s.length())
-	r.OfferedDuring, r.CapacityDuring = t.capacityDuring()
+	offered, carried := t.capacityDuring()
+	r.OfferedDuring, r.CapacityDuring = rounded(offered), rounded(carried)
 	r.RecoverySeconds = recoveryTime(t.shares(), s).Seconds()
 	r.MaxRetriesPerRequest = t.maxRetries()
 	r.RanTwice = t.ranTwice()
@@ -70,7 +74,7 @@
 	r.WrongAnswers = t.wrongAnswers()
 	r.CutInFlight, r.NewWorkOnLeaving = t.leavingFaults()
 	r.ShedOrderBreaks = t.shedOrderBreaks()
-	r.WastedWorkRatio = t.wastedWork()
+	r.WastedWorkRatio = rounded(t.wastedWork())
 	r.AddedLatencyMicros = percentiles(t.probes, func(p probe) time.Duration { return p.via - p.direct })
 	r.DirectMicros = percentiles(t.probes, func(p probe) time.Duration { return p.direct })
 	r.Classes = t.classes()
@@ -78,6 +82,11 @@
 	return r
 }
 
+// rounded gives a figure with the digits that a report shows.
+func rounded(figure float64) float64 {
+	return math.Round(figure*reportScale) / reportScale
+}
+
 func (t *trial) inTime(q *root) bool {
 	return q.inTime(t.profile.within(q.Kind))
 }
@@ -90,7 +99,7 @@
 			n++
 		}
 	}
-	return float64(n) / (to - from).Seconds()
+	return rounded(float64(n) / (to - from).Seconds())
 }
 
 // capacityDuring gives the offered rate while the trigger lasts and what the
--- a/io/kqmeasure/capacity.go
+++ b/io/kqmeasure/capacity.go
@@ -1,6 +1,8 @@
 package kqmeasure
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"kumquatlink/io/kqbackend"
@@ -77,10 +79,11 @@
 	return rate
 }
 
+// total sums in a fixed order, so that the same rates always give the same sum.
 func total(rates map[string]float64) float64 {
 	sum := 0.0
-	for _, r := range rates {
-		sum += r
+	for _, k := range slices.Sorted(maps.Keys(rates)) {
+		sum += rates[k]
 	}
 	return sum
 }
--- /dev/null
+++ b/io/kqmeasure/twin_test.go
@@ -0,0 +1,203 @@
+package kqmeasure
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"kumquatlink/core/kqcall"
+	"kumquatlink/io/kqbackend"
+)
+
+// naiveRecovery asks for every moment, in turn, whether all later windows are
+// good, straight from the definition.
+func naiveRecovery(shares []share, s Scenario) time.Duration {
+	var offered, inTime int
+	for at := s.Warm; at < s.trigger(); at += sliceLength {
+		offered += shares[at/sliceLength].Offered
+		inTime += shares[at/sliceLength].InTime
+	}
+	if inTime == 0 {
+		return s.After
+	}
+	good := func(at time.Duration) bool {
+		var o, n int
+		for i := range time.Duration(windowSlices) {
+			o += shares[at/sliceLength+i].Offered
+			n += shares[at/sliceLength+i].InTime
+		}
+		return float64(n) >= recoveredShare*float64(inTime)/float64(offered)*float64(o)
+	}
+	last := s.length() - windowSlices*sliceLength
+	for at := s.recovery(); at <= last; at += sliceLength {
+		lasts := true
+		for later := at; later <= last; later += sliceLength {
+			lasts = lasts && good(later)
+		}
+		if lasts {
+			return at - s.recovery()
+		}
+	}
+	return s.After
+}
+
+func TestRecoveryTimeAgreesWithItsDefinition(t *testing.T) {
+	s := testScenario()
+	rapid.Check(t, func(r *rapid.T) {
+		shares := rapid.SliceOfN(rapid.Custom(func(r *rapid.T) share {
+			o := rapid.IntRange(0, 20).Draw(r, "offered")
+			return share{Offered: o, InTime: max(0, o-rapid.SampledFrom([]int{0, 0, 0, 1, 20}).Draw(r, "late"))}
+		}), int(s.length()/sliceLength), int(s.length()/sliceLength)).Draw(r, "shares")
+		if got, want := recoveryTime(shares, s), naiveRecovery(shares, s); got != want {
+			r.Fatalf("recovery: got %v, want %v", got, want)
+		}
+	})
+}
+
+// drawTrial draws runs, sheds and answers of a few requests.
+func drawTrial(r *rapid.T, p Profile) *trial {
+	tr := &trial{profile: p, scenario: testScenario(), begun: time.Unix(1_000_000, 0)}
+	kinds := []string{"purchase", "download", "browse"}
+	services := []string{"orders", "packs", "licensing"}
+	for i := range rapid.IntRange(1, 30).Draw(r, "calls") {
+		kind := rapid.SampledFrom(kinds).Draw(r, "kind")
+		request := fmt.Sprintf("q%d", rapid.IntRange(0, 5).Draw(r, "request"))
+		sending := fmt.Sprintf("%s.%d", request, rapid.IntRange(0, 2).Draw(r, "sending"))
+		call := sending + fmt.Sprintf("-s%d.0", rapid.IntRange(0, 2).Draw(r, "call"))
+		at := tr.begun.Add(time.Duration(rapid.IntRange(0, 400).Draw(r, "at")) * time.Millisecond)
+		service := rapid.SampledFrom(services).Draw(r, "service")
+		key := rapid.SampledFrom([]string{"", "k1", "k2"}).Draw(r, "key")
+		run := served{kqbackend.Run{RequestID: request, Class: kind, Key: key, At: at, Path: path(kind, "r.0", call)}, service, nil}
+		switch i % 3 {
+		case 0:
+			tr.runs = append(tr.runs, run)
+		case 1:
+			tr.sheds = append(tr.sheds, run)
+		default:
+			cause := rapid.SampledFrom([]kqcall.Cause{kqcall.CauseShedGate, kqcall.CauseDisplaced, kqcall.CauseDraining}).Draw(r, "cause")
+			tr.sends = append(tr.sends, kqbackend.Send{Call: kqbackend.Call{Service: service, Class: kind, RequestID: request, Path: run.Path}, Answer: notRunAnswer(cause), Ended: at})
+		}
+	}
+	return tr
+}
+
+// pairedRetries compares every pair of tries of the same call.
+func pairedRetries(tr *trial) int {
+	all := append(append([]served(nil), tr.runs...), tr.sheds...)
+	most := 0
+	for _, a := range all {
+		sending := sendingOf(callOf(a.Path))
+		retries := 0
+		for i, b := range all {
+			if sendingOf(callOf(b.Path)) != sending {
+				continue
+			}
+			for _, c := range all[:i] {
+				if c.Path == b.Path || callOf(c.Path) == callOf(b.Path) {
+					retries++
+					break
+				}
+			}
+		}
+		most = max(most, retries)
+	}
+	return most
+}
+
+// naiveBreaks compares every shed with every run.
+func naiveBreaks(tr *trial) int {
+	breaks := 0
+	for _, s := range tr.sends {
+		if s.Call.Class != "purchase" || s.Answer.Cause == string(kqcall.CauseDraining) {
+			continue
+		}
+		for _, r := range tr.runs {
+			same := r.At.Sub(tr.begun)/shedWindow == s.Ended.Sub(tr.begun)/shedWindow
+			if same && r.Service == s.Call.Service && r.Class != "purchase" {
+				breaks++
+				break
+			}
+		}
+	}
+	return breaks
+}
+
+// naiveTwice looks for an earlier run of each key.
+func naiveTwice(tr *trial) int {
+	found := map[string]bool{}
+	for i, r := range tr.runs {
+		for _, s := range tr.runs[:i] {
+			if r.Key != "" && s.Key == r.Key && s.Service == r.Service {
+				found[r.Service+" "+r.Key] = true
+			}
+		}
+	}
+	return len(found)
+}
+
+// naiveNotRun compares every refusal with every run.
+func naiveNotRun(tr *trial) int {
+	n := 0
+	for _, s := range tr.sends {
+		for _, r := range tr.runs {
+			if strings.HasSuffix(r.Path, "/"+callOf(s.Call.Path)) {
+				n++
+				break
+			}
+		}
+	}
+	return n
+}
+
+func TestCountsAgreeWithNaiveOnes(t *testing.T) {
+	p := testProfile(t)
+	rapid.Check(t, func(r *rapid.T) {
+		tr := drawTrial(r, p)
+		for _, c := range []struct {
+			name      string
+			got, want int
+		}{
+			{"retries", tr.maxSeenRetries(), pairedRetries(tr)},
+			{"shed order breaks", tr.shedOrderBreaks(), naiveBreaks(tr)},
+			{"ran twice", tr.ranTwice(), naiveTwice(tr)},
+			{"not run but ran", tr.notRunButRan(), naiveNotRun(tr)},
+		} {
+			if c.got != c.want {
+				r.Fatalf("%s: got %d, want %d", c.name, c.got, c.want)
+			}
+		}
+	})
+}
+
+func TestCapacityServesTheImportantFirst(t *testing.T) {
+	p := testProfile(t)
+	full := fullRate(p)
+	offered := map[string]float64{}
+	for _, k := range p.Kinds {
+		offered[k.Name] = k.Share * full
+	}
+	if got, want := total(capacity(p, offered, 1)), full; got < want*0.999 || got > want*1.001 {
+		t.Errorf("capacity at the full rate: got %.1f, want %.1f", got, want)
+	}
+	slow := capacity(p, offered, 3)
+	if got, want := slow["purchase"], offered["purchase"]; got != want {
+		t.Errorf("purchases carried while the deep service is slow: got %.1f, want %.1f", got, want)
+	}
+	if got, want := slow["browse"], 0.0; got > want+1e-9 {
+		t.Errorf("browse carried while downloads are not all: got %.1f, want %.1f", got, want)
+	}
+}
+
+func TestScheduleFollowsTheSeed(t *testing.T) {
+	p, s := testProfile(t), testScenario()
+	first, again, other := newSchedule(p, s, 1), newSchedule(p, s, 1), newSchedule(p, s, 2)
+	if got, want := fmt.Sprint(again), fmt.Sprint(first); got != want {
+		t.Error("got two schedules of one seed that differ, want the same")
+	}
+	if fmt.Sprint(other) == fmt.Sprint(first) {
+		t.Error("got the same schedule for two seeds, want others")
+	}
+}
