Lives of a node and its backend server by their charts

Cause: a node served as soon as a backend server announced itself, whatever the fleet held of it, and never left Draining. Change: charts/node.json and charts/backend.json; io/kqnode/life.go runs them: a node takes work only when a neighbour has answered since its start or last pause, warms up only where others carry the service, notices a backend server that is silent and unreachable, gives way to a later start of its own name, and tells its neighbours that it is gone. The gate refuses while its control goroutine has not looked at the clock for 2 s.

--- a/core/kqchart/kqchart.go
+++ b/core/kqchart/kqchart.go
@@ -144,6 +144,11 @@
 	return m.state
 }
 
+// Initial is the name of the state that the chart starts in.
+func (m *Machine) Initial() string {
+	return m.chart.Initial
+}
+
 // Can is whether the current state takes the event.
 func (m *Machine) Can(event string) bool {
 	_, found := m.target(event)
--- a/io/kqcli/slopes.go
+++ b/io/kqcli/slopes.go
@@ -15,6 +15,11 @@
 	Output  string `enum:"json,text" default:"text" help:"Form of the result: ${enum}."`
 }
 
+// Help is the longer help of the command.
+func (slopesCommand) Help() string {
+	return "Example:\n\n  kumquatlink slopes --members 60,240 --output json"
+}
+
 // Run measures what control costs a node as the fleet grows.
 func (k *slopesCommand) Run(e *environment) error {
 	report, err := kqslopes.Run(kqslopes.WithSizes(k.Members...), kqslopes.WithSeed(k.Seed))
--- a/io/kqnode/control.go
+++ b/io/kqnode/control.go
@@ -8,8 +8,6 @@
 	"kumquatlink/core/kqchart"
 	"kumquatlink/core/kqconfig"
 	"kumquatlink/core/kqmember"
-	"kumquatlink/io/kqhttp"
-	"kumquatlink/io/kqwire"
 )
 
 //go:embed charts/*.json
@@ -29,7 +27,7 @@
 type control struct {
 	node   *Node
 	events chan event
-	life   *kqchart.Machine
+	lives  lives
 	view   *kqmember.View
 	member *member
 	holder *kqconfig.Holder
@@ -40,9 +38,7 @@
 }
 
 func newControl(n *Node) *control {
-	c := &control{node: n, events: make(chan event, eventQueueLength), signal: make(chan struct{}), holder: kqconfig.NewHolder()}
-	c.life = kqchart.NewMachine(readChart("charts/node.json"))
-	return c
+	return &control{node: n, events: make(chan event, eventQueueLength), signal: make(chan struct{}), holder: kqconfig.NewHolder(), lives: newLives()}
 }
 
 func readChart(name string) *kqchart.Chart {
@@ -58,9 +54,9 @@
 	s := c.node.settings
 	c.view = kqmember.NewView(kqmember.Record{
 		NodeID: s.NodeID, Incarnation: uint64(c.node.now().UnixNano()), Version: 1,
-		Address: peerAddress, OperatorAddress: c.node.operatorAddress, FailureDomain: s.FailureDomain, Region: s.Region, Life: kqmember.Life(c.life.State()),
+		Address: peerAddress, OperatorAddress: c.node.operatorAddress, FailureDomain: s.FailureDomain, Region: s.Region, Life: kqmember.Life(c.lives.node.State()),
 	})
-	c.member = newMember(c.node.now(), c.view)
+	c.member = newMember(c.node, c.view)
 	c.member.spread.SetContacts(s.Peers, false)
 	c.publish()
 }
@@ -79,7 +75,7 @@
 
 func (c *control) publish() {
 	s := c.state
-	s.Life = kqmember.Life(c.life.State())
+	s.Life = kqmember.Life(c.lives.node.State())
 	s.Members = c.view.Current()
 	c.node.state.Store(&s)
 	c.mutex.Lock()
@@ -100,42 +96,3 @@
 		}
 	}
 }
-
-// announceEvent is the backend server's word about itself.
-type announceEvent struct {
-	backend *Backend
-}
-
-func (e announceEvent) apply(c *control) bool {
-	b := e.backend
-	if b.Announcement.State == kqwire.StateLeaving {
-		return c.fire("Leave")
-	}
-	if held := c.state.Backend; held != nil && held.Announcement == b.Announcement {
-		return false
-	}
-	b.pool = kqhttp.NewPool(b.Announcement.Address)
-	c.state.Backend = b
-	c.member.spread.UpdateOwn(func(r *kqmember.Record) { r.Service = b.Announcement.Service })
-	c.fire("Ready")
-	return true
-}
-
-// leaveEvent begins the node's own leaving.
-type leaveEvent struct{}
-
-func (leaveEvent) apply(c *control) bool {
-	return c.fire("Leave")
-}
-
-// fire takes an event of the node's life, if its state takes it.
-func (c *control) fire(name string) bool {
-	if !c.life.Can(name) {
-		return false
-	}
-	if err := c.life.Fire(name); err != nil {
-		return false
-	}
-	c.member.spread.UpdateOwn(func(r *kqmember.Record) { r.Life = kqmember.Life(c.life.State()) })
-	return true
-}
--- a/io/kqnode/gate.go
+++ b/io/kqnode/gate.go
@@ -38,7 +38,7 @@
 // run admits the call and runs it on the backend server.
 func (g *gate) run(ctx context.Context, q *call) *result {
 	s := g.node.State()
-	if cause := closedBy(s); cause != "" {
+	if cause := g.closedBy(s); cause != "" {
 		return g.finish(q, g.refuse(q, kqcall.NotRun(cause)))
 	}
 	p, end := g.admit(ctx, q, s.Backend)
@@ -51,11 +51,11 @@
 }
 
 // closedBy says why the gate takes no call at all, or nothing.
-func closedBy(s *State) kqcall.Cause {
+func (g *gate) closedBy(s *State) kqcall.Cause {
 	if s.Life == kqmember.LifeDraining || s.Life == kqmember.LifeGone {
 		return kqcall.CauseDraining
 	}
-	if s.Backend == nil {
+	if s.Life == kqmember.LifeJoining || s.Backend == nil || !g.node.awake() {
 		return kqcall.CauseNoUpstream
 	}
 	return ""
--- a/io/kqnode/kqnode.go
+++ b/io/kqnode/kqnode.go
@@ -97,9 +97,13 @@
 
 	state   atomic.Pointer[State]
 	control *control
-	gate    *gate
-	router  *router
-	shed    *shedder
+	// begun is when the node started, and lookedAt the nanoseconds since then
+	// at which the control goroutine last looked at the clock.
+	begun    time.Time
+	lookedAt atomic.Int64
+	gate     *gate
+	router   *router
+	shed     *shedder
 
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
@@ -207,6 +211,7 @@
 			return errors.Mark(errors.Wrap(err, "finish calls"), ErrNode)
 		}
 	}
+	n.announceGone(ctx)
 	n.cancel()
 	n.loops.Wait()
 	err := errors.CombineErrors(n.server.Close(), n.metrics.Close())
--- a/io/kqnode/member.go
+++ b/io/kqnode/member.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,8 +47,8 @@
 
 // member is this node's part in spreading; the control goroutine owns it.
 type member struct {
+	node   *Node
 	spread *kqspread.Machine
-	begun  time.Time
 	ticked time.Time
 	// pictured is when the view was last made into a snapshot.
 	pictured time.Duration
@@ -55,9 +56,10 @@
 	seeds []string
 }
 
-func newMember(begun time.Time, view *kqmember.View) *member {
+func newMember(n *Node, view *kqmember.View) *member {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return &member{spread: kqspread.New(0, view, random), begun: begun, ticked: begun}
+	n.begun = n.now()
+	return &member{node: n, spread: kqspread.New(0, view, random), ticked: n.begun}
 }
 
 // runMembership moves the member's time on.
@@ -81,14 +83,16 @@
 	now := c.member.advance(c.node.now())
 	c.offerConfiguration()
 	c.dispatch(c.member.spread.Tick(now))
-	return c.settle(now)
+	changed := c.live(now)
+	return c.settle(now) || changed
 }
 
 // advance gives the member's time. A host that was suspended stops its
 // monotonic clock, so that a jump of the wall clock alone counts as a pause
 // too: a needless check after a clock was set costs little.
 func (m *member) advance(at time.Time) time.Duration {
-	now := at.Sub(m.begun)
+	now := at.Sub(m.node.begun)
+	m.node.lookedAt.Store(int64(now))
 	wall := at.Round(0).Sub(m.ticked.Round(0))
 	if wall-at.Sub(m.ticked) >= kqspread.PauseAfter {
 		m.spread.Woke(now)
@@ -168,6 +172,17 @@
 	}
 }
 
+// exchangeAll sends messages at once and waits for all replies.
+func (n *Node) exchangeAll(envelopes []kqspread.Envelope) {
+	var group sync.WaitGroup
+	for _, e := range envelopes {
+		if e.Address != "" {
+			group.Go(func() { n.exchange(e) })
+		}
+	}
+	group.Wait()
+}
+
 // exchange sends one message and hands the replies to control.
 func (n *Node) exchange(e kqspread.Envelope) {
 	message, err := cbor.Marshal(e.Message)
--- a/io/kqslopes/fleet.go
+++ b/io/kqslopes/fleet.go
@@ -223,16 +223,22 @@
 		t.fleet.Run(time.Second)
 	}
 	t.fleet.Stop(old.NodeID)
+	seconds := 0.0
+	if !inOrder {
+		seconds = t.until(t.fleet.Now(), func() bool { return t.allDoubt(old.NodeID) })
+	}
 	fresh := recordOf(t.starts)
 	fresh.Life = kqmember.LifeJoining
 	t.starts++
 	n := t.fleet.Start(fresh, []string{recordOf(0).Address})
-	joined := t.fleet.Now()
 	t.fleet.RunUntil(spreadLimit, lookStep, n.Machine.Confirmed)
 	t.change(fresh.NodeID, kqmember.LifeWarming)
 	t.fleet.Run(2 * time.Second)
 	t.change(fresh.NodeID, kqmember.LifeServing)
-	seconds := t.until(joined, func() bool { return t.allKnow(n.View.Own()) })
+	known := t.until(t.fleet.Now(), func() bool { return t.allKnow(n.View.Own()) })
+	if inOrder {
+		seconds = known
+	}
 	t.fleet.Run(begun + failurePart - t.fleet.Now())
 	c := t.cost(before, failurePart, idle)
 	c.SecondsToAll = []float64{seconds}
@@ -243,6 +249,16 @@
 	t.fleet.Nodes[nodeID].Machine.UpdateOwn(func(r *kqmember.Record) { r.Life = l })
 }
 
+// allDoubt is whether no node takes the other for alive.
+func (t *trial) allDoubt(nodeID string) bool {
+	for _, n := range t.fleet.Nodes {
+		if held := n.View.Find(nodeID); held != nil && held.Status == kqmember.StatusAlive {
+			return false
+		}
+	}
+	return true
+}
+
 func (t *trial) allKnow(r kqmember.Record) bool {
 	for _, n := range t.fleet.Nodes {
 		if held := n.View.Find(r.NodeID); held == nil || held.Record.Version < r.Version {
--- a/io/kqslopes/kqslopes.go
+++ b/io/kqslopes/kqslopes.go
@@ -84,7 +84,8 @@
 	// EncodedBytes and WireBytes are per node, as in Spending.
 	EncodedBytes float64
 	WireBytes    float64
-	// SecondsToAll is until all nodes knew, over the trials.
+	// SecondsToAll is until all nodes knew, over the trials: the change of the
+	// configuration, that the new node serves, or that the dead one is dead.
 	SecondsToAll []float64
 }
 
