--- a/io/kqcli/measure.go
+++ b/io/kqcli/measure.go
@@ -17,7 +17,7 @@
 
 type measureCommand struct {
 	Scenario string   `default:"steady" help:"What happens: steady, surge, deepslow, retrystorm, storeout, leaving, silent, paused, together or twice."`
-	Profile  string   `enum:"bluebonnet,lochforth" default:"bluebonnet" help:"Whose services and work: ${enum}."`
+	Profile  string   `enum:"bluebonnet,lochforth,sevendeep" default:"bluebonnet" help:"Whose services and work: ${enum}."`
 	Seed     uint64   `default:"1" help:"Seeds the schedule, the service times and the choice of faults."`
 	Seeds    []uint64 `help:"Several seeds, one report each, as a JSON list."`
 	Policy   string   `enum:"naive,kumquatlink,both" default:"both" help:"What stands between callers and backend servers: ${enum}."`
--- a/io/kqmeasure/profile.go
+++ b/io/kqmeasure/profile.go
@@ -108,6 +108,22 @@
 	},
 }
 
+// sevenDeep is bluebonnet with a download that is seven calls deep.
+func sevenDeep(p Profile) Profile {
+	p.Name = "sevendeep"
+	p.Kinds = slices.Clone(p.Kinds)
+	chain := step("licensing")
+	for _, service := range []string{"orders", "packs", "catalog", "orders", "catalog", "packs"} {
+		chain = step(service, chain)
+	}
+	p.Kinds[1].Plan = chain
+	return p
+}
+
+func init() {
+	profiles = append(profiles, sevenDeep(profiles[0]))
+}
+
 // FindProfile gives the profile of that name.
 func FindProfile(name string) (Profile, bool) {
 	i := slices.IndexFunc(profiles, func(p Profile) bool { return p.Name == name })
