Run calls with a key at most once through the key's home

Cause: nothing remembered that a purchase with an Idempotency-Key was run. Change: core/kqledger remembers the keys of a bucket, core/kqhome decides who holds a bucket's token (hand-over by the living holder, or a claim: one conditional store write and the word of every other member's gate), and io/kqnode sends keyed calls of RunOnce classes through the key's home.

--- a/core/kqcall/kqcall.go
+++ b/core/kqcall/kqcall.go
@@ -68,6 +68,7 @@
 	CauseKeyForgotten     Cause = "KeyForgotten"
 	CauseKeyMismatch      Cause = "KeyMismatch"
 	CauseKeyHomeUnreached Cause = "KeyHomeUnreached"
+	CauseKeyLedgerFull    Cause = "KeyLedgerFull"
 	CauseMoved            Cause = "Moved"
 )
 
@@ -93,6 +94,8 @@
 	Key string
 	// Repeatable is whether the call may run more than once.
 	Repeatable bool
+	// Generation is that of the home that lets a call with a key run, or 0.
+	Generation uint64
 }
 
 // Onward gives the head of a call that a backend server makes while it runs
@@ -105,6 +108,7 @@
 	o.Depth = h.Depth + 1
 	o.Retries = 0
 	o.Key = ""
+	o.Generation = 0
 	return o
 }
 
--- a/io/kqlink/frames.go
+++ b/io/kqlink/frames.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"kumquatlink/core/kqcall"
+	"kumquatlink/core/kqhome"
 )
 
 // Limits on what is read from a peer.
@@ -36,6 +37,9 @@
 	Method  string
 	Path    string
 	Headers []Header
+	// ToHome asks the node to act as the home of the call's key, not as the
+	// gate of its backend server.
+	ToHome bool `cbor:",omitempty"`
 	// BodyLength is the exact number of body bytes; the stream ends there.
 	BodyLength int
 }
@@ -57,6 +61,9 @@
 	// RetriesLeft is the part of the call's retry allowance not used.
 	RetriesLeft int
 	Load        Load
+	// Token is the newest token of the key's bucket, when the node asked is not
+	// its home.
+	Token *kqhome.Token `cbor:",omitempty"`
 }
 
 var decodeMode = newDecodeMode()
--- a/io/kqnode/call.go
+++ b/io/kqnode/call.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"kumquatlink/core/kqcall"
+	"kumquatlink/core/kqhome"
 	"kumquatlink/io/kqlink"
 	"kumquatlink/io/kqwire"
 )
@@ -23,6 +24,8 @@
 	body    []byte
 	// parent is the running call that this one was made for, or nil.
 	parent *running
+	// avoid holds the nodes whose gates the call must not use.
+	avoid map[string]bool
 }
 
 // result is how a call ended and, if it ran, the whole answer.
@@ -33,6 +36,9 @@
 	body        []byte
 	retriesLeft int
 	load        kqlink.Load
+	// token is the newest token of the key's bucket, when the call went to a
+	// node that is not its home.
+	token *kqhome.Token
 }
 
 func refused(c kqcall.Cause) *result {
--- a/io/kqnode/entry.go
+++ b/io/kqnode/entry.go
@@ -150,6 +150,9 @@
 	}
 	ctx, cancel := withBudget(parent, q.head)
 	defer cancel()
+	if q.keyed() {
+		return n.keys.dispatch(ctx, q)
+	}
 	return n.router.route(ctx, q)
 }
 
--- a/io/kqnode/gate.go
+++ b/io/kqnode/gate.go
@@ -58,6 +58,9 @@
 
 // run admits the call and runs it on the backend server.
 func (g *gate) run(ctx context.Context, q *call) *result {
+	if !g.node.keys.admits(q) {
+		return g.finish(q, &result{end: kqcall.NotRun(kqcall.CauseMoved), retriesLeft: q.head.Retries})
+	}
 	s := g.node.State()
 	if cause := g.enter(s); cause != "" {
 		return g.finish(q, &result{end: kqcall.NotRun(cause), retriesLeft: q.head.Retries})
--- /dev/null
+++ b/io/kqnode/keyclaim.go
@@ -0,0 +1,166 @@
+package kqnode
+
+import (
+	"context"
+
+	"github.com/rs/zerolog"
+
+	"kumquatlink/core/kqhome"
+	"kumquatlink/core/kqmember"
+	"kumquatlink/io/kqstore"
+)
+
+// claim writes a claim of the holder's buckets to the store. When the answer
+// to the write is lost, the table shows later that this node has claimed, and
+// it claims anew from itself.
+func (k *keeper) claim(ctx context.Context, holder kqhome.Node) {
+	if k.steps.claims[holder] != nil || k.now() < k.steps.joinAt {
+		return
+	}
+	o, err := k.node.store.Get(ctx, kqstore.KindLedger, k.service)
+	if err != nil {
+		k.postpone(err)
+		return
+	}
+	stored, err := decodeTable(o)
+	if err != nil {
+		k.postpone(err)
+		return
+	}
+	k.mutex.Lock()
+	k.home.Hear(stored)
+	known := k.home.Table()
+	k.mutex.Unlock()
+	c, some := kqhome.NewClaim(known, k.self(), holder)
+	if !some {
+		return
+	}
+	if err := k.write(ctx, c.Table(), o.Version); err != nil {
+		k.postpone(err)
+		return
+	}
+	k.steps.joinPause = joinPause
+	k.mutex.Lock()
+	k.home.Fence(k.now(), c.Table(), c.Buckets())
+	k.publish()
+	k.mutex.Unlock()
+	k.node.log.Event(zerolog.InfoLevel, "claimed the keys of "+holder.NodeID, nil)
+	k.steps.claims[holder] = &pendingClaim{claim: c, givers: map[int]string{}}
+}
+
+// postpone spaces attempts that the store did not take.
+func (k *keeper) postpone(err error) {
+	k.node.log.Event(zerolog.WarnLevel, "claim keys", err)
+	k.steps.joinPause = min(2*k.steps.joinPause, joinPauseMost)
+	k.steps.joinAt = k.now() + k.steps.joinPause
+}
+
+// pursue asks the members whose word the claim still needs.
+func (k *keeper) pursue(ctx context.Context, holder kqhome.Node) {
+	p := k.steps.claims[holder]
+	if k.overtaken(p.claim) {
+		delete(k.steps.claims, holder)
+		return
+	}
+	for range 2 {
+		for _, id := range p.claim.Ask() {
+			k.fence(ctx, p, id)
+		}
+		if p.claim.Advance() {
+			k.complete(ctx, p)
+			delete(k.steps.claims, holder)
+			delete(k.steps.silentSince, holder)
+			return
+		}
+	}
+}
+
+// overtaken is whether a claim can come to nothing any more.
+func (k *keeper) overtaken(c *kqhome.Claim) bool {
+	if c.Refused() {
+		return true
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	now, wanted := k.home.Table(), c.Table()
+	for _, b := range c.Buckets() {
+		if now.Tokens[b] == wanted.Tokens[b] {
+			return false
+		}
+	}
+	return true
+}
+
+// fence asks one member for its word.
+func (k *keeper) fence(ctx context.Context, p *pendingClaim, nodeID string) {
+	record, found := recordOf(k.node.State(), nodeID)
+	if !found {
+		return
+	}
+	if record.Life == kqmember.LifeGone {
+		p.claim.Over(kqhome.Node{NodeID: record.NodeID, Incarnation: record.Incarnation})
+		return
+	}
+	reply, err := k.ask(ctx, record, keyMessage{Fence: &keyFence{Table: p.claim.Table(), Buckets: p.claim.Buckets()}})
+	if err != nil || reply.Fence == nil {
+		return
+	}
+	k.mutex.Lock()
+	k.home.Hear(reply.Fence.Table)
+	k.mutex.Unlock()
+	for _, b := range reply.Fence.Held {
+		x, err := k.pull(ctx, nodeID, b.Bucket, b.Parts, p.claim.Table().Tokens[b.Bucket])
+		if err != nil {
+			return
+		}
+		p.claim.Took(b, x)
+		p.givers[b.Bucket] = nodeID
+	}
+	p.claim.Heard(*reply.Fence)
+}
+
+// complete makes this node the home of what it claimed, tells the former homes
+// that were alive, and removes the member that was left out.
+func (k *keeper) complete(ctx context.Context, p *pendingClaim) {
+	k.mutex.Lock()
+	k.home.Complete(k.now(), p.claim)
+	k.publish()
+	k.mutex.Unlock()
+	for bucket, giver := range p.givers {
+		record, found := recordOf(k.node.State(), giver)
+		if !found {
+			continue
+		}
+		_, _ = k.ask(ctx, record, keyMessage{Taken: &keyTaken{Bucket: bucket, Token: p.claim.Table().Tokens[bucket]}})
+	}
+	k.removeSilent(ctx, p.claim.Silent())
+}
+
+// removeSilent takes members out of the store's table that a completed claim
+// has left out; all others know by then that they are leaving.
+func (k *keeper) removeSilent(ctx context.Context, nodeIDs []string) {
+	if len(nodeIDs) == 0 {
+		return
+	}
+	o, err := k.node.store.Get(ctx, kqstore.KindLedger, k.service)
+	if err != nil {
+		return
+	}
+	stored, err := decodeTable(o)
+	if err != nil {
+		return
+	}
+	var leaving []string
+	for _, id := range nodeIDs {
+		if _, found := stored.Member(id); found && !stored.Usable(id) {
+			leaving = append(leaving, id)
+		}
+	}
+	if len(leaving) == 0 {
+		return
+	}
+	next := stored.Remove(leaving)
+	if k.write(ctx, next, o.Version) == nil {
+		k.hear([]kqhome.Table{next})
+	}
+}
--- /dev/null
+++ b/io/kqnode/keyed.go
@@ -0,0 +1,362 @@
+package kqnode
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"kumquatlink/core/kqcall"
+	"kumquatlink/core/kqhome"
+	"kumquatlink/core/kqledger"
+	"kumquatlink/core/kqmember"
+	"kumquatlink/io/kqlink"
+	"kumquatlink/io/kqlog"
+)
+
+// Bounds of calls with a key.
+const (
+	// maxHomeTries bounds how often an entry asks for the home of a key.
+	maxHomeTries = 8
+	// homePause is how long an entry waits while a bucket passes on.
+	homePause = 25 * time.Millisecond
+	// maxWaiting bounds the copies of one call that wait for its answer.
+	maxWaiting = 16
+	// homeRetryAfter tells a caller when a key's home may be back.
+	homeRetryAfter = time.Second
+)
+
+// keeper is the node's part in running calls with a key at most once.
+type keeper struct {
+	node   *Node
+	begun  time.Time
+	limits kqledger.Limits
+
+	mutex sync.Mutex
+	// home is what this node remembers of its own service's keys, or nil.
+	home    *kqhome.Home
+	service string
+	// tables say which nodes are the homes of the keys of each service.
+	tables map[string]kqhome.Table
+	runs   map[string]*keyRun
+
+	// steps is what only the keeper's own loop uses.
+	steps keySteps
+}
+
+// keyRun is a call with a key that is on its way.
+type keyRun struct {
+	done    chan struct{}
+	result  *result
+	waiting int
+}
+
+func newKeeper(n *Node) *keeper {
+	return &keeper{
+		node: n, begun: n.now(), limits: kqledger.DefaultLimits(),
+		tables: map[string]kqhome.Table{}, runs: map[string]*keyRun{}, steps: newKeySteps(),
+	}
+}
+
+// now is the time on the node's own clock since its start.
+func (k *keeper) now() time.Duration {
+	return k.node.now().Sub(k.begun)
+}
+
+// keyed is whether the call goes through the home of its key.
+func (q *call) keyed() bool {
+	return q.head.Key != "" && !q.head.Repeatable
+}
+
+// admits is whether this node's gate may run the call as far as its key goes.
+func (k *keeper) admits(q *call) bool {
+	if !q.keyed() {
+		return true
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.home == nil || k.service != q.head.Service {
+		return false
+	}
+	return k.home.Admit(kqhome.BucketOf(q.head.Key), q.head.Generation)
+}
+
+// token gives the newest token of the key's bucket that the node knows.
+func (k *keeper) token(q *call) (kqhome.Token, bool) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	t, found := k.tables[q.head.Service]
+	return t.Tokens[kqhome.BucketOf(q.head.Key)], found
+}
+
+// dispatch sends a call with a key to the key's home. The same key may be sent
+// to the home again when the answer was lost; once it may have arrived, no
+// later refusal makes it "not run".
+func (k *keeper) dispatch(ctx context.Context, q *call) *result {
+	last := refused(kqcall.CauseKeyHomeUnreached)
+	var doubt kqcall.Cause
+	for range maxHomeTries {
+		token, known := k.token(q)
+		if !known || token.Holder.NodeID == "" {
+			break
+		}
+		last = k.sendHome(ctx, q, token)
+		q.head.Retries = last.retriesLeft
+		k.decide(q, "Home", last, token.Holder.NodeID)
+		switch {
+		case last.end == kqcall.NotRun(kqcall.CauseMoved):
+			if !k.moved(ctx, q, token, last.token) {
+				return doubted(last, doubt)
+			}
+		case last.end.Outcome == kqcall.OutcomeUnknown && last.end.Cause == kqcall.CauseLinkLost && q.head.Retries > 0 && ctx.Err() == nil:
+			doubt = last.end.Cause
+			q.head.Retries--
+		default:
+			return doubted(last, doubt)
+		}
+	}
+	if last.end.RetryAfter == 0 {
+		last.end.RetryAfter = homeRetryAfter
+	}
+	return doubted(last, doubt)
+}
+
+// doubted keeps a refusal from hiding an earlier copy that may have run.
+func doubted(r *result, doubt kqcall.Cause) *result {
+	if doubt != "" && r.end.Outcome == kqcall.OutcomeNotRun {
+		r.end = kqcall.Unknown(doubt)
+	}
+	return r
+}
+
+// moved takes in where the home has moved to, or waits while it moves.
+func (k *keeper) moved(ctx context.Context, q *call, asked kqhome.Token, told *kqhome.Token) bool {
+	if told != nil && told.Epoch.Newer(asked.Epoch) {
+		t := kqhome.Table{Service: q.head.Service}
+		t.Tokens[kqhome.BucketOf(q.head.Key)] = *told
+		k.hear([]kqhome.Table{t})
+		return true
+	}
+	select {
+	case <-time.After(homePause):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// sendHome asks the home to run the call, which may be this node.
+func (k *keeper) sendHome(ctx context.Context, q *call, token kqhome.Token) *result {
+	if deadline, set := ctx.Deadline(); set {
+		q.head.Budget = deadline.Sub(k.node.now())
+	}
+	if q.head.Budget <= 0 {
+		return &result{end: kqcall.NotRun(kqcall.CauseDeadline), retriesLeft: q.head.Retries}
+	}
+	if token.Holder.NodeID == k.node.settings.NodeID {
+		return k.atHome(ctx, q)
+	}
+	home, found := findRecord(k.node.State(), token.Holder)
+	if !found {
+		return &result{end: homeUnreached(), retriesLeft: q.head.Retries}
+	}
+	answer, err := k.node.dialer.Call(ctx, home.Address, kqlink.CallHead{
+		Head: q.head, Method: q.method, Path: q.path, Headers: q.headers, ToHome: true,
+	}, q.body)
+	if err != nil {
+		end := endOf(ctx, err)
+		if end == kqcall.NotRun(kqcall.CauseLinkLost) {
+			end = homeUnreached()
+		}
+		return &result{end: end, retriesLeft: q.head.Retries}
+	}
+	h := answer.Head
+	return &result{
+		end: h.End, status: h.Status, headers: h.Headers, body: answer.Body,
+		retriesLeft: min(h.RetriesLeft, q.head.Retries), load: h.Load, token: h.Token,
+	}
+}
+
+func homeUnreached() kqcall.End {
+	return kqcall.End{Outcome: kqcall.OutcomeNotRun, Cause: kqcall.CauseKeyHomeUnreached, RetryAfter: homeRetryAfter}
+}
+
+// findRecord gives the record of that start of a node.
+func findRecord(s *State, n kqhome.Node) (kqmember.Record, bool) {
+	for _, r := range s.Members.Records {
+		if r.NodeID == n.NodeID {
+			return r, r.Incarnation == n.Incarnation
+		}
+	}
+	return kqmember.Record{}, false
+}
+
+// atHome acts as the home of the call's key.
+func (k *keeper) atHome(ctx context.Context, q *call) *result {
+	print := kqledger.HashRequest(q.method, q.path, q.body)
+	k.mutex.Lock()
+	if k.home == nil || k.service != q.head.Service {
+		token := k.tables[q.head.Service].Tokens[kqhome.BucketOf(q.head.Key)]
+		k.mutex.Unlock()
+		return &result{end: kqcall.NotRun(kqcall.CauseMoved), retriesLeft: q.head.Retries, token: &token}
+	}
+	v := k.home.Begin(k.now(), q.head.Key, print)
+	switch v.Action {
+	case kqledger.ActionRun:
+		run := &keyRun{done: make(chan struct{})}
+		k.runs[q.head.Key] = run
+		avoid := k.avoided(v.Token)
+		k.mutex.Unlock()
+		return k.runAtHome(ctx, q, run, v.Token, avoid)
+	case kqledger.ActionWait:
+		run := k.runs[q.head.Key]
+		if run == nil || run.waiting >= maxWaiting {
+			k.mutex.Unlock()
+			return &result{end: kqcall.Unknown(kqcall.CauseKeyRunning), retriesLeft: q.head.Retries}
+		}
+		run.waiting++
+		k.mutex.Unlock()
+		return waitFor(ctx, q, run)
+	default:
+		k.mutex.Unlock()
+		return settled(q, v)
+	}
+}
+
+// settled is the answer to a call that its ledger decided at once.
+func settled(q *call, v kqhome.Verdict) *result {
+	r := &result{end: v.End, retriesLeft: q.head.Retries}
+	if v.End.Cause == kqcall.CauseMoved {
+		r.token = &v.Token
+	}
+	if v.Action != kqledger.ActionReplay {
+		return r
+	}
+	var a keptAnswer
+	if err := cbor.Unmarshal(v.Answer, &a); err != nil {
+		r.end = kqcall.Unknown(kqcall.CauseKeyForgotten)
+		return r
+	}
+	r.status, r.headers, r.body = a.Status, a.Headers, a.Body
+	return r
+}
+
+// waitFor gives a copy of a call the answer of the copy that runs.
+func waitFor(ctx context.Context, q *call, run *keyRun) *result {
+	select {
+	case <-run.done:
+		r := *run.result
+		r.retriesLeft = q.head.Retries
+		if r.end.Outcome == kqcall.OutcomeRan {
+			r.end.Cause = kqcall.CauseKeyReplayed
+		}
+		return &r
+	case <-ctx.Done():
+		return &result{end: kqcall.Unknown(kqcall.CauseKeyRunning), retriesLeft: q.head.Retries}
+	}
+}
+
+// keptAnswer is what a ledger keeps of an answer.
+type keptAnswer struct {
+	Status  int
+	Headers []kqlink.Header
+	Body    []byte
+}
+
+// runAtHome runs the call once. It goes on when its caller goes away, so that
+// a caller that sends the key again gets the answer and not "unknown".
+func (k *keeper) runAtHome(ctx context.Context, q *call, run *keyRun, token kqhome.Token, avoid map[string]bool) *result {
+	ctx, cancel := withBudget(context.WithoutCancel(ctx), q.head)
+	defer cancel()
+	sent := *q
+	sent.head.Generation = token.Epoch.Generation
+	sent.avoid = avoid
+	r := k.node.router.route(ctx, &sent)
+	var answer []byte
+	if r.end.Outcome == kqcall.OutcomeRan && len(r.body) <= k.limits.OneAnswerBytes {
+		answer, _ = cbor.Marshal(keptAnswer{Status: r.status, Headers: r.headers, Body: r.body})
+	}
+	k.mutex.Lock()
+	settlement, passedOn := k.home.Finish(k.now(), q.head.Key, r.end, answer)
+	if k.runs[q.head.Key] == run {
+		delete(k.runs, q.head.Key)
+	}
+	holder := k.home.Table().Tokens[settlement.Bucket].Holder
+	k.mutex.Unlock()
+	kept := *r
+	run.result = &kept
+	close(run.done)
+	if passedOn {
+		k.settle(holder, settlement)
+	}
+	return r
+}
+
+// avoided lists the gates that the home must not use: those that a claim would
+// not ask, and its own once a claim may do without its word.
+func (k *keeper) avoided(token kqhome.Token) map[string]bool {
+	table := k.home.Table()
+	avoid := map[string]bool{}
+	for _, u := range k.node.State().Members.Upstreams(k.service) {
+		if !table.Usable(u.NodeID) || token.Remote && u.NodeID == token.Holder.NodeID {
+			avoid[u.NodeID] = true
+		}
+	}
+	return avoid
+}
+
+// decide logs a placement decision about a call with a key.
+func (k *keeper) decide(q *call, decision string, r *result, chosen string) {
+	k.node.log.Decide(kqlog.Decision{
+		RequestID: q.head.RequestID, Class: q.head.Class, Service: q.head.Service, Decision: decision,
+		Cause: string(r.end.Cause), Outcome: string(r.end.Outcome), Chosen: chosen,
+	})
+}
+
+// told lists what this node tells its peers of the homes of keys.
+func (k *keeper) told() []kqhome.Table {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	tables := make([]kqhome.Table, 0, len(k.tables))
+	for _, t := range k.tables {
+		tables = append(tables, t)
+	}
+	return tables
+}
+
+// hear takes in what a peer told of the homes of keys.
+func (k *keeper) hear(tables []kqhome.Table) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	for _, t := range tables {
+		k.merge(t)
+	}
+}
+
+// merge is hear with the mutex held.
+func (k *keeper) merge(t kqhome.Table) {
+	held, found := k.tables[t.Service]
+	if !found {
+		held = kqhome.Table{Service: t.Service}
+	}
+	k.tables[t.Service], _ = held.Merge(t)
+	if k.home != nil && t.Service == k.service {
+		k.home.Hear(t)
+	}
+}
+
+// publish shows the home's own changes to the rest of the node; the mutex is
+// held.
+func (k *keeper) publish() {
+	k.merge(k.home.Table())
+}
+
+// KeyHomes gives what the node knows of the homes of a service's idempotency
+// keys, and whether it knows anything.
+func (n *Node) KeyHomes(service string) (kqhome.Table, bool) {
+	n.keys.mutex.Lock()
+	defer n.keys.mutex.Unlock()
+	t, found := n.keys.tables[service]
+	return t.Clone(), found
+}
--- /dev/null
+++ b/io/kqnode/keyed_test.go
@@ -0,0 +1,180 @@
+package kqnode_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"kumquatlink/core/kqhome"
+	"kumquatlink/io/kqbackend"
+	"kumquatlink/io/kqfleet"
+	"kumquatlink/io/kqwire"
+)
+
+// pollPeriod is how often a condition that nothing announces is looked at.
+const pollPeriod = 5 * time.Millisecond
+
+// eventually waits until the condition holds.
+func eventually(ctx context.Context, t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for !condition() {
+		select {
+		case <-time.After(pollPeriod):
+		case <-ctx.Done():
+			t.Fatalf("waited in vain: %s", what)
+		}
+	}
+}
+
+// keyFleet is a fleet with two entries and some nodes of the service orders.
+type keyFleet struct {
+	*kqfleet.Fleet
+	entries []*kqfleet.Member
+	orders  []*kqfleet.Member
+}
+
+func startKeyFleet(ctx context.Context, t *testing.T, nodes int, backend kqbackend.Settings) *keyFleet {
+	t.Helper()
+	fleet, err := kqfleet.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = fleet.Close() })
+	if err := fleet.Configure(ctx, testClasses()); err != nil {
+		t.Fatal(err)
+	}
+	f := &keyFleet{Fleet: fleet}
+	for i := range 2 {
+		m, err := fleet.AddNode(kqfleet.Place{NodeID: fmt.Sprintf("entry-%d", i), Region: "lothian", FailureDomain: "lothian-a"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.entries = append(f.entries, m)
+	}
+	backend.Service = "orders"
+	if backend.Slots == 0 {
+		backend.Slots = 64
+	}
+	for i := range nodes {
+		m, err := fleet.AddBackend(kqfleet.Place{NodeID: fmt.Sprintf("orders-%d", i), Region: "lothian", FailureDomain: "lothian-b"}, backend)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.orders = append(f.orders, m)
+	}
+	if err := fleet.Settle(ctx, "orders"); err != nil {
+		t.Fatal(err)
+	}
+	f.settleKeys(ctx, t, nodes)
+	return f
+}
+
+// settleKeys waits until that many nodes hold buckets, in the eyes of all.
+func (f *keyFleet) settleKeys(ctx context.Context, t *testing.T, nodes int) {
+	t.Helper()
+	eventually(ctx, t, "buckets are spread", func() bool {
+		for _, m := range f.entries {
+			table, _ := m.Node.KeyHomes("orders")
+			holders := map[string]bool{}
+			for _, k := range table.Tokens {
+				holders[k.Holder.NodeID] = true
+			}
+			if len(holders) != nodes || holders[""] || len(table.Members) != nodes {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// runs counts how often each key was run by any backend server.
+func (f *keyFleet) runs() map[string]int {
+	runs := map[string]int{}
+	for _, m := range f.orders {
+		for _, r := range m.Backend.Runs() {
+			runs[r.Key]++
+		}
+	}
+	return runs
+}
+
+func buy(key, body string) func(*fasthttp.Request) {
+	return func(r *fasthttp.Request) {
+		r.Header.SetMethod(fasthttp.MethodPost)
+		r.Header.Set(kqwire.HeaderService, "orders")
+		r.Header.Set(kqwire.HeaderClass, "purchase")
+		r.Header.Set(kqwire.HeaderKey, key)
+		r.SetBodyString(body)
+	}
+}
+
+func outcome(r *fasthttp.Response) string {
+	return string(r.Header.Peek(kqwire.HeaderOutcome)) + " " + string(r.Header.Peek(kqwire.HeaderCause))
+}
+
+func TestKeyRunsOnceThroughTwoEntries(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
+	defer cancel()
+	f := startKeyFleet(ctx, t, 4, kqbackend.Settings{})
+	for i := range 64 {
+		key := fmt.Sprintf("key-%d", i)
+		first := call(t, f.entries[0].Node.CallerAddress(), buy(key, key))
+		if got, want := outcome(first), "ran Done"; got != want {
+			t.Fatalf("first copy of %s: got %q, want %q", key, got, want)
+		}
+		second := call(t, f.entries[1].Node.CallerAddress(), buy(key, key))
+		if got, want := outcome(second), "ran KeyReplayed"; got != want {
+			t.Errorf("second copy of %s: got %q, want %q", key, got, want)
+		}
+		if got, want := string(second.Body()), string(first.Body()); got != want {
+			t.Errorf("replayed body: got %q, want %q", got, want)
+		}
+		other := call(t, f.entries[1].Node.CallerAddress(), buy(key, "another"))
+		if got, want := outcome(other), "not-run KeyMismatch"; got != want {
+			t.Errorf("another request with %s: got %q, want %q", key, got, want)
+		}
+	}
+	runs := f.runs()
+	for i := range 64 {
+		if got, want := runs[fmt.Sprintf("key-%d", i)], 1; got != want {
+			t.Errorf("runs of key-%d: got %d, want %d", i, got, want)
+		}
+	}
+}
+
+func TestKeysOfLeftNodeGoOnWhileStoreIsDown(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
+	defer cancel()
+	f := startKeyFleet(ctx, t, 4, kqbackend.Settings{})
+	for i := range 64 {
+		call(t, f.entries[0].Node.CallerAddress(), buy(fmt.Sprintf("key-%d", i), ""))
+	}
+	if err := f.Store.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.orders[1].Node.Shutdown(ctx); err != nil {
+		t.Fatal(err)
+	}
+	eventually(ctx, t, "the left node holds nothing", func() bool {
+		table, _ := f.entries[1].Node.KeyHomes("orders")
+		for b := range kqhome.Buckets {
+			if table.Tokens[b].Holder.NodeID == "orders-1" {
+				return false
+			}
+		}
+		return true
+	})
+	for i := range 128 {
+		want := "ran Done"
+		if i < 64 {
+			want = "ran KeyReplayed"
+		}
+		got := outcome(call(t, f.entries[1].Node.CallerAddress(), buy(fmt.Sprintf("key-%d", i), "")))
+		if got != want {
+			t.Errorf("key-%d after the hand-over: got %q, want %q", i, got, want)
+		}
+	}
+}
--- /dev/null
+++ b/io/kqnode/keysteps.go
@@ -0,0 +1,373 @@
+package kqnode
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"kumquatlink/core/kqhome"
+	"kumquatlink/core/kqmember"
+	"kumquatlink/io/kqlink"
+	"kumquatlink/io/kqstore"
+)
+
+// Periods of the keeper's loop.
+const (
+	keyStepPeriod  = 100 * time.Millisecond
+	keyProbePeriod = time.Second
+	// holderSilence is how long a holder must be out of reach before its
+	// buckets are claimed. A claim of a living holder's buckets is harmless.
+	holderSilence = 3 * time.Second
+	// joinPause spaces a node's attempts to register in the store; it grows
+	// with every failure up to joinPauseMost.
+	joinPause     = 50 * time.Millisecond
+	joinPauseMost = 10 * time.Second
+)
+
+// keySteps is what only the keeper's own loop uses.
+type keySteps struct {
+	// claims are the claims under way, by the holder that they follow.
+	claims map[kqhome.Node]*pendingClaim
+	// lost are the offers that may have arrived unanswered.
+	lost map[int]bool
+	// silentSince is when a holder was first found out of reach.
+	silentSince map[kqhome.Node]time.Duration
+	probedAt    time.Duration
+	joinAt      time.Duration
+	joinPause   time.Duration
+	// handOff tells the loop to give all buckets away.
+	handOff bool
+}
+
+// pendingClaim is a claim under way.
+type pendingClaim struct {
+	claim  *kqhome.Claim
+	givers map[int]string
+}
+
+func newKeySteps() keySteps {
+	return keySteps{
+		claims: map[kqhome.Node]*pendingClaim{}, lost: map[int]bool{},
+		silentSince: map[kqhome.Node]time.Duration{}, joinPause: joinPause,
+	}
+}
+
+// run is the keeper's loop: it registers the node, spreads buckets over the
+// nodes of the service, and claims what dead nodes held.
+func (k *keeper) run(ctx context.Context) {
+	ticker := time.NewTicker(keyStepPeriod)
+	defer ticker.Stop()
+	for {
+		k.step(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (k *keeper) step(ctx context.Context) {
+	s := k.node.State()
+	if s.Backend == nil || s.Classes == nil || !runsOnce(s) {
+		return
+	}
+	k.begin(s)
+	k.mutex.Lock()
+	ready := k.home.Synced() && k.home.Registered()
+	k.home.Tick(k.now())
+	k.mutex.Unlock()
+	if !ready {
+		k.join(ctx, s)
+		return
+	}
+	k.enforce()
+	k.balance(ctx, s)
+	k.watchHolders(ctx, s)
+	for holder := range k.steps.claims {
+		k.pursue(ctx, holder)
+	}
+}
+
+// runsOnce is whether any class of work must not be repeated.
+func runsOnce(s *State) bool {
+	for _, c := range s.Configuration.Classes {
+		if c.RunOnce {
+			return true
+		}
+	}
+	return false
+}
+
+// begin makes the node's memory when its backend server is first known.
+func (k *keeper) begin(s *State) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.home != nil {
+		return
+	}
+	k.service = s.Backend.Announcement.Service
+	own := s.Members.Own
+	k.home = kqhome.New(k.service, kqhome.Node{NodeID: own.NodeID, Incarnation: own.Incarnation}, k.limits)
+	if t, found := k.tables[k.service]; found {
+		k.home.Hear(t)
+	}
+}
+
+// self is this start of the node.
+func (k *keeper) self() kqhome.Node {
+	own := k.node.State().Members.Own
+	return kqhome.Node{NodeID: own.NodeID, Incarnation: own.Incarnation}
+}
+
+// join registers the node in the store, or learns from its peers what it must
+// know while the store is away.
+func (k *keeper) join(ctx context.Context, s *State) {
+	if k.now() < k.steps.joinAt {
+		return
+	}
+	err := k.register(ctx)
+	if err == nil {
+		k.steps.joinPause = joinPause
+		return
+	}
+	k.steps.joinPause = min(2*k.steps.joinPause, joinPauseMost)
+	k.steps.joinAt = k.now() + rand.N(k.steps.joinPause)
+	if errors.Is(err, kqstore.ErrUnavailable) {
+		k.node.log.Event(zerolog.WarnLevel, "register for calls with a key", err)
+		k.syncWithPeers(ctx, s)
+	}
+}
+
+func (k *keeper) register(ctx context.Context) error {
+	o, err := k.node.store.Get(ctx, kqstore.KindLedger, k.service)
+	if errors.Is(err, kqstore.ErrNotFound) {
+		return k.create(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	table, err := decodeTable(o)
+	if err != nil {
+		return err
+	}
+	self := k.self()
+	if m, found := table.Member(self.NodeID); !found || m != self || !table.Usable(self.NodeID) {
+		table = table.Register(self)
+		if err := k.write(ctx, table, o.Version); err != nil {
+			return err
+		}
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.home.Create(table)
+	k.publish()
+	return nil
+}
+
+func (k *keeper) create(ctx context.Context) error {
+	table := kqhome.NewTable(k.service, k.self())
+	if err := k.write(ctx, table, ""); err != nil {
+		return err
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.home.Create(table)
+	k.publish()
+	return nil
+}
+
+func decodeTable(o kqstore.Object) (kqhome.Table, error) {
+	var t kqhome.Table
+	err := json.Unmarshal(o.Value, &t)
+	return t, errors.Mark(err, ErrNode)
+}
+
+// write puts a table in the store if it still holds the version given.
+func (k *keeper) write(ctx context.Context, t kqhome.Table, version string) error {
+	value, err := json.Marshal(t)
+	if err != nil {
+		return errors.Mark(err, ErrNode)
+	}
+	_, err = k.node.store.Put(ctx, kqstore.KindLedger, kqstore.Object{Name: k.service, Version: version, Value: value})
+	return err
+}
+
+// syncWithPeers asks the other members what they know.
+func (k *keeper) syncWithPeers(ctx context.Context, s *State) {
+	k.mutex.Lock()
+	members := k.home.Table().Members
+	k.mutex.Unlock()
+	self := k.self()
+	for _, m := range members {
+		record, found := recordOf(s, m.NodeID)
+		if !found || m.NodeID == self.NodeID {
+			continue
+		}
+		reply, err := k.ask(ctx, record, keyMessage{Sync: &self})
+		if err != nil || reply.Table == nil {
+			continue
+		}
+		k.mutex.Lock()
+		k.home.Witness(m.NodeID, reply.Synced, *reply.Table)
+		k.publish()
+		k.mutex.Unlock()
+	}
+}
+
+func (k *keeper) enforce() {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.home.Enforce() {
+		k.publish()
+	}
+}
+
+// successors lists the nodes that may take buckets from this one.
+func (k *keeper) successors(s *State) []kqmember.Record {
+	var all []kqmember.Record
+	k.mutex.Lock()
+	table := k.home.Table()
+	k.mutex.Unlock()
+	for _, u := range s.Members.Upstreams(k.service) {
+		if u.NodeID != k.node.settings.NodeID && table.Usable(u.NodeID) {
+			all = append(all, u)
+		}
+	}
+	return all
+}
+
+// balance offers one bucket to the node that has the fewest, when this one
+// has more than its share, and again what was offered before.
+func (k *keeper) balance(ctx context.Context, s *State) {
+	k.mutex.Lock()
+	offered := k.home.Offered()
+	holds := k.home.Holds()
+	table := k.home.Table()
+	k.mutex.Unlock()
+	for _, o := range offered {
+		k.handOver(ctx, o.Bucket, o.Token.Holder)
+	}
+	others := k.successors(s)
+	if len(others) == 0 || len(holds) == 0 {
+		return
+	}
+	least, count := leastLoaded(table, others)
+	share := (kqhome.Buckets + len(others)) / (len(others) + 1)
+	if len(holds) <= share || count >= share {
+		return
+	}
+	k.handOver(ctx, holds[0], kqhome.Node{NodeID: least.NodeID, Incarnation: least.Incarnation})
+}
+
+// leastLoaded gives the node that holds the fewest buckets.
+func leastLoaded(t kqhome.Table, nodes []kqmember.Record) (kqmember.Record, int) {
+	counts := map[string]int{}
+	for _, k := range t.Tokens {
+		counts[k.Holder.NodeID]++
+	}
+	least := nodes[0]
+	for _, n := range nodes[1:] {
+		if counts[n.NodeID] < counts[least.NodeID] {
+			least = n
+		}
+	}
+	return least, counts[least.NodeID]
+}
+
+// handOver offers a bucket to a node. While it is not known whether the node
+// took it, the bucket stays stopped and is offered to nobody else.
+func (k *keeper) handOver(ctx context.Context, bucket int, to kqhome.Node) bool {
+	record, found := findRecord(k.node.State(), to)
+	if !found {
+		return false
+	}
+	k.mutex.Lock()
+	offer, ok := k.home.Give(k.now(), bucket, to)
+	k.mutex.Unlock()
+	if !ok {
+		return false
+	}
+	reply, err := k.ask(ctx, record, keyMessage{Offer: &offer})
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	defer k.publish()
+	switch {
+	case err == nil && reply.Accepted:
+		delete(k.steps.lost, bucket)
+		go k.settleAll(to, k.home.Given(bucket, offer.Token))
+		return true
+	case err == nil || errors.Is(err, kqlink.ErrNotSent) && !k.steps.lost[bucket]:
+		delete(k.steps.lost, bucket)
+		k.home.Resume(bucket)
+	default:
+		k.steps.lost[bucket] = true
+	}
+	return false
+}
+
+// watchHolders claims the buckets of holders that are dead or out of reach, if
+// it is this node's turn.
+func (k *keeper) watchHolders(ctx context.Context, s *State) {
+	k.mutex.Lock()
+	table := k.home.Table()
+	stray := k.home.Stray()
+	k.mutex.Unlock()
+	probe := k.now()-k.steps.probedAt >= keyProbePeriod
+	if probe {
+		k.steps.probedAt = k.now()
+	}
+	if stray {
+		k.claim(ctx, k.self())
+	}
+	holders := map[kqhome.Node]bool{}
+	for _, t := range table.Tokens {
+		holders[t.Holder] = true
+	}
+	for holder := range holders {
+		if holder.NodeID == "" || holder == k.self() || k.steps.claims[holder] != nil || !k.isClaimant(s, holder) {
+			continue
+		}
+		if k.isDead(ctx, s, holder, probe) {
+			k.claim(ctx, holder)
+		}
+	}
+}
+
+// isClaimant is whether this node is the one to claim from the holder.
+func (k *keeper) isClaimant(s *State, holder kqhome.Node) bool {
+	best, weight := "", uint64(0)
+	for _, u := range s.Members.Upstreams(k.service) {
+		if u.NodeID == holder.NodeID && u.Incarnation == holder.Incarnation {
+			continue
+		}
+		if w := xxhash.Sum64String(holder.NodeID + "/" + u.NodeID); best == "" || w > weight {
+			best, weight = u.NodeID, w
+		}
+	}
+	return best == k.node.settings.NodeID
+}
+
+// isDead is whether the holder has restarted, has ended, or has not been
+// reached for a while.
+func (k *keeper) isDead(ctx context.Context, s *State, holder kqhome.Node, probe bool) bool {
+	record, same := findRecord(s, holder)
+	if record.Incarnation > holder.Incarnation || same && record.Life == kqmember.LifeGone {
+		return true
+	}
+	if probe {
+		self := k.self()
+		if _, err := k.ask(ctx, record, keyMessage{Sync: &self}); err == nil {
+			delete(k.steps.silentSince, holder)
+		} else if _, found := k.steps.silentSince[holder]; !found {
+			k.steps.silentSince[holder] = k.now()
+		}
+	}
+	since, silent := k.steps.silentSince[holder]
+	return silent && k.now()-since >= holderSilence
+}
--- a/io/kqnode/kqnode.go
+++ b/io/kqnode/kqnode.go
@@ -83,6 +83,7 @@
 	control *control
 	gate    *gate
 	router  *router
+	keys    *keeper
 
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
@@ -113,6 +114,7 @@
 	n.dialer = kqlink.NewDialer(identity)
 	n.gate = newGate(n)
 	n.router = newRouter(n)
+	n.keys = newKeeper(n)
 	n.control = newControl(n)
 	return n, nil
 }
@@ -144,6 +146,7 @@
 	n.loop(ctx, n.control.run)
 	n.loop(ctx, n.runConfigurationWatch)
 	n.loop(ctx, n.runExchange)
+	n.loop(ctx, n.keys.run)
 	return nil
 }
 
--- a/io/kqnode/member.go
+++ b/io/kqnode/member.go
@@ -1,6 +1,7 @@
 package kqnode
 
 import (
+	"bytes"
 	"context"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"kumquatlink/core/kqclass"
+	"kumquatlink/core/kqhome"
 	"kumquatlink/core/kqmember"
 )
 
@@ -22,6 +24,8 @@
 type exchange struct {
 	Records       []kqmember.Record
 	Configuration kqclass.Configuration
+	// Ledgers say which nodes are the homes of idempotency keys.
+	Ledgers []kqhome.Table
 }
 
 // runExchange tells the peers of the settings what this node knows and takes
@@ -63,7 +67,7 @@
 
 func (n *Node) told() exchange {
 	s := n.State()
-	return exchange{Records: s.Members.Records, Configuration: s.Configuration}
+	return exchange{Records: s.Members.Records, Configuration: s.Configuration, Ledgers: n.keys.told()}
 }
 
 func (n *Node) hear(message []byte) error {
@@ -72,6 +76,7 @@
 		return errors.Mark(errors.Wrap(err, "read exchange"), ErrNode)
 	}
 	n.control.send(recordsEvent{records: x.Records})
+	n.keys.hear(x.Ledgers)
 	if x.Configuration.Version > 0 {
 		n.control.send(configurationEvent{configuration: x.Configuration})
 	}
@@ -79,7 +84,10 @@
 }
 
 // handlePeerMessage answers a peer's exchange.
-func (n *Node) handlePeerMessage(_ context.Context, _ string, message []byte) ([]byte, error) {
+func (n *Node) handlePeerMessage(ctx context.Context, peer string, message []byte) ([]byte, error) {
+	if body, found := bytes.CutPrefix(message, keyPrefix); found {
+		return n.keys.answer(ctx, peer, body)
+	}
 	if err := n.hear(message); err != nil {
 		return nil, err
 	}
--- a/io/kqnode/router.go
+++ b/io/kqnode/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 
 	"github.com/cockroachdb/errors"
@@ -28,7 +29,10 @@
 // route sends the call to an upstream, and to others while it was provably not
 // run and the allowance lasts.
 func (r *router) route(ctx context.Context, q *call) *result {
-	tried := map[string]bool{}
+	tried := maps.Clone(q.avoid)
+	if tried == nil {
+		tried = map[string]bool{}
+	}
 	for {
 		upstream, others := r.pick(q.head.Service, tried)
 		if upstream.NodeID == "" {
@@ -94,7 +98,7 @@
 		return &result{end: endOf(ctx, err), retriesLeft: q.head.Retries}
 	}
 	h := answer.Head
-	return &result{end: h.End, status: h.Status, headers: h.Headers, body: answer.Body, retriesLeft: min(h.RetriesLeft, q.head.Retries), load: h.Load}
+	return &result{end: h.End, status: h.Status, headers: h.Headers, body: answer.Body, retriesLeft: min(h.RetriesLeft, q.head.Retries), load: h.Load, token: h.Token}
 }
 
 // endOf turns a link's error into the end of the call.
@@ -114,6 +118,11 @@
 	q := &call{head: head.Head, method: head.Method, path: head.Path, headers: head.Headers, body: body}
 	ctx, cancel := withBudget(ctx, q.head)
 	defer cancel()
-	r := n.gate.run(ctx, q)
-	return kqlink.AnswerHead{End: r.end, Status: r.status, Headers: r.headers, RetriesLeft: r.retriesLeft, Load: r.load}, r.body
+	var r *result
+	if head.ToHome {
+		r = n.keys.atHome(ctx, q)
+	} else {
+		r = n.gate.run(ctx, q)
+	}
+	return kqlink.AnswerHead{End: r.end, Status: r.status, Headers: r.headers, RetriesLeft: r.retriesLeft, Load: r.load, Token: r.token}, r.body
 }
--- a/io/kqstore/kqstore.go
+++ b/io/kqstore/kqstore.go
@@ -51,6 +51,10 @@
 	Watch func(ctx context.Context, kind, name, version string, take func(Object) error) error
 }
 
+// KindLedger holds one object a service, which says which nodes are the homes
+// of idempotency keys.
+const KindLedger = "kumquatlink.dev/v1/ledgers"
+
 // The one object that holds the configuration.
 const (
 	KindConfiguration = "kumquatlink.dev/v1/configurations"
