Drain before closing: buckets handed over, calls finished, answers lingered for

Cause: Shutdown closed both HTTP servers at once and QUIC under running calls. Change: Shutdown moves to shutdown.go: new work is refused as not run, buckets are handed over, counted work ends, HTTP closes, Gone is told, links linger.

--- a/io/kqcli/serve.go
+++ b/io/kqcli/serve.go
@@ -20,9 +20,6 @@
 	"kumquatlink/io/kqwire"
 )
 
-// shutdownTimeout bounds a graceful shutdown.
-const shutdownTimeout = time.Minute
-
 type nodeCommand struct {
 	Settings string `required:"" placeholder:"FILE" help:"Settings of the node, as JSON."`
 }
@@ -52,7 +49,7 @@
 	}
 	log.Event(zerolog.InfoLevel, fmt.Sprintf("node serves callers at %s, its backend server at %s, peers at %s", n.CallerAddress(), n.BackendAddress(), n.PeerAddress()), nil)
 	<-e.ctx.Done()
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), n.ShutdownBound())
 	defer cancel()
 	return n.Shutdown(ctx)
 }
--- a/io/kqnode/entry.go
+++ b/io/kqnode/entry.go
@@ -24,6 +24,13 @@
 	if q.head.RequestID == "" {
 		q.head.RequestID = newID()
 	}
+	leave, open := n.work.enter()
+	defer leave()
+	if !open {
+		c.SetConnectionClose()
+		n.serve(c, q, kqcall.CauseDraining)
+		return
+	}
 	cause := n.classify(q, string(c.Request.Header.Peek(kqwire.HeaderClass)), string(c.Request.Header.Peek(kqwire.HeaderBudget)))
 	n.serve(c, q, cause)
 }
--- a/io/kqnode/keyed.go
+++ b/io/kqnode/keyed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -41,6 +42,11 @@
 	tables map[string]kqhome.Table
 	runs   map[string]*keyRun
 
+	// leaving is set when all buckets are to be given away, and closed when
+	// no key may be run any more.
+	leaving atomic.Bool
+	closed  atomic.Bool
+
 	// steps is what only the keeper's own loop uses.
 	steps keySteps
 }
@@ -91,11 +97,13 @@
 }
 
 // dispatch sends a call with a key to the key's home. The same key may be sent
-// to the home again when the answer was lost; once it may have arrived, no
-// later refusal makes it "not run".
+// to the home again when the answer was lost, for which one retry is set aside;
+// once it may have arrived, no later refusal makes it "not run".
 func (k *keeper) dispatch(ctx context.Context, q *call) *result {
 	last := refused(kqcall.CauseKeyHomeUnreached)
 	var doubt kqcall.Cause
+	again := min(1, q.head.Retries)
+	q.head.Retries -= again
 	for range maxHomeTries {
 		token, known := k.token(q)
 		if !known || token.Holder.NodeID == "" {
@@ -109,9 +117,9 @@
 			if !k.moved(ctx, q, token, last.token) {
 				return doubted(last, doubt)
 			}
-		case last.end.Outcome == kqcall.OutcomeUnknown && last.end.Cause == kqcall.CauseLinkLost && q.head.Retries > 0 && ctx.Err() == nil:
+		case last.end.Outcome == kqcall.OutcomeUnknown && last.end.Cause == kqcall.CauseLinkLost && again > 0 && ctx.Err() == nil:
 			doubt = last.end.Cause
-			q.head.Retries--
+			again = 0
 		default:
 			return doubted(last, doubt)
 		}
@@ -201,6 +209,10 @@
 		k.mutex.Unlock()
 		return &result{end: kqcall.NotRun(kqcall.CauseMoved), retriesLeft: q.head.Retries, token: &token}
 	}
+	if k.closed.Load() {
+		k.mutex.Unlock()
+		return &result{end: kqcall.NotRun(kqcall.CauseDraining), retriesLeft: q.head.Retries}
+	}
 	v := k.home.Begin(k.now(), q.head.Key, print)
 	switch v.Action {
 	case kqledger.ActionRun:
--- a/io/kqnode/keysteps.go
+++ b/io/kqnode/keysteps.go
@@ -40,8 +40,6 @@
 	probedAt    time.Duration
 	joinAt      time.Duration
 	joinPause   time.Duration
-	// handOff tells the loop to give all buckets away.
-	handOff bool
 }
 
 // pendingClaim is a claim under way.
@@ -88,6 +86,9 @@
 	}
 	k.enforce()
 	k.balance(ctx, s)
+	if k.leaving.Load() {
+		return
+	}
 	k.watchHolders(ctx, s)
 	for holder := range k.steps.claims {
 		k.pursue(ctx, holder)
@@ -112,8 +113,7 @@
 		return
 	}
 	k.service = s.Backend.Announcement.Service
-	own := s.Members.Own
-	k.home = kqhome.New(k.service, kqhome.Node{NodeID: own.NodeID, Incarnation: own.Incarnation}, k.limits)
+	k.home = kqhome.New(k.service, nodeOf(s.Members.Own), k.limits)
 	if t, found := k.tables[k.service]; found {
 		k.home.Hear(t)
 	}
@@ -121,8 +121,7 @@
 
 // self is this start of the node.
 func (k *keeper) self() kqhome.Node {
-	own := k.node.State().Members.Own
-	return kqhome.Node{NodeID: own.NodeID, Incarnation: own.Incarnation}
+	return nodeOf(k.node.State().Members.Own)
 }
 
 // join registers the node in the store, or learns from its peers what it must
@@ -253,6 +252,10 @@
 	for _, o := range offered {
 		k.handOver(ctx, o.Bucket, o.Token.Holder)
 	}
+	if k.leaving.Load() {
+		k.giveAll(ctx, s)
+		return
+	}
 	others := k.successors(s)
 	if len(others) == 0 || len(holds) == 0 {
 		return
@@ -262,7 +265,12 @@
 	if len(holds) <= share || count >= share {
 		return
 	}
-	k.handOver(ctx, holds[0], kqhome.Node{NodeID: least.NodeID, Incarnation: least.Incarnation})
+	k.handOver(ctx, holds[0], nodeOf(least))
+}
+
+// nodeOf is the start of a node that a record describes.
+func nodeOf(r kqmember.Record) kqhome.Node {
+	return kqhome.Node{NodeID: r.NodeID, Incarnation: r.Incarnation}
 }
 
 // leastLoaded gives the node that holds the fewest buckets.
@@ -282,16 +290,16 @@
 
 // handOver offers a bucket to a node. While it is not known whether the node
 // took it, the bucket stays stopped and is offered to nobody else.
-func (k *keeper) handOver(ctx context.Context, bucket int, to kqhome.Node) bool {
+func (k *keeper) handOver(ctx context.Context, bucket int, to kqhome.Node) {
 	record, found := findRecord(k.node.State(), to)
 	if !found {
-		return false
+		return
 	}
 	k.mutex.Lock()
 	offer, ok := k.home.Give(k.now(), bucket, to)
 	k.mutex.Unlock()
 	if !ok {
-		return false
+		return
 	}
 	reply, err := k.ask(ctx, record, keyMessage{Offer: &offer})
 	k.mutex.Lock()
@@ -301,14 +309,12 @@
 	case err == nil && reply.Accepted:
 		delete(k.steps.lost, bucket)
 		go k.settleAll(to, k.home.Given(bucket, offer.Token))
-		return true
 	case err == nil || errors.Is(err, kqlink.ErrNotSent) && !k.steps.lost[bucket]:
 		delete(k.steps.lost, bucket)
 		k.home.Resume(bucket)
 	default:
 		k.steps.lost[bucket] = true
 	}
-	return false
 }
 
 // watchHolders claims the buckets of holders that are dead or out of reach, if
--- a/io/kqnode/kqnode.go
+++ b/io/kqnode/kqnode.go
@@ -94,6 +94,7 @@
 	gate    *gate
 	router  *router
 	keys    *keeper
+	work    *work
 
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
@@ -113,7 +114,7 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "make pool"), ErrNode)
 	}
-	n := &Node{settings: settings, identity: identity, now: time.Now, pool: pool}
+	n := &Node{settings: settings, identity: identity, now: time.Now, pool: pool, work: newWork()}
 	for _, o := range options {
 		o(n)
 	}
@@ -141,7 +142,7 @@
 	n.server, err = kqlink.Listen(n.settings.PeerAddress, n.identity, kqlink.Handlers{
 		Call:    n.handlePeerCall,
 		Message: n.handlePeerMessage,
-		Submit:  n.pool.Submit,
+		Submit:  n.submitPeer,
 	})
 	if err != nil {
 		return errors.Mark(err, ErrNode)
@@ -178,25 +179,6 @@
 	}()
 }
 
-// Shutdown stops taking work, lets what is in flight finish, and ends.
-func (n *Node) Shutdown(ctx context.Context) error {
-	n.control.send(leaveEvent{})
-	for _, s := range []*fasthttp.Server{n.callers, n.backend, n.operator} {
-		if err := s.ShutdownWithContext(ctx); err != nil {
-			return errors.Mark(errors.Wrap(err, "finish calls"), ErrNode)
-		}
-	}
-	n.cancel()
-	n.loops.Wait()
-	err := errors.CombineErrors(n.server.Close(), n.metrics.Close())
-	n.dialer.Close()
-	n.pool.Release()
-	if n.ownsLog {
-		n.log.Close()
-	}
-	return errors.Mark(err, ErrNode)
-}
-
 // OperatorAddress is the TCP address that operators use, or empty.
 func (n *Node) OperatorAddress() string { return n.operatorAddress }
 
