--- a/core/kqhome/home.go
+++ b/core/kqhome/home.go
@@ -64,6 +64,11 @@
 	return &Home{service: service, self: self, limits: limits, table: Table{Service: service}, witnesses: map[string]bool{}, known: map[string]uint64{}}
 }
 
+// Self is the start of the node whose memory this is.
+func (h *Home) Self() Node {
+	return h.self
+}
+
 // Table is what the node knows of the service.
 func (h *Home) Table() Table {
 	return h.table.Clone()
--- a/core/kqhome/kqhome.go
+++ b/core/kqhome/kqhome.go
@@ -135,6 +135,19 @@
 	return next
 }
 
+// generationWeight is how many hand-overs one claim outweighs.
+const generationWeight = 1 << 24
+
+// Weight grows whenever a merge changes a table, so that of two tables one of
+// which holds all that the other does, it is the heavier.
+func (t Table) Weight() uint64 {
+	w := t.Version
+	for _, k := range t.Tokens {
+		w += k.Epoch.Generation*generationWeight + k.Epoch.Count
+	}
+	return w
+}
+
 // Merge takes the newer parts of both tables and says whether t changed.
 func (t Table) Merge(other Table) (Table, bool) {
 	next, changed := t, false
--- a/io/kqnode/call.go
+++ b/io/kqnode/call.go
@@ -35,7 +35,9 @@
 	headers     []kqlink.Header
 	body        []byte
 	retriesLeft int
-	load        kqlink.Load
+	// load is what the gate told of itself, if it was heard at all.
+	load  kqlink.Load
+	heard bool
 	// token is the newest token of the key's bucket, when the call went to a
 	// node that is not its home.
 	token *kqhome.Token
--- a/io/kqnode/keyed.go
+++ b/io/kqnode/keyed.go
@@ -2,16 +2,19 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
 	"kumquatlink/core/kqcall"
 	"kumquatlink/core/kqhome"
 	"kumquatlink/core/kqledger"
 	"kumquatlink/core/kqmember"
+	"kumquatlink/core/kqspread"
 	"kumquatlink/io/kqlink"
 	"kumquatlink/io/kqlog"
 )
@@ -124,9 +127,7 @@
 			return doubted(last, doubt)
 		}
 	}
-	if last.end.RetryAfter == 0 {
-		last.end.RetryAfter = homeRetryAfter
-	}
+	last.end = homeUnreached()
 	return doubted(last, doubt)
 }
 
@@ -167,7 +168,8 @@
 	}
 	home, found := findRecord(k.node.State(), token.Holder)
 	if !found {
-		return &result{end: homeUnreached(), retriesLeft: q.head.Retries}
+		// The word of a new home may come before the record of its node.
+		return &result{end: kqcall.NotRun(kqcall.CauseMoved), retriesLeft: q.head.Retries}
 	}
 	answer, err := k.node.dialer.Call(ctx, home.Address, kqlink.CallHead{
 		Head: q.head, Method: q.method, Path: q.path, Headers: q.headers, ToHome: true,
@@ -326,15 +328,41 @@
 	})
 }
 
-// told lists what this node tells its peers of the homes of keys.
-func (k *keeper) told() []kqhome.Table {
+// itemLedger begins the names of items that say which nodes are the homes of a
+// service's keys.
+const itemLedger = "ledger/"
+
+// offer spreads what this node knows of its own service's homes when it is
+// newer than what is spread.
+func (k *keeper) offer(spread *kqspread.Machine) {
 	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	tables := make([]kqhome.Table, 0, len(k.tables))
-	for _, t := range k.tables {
-		tables = append(tables, t)
+	t, found := k.tables[k.service]
+	known := k.home != nil && found
+	k.mutex.Unlock()
+	if !known {
+		return
+	}
+	name := itemLedger + t.Service
+	if held, found := spread.Item(name); found && held.Version >= t.Weight() {
+		return
+	}
+	payload, err := cbor.Marshal(t)
+	if err != nil {
+		return
+	}
+	spread.Publish(kqspread.Item{Name: name, Version: t.Weight(), Tie: xxhash.Sum64(payload), Payload: payload})
+}
+
+// takeItem takes in an item about the homes of keys.
+func (k *keeper) takeItem(i kqspread.Item) bool {
+	if !strings.HasPrefix(i.Name, itemLedger) {
+		return false
+	}
+	var t kqhome.Table
+	if err := spreadMode.Unmarshal(i.Payload, &t); err == nil && i.Name == itemLedger+t.Service {
+		k.hear([]kqhome.Table{t})
 	}
-	return tables
+	return true
 }
 
 // hear takes in what a peer told of the homes of keys.
--- a/io/kqnode/keyed_test.go
+++ b/io/kqnode/keyed_test.go
@@ -82,7 +82,7 @@
 			for _, k := range table.Tokens {
 				holders[k.Holder.NodeID] = true
 			}
-			if len(holders) != nodes || holders[""] || len(table.Members) != nodes {
+			if len(m.Node.State().Members.Upstreams("orders")) != nodes || len(holders) != nodes || holders[""] || len(table.Members) != nodes {
 				return false
 			}
 		}
--- a/io/kqnode/keysteps.go
+++ b/io/kqnode/keysteps.go
@@ -109,7 +109,7 @@
 func (k *keeper) begin(s *State) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	if k.home != nil {
+	if k.home != nil && k.home.Self() == nodeOf(s.Members.Own) {
 		return
 	}
 	k.service = s.Backend.Announcement.Service
--- a/io/kqnode/kqnode.go
+++ b/io/kqnode/kqnode.go
@@ -77,13 +77,17 @@
 	metrics  *kqmetric.Metrics
 	ownsLog  bool
 	now      func() time.Time
+	// linkOptions are options of the links to other nodes.
+	linkOptions []kqlink.Option
 
-	pool     *ants.Pool
-	dialer   *kqlink.Dialer
-	server   *kqlink.Server
-	callers  *fasthttp.Server
-	backend  *fasthttp.Server
-	operator *fasthttp.Server
+	pool *ants.Pool
+	// exchanges sends control messages.
+	exchanges *ants.Pool
+	dialer    *kqlink.Dialer
+	server    *kqlink.Server
+	callers   *fasthttp.Server
+	backend   *fasthttp.Server
+	operator  *fasthttp.Server
 
 	callerAddress   string
 	operatorAddress string
@@ -93,8 +97,12 @@
 	control *control
 	gate    *gate
 	router  *router
+	shed    *shedder
 	keys    *keeper
 	work    *work
+	// exchanging counts the exchanges with neighbours that are under way.
+	exchanging atomic.Int64
+	shutDown   atomic.Bool
 
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
@@ -108,13 +116,27 @@
 	return func(n *Node) { n.log = l }
 }
 
+// WithLinkOptions sets options of the links to other nodes.
+func WithLinkOptions(list ...kqlink.Option) Option {
+	return func(n *Node) { n.linkOptions = list }
+}
+
+// WithNow sets the clock that the node reads.
+func WithNow(now func() time.Time) Option {
+	return func(n *Node) { n.now = now }
+}
+
 // New makes a node from checked settings.
 func New(settings kqsettings.Node, identity *kqtrust.Identity, store *kqstore.Client, options ...Option) (*Node, error) {
 	pool, err := ants.NewPool(defaultPoolSize, ants.WithNonblocking(true))
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "make pool"), ErrNode)
 	}
-	n := &Node{settings: settings, identity: identity, now: time.Now, pool: pool, work: newWork()}
+	exchanges, err := ants.NewPool(exchangePoolSize, ants.WithNonblocking(true))
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "make pool"), ErrNode)
+	}
+	n := &Node{settings: settings, identity: identity, now: time.Now, pool: pool, exchanges: exchanges, work: newWork()}
 	for _, o := range options {
 		o(n)
 	}
@@ -126,8 +148,9 @@
 		return nil, errors.Mark(err, ErrNode)
 	}
 	n.store = kqstore.Guard(store, kqstore.WithObserver(n.observeStore))
-	n.dialer = kqlink.NewDialer(identity)
+	n.dialer = kqlink.NewDialer(identity, n.linkOptions...)
 	n.gate = newGate(n)
+	n.shed = newShedder(n)
 	n.router = newRouter(n)
 	n.keys = newKeeper(n)
 	n.control = newControl(n)
@@ -143,7 +166,7 @@
 		Call:    n.handlePeerCall,
 		Message: n.handlePeerMessage,
 		Submit:  n.submitPeer,
-	})
+	}, n.linkOptions...)
 	if err != nil {
 		return errors.Mark(err, ErrNode)
 	}
@@ -166,7 +189,7 @@
 	}
 	n.loop(ctx, n.control.run)
 	n.loop(ctx, n.runConfigurationWatch)
-	n.loop(ctx, n.runExchange)
+	n.loop(ctx, n.runMembership)
 	n.loop(ctx, n.keys.run)
 	return nil
 }
--- a/io/kqnode/shutdown.go
+++ b/io/kqnode/shutdown.go
@@ -23,7 +23,9 @@
 	// answerLinger is how long links stay open behind the last answer, since
 	// closing a link cuts off what the peer has not acknowledged.
 	answerLinger = 500 * time.Millisecond
-	drainPoll    = 10 * time.Millisecond
+	// tellTimeout bounds how long peers that are told of the end are waited for.
+	tellTimeout = 500 * time.Millisecond
+	drainPoll   = 10 * time.Millisecond
 )
 
 // work counts the calls that are on their way through the node. Calls that
@@ -125,8 +127,11 @@
 // Shutdown refuses new work as not run, lets everything that is in flight
 // finish, hands over the keys that this node remembers, tells its peers that
 // it is gone, and ends. Calls that are still in flight when ctx ends are cut
-// off, and the error says how many.
+// off, and the error says how many. A second call does nothing.
 func (n *Node) Shutdown(ctx context.Context) error {
+	if !n.shutDown.CompareAndSwap(false, true) {
+		return nil
+	}
 	n.control.send(leaveEvent{})
 	err := n.WaitFor(ctx, func(s *State) bool { return s.Life == kqmember.LifeDraining || s.Life == kqmember.LifeGone })
 	n.work.close()
@@ -158,10 +163,21 @@
 	if err := n.WaitFor(ctx, func(s *State) bool { return s.Life == kqmember.LifeGone }); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
-	defer cancel()
-	for _, p := range n.settings.Peers {
-		n.exchangeWith(ctx, p)
+	told := tellEvent{done: make(chan struct{})}
+	n.control.send(told)
+	select {
+	case <-told.done:
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "tell peers")
+	}
+	timer := time.NewTimer(tellTimeout)
+	defer timer.Stop()
+	for n.exchanging.Load() > 0 {
+		select {
+		case <-time.After(drainPoll):
+		case <-timer.C:
+			return nil
+		}
 	}
 	return nil
 }
@@ -185,6 +201,7 @@
 	err := errors.CombineErrors(n.server.Close(), n.metrics.Close())
 	n.dialer.Close()
 	n.pool.Release()
+	n.exchanges.Release()
 	if n.ownsLog {
 		n.log.Close()
 	}
@@ -198,6 +215,16 @@
 	return c.fire("Empty")
 }
 
+// tellEvent sends out what is to be told without waiting for the next tick.
+type tellEvent struct {
+	done chan struct{}
+}
+
+func (e tellEvent) apply(c *control) bool {
+	defer close(e.done)
+	return tickEvent{}.apply(c)
+}
+
 // handOff gives the buckets of this node to others of its service. When there
 // are none, or they do not answer in time, the keys are claimed later, in
 // doubt.
