--- a/core/kqhome/handover.go
+++ b/core/kqhome/handover.go
@@ -98,10 +98,18 @@
 	return token == held.to
 }
 
-// Willing is whether this node would take the bucket; its refusal is for good,
-// so that the holder may go on.
+// Taken is whether this node has taken the offer before.
+func (h *Home) Taken(o Offer) bool {
+	return o.Token.Holder == h.self && h.taken[takenToken{bucket: o.Bucket, epoch: o.Token.Epoch}]
+}
+
+// Willing is whether this node takes the bucket, or has taken it; its refusal
+// is for good, so that the holder may go on.
 func (h *Home) Willing(o Offer) bool {
 	h.Hear(o.Table)
+	if h.Taken(o) {
+		return true
+	}
 	if !h.takes(o.Bucket, o.Token) {
 		h.decline(o.Bucket, o.Token)
 		return false
@@ -125,7 +133,7 @@
 
 // Decline refuses an offer for good.
 func (h *Home) Decline(o Offer) {
-	if held := h.held[o.Bucket]; held == nil || held.Token != o.Token {
+	if !h.Taken(o) {
 		h.decline(o.Bucket, o.Token)
 	}
 }
@@ -133,7 +141,7 @@
 // Take makes this node the home of an offered bucket. Taking the same token
 // twice changes nothing.
 func (h *Home) Take(now time.Duration, o Offer, x kqledger.Export) bool {
-	if held := h.held[o.Bucket]; held != nil && held.Token == o.Token {
+	if h.Taken(o) {
 		return true
 	}
 	if !h.takes(o.Bucket, o.Token) {
@@ -141,6 +149,7 @@
 		return false
 	}
 	h.hold(now, o.Bucket, o.Token, x)
+	h.taken[takenToken{bucket: o.Bucket, epoch: o.Token.Epoch}] = true
 	return true
 }
 
--- a/core/kqhome/home.go
+++ b/core/kqhome/home.go
@@ -27,7 +27,10 @@
 	fences [Buckets]uint64
 	// declined are hand-overs that were refused for good.
 	declined [Buckets]Epoch
-	held     [Buckets]*Held
+	// taken are the hand-overs that were accepted, so that an offer that comes
+	// again gets the same answer, wherever the bucket went since.
+	taken map[takenToken]bool
+	held  [Buckets]*Held
 }
 
 // Held is a bucket whose token this node holds.
@@ -44,6 +47,12 @@
 	superseded time.Duration
 }
 
+// takenToken names a hand-over.
+type takenToken struct {
+	bucket int
+	epoch  Epoch
+}
+
 // Settlement tells a bucket's successor how a run of the former holder ended.
 type Settlement struct {
 	Bucket int
@@ -61,7 +70,7 @@
 
 // New makes the memory of a node that has just started.
 func New(service string, self Node, limits kqledger.Limits) *Home {
-	return &Home{service: service, self: self, limits: limits, table: Table{Service: service}, witnesses: map[string]bool{}, known: map[string]uint64{}}
+	return &Home{service: service, self: self, limits: limits, table: Table{Service: service}, witnesses: map[string]bool{}, known: map[string]uint64{}, taken: map[takenToken]bool{}}
 }
 
 // Self is the start of the node whose memory this is.
--- a/io/kqnode/keywire.go
+++ b/io/kqnode/keywire.go
@@ -134,6 +134,10 @@
 // refuses for good, so that the peer may go on.
 func (k *keeper) takeOffer(ctx context.Context, peer string, o kqhome.Offer) bool {
 	k.mutex.Lock()
+	if o.Bucket >= 0 && o.Bucket < kqhome.Buckets && k.home.Taken(o) {
+		k.mutex.Unlock()
+		return true
+	}
 	if k.leaving.Load() && o.Bucket >= 0 && o.Bucket < kqhome.Buckets {
 		k.home.Decline(o)
 		k.mutex.Unlock()
