--- a/core/kqhome/world_test.go
+++ b/core/kqhome/world_test.go
@@ -55,7 +55,6 @@
 	gate       *process
 	gateStart  uint64
 	executed   bool
-	over       bool
 	end        kqcall.End
 }
 
@@ -223,7 +222,8 @@
 // send makes a first copy of a key, or another within the callers' window.
 func (w *world) send() {
 	key := w.keys
-	if w.keys > 0 && w.random.IntN(2) == 0 {
+	switch {
+	case w.keys > 0 && w.random.IntN(2) == 0:
 		key = w.random.IntN(w.keys)
 		if w.keys > 20 && w.random.IntN(2) == 0 {
 			key = w.keys - 1 - w.random.IntN(20)
@@ -232,10 +232,10 @@
 			return
 		}
 		w.counts["resends"]++
-	} else if w.keys < maxKeys {
+	case w.keys < maxKeys:
 		w.first[key] = w.now
 		w.keys++
-	} else {
+	default:
 		return
 	}
 	side := w.random.IntN(len(w.entries))
--- a/io/kqcli/kqcli.go
+++ b/io/kqcli/kqcli.go
@@ -41,12 +41,14 @@
 
 // commands is the one table that help and docs are made from.
 type commands struct {
+	Demo     demoCommand     `cmd:"" help:"Show the whole path on stand-ins in one process, in under 20 s."`
 	Node     nodeCommand     `cmd:"" help:"Run a node beside a backend server."`
 	Store    storeCommand    `cmd:"" help:"Run the stand-in of the platform's object API."`
 	Backend  backendCommand  `cmd:"" help:"Run the stand-in of a backend server."`
 	Class    classCommand    `cmd:"" help:"Work with the classes and their targets."`
 	Status   statusCommand   `cmd:"" help:"Show the fleet as one node sees it."`
 	Measure  measureCommand  `cmd:"" help:"Measure goodput and recovery under faults, against a naive policy."`
+	Explain  explainCommand  `cmd:"" help:"Tell what became of one request, from the nodes' recent decisions."`
 	Settings settingsCommand `cmd:"" help:"Work with settings files."`
 	Docs     docsCommand     `cmd:"" help:"Write the pages that are made from the code."`
 	Identity identityCommand `cmd:"" help:"Issue identities for trials, from an authority made for them."`
--- a/io/kqnode/entry.go
+++ b/io/kqnode/entry.go
@@ -147,7 +147,7 @@
 			r = <-done
 		}
 	}
-	n.log.Decide(kqlog.Decision{
+	n.decide(kqlog.Decision{
 		RequestID: q.head.RequestID, Class: q.head.Class, Service: q.head.Service, Decision: "Answer",
 		Cause: string(r.end.Cause), Outcome: string(r.end.Outcome), Took: n.now().Sub(begun),
 	})
--- a/io/kqnode/keyed.go
+++ b/io/kqnode/keyed.go
@@ -322,7 +322,7 @@
 
 // decide logs a placement decision about a call with a key.
 func (k *keeper) decide(q *call, decision string, r *result, chosen string) {
-	k.node.log.Decide(kqlog.Decision{
+	k.node.decide(kqlog.Decision{
 		RequestID: q.head.RequestID, Class: q.head.Class, Service: q.head.Service, Decision: decision,
 		Cause: string(r.end.Cause), Outcome: string(r.end.Outcome), Chosen: chosen,
 	})
--- a/io/kqnode/keyed_test.go
+++ b/io/kqnode/keyed_test.go
@@ -111,7 +111,7 @@
 	}
 }
 
-func outcome(r *fasthttp.Response) string {
+func endText(r *fasthttp.Response) string {
 	return string(r.Header.Peek(kqwire.HeaderOutcome)) + " " + string(r.Header.Peek(kqwire.HeaderCause))
 }
 
@@ -122,18 +122,18 @@
 	for i := range 64 {
 		key := fmt.Sprintf("key-%d", i)
 		first := call(t, f.entries[0].Node.CallerAddress(), buy(key, key))
-		if got, want := outcome(first), "ran Done"; got != want {
+		if got, want := endText(first), "ran Done"; got != want {
 			t.Fatalf("first copy of %s: got %q, want %q", key, got, want)
 		}
 		second := call(t, f.entries[1].Node.CallerAddress(), buy(key, key))
-		if got, want := outcome(second), "ran KeyReplayed"; got != want {
+		if got, want := endText(second), "ran KeyReplayed"; got != want {
 			t.Errorf("second copy of %s: got %q, want %q", key, got, want)
 		}
 		if got, want := string(second.Body()), string(first.Body()); got != want {
 			t.Errorf("replayed body: got %q, want %q", got, want)
 		}
 		other := call(t, f.entries[1].Node.CallerAddress(), buy(key, "another"))
-		if got, want := outcome(other), "not-run KeyMismatch"; got != want {
+		if got, want := endText(other), "not-run KeyMismatch"; got != want {
 			t.Errorf("another request with %s: got %q, want %q", key, got, want)
 		}
 	}
@@ -172,7 +172,7 @@
 		if i < 64 {
 			want = "ran KeyReplayed"
 		}
-		got := outcome(call(t, f.entries[1].Node.CallerAddress(), buy(fmt.Sprintf("key-%d", i), "")))
+		got := endText(call(t, f.entries[1].Node.CallerAddress(), buy(fmt.Sprintf("key-%d", i), "")))
 		if got != want {
 			t.Errorf("key-%d after the hand-over: got %q, want %q", i, got, want)
 		}
--- a/io/kqnode/kqnode.go
+++ b/io/kqnode/kqnode.go
@@ -18,6 +18,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -26,6 +27,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/panjf2000/ants/v2"
+	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"kumquatlink/core/kqcall"
@@ -103,6 +105,7 @@
 	// exchanging counts the exchanges with neighbours that are under way.
 	exchanging atomic.Int64
 	shutDown   atomic.Bool
+	history    *history
 
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
@@ -136,7 +139,7 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "make pool"), ErrNode)
 	}
-	n := &Node{settings: settings, identity: identity, now: time.Now, pool: pool, exchanges: exchanges, work: newWork()}
+	n := &Node{settings: settings, identity: identity, now: time.Now, pool: pool, exchanges: exchanges, work: newWork(), history: newHistory()}
 	for _, o := range options {
 		o(n)
 	}
@@ -170,15 +173,15 @@
 	if err != nil {
 		return errors.Mark(err, ErrNode)
 	}
-	n.operator = newHTTPServer(n.handleOperator)
+	n.operator = n.newHTTPServer(n.handleOperator)
 	if n.settings.OperatorAddress != "" {
 		if n.operatorAddress, err = listen(n.operator, n.settings.OperatorAddress); err != nil {
 			return err
 		}
 	}
 	n.control.start(n.server.Address())
-	n.callers = newHTTPServer(n.handleCaller)
-	n.backend = newHTTPServer(n.handleBackend)
+	n.callers = n.newHTTPServer(n.handleCaller)
+	n.backend = n.newHTTPServer(n.handleBackend)
 	if n.settings.CallerAddress != "" {
 		if n.callerAddress, err = listen(n.callers, n.settings.CallerAddress); err != nil {
 			return err
@@ -191,6 +194,8 @@
 	n.loop(ctx, n.runConfigurationWatch)
 	n.loop(ctx, n.runMembership)
 	n.loop(ctx, n.keys.run)
+	n.loop(ctx, n.runSeeds)
+	n.loop(ctx, n.runMetrics)
 	return nil
 }
 
@@ -232,7 +237,7 @@
 	}
 }
 
-func newHTTPServer(handler fasthttp.RequestHandler) *fasthttp.Server {
+func (n *Node) newHTTPServer(handler fasthttp.RequestHandler) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler:               handler,
 		NoDefaultServerHeader: true,
@@ -240,9 +245,20 @@
 		MaxRequestBodySize:    maxBodyBytes,
 		ReadBufferSize:        readBufferBytes,
 		ErrorHandler:          handleMalformed,
+		Logger:                serverLog{log: n.log},
 	}
 }
 
+// serverLog writes what the HTTP server has to say as lines of the node's log.
+type serverLog struct {
+	log *kqlog.Log
+}
+
+// Printf writes one line.
+func (l serverLog) Printf(format string, values ...any) {
+	l.log.Event(zerolog.DebugLevel, fmt.Sprintf(format, values...), nil)
+}
+
 // handleMalformed answers a caller whose call could not be read at all.
 func handleMalformed(c *fasthttp.RequestCtx, err error) {
 	cause := kqcall.CauseBadRequest
--- a/io/kqnode/member.go
+++ b/io/kqnode/member.go
@@ -46,6 +46,8 @@
 	spread *kqspread.Machine
 	begun  time.Time
 	ticked time.Time
+	// seeds are the addresses that the store gave last.
+	seeds []string
 }
 
 func newMember(begun time.Time, view *kqmember.View) *member {
@@ -151,6 +153,9 @@
 // dispatch sends messages to their nodes, off the control goroutine.
 func (c *control) dispatch(envelopes []kqspread.Envelope) {
 	for _, e := range envelopes {
+		if e.Address == "" {
+			continue
+		}
 		c.node.exchanging.Add(1)
 		if err := c.node.exchanges.Submit(func() { c.node.exchange(e) }); err != nil {
 			c.node.exchanging.Add(-1)
--- a/io/kqnode/router.go
+++ b/io/kqnode/router.go
@@ -135,7 +135,7 @@
 		last = r.sendTo(ctx, q, upstream)
 		r.node.shed.heard(q, upstream.Record.NodeID, last)
 		held.PutBack(last.retriesLeft, q.head.Retries)
-		r.node.log.Decide(kqlog.Decision{
+		r.node.decide(kqlog.Decision{
 			RequestID: q.head.RequestID, Class: q.head.Class, Service: q.head.Service, Decision: "Route",
 			Cause: string(last.end.Cause), Outcome: string(last.end.Outcome),
 			Chosen: upstream.Record.NodeID, Others: table.Others(upstream),
@@ -299,6 +299,9 @@
 
 // handlePeerCall runs a call that a peer's entry sent to this node's gate.
 func (n *Node) handlePeerCall(ctx context.Context, _ string, head kqlink.CallHead, body []byte) (kqlink.AnswerHead, []byte) {
+	if head.AskLoad {
+		return kqlink.AnswerHead{End: kqcall.NotRun(""), Load: n.gate.load()}, nil
+	}
 	q := &call{head: head.Head, method: head.Method, path: head.Path, headers: head.Headers, body: body}
 	ctx, cancel := withBudget(ctx, q.head)
 	defer cancel()
