Walk the table of outcomes by failing at each row

Cause: outcomes were claimed in code only. Change: a scripted backend server fails a call at each of 14 points; the rows stand in docs/design/outcomes.md and are checked against the same Go table. A call written into an idle connection that the backend server closes is answered unknown; left as it is and noted. Conclusion: points of the links are not walked yet; the page lists them.

--- /dev/null
+++ b/io/kqnode/outcomes_test.go
@@ -0,0 +1,256 @@
+package kqnode_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"kumquatlink/core/kqcall"
+	"kumquatlink/io/kqfleet"
+	"kumquatlink/io/kqlink"
+	"kumquatlink/io/kqwire"
+)
+
+// script is a backend server of which a test decides every byte.
+type script struct {
+	listener net.Listener
+	act      atomic.Pointer[func(net.Conn)]
+	got      atomic.Int64
+}
+
+// newScript starts a backend server beside a node and announces it.
+func newScript(t *testing.T, node, service string, slots int) *script {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &script{listener: listener}
+	t.Cleanup(func() { _ = listener.Close() })
+	go s.accept()
+	s.announce(t, node, service, slots, kqwire.StateReady)
+	return s
+}
+
+func (s *script) announce(t *testing.T, node, service string, slots int, state string) {
+	t.Helper()
+	body, err := json.Marshal(kqwire.Announcement{Service: service, Address: s.listener.Addr().String(), Slots: slots, State: state})
+	if err != nil {
+		t.Fatal(err)
+	}
+	response := call(t, node, func(r *fasthttp.Request) {
+		r.Header.SetMethod(fasthttp.MethodPut)
+		r.SetRequestURI(kqwire.PathAnnounce)
+		r.Header.SetHost(node)
+		r.SetBody(body)
+	})
+	if got, want := response.StatusCode(), fasthttp.StatusOK; got != want {
+		t.Fatalf("announce: got %d, want %d", got, want)
+	}
+}
+
+func (s *script) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(c)
+	}
+}
+
+// serve reads whole calls and lets the test act on each.
+func (s *script) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		var request fasthttp.Request
+		if err := request.Read(reader); err != nil {
+			return
+		}
+		s.got.Add(1)
+		(*s.act.Load())(c)
+	}
+}
+
+func (s *script) set(act func(net.Conn)) {
+	s.act.Store(&act)
+}
+
+// says writes bytes and, unless they are a whole answer, closes.
+func says(text string) func(net.Conn) {
+	return func(c net.Conn) {
+		_, _ = c.Write([]byte(text))
+		_ = c.Close()
+	}
+}
+
+// failurePoint is one row of the table of outcomes.
+type failurePoint struct {
+	name   string
+	end    kqcall.End
+	status int
+	// handed is whether the backend server gets the call.
+	handed bool
+	// act is what the backend server does, or nil when it is not reached.
+	act  func(net.Conn)
+	call func(*fasthttp.Request)
+}
+
+func browse(r *fasthttp.Request) {
+	r.Header.Set(kqwire.HeaderService, "catalog")
+}
+
+func header(name, value string) func(*fasthttp.Request) {
+	return func(r *fasthttp.Request) {
+		browse(r)
+		r.Header.Set(name, value)
+	}
+}
+
+const silentBudget = "300"
+
+// failurePoints is the table of outcomes; docs/design/outcomes.md is checked
+// against it.
+func failurePoints(hold <-chan struct{}) []failurePoint {
+	stall := func(net.Conn) { <-hold }
+	return []failurePoint{
+		{name: "answered", end: kqcall.Ran(), status: 200, handed: true, act: says("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"), call: browse},
+		{name: "backend server answers 500", end: kqcall.Ran(), status: 500, handed: true, act: says("HTTP/1.1 500 Bad\r\nConnection: close\r\nContent-Length: 2\r\n\r\nno"), call: browse},
+		{name: "backend server answers 503 without the shed header", end: kqcall.Ran(), status: 503, handed: true, act: says("HTTP/1.1 503 Busy\r\nConnection: close\r\nContent-Length: 2\r\n\r\nno"), call: browse},
+		{name: "backend server sheds explicitly", end: kqcall.NotRun(kqcall.CauseBackendShed), status: 503, handed: true, act: says("HTTP/1.1 503 Busy\r\nConnection: close\r\nKumquatlink-Shed: 1\r\nContent-Length: 0\r\n\r\n"), call: browse},
+		{name: "backend server closes before its answer", end: kqcall.Unknown(kqcall.CauseBackendLost), status: 504, handed: true, act: says(""), call: once},
+		{name: "answer's header is cut", end: kqcall.Unknown(kqcall.CauseBackendLost), status: 504, handed: true, act: says("HTTP/1.1 200 OK\r\nContent-Le"), call: once},
+		{name: "answer's body is cut", end: kqcall.Unknown(kqcall.CauseBackendLost), status: 504, handed: true, act: says("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"), call: once},
+		{name: "answer's last chunk is cut", end: kqcall.Unknown(kqcall.CauseBackendLost), status: 504, handed: true, act: says("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"), call: once},
+		{name: "deadline passes while the backend server works", end: kqcall.Unknown(kqcall.CauseDeadline), status: 504, handed: true, act: stall, call: func(r *fasthttp.Request) {
+			once(r)
+			r.Header.Set(kqwire.HeaderBudget, silentBudget)
+		}},
+		{name: "deadline has passed at the entry", end: kqcall.NotRun(kqcall.CauseDeadline), status: 503, call: header(kqwire.HeaderBudget, "0")},
+		{name: "service is unknown", end: kqcall.NotRun(kqcall.CauseNoService), status: 404, call: header(kqwire.HeaderService, "nowhere")},
+		{name: "class is unknown", end: kqcall.NotRun(kqcall.CauseNoClass), status: 400, call: header(kqwire.HeaderClass, "nobody")},
+		{name: "budget is malformed", end: kqcall.NotRun(kqcall.CauseBadRequest), status: 400, call: header(kqwire.HeaderBudget, "soon")},
+		{name: "home of the key is not known", end: kqcall.NotRun(kqcall.CauseKeyHomeUnreached), status: 503, call: func(r *fasthttp.Request) {
+			once(r)
+			r.Header.Set(kqwire.HeaderService, "homeless")
+			r.Header.Set(kqwire.HeaderKey, "key")
+		}},
+	}
+}
+
+// once is a call of a class that must not be repeated, so that the entry does
+// not try it elsewhere.
+func once(r *fasthttp.Request) {
+	browse(r)
+	r.Header.Set(kqwire.HeaderClass, "purchase")
+}
+
+func (p failurePoint) row() string {
+	handed := "no"
+	if p.handed {
+		handed = "yes"
+	}
+	return fmt.Sprintf("| %s | %s | %s | %s | %d |", p.name, handed, p.end.Outcome, p.end.Cause, p.status)
+}
+
+func TestEveryFailurePointHasItsOutcome(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
+	defer cancel()
+	entry, gate, fleet := startPlain(ctx, t)
+	backend := newScript(t, gate.Node.BackendAddress(), "catalog", 4)
+	lone, err := fleet.AddNode(kqfleet.Place{NodeID: "homeless-1", Region: "lothian", FailureDomain: "lothian-b"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	newScript(t, lone.Node.BackendAddress(), "homeless", 4).set(says(""))
+	if err := fleet.Settle(ctx, "catalog", "homeless"); err != nil {
+		t.Fatal(err)
+	}
+	hold := make(chan struct{})
+	release := sync.OnceFunc(func() { close(hold) })
+	defer release()
+	for _, p := range failurePoints(hold) {
+		if p.act != nil {
+			backend.set(p.act)
+		}
+		before := backend.got.Load()
+		response := call(t, entry.Node.CallerAddress(), p.call)
+		got := endText(response) + fmt.Sprintf(" %d", response.StatusCode())
+		if want := fmt.Sprintf("%s %s %d", p.end.Outcome, p.end.Cause, p.status); got != want {
+			t.Errorf("%s: got %q, want %q", p.name, got, want)
+		}
+		if got := backend.got.Load() > before; got != p.handed {
+			t.Errorf("%s: handed to the backend server: got %v, want %v", p.name, got, p.handed)
+		}
+	}
+}
+
+func startPlain(ctx context.Context, t *testing.T) (entry, gate *kqfleet.Member, fleet *kqfleet.Fleet) {
+	t.Helper()
+	fleet, err := kqfleet.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = fleet.Close() })
+	if err := fleet.Configure(ctx, testClasses()); err != nil {
+		t.Fatal(err)
+	}
+	for _, m := range []struct {
+		name string
+		to   **kqfleet.Member
+	}{{"entry-1", &entry}, {"catalog-1", &gate}} {
+		if *m.to, err = fleet.AddNode(kqfleet.Place{NodeID: m.name, Region: "lothian", FailureDomain: "lothian-a"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return entry, gate, fleet
+}
+
+func TestGateRefusesAKeyThatNoHomeSent(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
+	defer cancel()
+	_, gate, fleet := startPlain(ctx, t)
+	backend := newScript(t, gate.Node.BackendAddress(), "catalog", 4)
+	if err := fleet.Settle(ctx, "catalog"); err != nil {
+		t.Fatal(err)
+	}
+	identity, err := fleet.Authority.Issue("peer-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dialer := kqlink.NewDialer(identity)
+	defer dialer.Close()
+	head := kqcall.Head{RequestID: "r", Service: "catalog", Class: "purchase", Key: "key", Budget: testPatience}
+	answer, err := dialer.Call(ctx, gate.Node.PeerAddress(), kqlink.CallHead{Head: head, Method: "POST", Path: "/"}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := answer.Head.End, kqcall.NotRun(kqcall.CauseMoved); got != want {
+		t.Errorf("end: got %v, want %v", got, want)
+	}
+	if got, want := backend.got.Load(), int64(0); got != want {
+		t.Errorf("calls at the backend server: got %d, want %d", got, want)
+	}
+}
+
+func TestOutcomesPageHasEveryRow(t *testing.T) {
+	page, err := os.ReadFile("../../docs/design/outcomes.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range failurePoints(nil) {
+		if want := p.row(); !strings.Contains(string(page), want+"\n") {
+			t.Errorf("docs/design/outcomes.md: want the row %s", want)
+		}
+	}
+}
