--- a/io/kqhttp/kqhttp.go
+++ b/io/kqhttp/kqhttp.go
@@ -61,6 +61,7 @@
 	reader *bufio.Reader
 	writer *bufio.Writer
 	since  time.Time
+	probe  *probe
 
 	// timer runs while a call is on the connection.
 	timer  *time.Timer
@@ -69,7 +70,12 @@
 }
 
 func newConnection(c net.Conn) *connection {
-	return &connection{Conn: c, reader: bufio.NewReaderSize(c, bufferSize), writer: bufio.NewWriterSize(c, bufferSize)}
+	return &connection{
+		Conn:   c,
+		reader: bufio.NewReaderSize(c, bufferSize),
+		writer: bufio.NewWriterSize(c, bufferSize),
+		probe:  newProbe(c),
+	}
 }
 
 // Option changes a pool.
@@ -167,7 +173,7 @@
 // take gives the idle connection that was used last, or opens one.
 func (p *Pool) take(ctx context.Context) (*connection, error) {
 	for c := p.takeIdle(); c != nil; c = p.takeIdle() {
-		if !isStale(c.Conn) {
+		if !c.isStale(p.now()) {
 			return c, nil
 		}
 		_ = c.Close()
--- a/io/kqhttp/silent.go
+++ b/io/kqhttp/silent.go
@@ -37,37 +37,65 @@
 	return inner
 }
 
-// isSilent is whether the connection has had no acknowledgement for too long.
-// What is not TCP never is.
-func isSilent(c net.Conn) bool {
+// probe asks the kernel about one connection. It keeps what it needs, so that
+// asking allocates nothing. It is used by one goroutine at a time.
+type probe struct {
+	raw    syscall.RawConn
+	peek   func(descriptor uintptr)
+	ended  bool
+	buffer [1]byte
+}
+
+// newProbe gives a probe of the connection, or nil for what is not TCP.
+func newProbe(c net.Conn) *probe {
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
+		return nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	p := &probe{raw: raw}
+	p.peek = p.peekOnce
+	return p
+}
+
+// peekOnce finds out without waiting whether anything, be it the end, has
+// come in on an idle connection.
+func (p *probe) peekOnce(descriptor uintptr) {
+	_, _, err := unix.Recvfrom(int(descriptor), p.buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	p.ended = err != unix.EAGAIN
+}
+
+// isEnded is whether the server has closed the idle connection, or sent
+// something unasked.
+func (p *probe) isEnded() bool {
+	if p == nil {
+		return false
+	}
+	p.ended = true
+	_ = p.raw.Control(p.peek)
+	return p.ended
+}
+
+// isSilent is whether the connection has had no acknowledgement for too long.
+func (p *probe) isSilent() bool {
+	if p == nil {
 		return false
 	}
 	silent := false
-	_ = onDescriptor(tcp, func(descriptor int) error {
-		info, err := unix.GetsockoptTCPInfo(descriptor, unix.IPPROTO_TCP, unix.TCP_INFO)
+	_ = p.raw.Control(func(descriptor uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
 		silent = err == nil && time.Duration(info.Last_ack_recv)*time.Millisecond > silentAfter
-		return err
 	})
 	return silent
 }
 
-// isStale is whether a connection that waited in the pool can't take a call:
-// the server has closed it or sent something unasked, or it passes no bytes.
-func isStale(c net.Conn) bool {
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		return false
-	}
-	stale := true
-	_ = onDescriptor(tcp, func(descriptor int) error {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(descriptor, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		stale = !errors.Is(err, unix.EAGAIN)
-		return err
-	})
-	return stale || isSilent(c)
+// isStale is whether a connection that waited in the pool since then can't
+// take a call.
+func (c *connection) isStale(now time.Time) bool {
+	return c.probe.isEnded() || (now.Sub(c.since) > probeIdle && c.probe.isSilent())
 }
 
 // watch looks after the connection while a call is on it.
@@ -90,7 +118,7 @@
 	if !c.busy.Load() {
 		return
 	}
-	if isSilent(c.Conn) {
+	if c.probe.isSilent() {
 		c.silent.Store(true)
 		_ = c.Close()
 		return
