--- a/io/kqnode/router.go
+++ b/io/kqnode/router.go
@@ -288,8 +288,11 @@
 // endOf turns a link's error into the end of the call.
 func endOf(ctx context.Context, err error) kqcall.End {
 	cause := kqcall.CauseLinkLost
-	if ctx.Err() != nil {
-		cause = kqcall.CauseDeadline
+	switch {
+	case ctx.Err() != nil:
+		cause = goneCause(ctx)
+	case errors.Is(err, kqlink.ErrSilent):
+		cause = kqcall.CauseLinkSilent
 	}
 	if errors.Is(err, kqlink.ErrNotSent) {
 		return kqcall.NotRun(cause)
