--- a/core/kqroute/upstream.go
+++ b/core/kqroute/upstream.go
@@ -197,7 +197,7 @@
 
 // warmEnough lets a growing share of calls through to a warming upstream.
 func (u *Upstream) warmEnough(a *Ask) bool {
-	if u.Record.Life != kqmember.LifeWarming {
+	if a.cold || u.Record.Life != kqmember.LifeWarming {
 		return true
 	}
 	share := max(minWarmingShare, float64(a.Now.Sub(u.firstSeen))/float64(warmingTime))
--- a/io/kqnode/kqnode.go
+++ b/io/kqnode/kqnode.go
@@ -105,6 +105,10 @@
 	gate     *gate
 	router   *router
 	shed     *shedder
+	keys     *keeper
+	work     *work
+	shutDown atomic.Bool
+	history  *history
 
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
@@ -138,7 +142,7 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "make pool"), ErrNode)
 	}
-	n := &Node{settings: settings, identity: identity, now: time.Now, pool: pool, exchanges: exchanges}
+	n := &Node{settings: settings, identity: identity, now: time.Now, pool: pool, exchanges: exchanges, work: newWork(), history: newHistory()}
 	for _, o := range options {
 		o(n)
 	}
@@ -154,6 +158,7 @@
 	n.gate = newGate(n)
 	n.shed = newShedder(n)
 	n.router = newRouter(n)
+	n.keys = newKeeper(n)
 	n.control = newControl(n)
 	return n, nil
 }
@@ -166,7 +171,7 @@
 	n.server, err = kqlink.Listen(n.settings.PeerAddress, n.identity, kqlink.Handlers{
 		Call:    n.handlePeerCall,
 		Message: n.handlePeerMessage,
-		Submit:  n.pool.Submit,
+		Submit:  n.submitPeer,
 	}, n.linkOptions...)
 	if err != nil {
 		return errors.Mark(err, ErrNode)
@@ -191,6 +196,7 @@
 	n.loop(ctx, n.control.run)
 	n.loop(ctx, n.runConfigurationWatch)
 	n.loop(ctx, n.runMembership)
+	n.loop(ctx, n.keys.run)
 	n.loop(ctx, n.runSeeds)
 	n.loop(ctx, n.runMetrics)
 	return nil
@@ -204,27 +210,6 @@
 	}()
 }
 
-// Shutdown stops taking work, lets what is in flight finish, and ends.
-func (n *Node) Shutdown(ctx context.Context) error {
-	n.control.send(leaveEvent{})
-	for _, s := range []*fasthttp.Server{n.callers, n.backend, n.operator} {
-		if err := s.ShutdownWithContext(ctx); err != nil {
-			return errors.Mark(errors.Wrap(err, "finish calls"), ErrNode)
-		}
-	}
-	n.announceGone(ctx)
-	n.cancel()
-	n.loops.Wait()
-	err := errors.CombineErrors(n.server.Close(), n.metrics.Close())
-	n.dialer.Close()
-	n.pool.Release()
-	n.exchanges.Release()
-	if n.ownsLog {
-		n.log.Close()
-	}
-	return errors.Mark(err, ErrNode)
-}
-
 // OperatorAddress is the TCP address that operators use, or empty.
 func (n *Node) OperatorAddress() string { return n.operatorAddress }
 
--- a/io/kqnode/member.go
+++ b/io/kqnode/member.go
@@ -1,6 +1,7 @@
 package kqnode
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -82,6 +83,7 @@
 func (tickEvent) apply(c *control) bool {
 	now := c.member.advance(c.node.now())
 	c.offerConfiguration()
+	c.node.keys.offer(c.member.spread)
 	c.dispatch(c.member.spread.Tick(now))
 	changed := c.live(now)
 	return c.settle(now) || changed
@@ -149,6 +151,9 @@
 
 // takeItem hands an item that others published to what it is for.
 func (c *control) takeItem(i kqspread.Item) bool {
+	if c.node.keys.takeItem(i) {
+		return false
+	}
 	if i.Name != itemConfiguration {
 		return false
 	}
@@ -225,6 +230,9 @@
 
 // handlePeerMessage answers a peer's message.
 func (n *Node) handlePeerMessage(ctx context.Context, peer string, message []byte) ([]byte, error) {
+	if body, found := bytes.CutPrefix(message, keyPrefix); found {
+		return n.keys.answer(ctx, peer, body)
+	}
 	e := messageEvent{peer: peer, replies: make(chan []kqspread.Message, 1)}
 	if err := spreadMode.Unmarshal(message, &e.message); err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "read message"), ErrNode)
