--- a/io/kqhttp/silent.go
+++ b/io/kqhttp/silent.go
@@ -95,7 +95,7 @@
 // isStale is whether a connection that waited in the pool since then can't
 // take a call.
 func (c *connection) isStale(now time.Time) bool {
-	return c.probe.isEnded() || (now.Sub(c.since) > probeIdle && c.probe.isSilent())
+	return c.reader.Buffered() > 0 || c.probe.isEnded() || (now.Sub(c.since) > probeIdle && c.probe.isSilent())
 }
 
 // watch looks after the connection while a call is on it.
--- a/io/kqnode/keyed.go
+++ b/io/kqnode/keyed.go
@@ -211,7 +211,7 @@
 		k.mutex.Unlock()
 		return &result{end: kqcall.NotRun(kqcall.CauseMoved), retriesLeft: q.head.Retries, token: &token}
 	}
-	if k.closed.Load() {
+	if token := k.home.Token(q.head.Key); k.closed.Load() && token.Holder == k.home.Self() {
 		k.mutex.Unlock()
 		return &result{end: kqcall.NotRun(kqcall.CauseDraining), retriesLeft: q.head.Retries}
 	}
--- a/io/kqnode/outcomes_test.go
+++ b/io/kqnode/outcomes_test.go
@@ -20,15 +20,18 @@
 	"kumquatlink/io/kqwire"
 )
 
+// scriptSlots is how many calls a scripted backend server says it runs at once.
+const scriptSlots = 4
+
 // script is a backend server of which a test decides every byte.
 type script struct {
 	listener net.Listener
-	act      atomic.Pointer[func(net.Conn)]
+	act      atomic.Pointer[func(net.Conn, string)]
 	got      atomic.Int64
 }
 
 // newScript starts a backend server beside a node and announces it.
-func newScript(t *testing.T, node, service string, slots int) *script {
+func newScript(t *testing.T, node, service string) *script {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -37,7 +40,7 @@
 	s := &script{listener: listener}
 	t.Cleanup(func() { _ = listener.Close() })
 	go s.accept()
-	s.announce(t, node, service, slots, kqwire.StateReady)
+	s.announce(t, node, service, scriptSlots, kqwire.StateReady)
 	return s
 }
 
@@ -78,11 +81,16 @@
 			return
 		}
 		s.got.Add(1)
-		(*s.act.Load())(c)
+		(*s.act.Load())(c, string(request.Header.Peek(kqwire.HeaderContext)))
 	}
 }
 
 func (s *script) set(act func(net.Conn)) {
+	s.setWithContext(func(c net.Conn, _ string) { act(c) })
+}
+
+// setWithContext hands the call's context token to the test as well.
+func (s *script) setWithContext(act func(c net.Conn, token string)) {
 	s.act.Store(&act)
 }
 
@@ -167,12 +175,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
 	defer cancel()
 	entry, gate, fleet := startPlain(ctx, t)
-	backend := newScript(t, gate.Node.BackendAddress(), "catalog", 4)
+	backend := newScript(t, gate.Node.BackendAddress(), "catalog")
 	lone, err := fleet.AddNode(kqfleet.Place{NodeID: "homeless-1", Region: "lothian", FailureDomain: "lothian-b"})
 	if err != nil {
 		t.Fatal(err)
 	}
-	newScript(t, lone.Node.BackendAddress(), "homeless", 4).set(says(""))
+	newScript(t, lone.Node.BackendAddress(), "homeless").set(says(""))
 	if err := fleet.Settle(ctx, "catalog", "homeless"); err != nil {
 		t.Fatal(err)
 	}
@@ -220,7 +228,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
 	defer cancel()
 	_, gate, fleet := startPlain(ctx, t)
-	backend := newScript(t, gate.Node.BackendAddress(), "catalog", 4)
+	backend := newScript(t, gate.Node.BackendAddress(), "catalog")
 	if err := fleet.Settle(ctx, "catalog"); err != nil {
 		t.Fatal(err)
 	}
@@ -254,3 +262,28 @@
 		}
 	}
 }
+
+func TestUnknownCallOfRunOnceClassIsNotTriedElsewhere(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
+	defer cancel()
+	entry, gate, fleet := startPlain(ctx, t)
+	other, err := fleet.AddNode(kqfleet.Place{NodeID: "catalog-2", Region: "lothian", FailureDomain: "lothian-a"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	backends := []*script{newScript(t, gate.Node.BackendAddress(), "catalog"), newScript(t, other.Node.BackendAddress(), "catalog")}
+	for _, b := range backends {
+		b.set(says(""))
+	}
+	eventually(ctx, t, "both upstreams are known", func() bool { return len(entry.Node.State().Members.Upstreams("catalog")) == 2 })
+	if err := fleet.Settle(ctx, "catalog"); err != nil {
+		t.Fatal(err)
+	}
+	response := call(t, entry.Node.CallerAddress(), once)
+	if got, want := endText(response), "unknown BackendLost"; got != want {
+		t.Errorf("end: got %q, want %q", got, want)
+	}
+	if got, want := backends[0].got.Load()+backends[1].got.Load(), int64(1); got != want {
+		t.Errorf("calls at the backend servers: got %d, want %d", got, want)
+	}
+}
--- a/io/kqnode/whole_test.go
+++ b/io/kqnode/whole_test.go
@@ -42,14 +42,14 @@
 // shuffler answers calls late and out of order, and some of them twice.
 type shuffler struct {
 	doubled atomic.Int64
-	late    atomic.Int64
+	// hold keeps connections open on which an answer was doubled.
+	hold chan struct{}
 }
 
 func (s *shuffler) handle(c *fasthttp.RequestCtx) {
 	body := append([]byte(nil), c.PostBody()...)
 	random := rand.New(rand.NewPCG(xxhash.Sum64(body), 1))
 	time.Sleep(time.Duration(random.Int64N(int64(wholeLongestDelay))))
-	s.late.Add(1)
 	c.SetBody(hashed(body))
 	if random.IntN(wholeShuffle) == 0 {
 		s.doubled.Add(1)
@@ -57,6 +57,7 @@
 		c.Hijack(func(conn net.Conn) {
 			text := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(hashed(body)), hashed(body))
 			_, _ = conn.Write([]byte(text + text))
+			<-s.hold
 		})
 	}
 }
@@ -65,7 +66,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
 	defer cancel()
 	entry, gate, fleet := startPlain(ctx, t)
-	backend := &shuffler{}
+	backend := &shuffler{hold: make(chan struct{})}
+	defer close(backend.hold)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
