Keep the keys of the outcome table's new service unclaimed

Cause: the row 'home of the key is not known' raced the claim of the keys, and lost on a slow machine. Change: the store is down before the service comes, so that the claim can't happen; the row's check is the same.

--- a/io/kqnode/outcomes_test.go
+++ b/io/kqnode/outcomes_test.go
@@ -17,6 +17,7 @@
 	"kumquatlink/core/kqcall"
 	"kumquatlink/io/kqfleet"
 	"kumquatlink/io/kqlink"
+	"kumquatlink/io/kqobject"
 	"kumquatlink/io/kqwire"
 )
 
@@ -176,6 +177,8 @@
 	defer cancel()
 	entry, gate, fleet := startPlain(ctx, t)
 	backend := newScript(t, gate.Node.BackendAddress(), "catalog")
+	// Without the store nobody can claim the keys of a service that is new.
+	fleet.Store.SetFaults(kqobject.Faults{Down: true})
 	lone, err := fleet.AddNode(kqfleet.Place{NodeID: "homeless-1", Region: "lothian", FailureDomain: "lothian-b"})
 	if err != nil {
 		t.Fatal(err)
