Damp the cut, let unrepeatable work wait while it can still run in time

Cause: in trials of measure the cut swung with a period of 1.2 s, since a cut's change takes some 300 ms to reach the arrivals, and purchases were refused at one full gate of 5 slots while another ran downloads.

Change: the cut opens by as much as fills the free slots and then waits 100 ms, by doubling steps only when 0.4 of the slots stand free; it closes only beyond what chance explains; empty bands are passed over. Work that must not be repeated waits as long as it can run in time and is refused by gates alone. A call is not tried again when every upstream heard of refuses it.

--- a/core/kqadmit/cut.go
+++ b/core/kqadmit/cut.go
@@ -1,17 +1,24 @@
 package kqadmit
 
 import (
+	"math"
 	"slices"
 	"time"
 )
 
 // cut finds the level up to which arrivals are let in: it closes when a queue
-// stood for a whole window, to what the slots could run in it, and opens by
-// doubling steps when slots stood free.
+// stood for a whole window, to what the slots could run in it, and opens when
+// slots stood free: for so much more of the least important calls as would fill
+// them, and by doubling steps when most of them did.
 type cut struct {
-	tuning  Tuning
-	level   Level
-	step    Level
+	tuning Tuning
+	level  Level
+	step   Level
+	// opened is when the cut last opened; who was told of it needs a while to
+	// send more.
+	opened time.Duration
+	// seen is until when use was added up.
+	seen    time.Duration
 	ends    time.Duration
 	excess  float64
 	highest Level
@@ -26,6 +33,11 @@
 	starts     int
 	minWaiting int
 	idle       bool
+	// used is the time that slots were in use, as a sum over the limit's part
+	// in use.
+	used float64
+	// lasted is how long it was watched.
+	lasted time.Duration
 }
 
 func newCut(t Tuning) cut {
@@ -35,7 +47,7 @@
 }
 
 func (c *cut) firstStep() Level {
-	return rankSpan / Level(c.tuning.RelaxParts)
+	return bandSpan / Level(c.tuning.RelaxParts)
 }
 
 func (c *cut) arrived(l Level) {
@@ -56,7 +68,10 @@
 }
 
 // advance ends the windows that have passed by now and says whether any did.
-func (c *cut) advance(now time.Duration, waiting int) bool {
+func (c *cut) advance(now time.Duration, waiting int, use float64) bool {
+	c.used += use * (now - c.seen).Seconds()
+	c.lasted += now - c.seen
+	c.seen = now
 	if c.ends == 0 {
 		c.begin(now, waiting)
 		return false
@@ -64,7 +79,7 @@
 	if now < c.ends || c.tooFew(now) {
 		return false
 	}
-	c.end()
+	c.end(now)
 	for c.ends += c.tuning.Window; c.ends <= now && waiting == 0 && c.level != Open; c.ends += c.tuning.Window {
 		c.relax()
 	}
@@ -86,13 +101,43 @@
 	c.span = span{arrivals: oldest, minWaiting: waiting}
 }
 
-func (c *cut) end() {
+func (c *cut) end(now time.Duration) {
+	free := 1 - c.used/max(c.lasted.Seconds(), math.SmallestNonzeroFloat64)
 	switch {
+	case c.level == Open && c.minWaiting == 0:
 	case c.minWaiting > 0:
 		c.tighten()
-	case c.idle || len(c.arrivals) == 0:
+	case free >= c.tuning.MostlyFree || len(c.arrivals) == 0:
+		c.opened = now
 		c.relax()
+	case c.idle && now-c.opened >= c.tuning.ToldDelay:
+		c.opened = now
+		c.step = c.firstStep()
+		c.widen(free)
+	}
+}
+
+// widen lets in so much more of the band that the cut divides as would fill
+// the free part of the slots. A band of which nothing came is passed over.
+func (c *cut) widen(free float64) {
+	first := c.level &^ (bandSpan - 1)
+	all, ofBand := 0, 0
+	for _, s := range append(c.past[:len(c.past):len(c.past)], c.span) {
+		for _, l := range s.arrivals {
+			if l <= c.level {
+				all++
+			}
+			if l <= c.level && l >= first {
+				ofBand++
+			}
+		}
 	}
+	if ofBand == 0 {
+		c.open(first + bandSpan + c.firstStep() - c.level)
+		return
+	}
+	wanted := float64(all) * free / (1 - free)
+	c.open(min(c.firstStep(), Level(float64(c.level-first)*wanted/float64(ofBand))))
 }
 
 // tighten sets the cut to what the slots could run of the last windows'
@@ -107,26 +152,41 @@
 	}
 	keep := int(float64(starts)*c.tuning.Headroom) + 1
 	c.excess = float64(len(arrivals)) / float64(max(1, starts))
-	if keep >= len(arrivals) {
+	slices.Sort(arrivals)
+	if c.inside(arrivals) <= keep+int(c.tuning.Doubt*math.Sqrt(float64(keep))) {
 		return
 	}
-	slices.Sort(arrivals)
 	c.level = min(c.level, arrivals[keep-1])
 }
 
+// inside counts the sorted arrivals that the cut lets in.
+func (c *cut) inside(sorted []Level) int {
+	n, found := slices.BinarySearch(sorted, c.level)
+	if found {
+		n++
+	}
+	return n
+}
+
 func (c *cut) relax() {
 	if c.level == Open {
 		return
 	}
+	step := c.step
+	c.step *= 2
+	c.open(step)
+}
+
+// open lets in more; a cut above all that comes is open.
+func (c *cut) open(more Level) {
 	c.excess = 1
-	if c.level >= c.highest || c.level > Open-c.step {
+	if c.level >= c.highest || c.level > Open-more {
 		c.level = Open
 		c.highest = 0
 		c.step = c.firstStep()
 		return
 	}
-	c.level += c.step
-	c.step *= 2
+	c.level += more
 }
 
 // retryAfter tells a refused caller when to come again: later the more is
--- a/core/kqadmit/kqadmit.go
+++ b/core/kqadmit/kqadmit.go
@@ -32,6 +32,9 @@
 	ID    uint64
 	Level Level
 	Class string
+	// Patient is whether the call waits for as long as it can still run in
+	// time, as work does that must not be repeated.
+	Patient bool
 	// Deadline is when the call's time is over, on the gate's clock.
 	Deadline time.Duration
 	// Came is when the call came; Offer sets it.
@@ -117,12 +120,13 @@
 
 // Done takes the end of a call that was let in.
 func (q *Queue) Done(now time.Duration, f Finished) []Verdict {
+	verdicts := q.advance(now, nil)
 	q.inFlight--
 	q.guard.ended(f.Level.Rank())
 	if f.Counts {
 		q.learn(now, f)
 	}
-	return q.settle(now, q.advance(now, nil))
+	return q.settle(now, verdicts)
 }
 
 // Leave takes a waiting call out, since its caller has gone, and says whether
@@ -154,7 +158,19 @@
 	if q.guard.closed(now, i.Level.Rank()) {
 		return true
 	}
-	return i.Level > q.cut.level && q.guard.mayRefuse(now, i.Level.Rank())
+	over := i.Level > q.cut.level
+	if i.Patient {
+		over = q.comesTooLate(now, i)
+	}
+	return over && q.guard.mayRefuse(now, i.Level.Rank())
+}
+
+// comesTooLate is whether the calls before it in the queue leave the call no
+// time to run.
+func (q *Queue) comesTooLate(now time.Duration, i Item) bool {
+	before, _ := slices.BinarySearchFunc(q.waiting, i, compareItems)
+	wait := time.Duration(float64(q.hold) * float64(before) / float64(q.limit))
+	return before > 0 && now+wait+q.need(i.Class) > i.Deadline
 }
 
 func (q *Queue) insert(i Item) {
@@ -208,6 +224,9 @@
 func (q *Queue) trim(now time.Duration, arrived uint64, verdicts []Verdict) []Verdict {
 	for len(q.waiting) > q.Bound() {
 		last := q.waiting[len(q.waiting)-1]
+		if last.Patient && len(q.waiting) <= hardQueue {
+			return verdicts
+		}
 		if len(q.waiting) <= hardQueue && !q.guard.mayRefuse(now, last.Level.Rank()) {
 			q.guard.close(now, last.Level.Rank())
 			return verdicts
@@ -224,12 +243,12 @@
 
 // advance ends the windows that have passed and gives up what waits too long.
 func (q *Queue) advance(now time.Duration, verdicts []Verdict) []Verdict {
-	if !q.cut.advance(now, len(q.waiting)) && now < q.sweep {
+	if !q.cut.advance(now, len(q.waiting), min(1, float64(q.inFlight)/float64(q.limit))) && now < q.sweep {
 		return verdicts
 	}
 	q.sweep = now + sweepPeriod
-	verdicts = q.giveUp(now, verdicts, func(i Item) bool { return i.Level > q.cut.level })
-	return q.giveUp(now, verdicts, func(i Item) bool { return now-i.Came >= q.Sojourn() })
+	verdicts = q.giveUp(now, verdicts, func(i Item) bool { return !i.Patient && i.Level > q.cut.level })
+	return q.giveUp(now, verdicts, func(i Item) bool { return !i.Patient && now-i.Came >= q.Sojourn() })
 }
 
 // giveUp refuses the waiting calls that meet the condition, the least
--- a/core/kqadmit/level.go
+++ b/core/kqadmit/level.go
@@ -23,7 +23,8 @@
 const (
 	freshBit  = 32
 	rankShift = 33
-	rankSpan  = Level(1) << rankShift
+	// bandSpan is the span of levels of the same rank and freshness.
+	bandSpan = Level(1) << freshBit
 )
 
 // Level orders calls by importance; a lower level is more important. All
--- a/core/kqadmit/servicetime.go
+++ b/core/kqadmit/servicetime.go
@@ -75,6 +75,15 @@
 	s.add(now, f.Took)
 }
 
+// need is the time that a call of the class needs, or 0 when too little is
+// known.
+func (q *Queue) need(class string) time.Duration {
+	if s, found := q.classes[class]; found {
+		return s.need
+	}
+	return 0
+}
+
 func (q *Queue) wouldMiss(now time.Duration, i Item) bool {
 	s, found := q.classes[i.Class]
 	return found && s.misses(now, i.Deadline-now)
--- a/core/kqadmit/simulation_test.go
+++ b/core/kqadmit/simulation_test.go
@@ -152,7 +152,7 @@
 		return
 	}
 	m.calls[c.id] = c
-	m.apply(m.queue.Offer(m.now, kqadmit.Item{ID: c.id, Level: c.level, Class: l.class, Deadline: c.deadline}))
+	m.apply(m.queue.Offer(m.now, kqadmit.Item{ID: c.id, Level: c.level, Class: l.class, Patient: l.rank == 0, Deadline: c.deadline}))
 }
 
 func (m *simulation) apply(verdicts []kqadmit.Verdict) {
--- a/core/kqadmit/tuning.go
+++ b/core/kqadmit/tuning.go
@@ -29,9 +29,17 @@
 	// Headroom is the part of those windows' capacity that the cut lets in, so
 	// that the queue never runs dry.
 	Headroom float64
-	// RelaxParts divides the span of a rank into the first step by which the
+	// Doubt is how many standard deviations more than that must have come from
+	// inside the cut for it to close further.
+	Doubt float64
+	// RelaxParts divides a band of levels into the first step by which the
 	// cut opens; the step doubles with every window in which slots stood free.
 	RelaxParts int
+	// MostlyFree is the part of the slots that must stand free for the cut to
+	// open by doubling steps. When fewer do, ToldDelay must pass between two
+	// steps, since entries hear of each only by and by.
+	MostlyFree float64
+	ToldDelay  time.Duration
 	// MinQueue is the least number of calls that may wait, and QueuePart the
 	// number as a part of the limit.
 	MinQueue  int
@@ -58,7 +66,7 @@
 // DefaultTuning is what gates use.
 func DefaultTuning() Tuning {
 	return Tuning{
-		Window: 50 * time.Millisecond, MinStarts: 10, Extension: 150 * time.Millisecond, Spans: 4, Headroom: 1.1, RelaxParts: 8,
+		Window: 50 * time.Millisecond, MinStarts: 10, Extension: 150 * time.Millisecond, Spans: 4, Headroom: 1.1, Doubt: 1, RelaxParts: 2, MostlyFree: 0.4, ToldDelay: 100 * time.Millisecond,
 		MinQueue: 4, QueuePart: 1, MinSojourn: 50 * time.Millisecond, SojournHolds: 2, HoldWeight: 0.1,
 		Samples: 32, SampleAge: 500 * time.Millisecond, MinSamples: 4, NeedQuantile: 0.8,
 		TrialPeriod: 50 * time.Millisecond,
--- a/core/kqshed/kqshed.go
+++ b/core/kqshed/kqshed.go
@@ -78,8 +78,6 @@
 	Started kqadmit.Level
 	// Upstreams is how many upstreams the service has.
 	Upstreams int
-	// Whole is whether the cuts of deeper services count too.
-	Whole bool
 }
 
 // Table is what one entry has heard.
@@ -167,7 +165,7 @@
 		return true
 	}
 	deep, heard := s.deep[c.Class]
-	return c.Whole && heard && deep.fresh(now) && c.Started > deep.level
+	return heard && deep.fresh(now) && c.Started > deep.level
 }
 
 // loosest gives the loosest fresh cut of the service's upstreams, or an open
--- a/io/kqnode/admission.go
+++ b/io/kqnode/admission.go
@@ -31,7 +31,7 @@
 // returns as soon as that is final.
 func (g *gate) admit(ctx context.Context, q *call, b *Backend) (*place, kqcall.End) {
 	now := g.clock()
-	item := kqadmit.Item{Level: kqadmit.LevelOf(q.head), Class: q.head.Class, Deadline: now + q.head.Budget}
+	item := kqadmit.Item{Level: kqadmit.LevelOf(q.head), Class: q.head.Class, Patient: !q.head.Repeatable, Deadline: now + q.head.Budget}
 	if deadline, set := ctx.Deadline(); set {
 		item.Deadline = deadline.Sub(g.begun)
 	}
--- a/io/kqnode/router.go
+++ b/io/kqnode/router.go
@@ -135,7 +135,7 @@
 		if last.end.Outcome == kqcall.OutcomeUnknown {
 			doubt = last
 		}
-		if ctx.Err() != nil || !mayRepeat(q, last.end) || !r.drawRetry(held) {
+		if ctx.Err() != nil || !mayRepeat(q, last.end) || r.node.shed.refuses(q) != nil || !r.drawRetry(held) {
 			return r.settle(q, last, doubt)
 		}
 	}
--- a/io/kqnode/shed.go
+++ b/io/kqnode/shed.go
@@ -36,12 +36,15 @@
 }
 
 // refuses gives the end of a call that is not sent, or nil. Work that must not
-// be repeated is never refused for what a deeper service said, since less
-// important work may still be let in at the first one.
+// be repeated is refused only by a gate that can't run it in time, since a cut
+// that was heard a moment ago is no proof that nothing less important gets in.
 func (s *shedder) refuses(q *call) *result {
+	if !q.head.Repeatable {
+		return nil
+	}
 	c := kqshed.Call{
 		Service: q.head.Service, Class: q.head.Class, Upstreams: len(s.node.State().Members.Upstreams(q.head.Service)),
-		Level: kqadmit.LevelOf(q.head), Started: kqadmit.Started(q.head), Whole: q.head.Repeatable,
+		Level: kqadmit.LevelOf(q.head), Started: kqadmit.Started(q.head),
 	}
 	now := s.clock()
 	s.mutex.Lock()
