Refuse at each gate what a deeper service would refuse; close at once at the onset

Change: a gate refuses before it runs a call whose class's next service said that it would refuse it; the first closing of a cut does not wait for ten starts once a call found no room.

--- a/core/kqadmit/cut.go
+++ b/core/kqadmit/cut.go
@@ -33,6 +33,8 @@
 	starts     int
 	minWaiting int
 	idle       bool
+	// onset is whether a call was refused for want of room with an open cut.
+	onset bool
 	// used is the time that slots were in use, as a sum over the limit's part
 	// in use.
 	used float64
@@ -61,6 +63,11 @@
 	c.starts++
 }
 
+// full notes that a call was refused for want of room.
+func (c *cut) full() {
+	c.onset = c.level == Open
+}
+
 // saw notes how many calls wait and whether a slot is free.
 func (c *cut) saw(waiting int, free bool) {
 	c.minWaiting = min(c.minWaiting, waiting)
@@ -90,7 +97,7 @@
 // tooFew is whether a window in which a queue stands should go on, since too
 // few calls began in it to tell what the slots can run.
 func (c *cut) tooFew(now time.Duration) bool {
-	return c.minWaiting > 0 && c.starts < c.tuning.MinStarts && now < c.ends+c.tuning.Extension
+	return c.minWaiting > 0 && !c.onset && c.starts < c.tuning.MinStarts && now < c.ends+c.tuning.Extension
 }
 
 func (c *cut) begin(now time.Duration, waiting int) {
--- a/core/kqadmit/kqadmit.go
+++ b/core/kqadmit/kqadmit.go
@@ -232,6 +232,7 @@
 			return verdicts
 		}
 		q.waiting = q.waiting[:len(q.waiting)-1]
+		q.cut.full()
 		cause := kqcall.CauseDisplaced
 		if last.ID == arrived {
 			cause = kqcall.CauseShedGate
--- a/core/kqshed/kqshed.go
+++ b/core/kqshed/kqshed.go
@@ -168,6 +168,20 @@
 	return heard && deep.fresh(now) && c.Started > deep.level
 }
 
+// RefusesBehind is whether a service that is called onward for the class would
+// refuse a request whose onward calls have the level.
+func (t *Table) RefusesBehind(now time.Duration, class string, started kqadmit.Level) bool {
+	for o, at := range t.calls {
+		if o.class != class || now-at >= callsLife {
+			continue
+		}
+		if level, known := t.services[o.service].behind(now, class); known && started > level {
+			return true
+		}
+	}
+	return false
+}
+
 // loosest gives the loosest fresh cut of the service's upstreams, or an open
 // one when fewer than needed were heard of.
 func (s *service) loosest(now time.Duration, needed int) kqadmit.Level {
--- a/io/kqnode/gate.go
+++ b/io/kqnode/gate.go
@@ -41,6 +41,9 @@
 	if cause := closedBy(s); cause != "" {
 		return g.finish(q, g.refuse(q, kqcall.NotRun(cause)))
 	}
+	if r := g.node.shed.refusesBehind(q); r != nil {
+		return g.finish(q, r)
+	}
 	p, end := g.admit(ctx, q, s.Backend)
 	if p == nil {
 		return g.finish(q, g.refuse(q, end))
--- a/io/kqnode/shed.go
+++ b/io/kqnode/shed.go
@@ -58,8 +58,28 @@
 		return nil
 	}
 	s.ask(stale)
-	end := kqcall.NotRun(kqcall.CauseShedEntry)
-	end.RetryAfter = kqadmit.RetryAfter(c.Level)
+	return shedResult(q, kqcall.CauseShedEntry)
+}
+
+// refusesBehind gives the end of a call that a deeper service would refuse
+// after this node's backend server had run it, or nil.
+func (s *shedder) refusesBehind(q *call) *result {
+	if !q.head.Repeatable {
+		return nil
+	}
+	level := kqadmit.Started(q.head)
+	s.mutex.Lock()
+	refuses := s.table.RefusesBehind(s.clock(), q.head.Class, level)
+	s.mutex.Unlock()
+	if !refuses {
+		return nil
+	}
+	return shedResult(q, kqcall.CauseShedGate)
+}
+
+func shedResult(q *call, cause kqcall.Cause) *result {
+	end := kqcall.NotRun(cause)
+	end.RetryAfter = kqadmit.RetryAfter(kqadmit.LevelOf(q.head))
 	return &result{end: end, retriesLeft: q.head.Retries}
 }
 
