--- /dev/null
+++ b/core/kqadmit/seed_test.go
@@ -0,0 +1,11 @@
+package kqadmit_test
+
+import "flag"
+
+// init fixes the seed of all property tests, so that every run gives the same
+// verdict.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
--- a/core/kqclass/kqclass.go
+++ b/core/kqclass/kqclass.go
@@ -131,7 +131,7 @@
 			owners[s] = k.Name
 		}
 	}
-	return faults
+	return append(faults, c.contradictions()...)
 }
 
 func (k Class) check(field string) []Fault {
--- /dev/null
+++ b/core/kqshed/kqshed_test.go
@@ -0,0 +1,119 @@
+package kqshed_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"kumquatlink/core/kqadmit"
+	"kumquatlink/core/kqshed"
+)
+
+// heard is one answer and when it came, for the naive twin.
+type heard struct {
+	at time.Duration
+	kqshed.Answer
+}
+
+// naive goes through everything that was ever heard.
+type naive []heard
+
+func (n naive) refuses(now time.Duration, c kqshed.Call) bool {
+	newest := map[string]heard{}
+	var deep *heard
+	for _, h := range n {
+		if h.Service != c.Service || now-h.at >= kqshed.Life {
+			continue
+		}
+		newest[h.Upstream] = h
+		for _, d := range h.Deep {
+			if d.Class == c.Class {
+				deep = &heard{at: h.at, Answer: kqshed.Answer{Cut: d.Level}}
+			}
+		}
+	}
+	open := len(newest) < max(1, min(2, c.Upstreams))
+	for _, h := range newest {
+		open = open || c.Level <= h.Cut
+	}
+	return !open || deep != nil && c.Started > deep.Cut
+}
+
+func TestTableLikeNaiveTwin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, twin := kqshed.New(), naive{}
+		now := time.Duration(0)
+		level := rapid.Map(rapid.IntRange(0, 8), func(n int) kqadmit.Level {
+			if n == 8 {
+				return kqadmit.Open
+			}
+			return kqadmit.Level(n)
+		})
+		service := rapid.SampledFrom([]string{"orders", "packs"})
+		class := rapid.SampledFrom([]string{"buy", "browse"})
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "milliseconds")) * time.Millisecond
+			a := kqshed.Answer{
+				Service: service.Draw(t, "service"), Upstream: rapid.SampledFrom([]string{"1", "2", "3"}).Draw(t, "upstream"),
+				Class: class.Draw(t, "class"), Cut: level.Draw(t, "cut"),
+			}
+			if rapid.Bool().Draw(t, "tells of deep cuts") {
+				a.Deep = []kqshed.ClassCut{{Class: class.Draw(t, "deep class"), Level: level.Draw(t, "deep")}}
+			}
+			table.Heard(now, a)
+			twin = append(twin, heard{now, a})
+			c := kqshed.Call{
+				Service: service.Draw(t, "called"), Class: class.Draw(t, "call class"), Level: level.Draw(t, "level"),
+				Started: level.Draw(t, "started"), Upstreams: rapid.IntRange(1, 3).Draw(t, "upstreams"),
+			}
+			if got, want := table.Refuses(now, c), twin.refuses(now, c); got != want {
+				t.Fatalf("at %s, refuses %+v: got %v, want %v", now, c, got, want)
+			}
+		}
+	})
+}
+
+// TestDeepCutsTravelUpTheChain lets three tables stand for three hops.
+func TestDeepCutsTravelUpTheChain(t *testing.T) {
+	middle, entry := kqshed.New(), kqshed.New()
+	tell := func(now time.Duration, cut kqadmit.Level) {
+		middle.Heard(now, kqshed.Answer{Service: "licensing", Upstream: "1", Class: "browse", Onward: true, Cut: cut})
+		entry.Heard(now, kqshed.Answer{Service: "orders", Upstream: "1", Cut: kqadmit.Open, Deep: middle.Deep(now)})
+	}
+	call := kqshed.Call{Service: "orders", Class: "browse", Level: 100, Started: 100, Upstreams: 1}
+	steps := []struct {
+		at   time.Duration
+		cut  kqadmit.Level
+		want bool
+	}{{0, kqadmit.Open, false}, {time.Millisecond, 50, true}, {2 * time.Millisecond, 100, false}, {3 * time.Millisecond, 50, true}, {4 * time.Millisecond, kqadmit.Open, false}}
+	for _, s := range steps {
+		tell(s.at, s.cut)
+		if got := entry.Refuses(s.at, call); got != s.want {
+			t.Errorf("cut %d: entry refuses: got %v, want %v", s.cut, got, s.want)
+		}
+		if got := middle.RefusesBehind(s.at, "browse", 100); got != s.want {
+			t.Errorf("cut %d: gate refuses: got %v, want %v", s.cut, got, s.want)
+		}
+	}
+}
+
+// TestLeftoverCutIsForgotten holds the table to the worst leftover that the
+// recovery page states.
+func TestLeftoverCutIsForgotten(t *testing.T) {
+	table := kqshed.New()
+	table.Heard(0, kqshed.Answer{Service: "orders", Upstream: "1", Cut: 0})
+	call := kqshed.Call{Service: "orders", Class: "browse", Level: 100, Upstreams: 1}
+	if !table.Refuses(kqshed.Life-1, call) {
+		t.Error("just before the end of its life: got let in, want refused")
+	}
+	if table.Refuses(kqshed.Life, call) {
+		t.Error("at the end of its life: got refused, want let in")
+	}
+	if got := len(table.Stale(kqshed.AskPeriod)); got != 1 {
+		t.Errorf("services to ask after a silence: got %d, want 1", got)
+	}
+	if got := len(table.Stale(kqshed.AskPeriod + 1)); got != 0 {
+		t.Errorf("services to ask right after that: got %d, want 0", got)
+	}
+}
