Test the gate in virtual time with a fake backend server over pipes

Cause: order, refusal at once, a caller that goes and draining were tested in core only.

Change: four tests of the node's gate in a synctest bubble.

Conclusion: the wiring keeps what the queue decides.

--- /dev/null
+++ b/io/kqnode/gate_test.go
@@ -0,0 +1,187 @@
+package kqnode
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"kumquatlink/core/kqcall"
+	"kumquatlink/core/kqmember"
+	"kumquatlink/io/kqhttp"
+	"kumquatlink/io/kqsettings"
+	"kumquatlink/io/kqwire"
+)
+
+// fakeServer answers calls over pipes after its service time.
+type fakeServer struct {
+	took time.Duration
+
+	mutex sync.Mutex
+	ran   []string
+}
+
+func (f *fakeServer) dial(context.Context, string) (net.Conn, error) {
+	client, server := net.Pipe()
+	go f.serve(server)
+	return client, nil
+}
+
+func (f *fakeServer) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		f.mutex.Lock()
+		f.ran = append(f.ran, r.Header.Get(kqwire.HeaderRequestID))
+		f.mutex.Unlock()
+		time.Sleep(f.took)
+		if _, err := fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"); err != nil {
+			return
+		}
+	}
+}
+
+func (f *fakeServer) runs() []string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return append([]string(nil), f.ran...)
+}
+
+// inBubble runs a test in virtual time with a node that does not listen and
+// whose gate stands before the fake. The node's pool and metrics stay outside.
+func inBubble(t *testing.T, f *fakeServer, test func(t *testing.T, n *Node)) {
+	t.Helper()
+	n, err := New(kqsettings.Node{NodeID: "gate-1"}, nil, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	synctest.Test(t, func(t *testing.T) {
+		n.gate, n.shed = newGate(n), newShedder(n)
+		defer f.stand(n)()
+		test(t, n)
+	})
+	n.pool.Release()
+	n.log.Close()
+}
+
+// stand makes the fake the node's backend server until it is told to end.
+func (f *fakeServer) stand(n *Node) func() {
+	b := &Backend{Announcement: kqwire.Announcement{Service: "orders", Address: "fake", Slots: 1}, pool: kqhttp.NewPool("fake", kqhttp.WithDial(f.dial))}
+	n.state.Store(&State{Life: kqmember.LifeServing, Members: kqmember.NewView(kqmember.Record{NodeID: "gate-1"}).Snapshot(), Backend: b})
+	return b.pool.Close
+}
+
+func gateCall(id string, rank int) *call {
+	return &call{method: "GET", path: "/", head: kqcall.Head{
+		RequestID: id, Service: "orders", Class: "class-" + strconv.Itoa(rank), Rank: rank, Repeatable: rank > 0, Budget: 10 * time.Second,
+	}}
+}
+
+// start runs a call at the gate and gives where its result will come.
+func start(ctx context.Context, n *Node, q *call) chan *result {
+	done := make(chan *result, 1)
+	go func() {
+		ctx, cancel := withBudget(ctx, q.head)
+		defer cancel()
+		done <- n.gate.run(ctx, q)
+	}()
+	synctest.Wait()
+	return done
+}
+
+func TestGateRunsTheMoreImportantFirst(t *testing.T) {
+	f := &fakeServer{took: 10 * time.Millisecond}
+	inBubble(t, f, func(t *testing.T, n *Node) {
+		ctx := context.Background()
+		var waiting []chan *result
+		for _, q := range []*call{gateCall("holds", 2), gateCall("browse", 2), gateCall("download", 1), gateCall("buy", 0)} {
+			waiting = append(waiting, start(ctx, n, q))
+		}
+		for _, w := range waiting {
+			if got, want := (<-w).end, kqcall.Ran(); got != want {
+				t.Errorf("end: got %+v, want %+v", got, want)
+			}
+		}
+		got, want := fmt.Sprint(f.runs()), "[holds buy download browse]"
+		if got != want {
+			t.Errorf("order: got %s, want %s", got, want)
+		}
+	})
+}
+
+func TestGateRefusesForGoodAtOnce(t *testing.T) {
+	f := &fakeServer{took: time.Second}
+	inBubble(t, f, func(t *testing.T, n *Node) {
+		begun := time.Now()
+		refused := 0
+		for i := range 30 {
+			select {
+			case r := <-start(context.Background(), n, gateCall(strconv.Itoa(i), 1)):
+				refused++
+				if r.end.Outcome != kqcall.OutcomeNotRun || r.end.RetryAfter <= 0 {
+					t.Errorf("end: got %+v, want not run with a time to come back", r.end)
+				}
+			default:
+			}
+		}
+		if got := time.Since(begun); got != 0 {
+			t.Errorf("time until refused: got %s, want none", got)
+		}
+		if got, want := refused, 10; got < want {
+			t.Errorf("refused: got %d, want at least %d", got, want)
+		}
+		time.Sleep(time.Minute)
+		s := n.GateStatus()
+		if s.InFlight != 0 || s.Queued != 0 || s.Classes["class-1"].Offered != 30 {
+			t.Errorf("status when all is over: got %+v, want nothing in flight and 30 offered", s)
+		}
+	})
+}
+
+func TestCallerGoneLeavesTheQueueNotRun(t *testing.T) {
+	f := &fakeServer{took: 20 * time.Millisecond}
+	inBubble(t, f, func(t *testing.T, n *Node) {
+		holds := start(context.Background(), n, gateCall("holds", 1))
+		ctx, leave := context.WithCancel(context.Background())
+		gone := start(ctx, n, gateCall("gone", 0))
+		leave()
+		if got, want := (<-gone).end, kqcall.NotRun(kqcall.CauseCallerGone); got != want {
+			t.Errorf("end: got %+v, want %+v", got, want)
+		}
+		<-holds
+		if got, want := fmt.Sprint(f.runs()), "[holds]"; got != want {
+			t.Errorf("ran: got %s, want %s", got, want)
+		}
+	})
+}
+
+func TestDrainingGateFinishesWhatWaits(t *testing.T) {
+	f := &fakeServer{took: 20 * time.Millisecond}
+	inBubble(t, f, func(t *testing.T, n *Node) {
+		ctx := context.Background()
+		holds, waits := start(ctx, n, gateCall("holds", 1)), start(ctx, n, gateCall("waits", 1))
+		s := *n.State()
+		s.Life = kqmember.LifeDraining
+		n.state.Store(&s)
+		if got, want := (<-start(ctx, n, gateCall("late", 0))).end, kqcall.NotRun(kqcall.CauseDraining); got != want {
+			t.Errorf("late call: got %+v, want %+v", got, want)
+		}
+		for _, w := range []chan *result{holds, waits} {
+			if got, want := (<-w).end, kqcall.Ran(); got != want {
+				t.Errorf("earlier call: got %+v, want %+v", got, want)
+			}
+		}
+	})
+}
