--- a/core/kqadmit/gate_test.go
+++ b/core/kqadmit/gate_test.go
@@ -109,6 +109,7 @@
 	{name: "together 5 slots", slots: 5, slower: 5, surge: 4, spread: 0.2},
 	{name: "together 36 slots", slots: 36, slower: 5, surge: 4, spread: 0.2},
 	{name: "together 36 spread", slots: 36, slower: 5, surge: 4, spread: 0.9},
+	{name: "36 spread, announced", slots: 36, hint: 36, slower: 5, surge: 4, spread: 0.9},
 	{name: "behind slow onward", slots: 36, onward: 200 * time.Millisecond, surge: 2, spread: 0.2},
 	{name: "server sheds itself", slots: 36, slower: 5, surge: 4, spread: 0.2, sheds: 4},
 	{name: "hint far too high", slots: 5, hint: 1000, slower: 5, surge: 4, spread: 0.2},
--- a/core/kqlimit/kqlimit.go
+++ b/core/kqlimit/kqlimit.go
@@ -107,6 +107,8 @@
 // Limit is the concurrency limit of one gate.
 type Limit struct {
 	tuning Tuning
+	// slots is what the backend server says it has, or 0.
+	slots  int
 	value  float64
 	growth float64
 	// dips is whether the limit is lowered to see calls begin far below it.
@@ -130,13 +132,14 @@
 }
 
 // New makes a limit for a backend server that says it has that many slots, or
-// 0. What it says only decides where the ramp begins.
+// 0. What it says only decides where the ramp begins, and that doubt does not
+// slow the ramp below it.
 func New(slots int, options ...Option) *Limit {
 	start := startLimit
 	if slots > 0 {
 		start = min(slots, maxStart)
 	}
-	l := &Limit{tuning: DefaultTuning(), value: float64(start)}
+	l := &Limit{tuning: DefaultTuning(), value: float64(start), slots: slots}
 	for _, o := range options {
 		o(l)
 	}
@@ -254,7 +257,7 @@
 // tryGrowth grows when windows went by that decided nothing.
 func (l *Limit) tryGrowth(now time.Duration) {
 	l.unsure++
-	if l.unsure < l.tuning.Patience {
+	if l.unsure < l.tuning.Patience && l.whole() >= l.slots {
 		return
 	}
 	l.grow(now)
