--- a/core/kqspread/presence.go
+++ b/core/kqspread/presence.go
@@ -85,8 +85,10 @@
 
 // known is whether a node that is not removed has the address.
 func (m *Machine) known(address string) bool {
-	for _, p := range m.rings[ringFleet] {
-		if p.member.Record.Address == address && p.member.Status < kqmember.StatusRemoved {
+	m.rings.settle()
+	for _, p := range m.rings.places[ringFleet] {
+		held := m.view.Find(p.nodeID)
+		if held.Record.Address == address && held.Status < kqmember.StatusRemoved {
 			return true
 		}
 	}
