--- a/core/kqshed/kqshed.go
+++ b/core/kqshed/kqshed.go
@@ -78,8 +78,6 @@
 	Started kqadmit.Level
 	// Upstreams is how many upstreams the service has.
 	Upstreams int
-	// Whole is whether the cuts of deeper services count too.
-	Whole bool
 }
 
 // Table is what one entry has heard.
@@ -167,7 +165,21 @@
 		return true
 	}
 	deep, heard := s.deep[c.Class]
-	return c.Whole && heard && deep.fresh(now) && c.Started > deep.level
+	return heard && deep.fresh(now) && c.Started > deep.level
+}
+
+// RefusesBehind is whether a service that is called onward for the class would
+// refuse a request whose onward calls have the level.
+func (t *Table) RefusesBehind(now time.Duration, class string, started kqadmit.Level) bool {
+	for o, at := range t.calls {
+		if o.class != class || now-at >= callsLife {
+			continue
+		}
+		if level, known := t.services[o.service].behind(now, class); known && started > level {
+			return true
+		}
+	}
+	return false
 }
 
 // loosest gives the loosest fresh cut of the service's upstreams, or an open
--- a/io/kqnode/shed.go
+++ b/io/kqnode/shed.go
@@ -36,12 +36,15 @@
 }
 
 // refuses gives the end of a call that is not sent, or nil. Work that must not
-// be repeated is never refused for what a deeper service said, since less
-// important work may still be let in at the first one.
+// be repeated is refused only by a gate that can't run it in time, since a cut
+// that was heard a moment ago is no proof that nothing less important gets in.
 func (s *shedder) refuses(q *call) *result {
+	if !q.head.Repeatable {
+		return nil
+	}
 	c := kqshed.Call{
 		Service: q.head.Service, Class: q.head.Class, Upstreams: len(s.node.State().Members.Upstreams(q.head.Service)),
-		Level: kqadmit.LevelOf(q.head), Started: kqadmit.Started(q.head), Whole: q.head.Repeatable,
+		Level: kqadmit.LevelOf(q.head), Started: kqadmit.Started(q.head),
 	}
 	now := s.clock()
 	s.mutex.Lock()
@@ -55,8 +58,28 @@
 		return nil
 	}
 	s.ask(stale)
-	end := kqcall.NotRun(kqcall.CauseShedEntry)
-	end.RetryAfter = kqadmit.RetryAfter(c.Level)
+	return shedResult(q, kqcall.CauseShedEntry)
+}
+
+// refusesBehind gives the end of a call that a deeper service would refuse
+// after this node's backend server had run it, or nil.
+func (s *shedder) refusesBehind(q *call) *result {
+	if !q.head.Repeatable {
+		return nil
+	}
+	level := kqadmit.Started(q.head)
+	s.mutex.Lock()
+	refuses := s.table.RefusesBehind(s.clock(), q.head.Class, level)
+	s.mutex.Unlock()
+	if !refuses {
+		return nil
+	}
+	return shedResult(q, kqcall.CauseShedGate)
+}
+
+func shedResult(q *call, cause kqcall.Cause) *result {
+	end := kqcall.NotRun(cause)
+	end.RetryAfter = kqadmit.RetryAfter(kqadmit.LevelOf(q.head))
 	return &result{end: end, retriesLeft: q.head.Retries}
 }
 
