Rotate certificates without a restart; tell of refused peers

Change: kqtrust.Identity reads its files again every 30 s and shows the new certificate on new links; unusable files leave it as it was; a peer outside the authority is refused with a log line.

--- a/io/kqnode/kqnode.go
+++ b/io/kqnode/kqnode.go
@@ -101,9 +101,11 @@
 	// at which the control goroutine last looked at the clock.
 	begun    time.Time
 	lookedAt atomic.Int64
-	gate     *gate
-	router   *router
-	shed     *shedder
+	// refusedAt is when a refused peer was last logged, in Unix nanoseconds.
+	refusedAt atomic.Int64
+	gate      *gate
+	router    *router
+	shed      *shedder
 
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
@@ -150,6 +152,7 @@
 	}
 	n.store = kqstore.Guard(store, kqstore.WithObserver(n.observeStore))
 	n.dialer = kqlink.NewDialer(identity, n.linkOptions...)
+	identity.OnRefusal(n.tellRefusal)
 	n.gate = newGate(n)
 	n.shed = newShedder(n)
 	n.router = newRouter(n)
@@ -191,6 +194,7 @@
 	n.loop(ctx, n.runConfigurationWatch)
 	n.loop(ctx, n.runMembership)
 	n.loop(ctx, n.runSeeds)
+	n.loop(ctx, n.runTrust)
 	n.loop(ctx, n.runMetrics)
 	return nil
 }
--- a/io/kqtrust/kqtrust.go
+++ b/io/kqtrust/kqtrust.go
@@ -6,6 +6,11 @@
 // In production the certificates come from files named in the settings:
 //
 //	identity, err := kqtrust.Load("node.crt", "node.key", "fleet.crt")
+//	changed, err := identity.Refresh()
+//
+// Refresh reads the files again, so that certificates and the authority are
+// rotated without a restart. Links in use go on; new ones show the new
+// certificate.
 //
 // Stand-ins and tests make an authority of their own:
 //
@@ -41,51 +46,6 @@
 // ErrTrust marks all errors of this package.
 var ErrTrust = errors.New("trust settings are faulty")
 
-// Identity is a node's certificate and the authority it trusts.
-type Identity struct {
-	Certificate tls.Certificate
-	Roots       *x509.CertPool
-}
-
-// Load reads an identity from PEM files.
-func Load(certificateFile, keyFile, authorityFile string) (*Identity, error) {
-	certificate, err := tls.LoadX509KeyPair(certificateFile, keyFile)
-	if err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "load certificate"), ErrTrust)
-	}
-	authority, err := os.ReadFile(authorityFile)
-	if err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "read authority"), ErrTrust)
-	}
-	roots := x509.NewCertPool()
-	if !roots.AppendCertsFromPEM(authority) {
-		return nil, errors.Mark(errors.Newf("%s holds no certificate", authorityFile), ErrTrust)
-	}
-	return &Identity{Certificate: certificate, Roots: roots}, nil
-}
-
-// ServerTLS gives the settings for taking links from peers.
-func (i *Identity) ServerTLS() *tls.Config {
-	return &tls.Config{
-		MinVersion:   tls.VersionTLS13,
-		Certificates: []tls.Certificate{i.Certificate},
-		ClientAuth:   tls.RequireAndVerifyClientCert,
-		ClientCAs:    i.Roots,
-		NextProtos:   []string{Protocol},
-	}
-}
-
-// ClientTLS gives the settings for links to peers.
-func (i *Identity) ClientTLS() *tls.Config {
-	return &tls.Config{
-		MinVersion:   tls.VersionTLS13,
-		Certificates: []tls.Certificate{i.Certificate},
-		RootCAs:      i.Roots,
-		ServerName:   fleetName,
-		NextProtos:   []string{Protocol},
-	}
-}
-
 // Authority issues certificates for stand-ins and tests.
 type Authority struct {
 	certificate *x509.Certificate
@@ -121,7 +81,11 @@
 	}
 	roots := x509.NewCertPool()
 	roots.AddCert(a.certificate)
-	return &Identity{Certificate: tls.Certificate{Certificate: [][]byte{raw}, PrivateKey: key}, Roots: roots}, nil
+	leaf, err := x509.ParseCertificate(raw)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "parse certificate"), ErrTrust)
+	}
+	return newIdentity(tls.Certificate{Certificate: [][]byte{raw}, PrivateKey: key, Leaf: leaf}, roots), nil
 }
 
 // Write issues an identity and writes it as the PEM files that [Load] reads.
