Refuse a node that was not meant, and calls of another service

Cause: a record that names a wrong address, by forgery or since another node took the address over, would draw calls to a node that does not run them. Change: a dialer checks that the certificate names a node that the view holds at the address; the gate refuses calls of a service it does not have. Run: go test -race ./io/kqtrust ./io/kqnode passes.

--- a/io/kqlink/dialer.go
+++ b/io/kqlink/dialer.go
@@ -182,6 +182,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
 	defer cancel()
 	l.conn, l.err = d.options.dial(ctx, address, d.identity.ClientTLS())
+	if l.err == nil && d.options.expect != nil && !d.options.expect(address, peerName(l.conn)) {
+		_ = l.conn.CloseWithError(0, "another node was meant")
+		l.err = errors.Mark(errors.Newf("node %q answers", peerName(l.conn)), ErrAnotherNode)
+	}
 	if l.err != nil {
 		l.err = errors.Wrapf(l.err, "open link to %s", address)
 	}
--- a/io/kqlink/kqlink.go
+++ b/io/kqlink/kqlink.go
@@ -29,6 +29,8 @@
 	ErrLost = errors.New("answer was lost")
 	// ErrFrame marks malformed or oversized frames.
 	ErrFrame = errors.New("malformed frame")
+	// ErrAnotherNode marks links that lead to another node than was meant.
+	ErrAnotherNode = errors.New("another node answers at the address")
 	// ErrRefused marks calls that the peer refused to read at all.
 	ErrRefused = errors.New("peer refused the stream")
 )
--- a/io/kqlink/socket.go
+++ b/io/kqlink/socket.go
@@ -16,8 +16,12 @@
 // options are what a server and a dialer have in common.
 type options struct {
 	sockets Sockets
+	expect  Expect
 }
 
+// Expect is whether the node of that name may be what answers at the address.
+type Expect func(address, peer string) bool
+
 // Option changes a server or a dialer.
 type Option func(*options)
 
@@ -26,6 +30,12 @@
 	return func(o *options) { o.sockets = s }
 }
 
+// WithExpect lets a dialer refuse nodes that it did not mean: a record can then
+// name another address, but not draw to it what is meant for its node.
+func WithExpect(e Expect) Option {
+	return func(o *options) { o.expect = e }
+}
+
 func newOptions(list []Option) options {
 	var o options
 	for _, f := range list {
--- a/io/kqnode/gate.go
+++ b/io/kqnode/gate.go
@@ -38,7 +38,7 @@
 // run admits the call and runs it on the backend server.
 func (g *gate) run(ctx context.Context, q *call) *result {
 	s := g.node.State()
-	if cause := g.closedBy(s); cause != "" {
+	if cause := g.closedBy(s, q.head.Service); cause != "" {
 		return g.finish(q, g.refuse(q, kqcall.NotRun(cause)))
 	}
 	p, end := g.admit(ctx, q, s.Backend)
@@ -50,14 +50,17 @@
 	return g.finish(q, r)
 }
 
-// closedBy says why the gate takes no call at all, or nothing.
-func (g *gate) closedBy(s *State) kqcall.Cause {
+// closedBy says why the gate takes no call of the service at all, or nothing.
+func (g *gate) closedBy(s *State, service string) kqcall.Cause {
 	if s.Life == kqmember.LifeDraining || s.Life == kqmember.LifeGone {
 		return kqcall.CauseDraining
 	}
 	if s.Life == kqmember.LifeJoining || s.Backend == nil || !g.node.awake() {
 		return kqcall.CauseNoUpstream
 	}
+	if s.Backend.Announcement.Service != service {
+		return kqcall.CauseNoUpstream
+	}
 	return ""
 }
 
--- a/io/kqnode/kqnode.go
+++ b/io/kqnode/kqnode.go
@@ -151,7 +151,7 @@
 		return nil, errors.Mark(err, ErrNode)
 	}
 	n.store = kqstore.Guard(store, kqstore.WithObserver(n.observeStore))
-	n.dialer = kqlink.NewDialer(identity, n.linkOptions...)
+	n.dialer = kqlink.NewDialer(identity, append(n.linkOptions, kqlink.WithExpect(n.expects))...)
 	identity.OnRefusal(n.tellRefusal)
 	n.gate = newGate(n)
 	n.shed = newShedder(n)
--- a/io/kqnode/trust.go
+++ b/io/kqnode/trust.go
@@ -54,3 +54,19 @@
 	}
 	n.log.Event(zerolog.WarnLevel, "peer at "+address+" was refused: it is outside the fleet's authority", err)
 }
+
+// expects is whether the node of that name may answer at the address: if the
+// view holds records with the address, one of them must be of that node.
+func (n *Node) expects(address, peer string) bool {
+	known := false
+	for _, r := range n.State().Members.Records {
+		if r.Address != address {
+			continue
+		}
+		if r.NodeID == peer {
+			return true
+		}
+		known = true
+	}
+	return !known
+}
