--- a/io/kqlink/dialer.go
+++ b/io/kqlink/dialer.go
@@ -229,6 +229,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
 	defer cancel()
 	conn, err := d.options.dial(ctx, l.address, d.identity.ClientTLS())
+	if err == nil && d.options.expect != nil && !d.options.expect(l.address, peerName(conn)) {
+		_ = conn.CloseWithError(0, "another node was meant")
+		err = errors.Mark(errors.Newf("node %q answers", peerName(conn)), ErrAnotherNode)
+	}
 	if err != nil {
 		err = errors.Wrapf(err, "open link to %s", l.address)
 	}
--- a/io/kqnode/kqnode.go
+++ b/io/kqnode/kqnode.go
@@ -102,13 +102,15 @@
 	// at which the control goroutine last looked at the clock.
 	begun    time.Time
 	lookedAt atomic.Int64
-	gate     *gate
-	router   *router
-	shed     *shedder
-	keys     *keeper
-	work     *work
-	shutDown atomic.Bool
-	history  *history
+	// refusedAt is when a refused peer was last logged, in Unix nanoseconds.
+	refusedAt atomic.Int64
+	gate      *gate
+	router    *router
+	shed      *shedder
+	keys      *keeper
+	work      *work
+	shutDown  atomic.Bool
+	history   *history
 
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
@@ -154,7 +156,8 @@
 		return nil, errors.Mark(err, ErrNode)
 	}
 	n.store = kqstore.Guard(store, kqstore.WithObserver(n.observeStore))
-	n.dialer = kqlink.NewDialer(identity, n.linkOptions...)
+	n.dialer = kqlink.NewDialer(identity, append(n.linkOptions, kqlink.WithExpect(n.expects))...)
+	identity.OnRefusal(n.tellRefusal)
 	n.gate = newGate(n)
 	n.shed = newShedder(n)
 	n.router = newRouter(n)
@@ -198,6 +201,7 @@
 	n.loop(ctx, n.runMembership)
 	n.loop(ctx, n.keys.run)
 	n.loop(ctx, n.runSeeds)
+	n.loop(ctx, n.runTrust)
 	n.loop(ctx, n.runMetrics)
 	return nil
 }
