Count retries by pairing each call's tries with its answer

Cause: counting what came to the gates beyond the calls made took a call that the entry refused after a gate had for a retry too many. Change: each node's log is read on its own; the tries between two answers of one call, less the first, are its retries.

--- a/io/kqmeasure/account.go
+++ b/io/kqmeasure/account.go
@@ -43,8 +43,9 @@
 	sends    []kqbackend.Send
 	leaving  []departure
 	injected int64
-	causes   map[tried]int
-	probes   []probe
+	// retried counts the retries of each request by the nodes' logs.
+	retried map[string]int
+	probes  []probe
 }
 
 // add takes in a backend server's record.
--- a/io/kqmeasure/decisions.go
+++ b/io/kqmeasure/decisions.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"io"
+	"maps"
 	"sync"
 )
 
@@ -11,36 +13,59 @@
 	Service   string
 }
 
-// decisionCounter reads the nodes' log and counts what each gate was asked to
-// admit, since a gate's refusal is seen by no backend server.
+// decisionCounter reads the nodes' logs and counts the retries of each
+// request, since a try that a gate refused is seen by no backend server.
 type decisionCounter struct {
-	mutex  sync.Mutex
-	admits map[tried]int
+	mutex   sync.Mutex
+	retries map[string]int
 }
 
 func newDecisionCounter() *decisionCounter {
-	return &decisionCounter{admits: map[tried]int{}}
+	return &decisionCounter{retries: map[string]int{}}
 }
 
-// Write takes one line of a node's log.
-func (d *decisionCounter) Write(line []byte) (int, error) {
-	var fields struct{ Decision, RequestID, Service string }
-	if err := json.Unmarshal(line, &fields); err != nil || fields.Decision != "Admit" {
-		return len(line), nil
-	}
+// node makes the reader of one node's log.
+func (d *decisionCounter) node() io.Writer {
+	return &nodeDecisions{counter: d, pending: map[tried]int{}}
+}
+
+// counts gives the retries of each request.
+func (d *decisionCounter) counts() map[string]int {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.admits[tried{fields.RequestID, fields.Service}]++
+	return maps.Clone(d.retries)
+}
+
+// nodeDecisions pairs the tries of each call with the answer that ends it.
+type nodeDecisions struct {
+	counter *decisionCounter
+	pending map[tried]int
+}
+
+// Write takes one line of the node's log.
+func (n *nodeDecisions) Write(line []byte) (int, error) {
+	var fields struct{ Decision, RequestID, Service string }
+	if err := json.Unmarshal(line, &fields); err != nil {
+		return len(line), nil //nolint:nilerr // lines that are no decisions are passed over
+	}
+	call := tried{fields.RequestID, fields.Service}
+	switch fields.Decision {
+	case "Route":
+		n.pending[call]++
+	case "Answer":
+		n.end(call)
+	}
 	return len(line), nil
 }
 
-// counts gives how many gates each call came to.
-func (d *decisionCounter) counts() map[tried]int {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	counts := make(map[tried]int, len(d.admits))
-	for k, n := range d.admits {
-		counts[k] = n
+// end counts the tries of a call beyond its first.
+func (n *nodeDecisions) end(call tried) {
+	retries := n.pending[call] - 1
+	delete(n.pending, call)
+	if retries <= 0 {
+		return
 	}
-	return counts
+	n.counter.mutex.Lock()
+	defer n.counter.mutex.Unlock()
+	n.counter.retries[call.RequestID] += retries
 }
--- a/io/kqmeasure/invariants.go
+++ b/io/kqmeasure/invariants.go
@@ -30,7 +30,7 @@
 }
 
 // maxRetries is the most tries beyond one for each call over all hops that any
-// sending led to: as the backend servers saw it, and as the gates logged it.
+// sending led to: as the backend servers saw it, and as the nodes logged it.
 func (t *trial) maxRetries() int {
 	return max(t.maxSeenRetries(), t.maxLoggedRetries())
 }
@@ -52,36 +52,14 @@
 	return most
 }
 
-// maxLoggedRetries counts what came to the gates beyond the calls made. A
-// request that was sent several times counts by the mean of its sendings.
+// maxLoggedRetries counts tries that the nodes logged beyond the first of each
+// call. A request that was sent several times counts by the mean of its
+// sendings, since their log lines share its ID.
 func (t *trial) maxLoggedRetries() int {
-	if len(t.causes) == 0 {
-		return 0
-	}
-	calls := map[tried]int{}
-	sendings := map[string]int{}
-	count := func(request, service string, a kqbackend.Answer) {
-		if a.Cause != string(kqcall.CauseShedEntry) && a.Cause != string(kqcall.CauseNoUpstream) {
-			calls[tried{request, service}]++
-		}
-	}
-	for _, q := range t.roots {
-		sendings[q.ID] = len(q.Attempts)
-		for _, a := range q.Attempts {
-			count(q.ID, t.profile.kind(q.Kind).Plan.Service, a.Answer)
-		}
-	}
-	for _, s := range t.sends {
-		count(s.Call.RequestID, s.Call.Service, s.Answer)
-	}
-	retries := map[string]int{}
-	for k, n := range t.causes {
-		retries[k.RequestID] += max(n-calls[k], 0)
-	}
 	most := 0
-	for id, n := range retries {
-		of := max(sendings[id], 1)
-		most = max(most, (n+of-1)/of)
+	for _, q := range t.roots {
+		of := max(len(q.Attempts), 1)
+		most = max(most, (t.retried[q.ID]+of-1)/of)
 	}
 	return most
 }
--- a/io/kqmeasure/kqmeasure.go
+++ b/io/kqmeasure/kqmeasure.go
@@ -116,7 +116,7 @@
 	}
 	t := &trial{profile: w.profile, scenario: scenario, begun: begun, roots: roots, probes: <-probes}
 	t.leaving, t.injected = faults.leaving, faults.injected()
-	t.causes = w.log.counts()
+	t.retried = w.log.counts()
 	for _, b := range w.backends {
 		t.add(b)
 	}
--- a/io/kqmeasure/world.go
+++ b/io/kqmeasure/world.go
@@ -130,7 +130,7 @@
 // addHost starts a node with its backend server and opens it to callers.
 func (w *world) addHost(place kqfleet.Place, settings kqbackend.Settings) error {
 	h := &host{place: place, service: settings.Service}
-	h.log = kqlog.New(w.log, kqlog.WithNode(place.NodeID, place.FailureDomain))
+	h.log = kqlog.New(w.log.node(), kqlog.WithNode(place.NodeID, place.FailureDomain))
 	var err error
 	if h.member, err = w.fleet.AddBackend(place, settings, kqnode.WithLog(h.log)); err != nil {
 		return err
