--- a/io/kqmeasure/account.go
+++ b/io/kqmeasure/account.go
@@ -7,13 +7,12 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"kumquatlink/core/kqcall"
+	"kumquatlink/core/kqretry"
 	"kumquatlink/io/kqbackend"
 )
 
 // Constants of the account.
 const (
-	// retryBound is what the nodes promise for each sending of a request.
-	retryBound       = 2
 	leavingPatience  = 2 * time.Second
 	maxLatency       = 10 * time.Minute
 	latencyDigits    = 3
@@ -62,7 +61,7 @@
 // account works out the report from the records.
 func account(t *trial) *Run {
 	s := t.scenario
-	r := &Run{RetryBound: retryBound, FaultsInjected: t.injected, Causes: t.countCauses(), Refusals: t.countRefusals()}
+	r := &Run{RetryBound: kqretry.Bound, FaultsInjected: t.injected, Causes: t.countCauses(), Refusals: t.countRefusals()}
 	r.GoodputBefore = t.goodput(s.Warm, s.trigger())
 	r.GoodputDuring = t.goodput(s.trigger(), s.recovery())
 	r.GoodputAfter = t.goodput(s.recovery(), s.length())
--- a/io/kqmeasure/account_test.go
+++ b/io/kqmeasure/account_test.go
@@ -110,6 +110,7 @@
 		sheds: []served{
 			run(steady, "q2", "purchase", path("purchase", "r.0", "q2.0-b.0"), "", 1380, 1380, 0, false),
 			run(steady, "q2", "purchase", path("purchase", "r.0", "q2.0-b.0"), "", 1390, 1390, 0, false),
+			run(steady, "q2", "purchase", path("purchase", "r.0", "q2.0-b.0"), "", 1395, 1395, 0, false),
 		},
 		leaving: []departure{{leaver, at(2200)}},
 		probes:  []probe{{direct: time.Millisecond, via: 1400 * time.Microsecond}, {direct: 2 * time.Millisecond, via: 1900 * time.Microsecond}},
