Send a keyed request again exactly as it was

Cause: a key must come with the same request (IETF draft; the ledger that is being built answers KeyMismatch otherwise), but measure wrote each sending's ID into the path. Change: the sending's ID goes in a header that nodes carry and stand-ins record; the path of a keyed request stays. Tries at the home of a key count as tries, a home that moved does not. Conclusion: accounts and twins pass; no run with the ledger yet.

--- a/io/kqbackend/onward.go
+++ b/io/kqbackend/onward.go
@@ -21,6 +21,8 @@
 	Key       string
 	// Context is the token of the running call that this one is made for.
 	Context string
+	// Attempt names one sending of a call that is sent again as it is.
+	Attempt string
 	Body    []byte
 }
 
@@ -46,6 +48,9 @@
 // SendFunc makes a call; the end of ctx cancels it.
 type SendFunc func(ctx context.Context, c Call) Answer
 
+// headerAttempt names one sending of a call.
+const headerAttempt = "Stand-In-Attempt"
+
 func contextWithin(d time.Duration) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(context.Background(), d)
 }
@@ -61,6 +66,7 @@
 		{kqwire.HeaderRequestID, c.RequestID},
 		{kqwire.HeaderContext, c.Context},
 		{kqwire.HeaderKey, c.Key},
+		{headerAttempt, c.Attempt},
 	} {
 		if f[1] != "" {
 			request.Header.Set(f[0], f[1])
--- a/io/kqbackend/record.go
+++ b/io/kqbackend/record.go
@@ -11,6 +11,8 @@
 	Key       string
 	Class     string
 	Path      string
+	// Attempt is the sending that the run belongs to, if its caller said so.
+	Attempt string
 	// At is when the call began to run, Ended when it ended, or zero.
 	At    time.Time
 	Ended time.Time
@@ -28,6 +30,7 @@
 	RequestID string
 	Class     string
 	Path      string
+	Attempt   string
 	At        time.Time
 }
 
--- a/io/kqbackend/work.go
+++ b/io/kqbackend/work.go
@@ -26,6 +26,7 @@
 			Key:       string(c.Request.Header.Peek(kqwire.HeaderKey)),
 			Class:     string(c.Request.Header.Peek(kqwire.HeaderClass)),
 			Path:      string(c.Path()),
+			Attempt:   string(c.Request.Header.Peek(headerAttempt)),
 		},
 		context: string(c.Request.Header.Peek(kqwire.HeaderContext)),
 		gone:    goneOf(c.Conn()),
@@ -70,7 +71,7 @@
 	}
 	b.inside.Add(-1)
 	b.record.change(func() {
-		b.record.sheds = append(b.record.sheds, Shed{RequestID: w.run.RequestID, Class: w.run.Class, Path: w.run.Path, At: time.Now()})
+		b.record.sheds = append(b.record.sheds, Shed{RequestID: w.run.RequestID, Class: w.run.Class, Path: w.run.Path, Attempt: w.run.Attempt, At: time.Now()})
 	})
 	return false
 }
--- a/io/kqmeasure/account.go
+++ b/io/kqmeasure/account.go
@@ -53,7 +53,7 @@
 		t.runs = append(t.runs, served{r, h.service, h})
 	}
 	for _, s := range h.backend.Sheds() {
-		t.sheds = append(t.sheds, served{kqbackend.Run{RequestID: s.RequestID, Class: s.Class, Path: s.Path, At: s.At}, h.service, h})
+		t.sheds = append(t.sheds, served{kqbackend.Run{RequestID: s.RequestID, Class: s.Class, Path: s.Path, Attempt: s.Attempt, At: s.At}, h.service, h})
 	}
 	t.sends = append(t.sends, h.backend.Sends()...)
 }
--- a/io/kqmeasure/decisions.go
+++ b/io/kqmeasure/decisions.go
@@ -5,6 +5,8 @@
 	"io"
 	"maps"
 	"sync"
+
+	"kumquatlink/core/kqcall"
 )
 
 // tried identifies the calls of one request to one service.
@@ -44,15 +46,17 @@
 
 // Write takes one line of the node's log.
 func (n *nodeDecisions) Write(line []byte) (int, error) {
-	var fields struct{ Decision, RequestID, Service string }
+	var fields struct{ Decision, RequestID, Service, Cause string }
 	if err := json.Unmarshal(line, &fields); err != nil {
 		return len(line), nil //nolint:nilerr // lines that are no decisions are passed over
 	}
 	call := tried{fields.RequestID, fields.Service}
-	switch fields.Decision {
-	case "Route":
+	switch {
+	case fields.Cause == string(kqcall.CauseMoved):
+		// The home of a key has moved; the call is sent on, not again.
+	case fields.Decision == "Route", fields.Decision == "Home":
 		n.pending[call]++
-	case "Answer":
+	case fields.Decision == "Answer":
 		n.end(call)
 	}
 	return len(line), nil
--- a/io/kqmeasure/invariants.go
+++ b/io/kqmeasure/invariants.go
@@ -17,6 +17,15 @@
 	return p.CallID
 }
 
+// id gives the ID of the call that a run belongs to: that of its sending where
+// the same call was sent again.
+func (r served) id() string {
+	if r.Attempt != "" {
+		return r.Attempt
+	}
+	return callOf(r.Path)
+}
+
 // sendingOf gives the caller's sending that a call belongs to.
 func sendingOf(callID string) string {
 	sending, _, _ := strings.Cut(callID, "-")
@@ -40,7 +49,7 @@
 	tries := map[string]int{}
 	for _, list := range [][]served{t.runs, t.sheds} {
 		for _, r := range list {
-			tries[callOf(r.Path)]++
+			tries[r.id()]++
 		}
 	}
 	retries := map[string]int{}
@@ -87,7 +96,7 @@
 func (t *trial) notRunButRan() int {
 	ran := map[string]bool{}
 	for _, r := range t.runs {
-		ran[callOf(r.Path)] = true
+		ran[r.id()] = true
 	}
 	n := 0
 	count := func(id string, a kqbackend.Answer) {
