--- a/io/kqmeasure/probe.go
+++ b/io/kqmeasure/probe.go
@@ -14,7 +14,6 @@
 const (
 	echoService   = "echo"
 	echoSlots     = 36
-	echoTime      = time.Millisecond
 	probePause    = 5 * time.Millisecond
 	probeDeadline = time.Second
 )
@@ -30,7 +29,7 @@
 func (w *world) startEcho() error {
 	place := places(w.profile, echoService)[0]
 	member, err := w.fleet.AddBackend(place, kqbackend.Settings{
-		Service: echoService, Slots: echoSlots, ServiceTime: echoTime, Plans: map[string]kqbackend.Step{echoService: {Service: echoService}},
+		Service: echoService, Slots: echoSlots, Plans: map[string]kqbackend.Step{echoService: {Service: echoService}},
 	})
 	if err != nil {
 		return err
