--- a/io/kqmeasure/account.go
+++ b/io/kqmeasure/account.go
@@ -7,13 +7,12 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"kumquatlink/core/kqcall"
+	"kumquatlink/core/kqretry"
 	"kumquatlink/io/kqbackend"
 )
 
 // Constants of the account.
 const (
-	// retryBound is what the nodes promise for each sending of a request.
-	retryBound       = 2
 	leavingPatience  = 2 * time.Second
 	maxLatency       = 10 * time.Minute
 	latencyDigits    = 3
@@ -43,8 +42,9 @@
 	sends    []kqbackend.Send
 	leaving  []departure
 	injected int64
-	causes   map[tried]int
-	probes   []probe
+	// retried counts the retries of each request by the nodes' logs.
+	retried map[string]int
+	probes  []probe
 }
 
 // add takes in a backend server's record.
@@ -53,7 +53,7 @@
 		t.runs = append(t.runs, served{r, h.service, h})
 	}
 	for _, s := range h.backend.Sheds() {
-		t.sheds = append(t.sheds, served{kqbackend.Run{RequestID: s.RequestID, Class: s.Class, Path: s.Path, At: s.At}, h.service, h})
+		t.sheds = append(t.sheds, served{kqbackend.Run{RequestID: s.RequestID, Class: s.Class, Path: s.Path, Attempt: s.Attempt, At: s.At}, h.service, h})
 	}
 	t.sends = append(t.sends, h.backend.Sends()...)
 }
@@ -61,7 +61,7 @@
 // account works out the report from the records.
 func account(t *trial) *Run {
 	s := t.scenario
-	r := &Run{RetryBound: retryBound, FaultsInjected: t.injected, Causes: t.countCauses(), Refusals: t.countRefusals()}
+	r := &Run{RetryBound: kqretry.Bound, FaultsInjected: t.injected, Causes: t.countCauses(), Refusals: t.countRefusals()}
 	r.GoodputBefore = t.goodput(s.Warm, s.trigger())
 	r.GoodputDuring = t.goodput(s.trigger(), s.recovery())
 	r.GoodputAfter = t.goodput(s.recovery(), s.length())
