Recognise callers that send a repeatable call again

Cause: a caller that gave up and asked again doubled the work, and its copies counted as first tries, which fed the brake. Change: copies of a call under the caller's own request ID share one run while it is in flight at the entry, if they agree in all that a backend server sees; each gets the whole answer. The chain tests now wait until every node knows every upstream; one run of TestTriesOfAChainStayWithinTheBound had found no second upstream and said so. Conclusion: recognised at one entry; across entries it is not.

--- a/io/kqnode/call.go
+++ b/io/kqnode/call.go
@@ -23,6 +23,10 @@
 	body    []byte
 	// parent is the running call that this one was made for, or nil.
 	parent *running
+	// named is whether the caller chose the request ID, and resent whether it
+	// has sent the call again by itself.
+	named  bool
+	resent bool
 }
 
 // result is how a call ended and, if it ran, the whole answer.
--- a/io/kqnode/chain_test.go
+++ b/io/kqnode/chain_test.go
@@ -44,7 +44,6 @@
 		t.Fatal(err)
 	}
 	c := &chain{entry: addNode(t, fleet, "entry-1", "lothian")}
-	var services []string
 	for i := range depth {
 		settings := kqbackend.Settings{Slots: 8}
 		if i == depth-1 {
@@ -53,7 +52,6 @@
 			settings.Onward = []string{fmt.Sprintf("service-%d", i+1)}
 		}
 		settings.Service = fmt.Sprintf("service-%d", i)
-		services = append(services, settings.Service)
 		var hop []*kqfleet.Member
 		for j := range 2 {
 			place := kqfleet.Place{NodeID: fmt.Sprintf("node-%d-%d", i, j), Region: "lothian", FailureDomain: "lothian-a"}
@@ -65,7 +63,7 @@
 		}
 		c.hops = append(c.hops, hop)
 	}
-	if err := fleet.Settle(ctx, services...); err != nil {
+	if err := fleet.SettleAll(ctx); err != nil {
 		t.Fatal(err)
 	}
 	return c, ctx
--- a/io/kqnode/entry.go
+++ b/io/kqnode/entry.go
@@ -23,7 +23,8 @@
 func (n *Node) handleCaller(c *fasthttp.RequestCtx) {
 	q := readCall(c)
 	q.head.RequestID = string(c.Request.Header.Peek(kqwire.HeaderRequestID))
-	if q.head.RequestID == "" {
+	q.named = q.head.RequestID != ""
+	if !q.named {
 		q.head.RequestID = newID()
 	}
 	cause := n.classify(q, string(c.Request.Header.Peek(kqwire.HeaderClass)), string(c.Request.Header.Peek(kqwire.HeaderBudget)))
@@ -133,13 +134,20 @@
 func (n *Node) serve(c *fasthttp.RequestCtx, q *call, cause kqcall.Cause) {
 	begun := n.now()
 	r := refused(cause)
-	if cause == "" {
+	switch {
+	case cause != "":
+	case q.named && q.head.Repeatable && q.head.Key == "":
+		r = n.runShared(c, q)
+	default:
 		r = n.runOnPool(c, q)
 	}
 	n.log.Decide(kqlog.Decision{
 		RequestID: q.head.RequestID, Class: q.head.Class, Service: q.head.Service, Decision: "Answer",
 		Cause: string(r.end.Cause), Outcome: string(r.end.Outcome), Took: n.now().Sub(begun),
 	})
+	if q.named && r.end.Outcome != kqcall.OutcomeRan {
+		n.failed.Add(q.head.RequestID, n.now())
+	}
 	writeResult(c, q.head.RequestID, r)
 }
 
@@ -162,6 +170,8 @@
 
 // dispatch routes a call within its budget.
 func (n *Node) dispatch(ctx context.Context, q *call) *result {
+	q.resent = q.resent || (q.named && n.failed.Has(q.head.RequestID, n.now()))
+	n.router.countTry(q)
 	if r := n.shed.refuses(q); r != nil {
 		return r
 	}
--- /dev/null
+++ b/io/kqnode/flights_test.go
@@ -0,0 +1,167 @@
+package kqnode_test
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"kumquatlink/io/kqbackend"
+	"kumquatlink/io/kqfleet"
+	"kumquatlink/io/kqlog"
+	"kumquatlink/io/kqnode"
+	"kumquatlink/io/kqwire"
+)
+
+// stalled is an entry whose one upstream stalls until it is let go.
+type stalled struct {
+	entry, deep *kqfleet.Member
+	output      *lines
+}
+
+func startStalled(t *testing.T) (*stalled, context.Context) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
+	t.Cleanup(cancel)
+	fleet, err := kqfleet.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = fleet.Close() })
+	if err := fleet.Configure(ctx, testClasses()); err != nil {
+		t.Fatal(err)
+	}
+	s := &stalled{output: &lines{}}
+	log := kqlog.New(s.output, kqlog.WithNode("entry-1", "lothian-a"))
+	t.Cleanup(log.Close)
+	place := kqfleet.Place{NodeID: "entry-1", Region: "lothian", FailureDomain: "lothian-a"}
+	if s.entry, err = fleet.AddNode(place, kqnode.WithLog(log)); err != nil {
+		t.Fatal(err)
+	}
+	place = kqfleet.Place{NodeID: "catalog-1", Region: "lothian", FailureDomain: "lothian-a"}
+	if s.deep, err = fleet.AddBackend(place, kqbackend.Settings{Service: "catalog", Slots: 16}); err != nil {
+		t.Fatal(err)
+	}
+	if err := fleet.Settle(ctx, "catalog"); err != nil {
+		t.Fatal(err)
+	}
+	s.deep.Backend.SetFaults(kqbackend.Faults{Stall: true})
+	return s, ctx
+}
+
+func (s *stalled) runs() int {
+	return len(s.deep.Backend.Runs())
+}
+
+// shared counts the calls that joined another one's run.
+func (s *stalled) shared(t *testing.T) int {
+	n := 0
+	for _, d := range s.output.decisions(t) {
+		if d["Decision"] == "Share" {
+			n++
+		}
+	}
+	return n
+}
+
+// send sends a call under one request ID and gives its answer's body.
+func (s *stalled) send(t *testing.T, body string) <-chan string {
+	answer := make(chan string, 1)
+	go func() {
+		response := call(t, s.entry.Node.CallerAddress(), func(r *fasthttp.Request) {
+			r.Header.SetMethod(fasthttp.MethodPost)
+			r.Header.Set(kqwire.HeaderService, "catalog")
+			r.Header.Set(kqwire.HeaderRequestID, "request-1")
+			r.SetBodyString(body)
+		})
+		answer <- outcome(response) + " " + string(response.Body())
+	}()
+	return answer
+}
+
+func TestCopiesOfACallShareOneRun(t *testing.T) {
+	s, ctx := startStalled(t)
+	answers := []<-chan string{s.send(t, "voices")}
+	waitFor(ctx, t, "the first copy runs", func() bool { return s.runs() == 1 })
+	for range 7 {
+		answers = append(answers, s.send(t, "voices"))
+	}
+	waitFor(ctx, t, "the others share its run", func() bool { return s.shared(t) == 7 })
+	s.deep.Backend.SetFaults(kqbackend.Faults{})
+	for _, a := range answers {
+		if got, want := <-a, "ran Done catalog POST /list?page=2 voices"; got != want {
+			t.Errorf("answer: got %q, want %q", got, want)
+		}
+	}
+	if got, want := s.runs(), 1; got != want {
+		t.Errorf("runs: got %d, want %d", got, want)
+	}
+}
+
+// TestOtherCallUnderTheSameIDRunsByItself would else give one caller another
+// one's answer.
+func TestOtherCallUnderTheSameIDRunsByItself(t *testing.T) {
+	s, ctx := startStalled(t)
+	first := s.send(t, "voices")
+	waitFor(ctx, t, "the first call runs", func() bool { return s.runs() == 1 })
+	second := s.send(t, "licences")
+	waitFor(ctx, t, "the second call runs", func() bool { return s.runs() == 2 })
+	s.deep.Backend.SetFaults(kqbackend.Faults{})
+	for a, want := range map[<-chan string]string{first: "ran Done catalog POST /list?page=2 voices", second: "ran Done catalog POST /list?page=2 licences"} {
+		if got := <-a; got != want {
+			t.Errorf("answer: got %q, want %q", got, want)
+		}
+	}
+}
+
+func TestRunGoesOnForTheCopyThatStays(t *testing.T) {
+	s, ctx := startStalled(t)
+	leaver, err := net.Dial("tcp", s.entry.Node.CallerAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	head := text("POST /list?page=2", kqwire.HeaderService+": catalog", kqwire.HeaderRequestID+": request-1", "Content-Type: application/octet-stream", "Content-Length: 6")
+	if _, err := leaver.Write([]byte(head + "voices")); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(ctx, t, "the first copy runs", func() bool { return s.runs() == 1 })
+	stayer, err := net.Dial("tcp", s.entry.Node.CallerAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stayer.Close()
+	if _, err := stayer.Write([]byte(head + "voices")); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(ctx, t, "the second copy shares its run", func() bool { return s.shared(t) == 1 })
+	if err := leaver.Close(); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(ctx, t, "the first caller's end is seen", func() bool {
+		for _, d := range s.output.decisions(t) {
+			if d["Decision"] == "Answer" && d["Cause"] == "CallerGone" {
+				return true
+			}
+		}
+		return false
+	})
+	s.deep.Backend.SetFaults(kqbackend.Faults{})
+	var response fasthttp.Response
+	if err := response.Read(bufio.NewReader(stayer)); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := string(response.Body()), "catalog POST /list?page=2 voices"; got != want {
+		t.Errorf("body: got %q, want %q", got, want)
+	}
+	if got, want := s.runs(), 1; got != want {
+		t.Errorf("runs: got %d, want %d", got, want)
+	}
+}
+
+// text is the head of a call.
+func text(first string, fields ...string) string {
+	return first + " HTTP/1.1\r\nHost: entry\r\n" + strings.Join(fields, "\r\n") + "\r\n\r\n"
+}
--- a/io/kqnode/kqnode.go
+++ b/io/kqnode/kqnode.go
@@ -34,6 +34,7 @@
 	"kumquatlink/core/kqclass"
 	"kumquatlink/core/kqconfig"
 	"kumquatlink/core/kqmember"
+	"kumquatlink/core/kqretry"
 	"kumquatlink/io/kqhttp"
 	"kumquatlink/io/kqlink"
 	"kumquatlink/io/kqlog"
@@ -100,7 +101,10 @@
 	control *control
 	gate    *gate
 	router  *router
-	shed    *shedder
+	flights *flights
+	// failed remembers requests whose callers may send them again.
+	failed kqretry.Recent
+	shed   *shedder
 
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
@@ -150,6 +154,7 @@
 	n.gate = newGate(n)
 	n.shed = newShedder(n)
 	n.router = newRouter(n)
+	n.flights = newFlights()
 	n.control = newControl(n)
 	return n, nil
 }
--- a/io/kqnode/router.go
+++ b/io/kqnode/router.go
@@ -99,7 +99,6 @@
 // route sends the call to an upstream, and to others while it may be retried
 // and the allowance lasts.
 func (r *router) route(ctx context.Context, q *call) *result {
-	r.brake.FirstTry()
 	if q.parent != nil {
 		return r.try(ctx, q, &q.parent.retries)
 	}
@@ -232,6 +231,16 @@
 	}
 }
 
+// countTry counts a call of this entry for its share of retries. One that its
+// caller has sent again takes from it.
+func (r *router) countTry(q *call) {
+	if q.resent {
+		r.brake.Resend()
+		return
+	}
+	r.brake.FirstTry()
+}
+
 // drawRetry takes one retry from the request and from this entry's share.
 func (r *router) drawRetry(held *kqretry.Allowance) bool {
 	if !held.Draw() {
