--- a/io/kqnode/call.go
+++ b/io/kqnode/call.go
@@ -26,6 +26,10 @@
 	parent *running
 	// avoid holds the nodes whose gates the call must not use.
 	avoid map[string]bool
+	// named is whether the caller chose the request ID, and resent whether it
+	// has sent the call again by itself.
+	named  bool
+	resent bool
 }
 
 // result is how a call ended and, if it ran, the whole answer.
--- a/io/kqnode/kqnode.go
+++ b/io/kqnode/kqnode.go
@@ -34,6 +34,7 @@
 	"kumquatlink/core/kqclass"
 	"kumquatlink/core/kqconfig"
 	"kumquatlink/core/kqmember"
+	"kumquatlink/core/kqretry"
 	"kumquatlink/io/kqhttp"
 	"kumquatlink/io/kqlink"
 	"kumquatlink/io/kqlog"
@@ -111,6 +112,9 @@
 	work      *work
 	shutDown  atomic.Bool
 	history   *history
+	flights   *flights
+	// failed remembers requests whose callers may send them again.
+	failed kqretry.Recent
 
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
@@ -162,6 +166,7 @@
 	n.shed = newShedder(n)
 	n.router = newRouter(n)
 	n.keys = newKeeper(n)
+	n.flights = newFlights()
 	n.control = newControl(n)
 	return n, nil
 }
