Give the gate's virtual-time tests a node that is awake

Cause: trust wants an identity at New, and a gate now refuses work while its node has not looked at the clock; the tests' node never starts. Change: the tests pass an empty identity and say that the clock was looked at. Measured: they pass under the race detector.

--- a/io/kqnode/gate_test.go
+++ b/io/kqnode/gate_test.go
@@ -17,6 +17,7 @@
 	"kumquatlink/core/kqmember"
 	"kumquatlink/io/kqhttp"
 	"kumquatlink/io/kqsettings"
+	"kumquatlink/io/kqtrust"
 	"kumquatlink/io/kqwire"
 )
 
@@ -63,12 +64,14 @@
 // whose gate stands before the fake. The node's pool and metrics stay outside.
 func inBubble(t *testing.T, f *fakeServer, test func(t *testing.T, n *Node)) {
 	t.Helper()
-	n, err := New(kqsettings.Node{NodeID: "gate-1"}, nil, nil)
+	n, err := New(kqsettings.Node{NodeID: "gate-1"}, &kqtrust.Identity{}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	synctest.Test(t, func(t *testing.T) {
 		n.gate, n.shed = newGate(n), newShedder(n)
+		n.begun = n.now()
+		n.lookedAt.Store(int64(time.Hour))
 		defer f.stand(n)()
 		test(t, n)
 	})
