--- a/core/kqadmit/twin_test.go
+++ b/core/kqadmit/twin_test.go
@@ -165,3 +165,17 @@
 		t.Errorf("an idle gate's cut opened after %s, want within %s", got, want)
 	}
 }
+
+// BenchmarkCall is the cost of one call's admission at a gate that is full.
+func BenchmarkCall(b *testing.B) {
+	q := kqadmit.New()
+	q.SetLimit(0, 36)
+	now := time.Duration(0)
+	for n := range b.N {
+		now += time.Millisecond
+		q.Offer(now, kqadmit.Item{ID: uint64(n) + 1, Level: kqadmit.Level(n*7919%(3<<33)) + 1, Class: "browse", Deadline: now + time.Second})
+		if n%2 == 0 && q.InFlight() > 0 {
+			q.Done(now, kqadmit.Finished{Level: 1, Class: "browse", Took: 36 * time.Millisecond, Counts: true})
+		}
+	}
+}
--- a/core/kqlimit/kqlimit_test.go
+++ b/core/kqlimit/kqlimit_test.go
@@ -92,3 +92,11 @@
 		t.Errorf("limit back after %s, want within %s", got, want)
 	}
 }
+
+// BenchmarkObserve is the cost of one sample with 36 slots.
+func BenchmarkObserve(b *testing.B) {
+	l, now := kqlimit.New(36), time.Duration(0)
+	for range b.N {
+		feed(l, &now, 1, 36, 20*time.Millisecond, 0)
+	}
+}
--- a/core/kqshed/kqshed_test.go
+++ b/core/kqshed/kqshed_test.go
@@ -117,3 +117,17 @@
 		t.Errorf("services to ask right after that: got %d, want 0", got)
 	}
 }
+
+// BenchmarkAnswerAndCall is the cost of one answer and one call at an entry
+// that knows six upstreams.
+func BenchmarkAnswerAndCall(b *testing.B) {
+	table, now := kqshed.New(), time.Duration(0)
+	upstreams := []string{"1", "2", "3", "4", "5", "6"}
+	deep := []kqshed.ClassCut{{Class: "browse", Level: 50}}
+	for n := range b.N {
+		now += time.Millisecond
+		table.Heard(now, kqshed.Answer{Service: "orders", Upstream: upstreams[n%6], Class: "browse", Onward: true, Cut: 100, Deep: deep})
+		table.Refuses(now, kqshed.Call{Service: "orders", Class: "browse", Level: 60, Started: 60, Upstreams: 6})
+		table.Deep(now)
+	}
+}
