Let load reports send calls away and never draw them

Change: an upstream is weighed by this entry's own calls, plus one when it stands out as hot (share above 1 and above twice the median of its siblings) or has refused a call within 100 ms.

--- a/core/kqroute/kqroute.go
+++ b/core/kqroute/kqroute.go
@@ -1,7 +1,8 @@
 // Package kqroute decides to which upstream of a service a call goes. It
-// prefers the own failure domain, then the own region; takes the less loaded
-// of two that chance names; and leaves out upstreams that calls have shown to
-// be bad, but never more than half of them.
+// prefers the own failure domain, then the own region; takes the one of two
+// that chance names which does not stand out as hot, or has fewer calls of this
+// entry; and leaves out upstreams that calls have shown to be bad, but never
+// more than half of them.
 //
 // # Usage
 //
@@ -47,6 +48,15 @@
 	fullShare = 1.0
 )
 
+// An upstream is hot when its reported share is above hotShare and above the
+// usual one by hotFactor.
+const (
+	hotShare    = 1.0
+	hotFactor   = 2.0
+	hotWeight   = 1
+	maxCompared = 15
+)
+
 // Ask is one call that wants an upstream.
 type Ask struct {
 	Now time.Time
@@ -130,7 +140,7 @@
 	if domain != nil && domain.share(a.Now) < busyShare {
 		return domain
 	}
-	near := lighter(domain, t.pickFrom(RingRegion, &a, ignoreFaults), a.Now)
+	near := roomier(domain, t.pickFrom(RingRegion, &a, ignoreFaults), a.Now)
 	if near != nil && (!a.Far || near.share(a.Now) < fullShare) {
 		return near
 	}
@@ -144,15 +154,43 @@
 	return near
 }
 
-// lighter gives the one with the smaller share of its limit in use; near
+// roomier gives the one with the smaller share of its limit in use; near
 // stands when they are alike.
-func lighter(near, further *Upstream, now time.Time) *Upstream {
+func roomier(near, further *Upstream, now time.Time) *Upstream {
 	if near == nil || (further != nil && further.share(now) < near.share(now)) {
 		return further
 	}
 	return near
 }
 
+// lighter gives the one that is not hot, or else the one with fewer calls of
+// this entry; a stands when they are alike. Reports only ever send calls away
+// from an upstream that stands out, and never draw any to one, so that one
+// that reports too little gains nothing.
+func lighter(a, b *Upstream, usual float64, now time.Time) *Upstream {
+	if b.weight(usual, now) < a.weight(usual, now) {
+		return b
+	}
+	return a
+}
+
+// usualShare is the median of the reported shares, of at most maxCompared
+// upstreams. A few wrong reports do not move it far.
+func usualShare(upstreams []*Upstream, a *Ask) float64 {
+	var shares [maxCompared]float64
+	n := min(len(upstreams), maxCompared)
+	start := int(a.Random>>16&0xffff) % len(upstreams)
+	for i := range n {
+		share := upstreams[(start+i)%len(upstreams)].reportedShare(a.Now)
+		j := i
+		for ; j > 0 && shares[j-1] > share; j-- {
+			shares[j] = shares[j-1]
+		}
+		shares[j] = share
+	}
+	return shares[n/2]
+}
+
 // tooManyAside is whether so many are set aside that the fault must lie
 // elsewhere, and leaving them out would crush the rest.
 func (t *Table) tooManyAside(now time.Time) bool {
@@ -188,7 +226,7 @@
 	}
 	j := (i + 1 + int(a.Random&0xffffffff)%(count-1)) % count
 	second := nthOpen(candidates, j, a, ignoreFaults)
-	return lighter(first, second, a.Now)
+	return lighter(first, second, usualShare(candidates, a), a.Now)
 }
 
 func nthOpen(candidates []*Upstream, n int, a *Ask, ignoreFaults bool) *Upstream {
--- a/core/kqroute/kqroute_test.go
+++ b/core/kqroute/kqroute_test.go
@@ -78,12 +78,19 @@
 		}
 	}
 	share /= limit
+	if w.refused(i, now) {
+		return share + 1
+	}
+	return share
+}
+
+func (w *twin) refused(i int, now time.Time) bool {
 	for _, e := range w.events {
 		if e.upstream == i && e.verdict == kqroute.Full && now.Sub(e.at) < 100*time.Millisecond {
-			return share + 1
+			return true
 		}
 	}
-	return share
+	return false
 }
 
 // aside counts back from the last event of the upstream.
@@ -120,6 +127,7 @@
 	}
 	choose := func(ring kqroute.Ring) int {
 		var open []int
+		var shares []float64
 		for i, r := range w.records {
 			at := kqroute.RingFar
 			if r.Region == own.Region {
@@ -128,6 +136,9 @@
 			if r.FailureDomain == own.FailureDomain {
 				at = kqroute.RingDomain
 			}
+			if at == ring {
+				shares = append(shares, w.share(i, now))
+			}
 			if at == ring && !w.left(i, now) && (!w.aside(i, now) || 2*aside > len(w.records)) {
 				open = append(open, i)
 			}
@@ -140,7 +151,12 @@
 			return open[first]
 		}
 		second := (first + 1 + int(random&0xffffffff)%(len(open)-1)) % len(open)
-		if w.share(open[second], now) < w.share(open[first], now) {
+		slices.Sort(shares)
+		hot := func(i int) bool {
+			share := w.share(i, now)
+			return w.refused(i, now) || (share > 1 && share > 2*shares[len(shares)/2])
+		}
+		if hot(open[first]) && !hot(open[second]) {
 			return open[second]
 		}
 		return open[first]
--- a/core/kqroute/upstream.go
+++ b/core/kqroute/upstream.go
@@ -156,17 +156,51 @@
 // share is the load as a share of the upstream's limit. This entry's own calls
 // always count whole, whatever the upstream reports.
 func (u *Upstream) share(now time.Time) float64 {
-	limit := u.limit.Load()
-	if limit <= 0 {
-		limit = assumedLimit
-	}
-	share := (float64(u.outstanding.Load()) + u.fadedOthers(now)) / float64(limit)
-	if at := u.refusedAt.Load(); at != 0 && now.UnixNano()-at < int64(refusalMemory) {
+	return u.reportedShare(now) + float64(u.outstanding.Load())/u.limitOrAssumed()
+}
+
+// reportedShare is the load that others have there, as a share of the limit.
+// A refusal counts as a full upstream, whatever it reports.
+func (u *Upstream) reportedShare(now time.Time) float64 {
+	share := u.fadedOthers(now) / u.limitOrAssumed()
+	if u.hasRefused(now) {
 		share += fullShare
 	}
 	return share
 }
 
+// hasRefused is whether it refused a call for lack of room a moment ago.
+func (u *Upstream) hasRefused(now time.Time) bool {
+	at := u.refusedAt.Load()
+	return at != 0 && now.UnixNano()-at < int64(refusalMemory)
+}
+
+func (u *Upstream) limitOrAssumed() float64 {
+	if limit := u.limit.Load(); limit > 0 {
+		return float64(limit)
+	}
+	return assumedLimit
+}
+
+// weight is this entry's own calls there, and hotWeight more when it is hot.
+func (u *Upstream) weight(usual float64, now time.Time) int64 {
+	weight := u.outstanding.Load()
+	if u.hot(usual, now) {
+		weight += hotWeight
+	}
+	return weight
+}
+
+// hot is whether the upstream has refused a call, or stands out from the usual
+// share.
+func (u *Upstream) hot(usual float64, now time.Time) bool {
+	if u.hasRefused(now) {
+		return true
+	}
+	share := u.reportedShare(now)
+	return share > hotShare && share > hotFactor*usual
+}
+
 // fadedOthers is the load that others have there, as last reported.
 func (u *Upstream) fadedOthers(now time.Time) float64 {
 	age := now.UnixNano() - u.reportedAt.Load()
