Slopes of split, heal, lost domain, and a check against real nodes

Cause: healing a split of 240 nodes sent 69 KB in a node's busiest second. Change: the burst of changes that a node sends for others is 128, not 1,024; slopes measure a split and its heal, the loss of a failure domain, and compare 24 real nodes with the model; acknowledgements now fall into the gap between two exchanges, as they do between neighbours.

--- a/core/kqspread/kqspread.go
+++ b/core/kqspread/kqspread.go
@@ -68,7 +68,7 @@
 	// changeRate and changeBurst bound the changes that a node sends a second
 	// for others.
 	changeRate  = 128
-	changeBurst = 1024
+	changeBurst = 128
 	// joinRate and joinBurst bound the whole views that a node sends a second.
 	joinRate  = 1
 	joinBurst = 4
--- a/io/kqslopes/fit.go
+++ b/io/kqslopes/fit.go
@@ -33,6 +33,15 @@
 	}
 }
 
+func ofEvent(event func(Size) *Event, of func(Event) float64) func(Size) (float64, bool) {
+	return func(s Size) (float64, bool) {
+		if event(s) == nil {
+			return 0, false
+		}
+		return of(*event(s)), true
+	}
+}
+
 var figures = []figure{
 	{"Idle.Messages", "messages/s/node", always(func(s Size) float64 { return s.Idle.Messages })},
 	{"Idle.WireBytes", "bytes/s/node", always(func(s Size) float64 { return s.Idle.WireBytes })},
@@ -45,6 +54,13 @@
 	{"Memory.BytesPerNode", "bytes", always(func(s Size) float64 { return float64(s.Memory.BytesPerNode) })},
 	{"Work.Snapshot", "us", always(func(s Size) float64 { return s.Work.Snapshot })},
 	{"Work.JoinBytes", "bytes", always(func(s Size) float64 { return float64(s.Work.JoinBytes) })},
+	{"Failure.SecondsToAll", "s, slowest", always(func(s Size) float64 { return highest(s.Failure.SecondsToAll) })},
+	{"Heal.SecondsToAll", "s", ofEvent(func(s Size) *Event { return s.Heal }, func(e Event) float64 { return e.SecondsToAll })},
+	{"Heal.EncodedBytesPerNode", "bytes/node", ofEvent(func(s Size) *Event { return s.Heal }, func(e Event) float64 { return e.EncodedBytesPerNode })},
+	{"Heal.BusiestEncodedBytes", "bytes/s/node", ofEvent(func(s Size) *Event { return s.Heal }, func(e Event) float64 { return e.BusiestEncodedBytes })},
+	{"Split.SecondsToAll", "s", ofEvent(func(s Size) *Event { return s.Split }, func(e Event) float64 { return e.SecondsToAll })},
+	{"LostDomain.SecondsToAll", "s", ofEvent(func(s Size) *Event { return s.LostDomain }, func(e Event) float64 { return e.SecondsToAll })},
+	{"LostDomain.EncodedBytesPerNode", "bytes/node", ofEvent(func(s Size) *Event { return s.LostDomain }, func(e Event) float64 { return e.EncodedBytesPerNode })},
 	{"Restart.SecondsToAll", "s", ofRestart(func(r Restart) float64 { return r.SecondsToAll })},
 	{"Restart.EncodedBytesPerNode", "bytes/node", ofRestart(func(r Restart) float64 { return r.EncodedBytesPerNode })},
 	{"Restart.StoreReads", "calls", ofRestart(func(r Restart) float64 { return float64(r.StoreReads) })},
--- a/io/kqslopes/fleet.go
+++ b/io/kqslopes/fleet.go
@@ -132,6 +132,11 @@
 	size.Replacement = t.measureReplacement(size.Idle, true)
 	size.Failure = t.measureReplacement(size.Idle, false)
 	size.Day = dayOf(size)
+	if t.err == nil && count <= RestartLimit {
+		split, heal := t.measureSplit()
+		lost := t.measureLostDomain()
+		size.Split, size.Heal, size.LostDomain = &split, &heal, &lost
+	}
 	if t.err == nil && count <= RestartLimit {
 		size.Restart, t.err = measureRestart(count, seed)
 	}
--- a/io/kqslopes/kqslopes.go
+++ b/io/kqslopes/kqslopes.go
@@ -32,11 +32,13 @@
 // Report is the result.
 type Report struct {
 	// At is the day of the run.
-	At          string
-	Go          string
-	Cores       int
-	Seed        uint64
-	Link        Link
+	At    string
+	Go    string
+	Cores int
+	Seed  uint64
+	Link  Link
+	// Real checks the figures of Idle against real nodes.
+	Real        Real
 	Sizes       []Size
 	Slopes      []Slope
 	TookSeconds float64
@@ -62,6 +64,11 @@
 	// Restart is the start of all nodes within a minute. Sizes above
 	// RestartLimit are not run.
 	Restart *Restart `json:",omitempty"`
+	// LostDomain is the loss of a failure domain, Split that of the links of
+	// one region, and Heal their return. Sizes above RestartLimit are not run.
+	LostDomain *Event `json:",omitempty"`
+	Split      *Event `json:",omitempty"`
+	Heal       *Event `json:",omitempty"`
 }
 
 // Spending is what one node spends a second, as the mean of all nodes.
@@ -163,6 +170,11 @@
 		return nil, errors.Mark(err, ErrSlopes)
 	}
 	report.Link = *link
+	check, err := measureReal(report.Link, s.seed)
+	if err != nil {
+		return nil, errors.Mark(err, ErrSlopes)
+	}
+	report.Real = *check
 	for _, count := range s.sizes {
 		size, err := measureSize(count, s.seed, report.Link)
 		if err != nil {
--- a/io/kqslopes/link.go
+++ b/io/kqslopes/link.go
@@ -16,10 +16,10 @@
 // Trials on links.
 const (
 	handshakeTrials = 20
-	exchangeTrials  = 100
+	exchangeTrials  = 50
 	// exchangeGap is longer than the delay of an acknowledgement, so that each
 	// exchange pays for its own as it does between neighbours.
-	exchangeGap = 40 * time.Millisecond
+	exchangeGap = 100 * time.Millisecond
 	trialBytes  = 40
 	// headerBytes are those of IP and UDP.
 	headerBytes = 28
