--- a/core/kqmember/view.go
+++ b/core/kqmember/view.go
@@ -257,6 +257,18 @@
 	return v.ordered
 }
 
+// Dead counts the nodes that died without leaving in order and are still told
+// to others, by failure domain.
+func (v *View) Dead() map[string]int {
+	dead := map[string]int{}
+	for _, m := range v.leaving {
+		if m.Status == StatusRemoved && m.Record.Life != LifeGone {
+			dead[m.Record.FailureDomain]++
+		}
+	}
+	return dead
+}
+
 // Dirty is whether the view has changed since the last snapshot.
 func (v *View) Dirty() bool {
 	return v.dirty
--- a/io/kqcli/status.go
+++ b/io/kqcli/status.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -58,11 +59,40 @@
 	if s.Refusals.Faulty > 0 {
 		_, _ = fmt.Fprintf(w, "ALARM ConfigurationFaulty: %s (docs/operators/store.md)\n", s.Refusals.LastFault)
 	}
+	writeFleetAlarms(w, s)
 	if s.LogDropped > 0 {
 		_, _ = fmt.Fprintf(w, "ALARM LogDropped: %d log lines were lost (docs/operators/logs.md)\n", s.LogDropped)
 	}
 }
 
+// expiryAlarm is how long before a certificate ends the alarm begins.
+const expiryAlarm = 3 * 24 * time.Hour
+
+// writeFleetAlarms names what is wrong with the node's place in the fleet.
+func writeFleetAlarms(w io.Writer, s kqnode.Status) {
+	if s.Fleet.Superseded {
+		_, _ = fmt.Fprintln(w, "ALARM Superseded: another node of this name has started (docs/operators/replace-hosts.md)")
+	}
+	if !s.Fleet.Confirmed {
+		_, _ = fmt.Fprintln(w, "ALARM NotConfirmed: no other node answers, so this one takes no work (docs/operators/fleet.md)")
+	}
+	if len(s.Fleet.Suspected) > 0 {
+		_, _ = fmt.Fprintf(w, "ALARM Suspected: %d nodes do not answer, such as %s (docs/operators/fleet.md)\n", len(s.Fleet.Suspected), s.Fleet.Suspected[0])
+	}
+	alive := map[string]bool{}
+	for _, m := range s.Members {
+		alive[m.FailureDomain] = true
+	}
+	for _, d := range slices.Sorted(maps.Keys(s.Fleet.Dead)) {
+		if !alive[d] {
+			_, _ = fmt.Fprintf(w, "ALARM FailureDomainLost: all %d nodes of %s are dead or cut off (docs/operators/region-split.md)\n", s.Fleet.Dead[d], d)
+		}
+	}
+	if left := time.Until(s.Fleet.CertificateExpires); left < expiryAlarm {
+		_, _ = fmt.Fprintf(w, "ALARM CertificateEnds: in %s (docs/operators/certificates.md)\n", left.Round(time.Minute))
+	}
+}
+
 // domainSummary counts what one failure domain has.
 type domainSummary struct {
 	name     string
--- a/io/kqnode/kqnode.go
+++ b/io/kqnode/kqnode.go
@@ -64,6 +64,8 @@
 	// Refusals counts the configurations that were refused.
 	Refusals kqconfig.Refusals
 	Store    StoreView
+	// Fleet is the node's place in the fleet.
+	Fleet FleetView
 	// Life is the state of the node's own chart.
 	Life kqmember.Life
 	// Backend is the backend server's announcement, or nil.
--- a/io/kqnode/member.go
+++ b/io/kqnode/member.go
@@ -52,6 +52,8 @@
 	ticked time.Time
 	// pictured is when the view was last made into a snapshot.
 	pictured time.Duration
+	// viewed is when the view for operators was last made.
+	viewed time.Duration
 	// seeds are the addresses that the store gave last.
 	seeds []string
 }
@@ -113,7 +115,7 @@
 		c.view.Snapshot()
 		changed = true
 	}
-	return changed
+	return c.viewFleet(now) || changed
 }
 
 // offerConfiguration spreads the configuration in force.
--- a/io/kqnode/operator.go
+++ b/io/kqnode/operator.go
@@ -53,6 +53,7 @@
 	Service  string
 	Refusals kqconfig.Refusals
 	Store    StoreView
+	Fleet    FleetView
 	// Watchers are the nodes that watch the store, by failure domain, as far
 	// as this node's view goes.
 	Watchers map[string][]string
@@ -65,7 +66,7 @@
 func (n *Node) Status() Status {
 	s := n.State()
 	status := Status{
-		InForce: n.inForce(s), Life: s.Life, Refusals: s.Refusals, Store: s.Store,
+		InForce: n.inForce(s), Life: s.Life, Refusals: s.Refusals, Store: s.Store, Fleet: s.Fleet,
 		Watchers: kqconfig.Watchers(s.Members), Members: s.Members.Records, LogDropped: n.log.Dropped(),
 	}
 	if s.Backend != nil {
