--- a/core/kqseed/kqseed_test.go
+++ b/core/kqseed/kqseed_test.go
@@ -17,6 +17,8 @@
 	version       int
 	reads, writes int
 	conflicts     int
+	// loseAnswers is how many writes take effect without the writer knowing.
+	loseAnswers int
 }
 
 func (s *store) put(list kqseed.List, version int) bool {
@@ -26,6 +28,10 @@
 		return false
 	}
 	s.list, s.version = list, s.version+1
+	if s.loseAnswers > 0 {
+		s.loseAnswers--
+		return false
+	}
 	return true
 }
 
@@ -111,6 +117,22 @@
 	}
 }
 
+func TestWriteWhoseAnswerIsLostIsSettledByReading(t *testing.T) {
+	nodes := newFleet(100)
+	meet(nodes)
+	s := &store{loseAnswers: 3}
+	run(nodes, s, 0, 5*time.Minute)
+	if got, want := s.loseAnswers, 0; got != want {
+		t.Fatalf("answers still to lose: got %d, want %d", got, want)
+	}
+	if got, want := s.list.Contacts(), wantList(nodes); !slices.Equal(got, want) {
+		t.Errorf("seeds: got %v, want %v", got, want)
+	}
+	if got, limit := s.writes, 20; got > limit {
+		t.Errorf("writes: got %d, want at most %d", got, limit)
+	}
+}
+
 func TestSteadyFleetOnlySeedsRead(t *testing.T) {
 	nodes := newFleet(100)
 	meet(nodes)
--- a/core/kqspread/faults_test.go
+++ b/core/kqspread/faults_test.go
@@ -186,3 +186,16 @@
 	}
 	converge(t, f, "replaced")
 }
+
+// TestRegionsApartForLongerThanRecordsAreKept splits regions until both sides
+// have forgotten each other; the addresses of the settings bring them together.
+func TestRegionsApartForLongerThanRecordsAreKept(t *testing.T) {
+	f := startFleet(t, 6, 6)
+	split(f)
+	f.Run(kqmember.ForgetAfter + 10*time.Minute)
+	if got, want := f.Nodes[record(0).NodeID].View.Len(), 2; got != want {
+		t.Errorf("nodes in the view of a region apart: got %d, want %d", got, want)
+	}
+	f.Fault = latency(f)
+	converge(t, f, "heal")
+}
--- a/core/kqspread/kqspread.go
+++ b/core/kqspread/kqspread.go
@@ -72,6 +72,11 @@
 	// joinRate and joinBurst bound the whole views that a node sends a second.
 	joinRate  = 1
 	joinBurst = 4
+	// maxMembers, maxItems and maxItemBytes bound what others can make a node
+	// hold.
+	maxMembers   = 20_000
+	maxItems     = 4096
+	maxItemBytes = 1<<20 - 4096
 	// eagerItemBytes is the largest payload that is pushed unasked.
 	eagerItemBytes = 512
 )
@@ -130,6 +135,9 @@
 	m.rings.observe(before, after)
 	m.digest.observe(before, after)
 	m.relink = true
+	if after == nil {
+		delete(m.complaint, before.Record.NodeID)
+	}
 }
 
 // UpdateOwn changes the node's own record and tells it to all.
--- a/core/kqspread/kqspread_test.go
+++ b/core/kqspread/kqspread_test.go
@@ -188,3 +188,27 @@
 		}
 	}
 }
+
+func TestWhatOthersCanMakeANodeHoldIsBounded(t *testing.T) {
+	f := kqvirtual.New(1)
+	n := f.Start(record(0), nil)
+	f.Run(time.Second)
+	peer := record(1)
+	message := kqspread.Message{Sequence: 1, Changes: []kqspread.Change{{Record: &peer}}}
+	for i := range 25_000 {
+		r := record(i + 2)
+		item := kqspread.Item{Name: r.NodeID, Version: 1}
+		message.Changes = append(message.Changes, kqspread.Change{Record: &r}, kqspread.Change{Item: &item})
+	}
+	n.Machine.Receive(time.Second, peer.NodeID, message)
+	if got, want := n.View.Len(), 20_000; got != want {
+		t.Errorf("members: got %d, want %d", got, want)
+	}
+	if got, want := len(n.Machine.TakeItems()), 4096; got != want {
+		t.Errorf("items: got %d, want %d", got, want)
+	}
+	long := kqspread.Item{Name: "long", Version: 1, Payload: make([]byte, 2<<20)}
+	if n.Machine.Publish(long) {
+		t.Error("an item of 2 MB was taken")
+	}
+}
--- a/core/kqspread/news.go
+++ b/core/kqspread/news.go
@@ -89,7 +89,7 @@
 
 func (m *Machine) mergeRecord(now time.Duration, from string, c Change) {
 	r := *c.Record
-	if !validRecord(r) {
+	if !validRecord(r) || m.view.Find(r.NodeID) == nil && m.view.Len() >= maxMembers {
 		return
 	}
 	k := memberKey(r.NodeID)
@@ -161,7 +161,7 @@
 // takeItem holds an item if its version is higher, and tells it on.
 func (m *Machine) takeItem(i Item, from string) bool {
 	held, found := m.items[i.Name]
-	if i.Name == "" || !held.stamp().Less(i.stamp()) {
+	if !m.validItem(i, found) || !held.stamp().Less(i.stamp()) {
 		return false
 	}
 	k := itemKey(i.Name)
@@ -178,6 +178,12 @@
 	return true
 }
 
+// validItem bounds what a peer may publish.
+func (m *Machine) validItem(i Item, held bool) bool {
+	const longest = 256
+	return i.Name != "" && len(i.Name) <= longest && len(i.Payload) <= maxItemBytes && (held || len(m.items) < maxItems)
+}
+
 func (m *Machine) mergeOffer(now time.Duration, from string, s Summary) {
 	if s.Key.Kind != KindItem || !m.items[s.Key.Name].stamp().Less(s.stamp()) {
 		m.told(s.Key, from)
--- a/core/kqspread/presence.go
+++ b/core/kqspread/presence.go
@@ -1,6 +1,7 @@
 package kqspread
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -51,6 +52,7 @@
 // to be waited for.
 func (m *Machine) SetContacts(addresses []string, complete bool) {
 	m.contacts.addresses = slices.Clone(addresses)
+	maps.DeleteFunc(m.contacts.rest, func(address string, _ time.Duration) bool { return !slices.Contains(addresses, address) })
 	m.contacts.complete = complete
 }
 
