Sharpen the tests of pauses and splits

Cause: two trial mutations survived: a woken node that is not told of its removal in the answer to its ping, and no probes of removed nodes. Change: every second paused node loses what is sent to it; the split has no contacts to fall back on and lasts until both sides hide each other.

--- a/core/kqspread/kqspread_test.go
+++ b/core/kqspread/kqspread_test.go
@@ -112,6 +112,7 @@
 func TestPausedNodeLearnsOfItsRemovalBeforeItTakesWork(t *testing.T) {
 	for _, seed := range seeds {
 		f := startFleet(t, seed, 30)
+		f.Deaf = seed%2 == 0
 		paused := f.Nodes[record(5).NodeID]
 		before := paused.View.Own().Version
 		f.Pause(paused.Record.NodeID, 5*time.Minute)
@@ -171,8 +172,12 @@
 func TestRegionsApartForAnHourFindEachOther(t *testing.T) {
 	for _, seed := range seeds[:1] {
 		f := startFleet(t, seed, 24)
+		for _, n := range f.Nodes {
+			n.Machine.SetContacts(nil, true)
+		}
 		split(f)
-		f.Run(time.Hour)
+		// By then each side no longer tells of the other.
+		f.Run(kqmember.HideAfter + 2*time.Minute)
 		n := f.Nodes[record(0).NodeID]
 		for _, held := range n.View.Members() {
 			if got, want := held.Status == kqmember.StatusAlive, held.Record.Region == n.Record.Region; got != want {
--- a/core/kqvirtual/kqvirtual.go
+++ b/core/kqvirtual/kqvirtual.go
@@ -40,6 +40,9 @@
 	Sent func(from *Node, message kqspread.Message, answer bool)
 	// Started is told of each node that starts, if it is set.
 	Started func(n *Node)
+	// Deaf lets paused nodes lose what is sent to them, as when a buffer is
+	// full, in place of finding it when they wake.
+	Deaf bool
 	// Nodes holds the running nodes by name.
 	Nodes  map[string]*Node
 	random *rand.Rand
@@ -210,7 +213,9 @@
 		return
 	}
 	if n.asleep > n.fleet.now {
-		n.fleet.at(n.asleep, func() { n.receive(from, message) })
+		if !n.fleet.Deaf {
+			n.fleet.at(n.asleep, func() { n.receive(from, message) })
+		}
 		return
 	}
 	n.send(n.Machine.Receive(n.Clock(), from, message), from)
