Metrics of a node's place in the fleet

Cause: nothing in the metrics showed suspicions, pauses or control messages, and the gauge of a life that nobody is in any more kept its last value. Run: go test ./io/kqmetric ./io/kqcli ./io/kqnode passes.

--- a/core/kqmember/kqmember.go
+++ b/core/kqmember/kqmember.go
@@ -32,6 +32,11 @@
 	LifeGone     Life = "Gone"
 )
 
+// Lives lists all lives, in the order in which a node goes through them.
+func Lives() []Life {
+	return []Life{LifeJoining, LifeWarming, LifeServing, LifeDraining, LifeGone}
+}
+
 // Record describes one node. Only that node writes it.
 type Record struct {
 	_      struct{} `cbor:",toarray"`
--- a/io/kqmetric/kqmetric.go
+++ b/io/kqmetric/kqmetric.go
@@ -67,6 +67,10 @@
 	ConfigurationVersion = Definition{"configuration_version", KindGauge, nil, "version", "Version of the configuration in force."}
 	ConfigurationRefused = Definition{"configuration_refused", KindGauge, []string{"verdict"}, "offers", "Offered configurations that were refused since the start."}
 	Members              = Definition{"members", KindGauge, []string{"life"}, "nodes", "Nodes in this node's view, by life."}
+	Suspected            = Definition{"suspected", KindGauge, nil, "nodes", "Nodes in this node's view that have not refuted a suspicion yet."}
+	Confirmed            = Definition{"confirmed", KindGauge, nil, "0 or 1", "Whether other nodes have answered since the start or the last pause."}
+	Pauses               = Definition{"pauses", KindGauge, nil, "pauses", "Pauses of this node's process or host since its start."}
+	Exchanges            = Definition{"exchanges", KindCounter, []string{"result"}, "exchanges", "Control messages that this node sent to other nodes."}
 	LogDropped           = Definition{"log_dropped", KindGauge, nil, "lines", "Log lines that found the queue full since the start."}
 )
 
@@ -74,7 +78,7 @@
 func Definitions() []Definition {
 	return []Definition{
 		Answers, AnswerTime, Routes, Admissions, StoreCalls, StoreTime,
-		ConfigurationVersion, ConfigurationRefused, Members, LogDropped,
+		ConfigurationVersion, ConfigurationRefused, Members, Suspected, Confirmed, Pauses, Exchanges, LogDropped,
 	}
 }
 
--- a/io/kqnode/fleetview.go
+++ b/io/kqnode/fleetview.go
@@ -5,6 +5,8 @@
 	"reflect"
 	"slices"
 	"time"
+
+	"kumquatlink/io/kqmetric"
 )
 
 // fleetViewPeriod is how often the view for operators is made anew.
@@ -48,3 +50,14 @@
 	c.state.Fleet = next
 	return true
 }
+
+// gatherFleet brings the gauges of the node's place in the fleet up to date.
+func (n *Node) gatherFleet(v FleetView) {
+	confirmed := 0.0
+	if v.Confirmed {
+		confirmed = 1
+	}
+	n.metrics.Set(kqmetric.Confirmed, confirmed)
+	n.metrics.Set(kqmetric.Suspected, float64(len(v.Suspected)))
+	n.metrics.Set(kqmetric.Pauses, float64(v.Pauses))
+}
--- a/io/kqnode/member.go
+++ b/io/kqnode/member.go
@@ -13,6 +13,7 @@
 	"kumquatlink/core/kqclass"
 	"kumquatlink/core/kqmember"
 	"kumquatlink/core/kqspread"
+	"kumquatlink/io/kqmetric"
 )
 
 // Limits of the exchange with neighbours.
@@ -196,9 +197,11 @@
 	defer cancel()
 	peer, reply, err := n.dialer.Exchange(ctx, e.Address, message)
 	if err != nil {
+		n.metrics.Count(kqmetric.Exchanges, "failed")
 		n.log.Event(zerolog.DebugLevel, "exchange with "+e.Address, err)
 		return
 	}
+	n.metrics.Count(kqmetric.Exchanges, "done")
 	var replies []kqspread.Message
 	if err := spreadMode.Unmarshal(reply, &replies); err != nil {
 		n.log.Event(zerolog.WarnLevel, "reply of "+e.Address+" can't be read", err)
--- a/io/kqnode/operator.go
+++ b/io/kqnode/operator.go
@@ -161,9 +161,10 @@
 	for _, r := range s.Members.Records {
 		lives[r.Life]++
 	}
-	for l, count := range lives {
-		n.metrics.Set(kqmetric.Members, float64(count), string(l))
+	for _, l := range kqmember.Lives() {
+		n.metrics.Set(kqmetric.Members, float64(lives[l]), string(l))
 	}
+	n.gatherFleet(s.Fleet)
 	n.metrics.Set(kqmetric.LogDropped, float64(n.log.Dropped()))
 }
 
