--- a/io/kqnode/member.go
+++ b/io/kqnode/member.go
@@ -14,6 +14,7 @@
 	"kumquatlink/core/kqclass"
 	"kumquatlink/core/kqmember"
 	"kumquatlink/core/kqspread"
+	"kumquatlink/io/kqmetric"
 )
 
 // Limits of the exchange with neighbours.
@@ -53,6 +54,8 @@
 	ticked time.Time
 	// pictured is when the view was last made into a snapshot.
 	pictured time.Duration
+	// viewed is when the view for operators was last made.
+	viewed time.Duration
 	// seeds are the addresses that the store gave last.
 	seeds []string
 }
@@ -115,7 +118,7 @@
 		c.view.Snapshot()
 		changed = true
 	}
-	return changed
+	return c.viewFleet(now) || changed
 }
 
 // offerConfiguration spreads the configuration in force.
@@ -199,9 +202,11 @@
 	defer cancel()
 	peer, reply, err := n.dialer.Exchange(ctx, e.Address, message)
 	if err != nil {
+		n.metrics.Count(kqmetric.Exchanges, "failed")
 		n.log.Event(zerolog.DebugLevel, "exchange with "+e.Address, err)
 		return
 	}
+	n.metrics.Count(kqmetric.Exchanges, "done")
 	var replies []kqspread.Message
 	if err := spreadMode.Unmarshal(reply, &replies); err != nil {
 		n.log.Event(zerolog.WarnLevel, "reply of "+e.Address+" can't be read", err)
