Don't believe a shed behind onward calls that may have run

Cause: a backend server that sheds after onward calls would have its parent tried again, and the onward calls with it. Change: such a shed is answered unknown; derived keys for onward calls are not needed then, since a parent with a key runs once.

--- a/io/kqnode/backend.go
+++ b/io/kqnode/backend.go
@@ -39,6 +39,22 @@
 	outstanding int
 	since       time.Time
 	total       time.Duration
+	// left is set when an onward call may have run.
+	left bool
+}
+
+// mark notes that an onward call may have run.
+func (o *onwardTime) mark() {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.left = true
+}
+
+// mayHaveRun is whether an onward call may have run, or is still out.
+func (o *onwardTime) mayHaveRun() bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.left || o.outstanding > 0
 }
 
 func (o *onwardTime) begin(now time.Time) {
@@ -100,6 +116,11 @@
 	err := b.pool.Do(ctx, request, response)
 	r := &result{retriesLeft: run.retries.Close()}
 	readResponse(ctx, r, response, err)
+	if r.end.Cause == kqcall.CauseBackendShed && run.onward.mayHaveRun() {
+		// A backend server that made onward calls has begun to run the call,
+		// whatever it says.
+		r.end = kqcall.Unknown(kqcall.CauseBackendShed)
+	}
 	return r, run.onward.sum(g.node.now())
 }
 
--- a/io/kqnode/entry.go
+++ b/io/kqnode/entry.go
@@ -143,6 +143,9 @@
 	if cause == "" {
 		r = n.runOnPool(c, q)
 	}
+	if q.parent != nil && r.end.Outcome != kqcall.OutcomeNotRun {
+		q.parent.onward.mark()
+	}
 	n.decide(kqlog.Decision{
 		RequestID: q.head.RequestID, Class: q.head.Class, Service: q.head.Service, Decision: "Answer",
 		Cause: string(r.end.Cause), Outcome: string(r.end.Outcome), Took: n.now().Sub(begun),
--- a/io/kqnode/outcomes_test.go
+++ b/io/kqnode/outcomes_test.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"kumquatlink/core/kqcall"
+	"kumquatlink/io/kqbackend"
 	"kumquatlink/io/kqfleet"
 	"kumquatlink/io/kqlink"
 	"kumquatlink/io/kqwire"
@@ -287,3 +288,28 @@
 		t.Errorf("calls at the backend servers: got %d, want %d", got, want)
 	}
 }
+
+func TestShedBehindOnwardCallsIsNotBelieved(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
+	defer cancel()
+	entry, gate, fleet := startPlain(ctx, t)
+	if _, err := fleet.AddBackend(kqfleet.Place{NodeID: "orders-1", Region: "lothian", FailureDomain: "lothian-a"}, kqbackend.Settings{Service: "orders", Slots: 4}); err != nil {
+		t.Fatal(err)
+	}
+	backend := newScript(t, gate.Node.BackendAddress(), "catalog")
+	if err := fleet.Settle(ctx, "catalog", "orders"); err != nil {
+		t.Fatal(err)
+	}
+	for service, want := range map[string]string{"orders": "unknown BackendShed", "nowhere": "not-run BackendShed"} {
+		backend.setWithContext(func(c net.Conn, token string) {
+			call(t, gate.Node.BackendAddress(), func(r *fasthttp.Request) {
+				r.Header.Set(kqwire.HeaderService, service)
+				r.Header.Set(kqwire.HeaderContext, token)
+			})
+			says("HTTP/1.1 503 Busy\r\nConnection: close\r\nKumquatlink-Shed: 1\r\nContent-Length: 0\r\n\r\n")(c)
+		})
+		if got := endText(call(t, entry.Node.CallerAddress(), once)); got != want {
+			t.Errorf("shed behind an onward call to %s: got %q, want %q", service, got, want)
+		}
+	}
+}
