--- a/core/kqhome/handover.go
+++ b/core/kqhome/handover.go
@@ -176,6 +176,14 @@
 	return slices.Clone(held.settled)
 }
 
+// Presume ends a hand-over whose successor does not answer, as if it had taken
+// the bucket. If it has not, nobody is the home until the bucket is claimed.
+func (h *Home) Presume(bucket int) {
+	if held := h.held[bucket]; held != nil && held.frozen != nil && held.to.Holder.NodeID != "" {
+		h.Given(bucket, held.to)
+	}
+}
+
 // Resume takes back a bucket whose successor has refused it for good. Its next
 // offer gets a higher count.
 func (h *Home) Resume(bucket int) {
--- a/core/kqhome/kqhome_test.go
+++ b/core/kqhome/kqhome_test.go
@@ -23,7 +23,7 @@
 	for _, name := range []string{
 		"runs", "resends", "doubled", "replayed", "doubted", "moved", "fenced", "answers lost", "settled", "crashes", "restarts",
 		"pauses", "splits", "leavings", "store outages", "store answers lost", "hand-overs", "hand-over answers lost",
-		"claims", "claims from living holders", "left out", "offers again", "enforced", "synced with peers",
+		"claims", "claims from living holders", "left out", "offers again", "presumed given", "enforced", "synced with peers",
 	} {
 		if counts[name] == 0 {
 			t.Errorf("%s: got 0, want some, else the test proves nothing", name)
--- a/core/kqhome/world_test.go
+++ b/core/kqhome/world_test.go
@@ -437,6 +437,11 @@
 	if bucket < 0 {
 		return
 	}
+	if len(p.home.Offered()) > 0 && !w.reach(p, q) && w.random.IntN(4) == 0 {
+		p.home.Presume(bucket)
+		w.counts["presumed given"]++
+		return
+	}
 	o, ok := p.home.Give(w.now, bucket, to)
 	if !ok || !w.reach(p, q) || w.random.IntN(6) == 0 {
 		return
--- a/io/kqnode/keysteps.go
+++ b/io/kqnode/keysteps.go
@@ -33,8 +33,8 @@
 type keySteps struct {
 	// claims are the claims under way, by the holder that they follow.
 	claims map[kqhome.Node]*pendingClaim
-	// lost are the offers that may have arrived unanswered.
-	lost map[int]bool
+	// lost tells since when an offer may have arrived unanswered.
+	lost map[int]time.Duration
 	// silentSince is when a holder was first found out of reach.
 	silentSince map[kqhome.Node]time.Duration
 	probedAt    time.Duration
@@ -50,7 +50,7 @@
 
 func newKeySteps() keySteps {
 	return keySteps{
-		claims: map[kqhome.Node]*pendingClaim{}, lost: map[int]bool{},
+		claims: map[kqhome.Node]*pendingClaim{}, lost: map[int]time.Duration{},
 		silentSince: map[kqhome.Node]time.Duration{}, joinPause: joinPause,
 	}
 }
@@ -250,6 +250,10 @@
 	table := k.home.Table()
 	k.mutex.Unlock()
 	for _, o := range offered {
+		if since, lost := k.steps.lost[o.Bucket]; lost && k.now()-since >= holderSilence {
+			k.presume(o)
+			continue
+		}
 		k.handOver(ctx, o.Bucket, o.Token.Holder)
 	}
 	if k.leaving.Load() {
@@ -295,6 +299,13 @@
 	if !found {
 		return
 	}
+	_, lost := k.steps.lost[bucket]
+	if self := k.self(); !lost {
+		// A bucket is stopped only for a node that answers at this moment.
+		if _, err := k.ask(ctx, record, keyMessage{Sync: &self}); err != nil {
+			return
+		}
+	}
 	k.mutex.Lock()
 	offer, ok := k.home.Give(k.now(), bucket, to)
 	k.mutex.Unlock()
@@ -309,14 +320,24 @@
 	case err == nil && reply.Accepted:
 		delete(k.steps.lost, bucket)
 		go k.settleAll(to, k.home.Given(bucket, offer.Token))
-	case err == nil || errors.Is(err, kqlink.ErrNotSent) && !k.steps.lost[bucket]:
+	case err == nil || errors.Is(err, kqlink.ErrNotSent) && !lost:
 		delete(k.steps.lost, bucket)
 		k.home.Resume(bucket)
-	default:
-		k.steps.lost[bucket] = true
+	case !lost:
+		k.steps.lost[bucket] = k.now()
 	}
 }
 
+// presume gives up a hand-over that the successor does not answer.
+func (k *keeper) presume(o kqhome.Offer) {
+	k.node.log.Event(zerolog.WarnLevel, "no answer of "+o.Token.Holder.NodeID+", which may have taken keys", nil)
+	delete(k.steps.lost, o.Bucket)
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.home.Presume(o.Bucket)
+	k.publish()
+}
+
 // watchHolders claims the buckets of holders that are dead or out of reach, if
 // it is this node's turn.
 func (k *keeper) watchHolders(ctx context.Context, s *State) {
