Let the demo send its purchase again while it was not run

Change: the demo sends it again with the same key and says how often. Conclusion: shows what a truthful refusal is for.

--- a/io/kqcli/demo.go
+++ b/io/kqcli/demo.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"kumquatlink/core/kqcall"
 	"kumquatlink/core/kqclass"
 	"kumquatlink/io/kqbackend"
 	"kumquatlink/io/kqfleet"
@@ -27,6 +28,7 @@
 	demoDrainWatch    = 2 * time.Second
 	demoDrainLength   = 3 * time.Second
 	demoPatience      = 3 * time.Second
+	demoBuyPause      = 100 * time.Millisecond
 	demoRate          = 90.0
 	demoSurge         = 3
 	demoBeforeSeconds = 1
@@ -156,12 +158,12 @@
 // buyTwice sends one purchase twice, through different regions.
 func (d *demo) buyTwice() error {
 	for _, entry := range []*kqfleet.Member{d.members["catalog"][0], d.members["packs"][1]} {
-		a := d.send(entry, "purchase", "bought", "order-4711")
+		a, refusals := d.buy(entry)
 		if a.Err != nil {
 			return a.Err
 		}
-		d.say("A purchase with the key order-4711, sent to %s in %s: status %d, outcome %q, cause %s.",
-			entry.Place.NodeID, entry.Place.Region, a.Status, a.Outcome, a.Cause)
+		d.say("A purchase with the key order-4711, sent to %s in %s: status %d, outcome %q, cause %s; told not run %d time(s) before.",
+			entry.Place.NodeID, entry.Place.Region, a.Status, a.Outcome, a.Cause, refusals)
 	}
 	ran := 0
 	for _, m := range d.members["licensing"] {
@@ -175,6 +177,19 @@
 	return nil
 }
 
+// buy sends the purchase until it is no longer told that it was not run, as it
+// is while a fresh fleet agrees on which node is the home of the key.
+func (d *demo) buy(entry *kqfleet.Member) (a kqbackend.Answer, refusals int) {
+	for {
+		a = d.send(entry, "purchase", "bought", "order-4711")
+		if a.Outcome != string(kqcall.OutcomeNotRun) || d.ctx.Err() != nil {
+			return a, refusals
+		}
+		refusals++
+		time.Sleep(demoBuyPause)
+	}
+}
+
 // changeClass changes a target and waits until it is in force everywhere.
 func (d *demo) changeClass() error {
 	begun := time.Now()
