Let a fresh fleet settle its keys before the load

Change: rounds of 12 requests with keys are sent until one completes whole; nothing of them is counted. Warm is 2.5 s, so that limits have ramped. Conclusion: before means a settled fleet.

--- a/io/kqmeasure/account.go
+++ b/io/kqmeasure/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -50,12 +51,19 @@
 // add takes in a backend server's record.
 func (t *trial) add(h *host) {
 	for _, r := range h.backend.Runs() {
+		if strings.HasPrefix(r.RequestID, settlePrefix) {
+			continue
+		}
 		t.runs = append(t.runs, served{r, h.service, h})
 	}
 	for _, s := range h.backend.Sheds() {
 		t.sheds = append(t.sheds, served{kqbackend.Run{RequestID: s.RequestID, Class: s.Class, Path: s.Path, Attempt: s.Attempt, At: s.At}, h.service, h})
 	}
-	t.sends = append(t.sends, h.backend.Sends()...)
+	for _, s := range h.backend.Sends() {
+		if !strings.HasPrefix(s.Call.RequestID, settlePrefix) {
+			t.sends = append(t.sends, s)
+		}
+	}
 }
 
 // account works out the report from the records.
--- a/io/kqmeasure/scenario.go
+++ b/io/kqmeasure/scenario.go
@@ -51,7 +51,7 @@
 
 // Lengths of the phases of every scenario.
 const (
-	warmPhase   = 1500 * time.Millisecond
+	warmPhase   = 2500 * time.Millisecond
 	beforePhase = 3 * time.Second
 	duringPhase = 4 * time.Second
 	afterPhase  = 4 * time.Second
--- a/io/kqmeasure/world.go
+++ b/io/kqmeasure/world.go
@@ -24,7 +24,7 @@
 	collapseFactor = 0.05
 	collapseLimit  = 2
 	renewPeriod    = time.Second
-	settleTimeout  = 20 * time.Second
+	settleTimeout  = 30 * time.Second
 	maxIdleCallers = 1024
 	anyPort        = "127.0.0.1:0"
 	// entryTries is how many entries a caller tries that it can't connect to.
@@ -79,7 +79,9 @@
 	if err == nil && w.fleet != nil {
 		settle, cancel := context.WithTimeout(ctx, settleTimeout)
 		defer cancel()
-		err = w.fleet.SettleAll(settle)
+		if err = w.fleet.SettleAll(settle); err == nil {
+			err = w.settleKeys(settle)
+		}
 	}
 	if err != nil {
 		return nil, errors.CombineErrors(err, w.close())
