--- a/core/kqledger/kqledger_test.go
+++ b/core/kqledger/kqledger_test.go
@@ -1,6 +1,9 @@
 package kqledger_test
 
 import (
+	"runtime"
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -135,3 +138,30 @@
 		}
 	}
 }
+
+// BenchmarkMemory gives the bytes of a key that was run, without and with its
+// answer.
+func BenchmarkMemory(b *testing.B) {
+	limits := kqledger.DefaultLimits()
+	limits.Records, limits.AnswerBytes = 1<<20, 1<<30
+	for name, answer := range map[string][]byte{"record": nil, "answer-1000": make([]byte, 1000)} {
+		b.Run(name, func(b *testing.B) {
+			const keys = 1 << 16
+			for range b.N {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				ledger := kqledger.New(limits)
+				for i := range keys {
+					key := kqledger.HashKey(strconv.Itoa(i))
+					ledger.Begin(time.Duration(i), key, 1)
+					ledger.Finish(time.Duration(i), key, kqcall.Ran(), slices.Clone(answer))
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/keys, "B/key")
+				runtime.KeepAlive(ledger)
+			}
+		})
+	}
+}
--- a/io/kqnode/keyed_test.go
+++ b/io/kqnode/keyed_test.go
@@ -18,7 +18,7 @@
 const pollPeriod = 5 * time.Millisecond
 
 // eventually waits until the condition holds.
-func eventually(ctx context.Context, t *testing.T, what string, condition func() bool) {
+func eventually(ctx context.Context, t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	for !condition() {
 		select {
@@ -36,7 +36,7 @@
 	orders  []*kqfleet.Member
 }
 
-func startKeyFleet(ctx context.Context, t *testing.T, nodes int, backend kqbackend.Settings) *keyFleet {
+func startKeyFleet(ctx context.Context, t testing.TB, nodes int, backend kqbackend.Settings) *keyFleet {
 	t.Helper()
 	fleet, err := kqfleet.New()
 	if err != nil {
@@ -73,7 +73,7 @@
 }
 
 // settleKeys waits until that many nodes hold buckets, in the eyes of all.
-func (f *keyFleet) settleKeys(ctx context.Context, t *testing.T, nodes int) {
+func (f *keyFleet) settleKeys(ctx context.Context, t testing.TB, nodes int) {
 	t.Helper()
 	eventually(ctx, t, "buckets are spread", func() bool {
 		for _, m := range f.entries {
