--- a/core/kqadmit/tuning.go
+++ b/core/kqadmit/tuning.go
@@ -67,7 +67,7 @@
 func DefaultTuning() Tuning {
 	return Tuning{
 		Window: 50 * time.Millisecond, MinStarts: 10, Extension: 150 * time.Millisecond, Spans: 4, Headroom: 1.1, Doubt: 1, RelaxParts: 2, MostlyFree: 0.4, ToldDelay: 100 * time.Millisecond,
-		MinQueue: 4, QueuePart: 1, MinSojourn: 50 * time.Millisecond, SojournHolds: 2, HoldWeight: 0.1,
+		MinQueue: 8, QueuePart: 1, MinSojourn: 50 * time.Millisecond, SojournHolds: 2, HoldWeight: 0.1,
 		Samples: 32, SampleAge: 500 * time.Millisecond, MinSamples: 4, NeedQuantile: 0.8,
 		TrialPeriod: 50 * time.Millisecond,
 	}
--- a/core/kqlimit/kqlimit.go
+++ b/core/kqlimit/kqlimit.go
@@ -84,7 +84,7 @@
 // DefaultTuning is what gates use.
 func DefaultTuning() Tuning {
 	return Tuning{
-		Memory: 8, Window: 8, LowPart: 0.8, HighPart: 0.9, Contrast: 8,
+		Memory: 8, Window: 8, LowPart: 0.85, HighPart: 0.9, Contrast: 8,
 		Aim: 1.15, LowerAbove: 1.22, LowerErrors: 1.5, GrowBelow: 1.1, GrowErrors: 0.5, Patience: 4, Settle: 1, Change: 2, FirstGrowth: 0.05, MaxGrowth: 0.6,
 		ShedFactor: 0.9, ShedPause: 200 * time.Millisecond,
 	}
