Test silent links and doubts through whole nodes

Change: a call on a link that goes silent between two nodes is run again elsewhere when it may be, and is in doubt and run once when it may not. A later refusal does not clear up a doubt. The refusal test sends 10 calls, so that the brake's burst suffices however slow the machine is; it goes on until a call was refused.

--- a/io/kqnode/chain_test.go
+++ b/io/kqnode/chain_test.go
@@ -20,7 +20,8 @@
 
 // chain is an entry and services that each call the next one.
 type chain struct {
-	entry *kqfleet.Member
+	entry   *kqfleet.Member
+	network *kqfleet.Network
 	// hops lists the upstreams of each service, from the first.
 	hops [][]*kqfleet.Member
 }
@@ -43,7 +44,7 @@
 	if err := fleet.Configure(ctx, testClasses()); err != nil {
 		t.Fatal(err)
 	}
-	c := &chain{entry: addNode(t, fleet, "entry-1", "lothian")}
+	c := &chain{entry: addNode(t, fleet, "entry-1", "lothian"), network: fleet.Network}
 	for i := range depth {
 		settings := kqbackend.Settings{Slots: 8}
 		if i == depth-1 {
@@ -149,7 +150,8 @@
 func TestRefusedCallGoesElsewhere(t *testing.T) {
 	c, _ := startChain(t, 1, kqbackend.Settings{Slots: 8})
 	c.hops[0][0].Backend.SetFaults(kqbackend.Faults{Refuse: true})
-	for range 40 {
+	refused := func() int { return len(c.hops[0][0].Backend.Sheds()) }
+	for i := 0; i < 10 || refused() == 0; i++ {
 		response := call(t, c.entry.Node.CallerAddress(), func(r *fasthttp.Request) {
 			r.Header.Set(kqwire.HeaderService, "service-0")
 			r.Header.Set(kqwire.HeaderClass, "browse")
@@ -158,8 +160,52 @@
 			t.Fatalf("outcome: got %q, want %q", got, want)
 		}
 	}
-	if got := len(c.hops[0][0].Backend.Sheds()); got == 0 {
-		t.Error("no call was refused, so that the test proves nothing")
+}
+
+// TestSilentLinkEndsCallsTruthfully silences the links of the entry while calls
+// run: one that may be repeated is run again elsewhere, and one that runs once
+// is in doubt and was run once.
+func TestSilentLinkEndsCallsTruthfully(t *testing.T) {
+	for class, want := range map[string]struct {
+		outcome string
+		runs    int
+	}{"browse": {"ran Done", 2}, "purchase": {"unknown LinkSilent", 1}} {
+		t.Run(class, func(t *testing.T) {
+			c, ctx := startChain(t, 1, kqbackend.Settings{Slots: 8})
+			for _, m := range c.hops[0] {
+				m.Backend.SetFaults(kqbackend.Faults{Stall: true})
+			}
+			answer := make(chan string, 1)
+			go func() {
+				response := call(t, c.entry.Node.CallerAddress(), func(r *fasthttp.Request) {
+					r.Header.Set(kqwire.HeaderService, "service-0")
+					r.Header.Set(kqwire.HeaderClass, class)
+				})
+				answer <- outcome(response)
+			}()
+			waitFor(ctx, t, "the call runs", func() bool { return len(c.deepest()) == 1 })
+			for _, m := range c.hops[0] {
+				if len(m.Backend.Runs()) == 0 {
+					m.Backend.SetFaults(kqbackend.Faults{})
+					continue
+				}
+				if got := c.network.Silence("entry-1", m.Place.NodeID); got == 0 {
+					t.Error("no flow was silenced, so that the test proves nothing")
+				}
+			}
+			if got := <-answer; got != want.outcome {
+				t.Errorf("outcome: got %q, want %q", got, want.outcome)
+			}
+			if got := len(c.deepest()); got != want.runs {
+				t.Errorf("runs: got %d, want %d", got, want.runs)
+			}
+			if c.network.Swallowed() == 0 {
+				t.Error("nothing was swallowed, so that the test proves nothing")
+			}
+			for _, m := range c.hops[0] {
+				m.Backend.SetFaults(kqbackend.Faults{})
+			}
+		})
 	}
 }
 
@@ -200,7 +246,7 @@
 	for class, want := range map[string]bool{"browse": true, "purchase": false} {
 		t.Run(class, func(t *testing.T) {
 			c, ctx := startChain(t, 1, kqbackend.Settings{Slots: 8, ServiceTime: longWork})
-			lossy := newLossyBackend(ctx, t, c)
+			lossy := newLossyBackend(ctx, t, c.hops[0])
 			response := call(t, c.entry.Node.CallerAddress(), func(r *fasthttp.Request) {
 				r.Header.Set(kqwire.HeaderService, "service-0")
 				r.Header.Set(kqwire.HeaderClass, class)
@@ -215,14 +261,36 @@
 	}
 }
 
+// TestLaterRefusalDoesNotClearADoubt has one upstream lose the call and the
+// other refuse it, in whichever order the entry tries them.
+func TestLaterRefusalDoesNotClearADoubt(t *testing.T) {
+	c, ctx := startChain(t, 1, kqbackend.Settings{Slots: 8})
+	lossy := newLossyBackend(ctx, t, c.hops[0][:1])
+	c.hops[0][1].Backend.SetFaults(kqbackend.Faults{Refuse: true})
+	lost := int64(0)
+	for range 8 {
+		response := call(t, c.entry.Node.CallerAddress(), func(r *fasthttp.Request) {
+			r.Header.Set(kqwire.HeaderService, "service-0")
+			r.Header.Set(kqwire.HeaderClass, "browse")
+		})
+		now := lossy.runs.Load()
+		if got, want := outcome(response), "unknown BackendLost"; now > lost && got != want {
+			t.Errorf("outcome of a call that was lost: got %q, want %q", got, want)
+		}
+		lost = now
+	}
+	if lost == 0 {
+		t.Error("no call was lost, so that the test proves nothing")
+	}
+}
+
 // lossyBackend reads calls and closes their connections without an answer.
 type lossyBackend struct {
 	runs atomic.Int64
 }
 
-// newLossyBackend takes the place of all backend servers of the chain's first
-// hop.
-func newLossyBackend(ctx context.Context, t *testing.T, c *chain) *lossyBackend {
+// newLossyBackend takes the place of the backend servers beside the nodes.
+func newLossyBackend(ctx context.Context, t *testing.T, members []*kqfleet.Member) *lossyBackend {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -243,7 +311,7 @@
 		}
 	}()
 	address := l.Addr().String()
-	for _, m := range c.hops[0] {
+	for _, m := range members {
 		response := call(t, m.Node.BackendAddress(), func(r *fasthttp.Request) {
 			r.Header.SetMethod(fasthttp.MethodPut)
 			r.SetRequestURI(kqwire.PathAnnounce)
