Test that a lost run stops the onward calls that it left behind

Cause: breaking the run's own context by hand was caught by no test. Change: a backend server that loses its call while its onward call is held open; the deepest runs must stop. The same break is still not caught: the call's own context at the gate ends a moment later and stops the onward calls as well. The run's context matters alone only when entry and gate are one node and the call is tried again. Conclusion: the behaviour is guarded, the second layer by itself is not.

--- a/io/kqnode/chain_test.go
+++ b/io/kqnode/chain_test.go
@@ -284,6 +284,49 @@
 	}
 }
 
+// TestLostRunStopsItsOnwardCalls has the backend server of the first hop lose
+// its call while the onward call that it made is still held open.
+func TestLostRunStopsItsOnwardCalls(t *testing.T) {
+	c, ctx := startChain(t, 2, kqbackend.Settings{Slots: 8, ServiceTime: longWork})
+	for _, m := range c.hops[0] {
+		replaceBackend(ctx, t, m, func(connection net.Conn) {
+			var request fasthttp.Request
+			if request.Read(bufio.NewReader(connection)) != nil {
+				return
+			}
+			onward, err := net.Dial("tcp", m.Node.BackendAddress())
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = onward.Close() })
+			token := string(request.Header.Peek(kqwire.HeaderContext))
+			head := text("GET /list", kqwire.HeaderService+": service-1", kqwire.HeaderContext+": "+token)
+			before := len(c.deepest())
+			if _, err := onward.Write([]byte(head)); err == nil {
+				waitFor(ctx, t, "the onward call runs", func() bool { return len(c.deepest()) > before })
+			}
+		})
+	}
+	response := call(t, c.entry.Node.CallerAddress(), func(r *fasthttp.Request) {
+		r.Header.Set(kqwire.HeaderService, "service-0")
+		r.Header.Set(kqwire.HeaderClass, "browse")
+	})
+	if got, want := outcome(response), "unknown BackendLost"; got != want {
+		t.Errorf("outcome: got %q, want %q", got, want)
+	}
+	if len(c.deepest()) == 0 {
+		t.Error("no onward call ran, so that the test proves nothing")
+	}
+	waitFor(ctx, t, "all onward calls stop", func() bool {
+		for _, r := range c.deepest() {
+			if r.Ended.IsZero() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // lossyBackend reads calls and closes their connections without an answer.
 type lossyBackend struct {
 	runs atomic.Int64
@@ -291,40 +334,51 @@
 
 // newLossyBackend takes the place of the backend servers beside the nodes.
 func newLossyBackend(ctx context.Context, t *testing.T, members []*kqfleet.Member) *lossyBackend {
+	t.Helper()
+	b := &lossyBackend{}
+	for _, m := range members {
+		replaceBackend(ctx, t, m, func(connection net.Conn) {
+			if _, err := bufio.NewReader(connection).ReadString('\n'); err == nil {
+				b.runs.Add(1)
+			}
+		})
+	}
+	return b
+}
+
+// replaceBackend announces a backend server to the node that treats each
+// connection as take does, and then closes it.
+func replaceBackend(ctx context.Context, t *testing.T, m *kqfleet.Member, take func(net.Conn)) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	b := &lossyBackend{}
 	go func() {
 		for {
 			connection, err := l.Accept()
 			if err != nil {
 				return
 			}
-			if _, err := bufio.NewReader(connection).ReadString('\n'); err == nil {
-				b.runs.Add(1)
-			}
-			_ = connection.Close()
+			go func() {
+				take(connection)
+				_ = connection.Close()
+			}()
 		}
 	}()
 	address := l.Addr().String()
-	for _, m := range members {
-		response := call(t, m.Node.BackendAddress(), func(r *fasthttp.Request) {
-			r.Header.SetMethod(fasthttp.MethodPut)
-			r.SetRequestURI(kqwire.PathAnnounce)
-			r.Header.SetHost(m.Node.BackendAddress())
-			r.SetBodyString(`{"Service": "service-0", "Address": "` + address + `", "Slots": 8, "State": "Ready"}`)
-		})
-		if got, want := response.StatusCode(), fasthttp.StatusOK; got != want {
-			t.Fatalf("announce: got %d, want %d", got, want)
-		}
-		err := m.Node.WaitFor(ctx, func(s *kqnode.State) bool { return s.Backend.Announcement.Address == address })
-		if err != nil {
-			t.Fatal(err)
-		}
+	response := call(t, m.Node.BackendAddress(), func(r *fasthttp.Request) {
+		r.Header.SetMethod(fasthttp.MethodPut)
+		r.SetRequestURI(kqwire.PathAnnounce)
+		r.Header.SetHost(m.Node.BackendAddress())
+		r.SetBodyString(`{"Service": "service-0", "Address": "` + address + `", "Slots": 8, "State": "Ready"}`)
+	})
+	if got, want := response.StatusCode(), fasthttp.StatusOK; got != want {
+		t.Fatalf("announce: got %d, want %d", got, want)
+	}
+	err = m.Node.WaitFor(ctx, func(s *kqnode.State) bool { return s.Backend.Announcement.Address == address })
+	if err != nil {
+		t.Fatal(err)
 	}
-	return b
 }
