Answer control messages while the pool for calls is full

Cause: pings waited for the same pool as calls, so that a node with a full pool would have looked dead to its neighbours and been taken out of routing, in the very overload it is there for. Change: while the pool is full, up to 64 streams are read beside it, and only control messages are served.

--- a/io/kqlink/kqlink.go
+++ b/io/kqlink/kqlink.go
@@ -50,6 +50,9 @@
 	handshakeTimeout  = 2 * time.Second
 	idleTimeout       = 30 * time.Second
 	maxStreamsPerLink = 4096
+	// spareMessages and spareTimeout bound what is served beside a full pool.
+	spareMessages = 64
+	spareTimeout  = 2 * time.Second
 )
 
 func quicConfig() *quic.Config {
--- a/io/kqlink/server.go
+++ b/io/kqlink/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/quic-go/quic-go"
@@ -28,6 +29,8 @@
 	cancel   context.CancelFunc
 	// closeSocket closes the socket below the listener.
 	closeSocket func()
+	// spare bounds the control messages that are served beside the pool.
+	spare chan struct{}
 }
 
 // Listen starts a server at a UDP address.
@@ -37,7 +40,7 @@
 		return nil, errors.Wrapf(err, "listen for peers at %s", address)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Server{listener: listener, handlers: handlers, cancel: cancel, closeSocket: closeSocket}
+	s := &Server{listener: listener, handlers: handlers, cancel: cancel, closeSocket: closeSocket, spare: make(chan struct{}, spareMessages)}
 	go s.acceptLinks(ctx)
 	return s, nil
 }
@@ -80,11 +83,35 @@
 			return
 		}
 		if err := s.handlers.Submit(func() { s.serve(stream, peer) }); err != nil {
-			refuse(stream, codeRefused)
+			s.serveSpare(stream, peer)
 		}
 	}
 }
 
+// serveSpare takes control messages, and nothing else, while the pool for
+// calls is full: a node under load must not look dead to its neighbours.
+func (s *Server) serveSpare(stream *quic.Stream, peer string) {
+	select {
+	case s.spare <- struct{}{}:
+	default:
+		refuse(stream, codeRefused)
+		return
+	}
+	go func() {
+		defer func() { <-s.spare }()
+		var kind [1]byte
+		err := stream.SetReadDeadline(time.Now().Add(spareTimeout))
+		if err == nil {
+			_, err = io.ReadFull(stream, kind[:])
+		}
+		if err != nil || streamKind(kind[0]) != kindMessage {
+			refuse(stream, codeRefused)
+			return
+		}
+		s.serveMessage(stream, peer)
+	}()
+}
+
 // peerName is the name that the peer's certificate was issued to.
 func peerName(c *quic.Conn) string {
 	certificates := c.ConnectionState().TLS.PeerCertificates
