--- a/core/kqspread/kqspread.go
+++ b/core/kqspread/kqspread.go
@@ -52,7 +52,7 @@
 	joinPeriod = time.Second
 	// joinPatience is after how long without any answer a node counts itself
 	// as the first.
-	joinPatience = 5 * time.Second
+	joinPatience = 2 * time.Second
 	// contactPeriod is how often an address that no known node has is tried.
 	contactPeriod = 10 * time.Second
 	// contactRest is how long an address that answered is left alone.
