--- a/io/kqlink/kqlink.go
+++ b/io/kqlink/kqlink.go
@@ -58,6 +58,9 @@
 	redialPause        = 500 * time.Millisecond
 	maxRedialDoublings = 4
 	maxStreamsPerLink  = 4096
+	// spareMessages and spareTimeout bound what is served beside a full pool.
+	spareMessages = 64
+	spareTimeout  = 2 * time.Second
 )
 
 func quicConfig() *quic.Config {
