--- a/io/kqnode/keyed_test.go
+++ b/io/kqnode/keyed_test.go
@@ -178,3 +178,26 @@
 		}
 	}
 }
+
+func TestExplainFindsTheDecisionsOfOneRequest(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
+	defer cancel()
+	f := startKeyFleet(ctx, t, 3, kqbackend.Settings{})
+	for _, id := range []string{"request-1", "request-2"} {
+		call(t, f.entries[0].Node.CallerAddress(), func(r *fasthttp.Request) {
+			buy(id, "")(r)
+			r.Header.Set(kqwire.HeaderRequestID, id)
+		})
+	}
+	counts := map[string]int{}
+	for _, m := range append(f.entries, f.orders...) {
+		for _, d := range m.Node.Explain("request-1").Decisions {
+			counts[d.Decision.Decision]++
+		}
+	}
+	for name, want := range map[string]int{"Home": 1, "Route": 1, "Admit": 1, "Answer": 1} {
+		if got := counts[name]; got != want {
+			t.Errorf("%s decisions: got %d, want %d", name, got, want)
+		}
+	}
+}
