--- a/io/kqmeasure/account.go
+++ b/io/kqmeasure/account.go
@@ -86,6 +86,7 @@
 	r.AddedLatencyMicros = percentiles(t.probes, func(p probe) time.Duration { return p.via - p.direct })
 	r.DirectMicros = percentiles(t.probes, func(p probe) time.Duration { return p.direct })
 	r.Classes = t.classes()
+	r.SendLagMillis, r.CoresUsed = t.sendLag(), rounded(t.cores)
 	r.timeline = t.timeline()
 	return r
 }
@@ -139,6 +140,20 @@
 	return all
 }
 
+// sendLag is how much later than intended callers sent.
+func (t *trial) sendLag() Percentiles {
+	lags := hdrhistogram.New(1, maxLatency.Microseconds(), latencyDigits)
+	for _, q := range t.counted() {
+		if len(q.Attempts) > 0 {
+			_ = lags.RecordValue(max(q.Attempts[0].At-q.At, 0).Microseconds())
+		}
+	}
+	return Percentiles{
+		P50: float64(lags.ValueAtPercentile(medianPercentile)) / microsPerMilli,
+		P99: float64(lags.ValueAtPercentile(tailPercentile)) / microsPerMilli,
+	}
+}
+
 func (t *trial) classes() []ClassReport {
 	var reports []ClassReport
 	for _, k := range t.profile.byImportance() {
--- a/io/kqmeasure/check.go
+++ b/io/kqmeasure/check.go
@@ -12,6 +12,9 @@
 	wantRecoverySeconds = 1
 	wantWastedRatio     = 0.05
 	wantAddedMicros     = 420
+	// wantLagMillis is how late the last hundredth of callers may send before
+	// the machine and not the nodes is what is measured.
+	wantLagMillis = 20
 )
 
 // pressed are the scenarios that are judged by capacity and recovery.
@@ -29,6 +32,7 @@
 			misses = append(misses, fmt.Sprintf("%s seed %d: ", r.Scenario, r.Seed)+fmt.Sprintf(format, values...))
 		}
 	}
+	miss(run.SendLagMillis.P99 > wantLagMillis, "VOID, the machine was too busy: callers sent %.1f ms late, want at most %d", run.SendLagMillis.P99, wantLagMillis)
 	for _, c := range []struct {
 		name  string
 		count int
--- a/io/kqmeasure/kqmeasure.go
+++ b/io/kqmeasure/kqmeasure.go
@@ -18,6 +18,7 @@
 import (
 	"context"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -100,7 +101,7 @@
 // trial carries out the scenario and gathers what happened.
 func (w *world) trial(ctx context.Context, scenario Scenario, seed uint64) (*trial, error) {
 	schedule := newSchedule(w.profile, scenario, seed)
-	begun := time.Now()
+	begun, busy := time.Now(), processorTime()
 	faults := newInjector(w, scenario, seed)
 	faultsDone := make(chan struct{})
 	go func() {
@@ -110,11 +111,12 @@
 	probes := make(chan []probe, 1)
 	go func() { probes <- w.probe(ctx, scenario, begun) }()
 	roots := w.load(ctx, schedule, scenario, begun)
+	cores := (processorTime() - busy).Seconds() / time.Since(begun).Seconds()
 	<-faultsDone
 	if err := ctx.Err(); err != nil {
 		return nil, errors.Wrap(err, "stopped")
 	}
-	t := &trial{profile: w.profile, scenario: scenario, begun: begun, roots: roots, probes: <-probes}
+	t := &trial{profile: w.profile, scenario: scenario, begun: begun, roots: roots, probes: <-probes, cores: cores}
 	t.leaving, t.injected = faults.leaving, faults.injected()
 	t.retried = w.log.counts()
 	for _, b := range w.backends {
@@ -122,3 +124,12 @@
 	}
 	return t, nil
 }
+
+// processorTime is what this process has taken so far.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
