--- a/io/kqmeasure/account.go
+++ b/io/kqmeasure/account.go
@@ -46,6 +46,8 @@
 	// retried counts the retries of each request by the nodes' logs.
 	retried map[string]int
 	probes  []probe
+	// cores is the mean number of cores that the trial took.
+	cores float64
 }
 
 // add takes in a backend server's record.
--- a/io/kqmeasure/report.go
+++ b/io/kqmeasure/report.go
@@ -69,6 +69,11 @@
 	// DirectMicros is what the direct calls of those pairs took.
 	DirectMicros Percentiles
 	Classes      []ClassReport
+	// SendLagMillis is how much later than intended callers sent, and
+	// CoresUsed how many cores the trial took while callers sent. When either
+	// says that the machine was the limit, the other figures mean nothing.
+	SendLagMillis Percentiles
+	CoresUsed     float64
 	// FaultsInjected counts the traces that the faults left.
 	FaultsInjected int64
 	// Causes counts the causes of final answers that did not complete.
