--- a/io/kqmeasure/settle.go
+++ b/io/kqmeasure/settle.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,19 +25,22 @@
 // completes: a fresh fleet first agrees on which node is the home of which key.
 func (w *world) settleKeys(ctx context.Context) error {
 	for round := 0; ; round++ {
-		if w.settleRound(ctx, round) {
+		causes := w.settleRound(ctx, round)
+		if len(causes) == 0 {
 			return nil
 		}
 		if !pause(ctx, settlePause) {
-			return errors.Wrap(ctx.Err(), "settle keys")
+			return errors.Wrapf(ctx.Err(), "settle keys, round %d ended with %v", round, causes)
 		}
 	}
 }
 
-// settleRound sends one round and says whether every request completed.
-func (w *world) settleRound(ctx context.Context, round int) bool {
+// settleRound sends one round and counts the causes of requests that did not
+// complete.
+func (w *world) settleRound(ctx context.Context, round int) map[string]int {
 	var callers sync.WaitGroup
-	var failed atomic.Int64
+	var mutex sync.Mutex
+	causes := map[string]int{}
 	for _, k := range w.profile.Kinds {
 		for i := range settleRequests {
 			if !k.Key {
@@ -46,24 +48,27 @@
 			}
 			id := settlePrefix + strconv.Itoa(round) + "x" + strconv.Itoa(i)
 			callers.Go(func() {
-				if !w.settleOne(ctx, k, id, w.profile.Regions[i%len(w.profile.Regions)]) {
-					failed.Add(1)
+				a := w.settleOne(ctx, k, id, w.profile.Regions[i%len(w.profile.Regions)])
+				if a.Err == nil && a.Status == fasthttp.StatusOK {
+					return
 				}
+				mutex.Lock()
+				defer mutex.Unlock()
+				causes[a.Outcome+" "+a.Cause]++
 			})
 		}
 	}
 	callers.Wait()
-	return failed.Load() == 0
+	return causes
 }
 
-func (w *world) settleOne(ctx context.Context, k Kind, id, region string) bool {
+func (w *world) settleOne(ctx context.Context, k Kind, id, region string) kqbackend.Answer {
 	ctx, cancel := context.WithTimeout(ctx, w.profile.within(k.Name)+callerGrace)
 	defer cancel()
 	c := kqbackend.Call{
 		Service: k.Plan.Service, Class: k.Name, RequestID: id, Key: id,
 		Path: kqbackend.Position{Kind: k.Name, CallID: id}.Path(),
 	}
-	random := rand.New(rand.NewPCG(w.seed, uint64(len(id))))
-	answer, _ := w.send(ctx, region, c, random)
-	return answer.Err == nil && answer.Status == fasthttp.StatusOK
+	answer, _ := w.send(ctx, region, c, rand.New(rand.NewPCG(w.seed, uint64(len(id)))))
+	return answer
 }
