--- a/io/kqlink/kqlink.go
+++ b/io/kqlink/kqlink.go
@@ -27,8 +27,12 @@
 	ErrNotSent = errors.New("call was not sent")
 	// ErrLost marks errors after which the peer may have run the call.
 	ErrLost = errors.New("answer was lost")
+	// ErrSilent marks lost answers of a link that had stopped passing bytes.
+	ErrSilent = errors.New("link went silent")
 	// ErrFrame marks malformed or oversized frames.
 	ErrFrame = errors.New("malformed frame")
+	// ErrAnotherNode marks links that lead to another node than was meant.
+	ErrAnotherNode = errors.New("another node answers at the address")
 	// ErrRefused marks calls that the peer refused to read at all.
 	ErrRefused = errors.New("peer refused the stream")
 )
@@ -44,10 +48,16 @@
 // Settings of all links.
 const (
 	// MaxBodyBytes bounds a call's and an answer's body.
-	MaxBodyBytes      = 16 << 20
-	handshakeTimeout  = 2 * time.Second
-	idleTimeout       = 30 * time.Second
-	maxStreamsPerLink = 4096
+	MaxBodyBytes     = 16 << 20
+	handshakeTimeout = 2 * time.Second
+	idleTimeout      = 30 * time.Second
+	// linkPatience is how long a call waits for a link that is being opened.
+	linkPatience = 500 * time.Millisecond
+	// redialPause lies between two tries to reach a peer. It doubles with each
+	// failure, up to maxRedialDoublings times.
+	redialPause        = 500 * time.Millisecond
+	maxRedialDoublings = 4
+	maxStreamsPerLink  = 4096
 )
 
 func quicConfig() *quic.Config {
--- a/io/kqnode/entry.go
+++ b/io/kqnode/entry.go
@@ -11,6 +11,7 @@
 	"kumquatlink/core/kqcall"
 	"kumquatlink/core/kqclass"
 	"kumquatlink/core/kqretry"
+	"kumquatlink/io/kqhttp"
 	"kumquatlink/io/kqlog"
 	"kumquatlink/io/kqwire"
 )
@@ -22,9 +23,17 @@
 func (n *Node) handleCaller(c *fasthttp.RequestCtx) {
 	q := readCall(c)
 	q.head.RequestID = string(c.Request.Header.Peek(kqwire.HeaderRequestID))
-	if q.head.RequestID == "" {
+	q.named = q.head.RequestID != ""
+	if !q.named {
 		q.head.RequestID = newID()
 	}
+	leave, open := n.work.enter()
+	defer leave()
+	if !open {
+		c.SetConnectionClose()
+		n.serve(c, q, kqcall.CauseDraining)
+		return
+	}
 	cause := n.classify(q, string(c.Request.Header.Peek(kqwire.HeaderClass)), string(c.Request.Header.Peek(kqwire.HeaderBudget)))
 	n.serve(c, q, cause)
 }
@@ -132,32 +141,55 @@
 func (n *Node) serve(c *fasthttp.RequestCtx, q *call, cause kqcall.Cause) {
 	begun := n.now()
 	r := refused(cause)
-	if cause == "" {
-		done := make(chan *result, 1)
-		if err := n.pool.Submit(func() { done <- n.dispatch(q) }); err != nil {
-			r = refused(kqcall.CausePoolFull)
-		} else {
-			r = <-done
-		}
+	switch {
+	case cause != "":
+	case q.named && q.head.Repeatable && q.head.Key == "":
+		r = n.runShared(c, q)
+	default:
+		r = n.runOnPool(c, q)
 	}
-	n.log.Decide(kqlog.Decision{
+	if q.parent != nil && r.end.Outcome != kqcall.OutcomeNotRun {
+		q.parent.onward.mark()
+	}
+	n.decide(kqlog.Decision{
 		RequestID: q.head.RequestID, Class: q.head.Class, Service: q.head.Service, Decision: "Answer",
 		Cause: string(r.end.Cause), Outcome: string(r.end.Outcome), Took: n.now().Sub(begun),
 	})
+	if q.named && r.end.Outcome != kqcall.OutcomeRan {
+		n.failed.Add(q.head.RequestID, n.now())
+	}
 	writeResult(c, q.head.RequestID, r)
 }
 
-// dispatch routes a call within its budget.
-func (n *Node) dispatch(q *call) *result {
-	if r := n.shed.refuses(q); r != nil {
-		return r
-	}
+// runOnPool runs a call on the pool until it ends or its caller has gone,
+// which cancels it.
+func (n *Node) runOnPool(c *fasthttp.RequestCtx, q *call) *result {
 	parent := context.Background()
 	if q.parent != nil {
 		parent = q.parent.ctx
 	}
-	ctx, cancel := withBudget(parent, q.head)
+	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
+	defer kqhttp.OnGone(c.Conn(), cancel)()
+	done := make(chan *result, 1)
+	if err := n.pool.Submit(func() { done <- n.dispatch(ctx, q) }); err != nil {
+		return refused(kqcall.CausePoolFull)
+	}
+	return <-done
+}
+
+// dispatch routes a call within its budget.
+func (n *Node) dispatch(ctx context.Context, q *call) *result {
+	q.resent = q.resent || (q.named && n.failed.Has(q.head.RequestID, n.now()))
+	n.router.countTry(q)
+	if r := n.shed.refuses(q); r != nil {
+		return r
+	}
+	ctx, cancel := withBudget(ctx, q.head)
+	defer cancel()
+	if q.keyed() {
+		return n.keys.dispatch(ctx, q)
+	}
 	return n.router.route(ctx, q)
 }
 
