--- a/io/kqmeasure/capacity.go
+++ b/io/kqmeasure/capacity.go
@@ -36,7 +36,7 @@
 		if s.Name == p.Deep && slow > 0 {
 			times[s.Name] = time.Duration(float64(s.Time) * slow)
 		}
-		left[s.Name] = float64(s.Slots * upstreamsPerService)
+		left[s.Name] = float64(s.Slots * p.Upstreams)
 	}
 	carried := map[string]float64{}
 	for _, k := range p.byImportance() {
@@ -71,7 +71,7 @@
 	}
 	rate := 0.0
 	for _, s := range p.Services {
-		r := float64(s.Slots*upstreamsPerService) / holds[s.Name]
+		r := float64(s.Slots*p.Upstreams) / holds[s.Name]
 		if rate == 0 || r < rate {
 			rate = r
 		}
--- a/io/kqmeasure/kqmeasure.go
+++ b/io/kqmeasure/kqmeasure.go
@@ -50,6 +50,9 @@
 	Shorten int
 	// Load multiplies the number of callers; 0 means 1.
 	Load float64
+	// Upstreams is the number of upstreams of each service; 0 means that of
+	// the profile.
+	Upstreams int
 }
 
 // Measure carries out one scenario under each policy, one after the other.
@@ -62,6 +65,9 @@
 	if !found {
 		return nil, errors.Mark(errors.Newf("profile %q: want one of %v", o.Profile, ProfileNames()), ErrInput)
 	}
+	if o.Upstreams > 0 {
+		profile.Upstreams = o.Upstreams
+	}
 	scenario = scenario.shortened(max(o.Shorten, 1))
 	if o.Load > 0 {
 		scenario.Load *= o.Load
--- a/io/kqmeasure/profile.go
+++ b/io/kqmeasure/profile.go
@@ -39,6 +39,8 @@
 	Name     string
 	Regions  []string
 	Services []Service
+	// Upstreams is the number of upstreams of each service.
+	Upstreams int
 	// Deep is the service that is slowed.
 	Deep    string
 	Classes []kqclass.Class
@@ -67,8 +69,9 @@
 
 var profiles = []Profile{
 	{
-		Name:    "bluebonnet",
-		Regions: []string{"tx-central", "us-east", "us-west"},
+		Name:      "bluebonnet",
+		Regions:   []string{"tx-central", "us-east", "us-west"},
+		Upstreams: upstreamsPerService,
 		Services: []Service{
 			{"catalog", 36, 264, wideTime},
 			{"orders", 36, 264, wideTime},
@@ -88,8 +91,9 @@
 		},
 	},
 	{
-		Name:    "lochforth",
-		Regions: []string{"lothian", "clyde", "grampian"},
+		Name:      "lochforth",
+		Regions:   []string{"lothian", "clyde", "grampian"},
+		Upstreams: upstreamsPerService,
 		Services: []Service{
 			{"batchdesk", 36, 264, wideTime},
 			{"claimhouse", 36, 264, wideTime},
