Show the gate in status and raise TargetMissed with the class that pays

Cause: an operator could not see what a gate does, nor be told that targets can't all be met.

Change: Status.Gate holds limit, queue, cut, counts by class and cause, and the judgement of the last half to whole minute; status prints the alarm.

Measured: the gate's test raises it under load and finds it gone a minute later, in virtual time.

Conclusion: one gate at a time; the fleet's sum is not built.

--- a/io/kqcli/status.go
+++ b/io/kqcli/status.go
@@ -58,6 +58,11 @@
 	if s.Refusals.Faulty > 0 {
 		_, _ = fmt.Fprintf(w, "ALARM ConfigurationFaulty: %s (docs/operators/store.md)\n", s.Refusals.LastFault)
 	}
+	for _, v := range s.Gate.Targets {
+		if !v.Met {
+			_, _ = fmt.Fprintf(w, "ALARM TargetMissed: class %s at this gate: %s (docs/operators/classes.md)\n", v.Name, v.Reason)
+		}
+	}
 	if s.LogDropped > 0 {
 		_, _ = fmt.Fprintf(w, "ALARM LogDropped: %d log lines were lost (docs/operators/logs.md)\n", s.LogDropped)
 	}
--- a/io/kqnode/gate.go
+++ b/io/kqnode/gate.go
@@ -26,6 +26,7 @@
 	nextID  uint64
 	waiting map[uint64]chan kqadmit.Verdict
 	counts  map[string]*ClassCounts
+	recent  recentCounts
 }
 
 func newGate(n *Node) *gate {
--- a/io/kqnode/gate_test.go
+++ b/io/kqnode/gate_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"kumquatlink/core/kqcall"
+	"kumquatlink/core/kqclass"
 	"kumquatlink/core/kqmember"
 	"kumquatlink/io/kqhttp"
 	"kumquatlink/io/kqsettings"
@@ -139,17 +140,31 @@
 		if got := time.Since(begun); got != 0 {
 			t.Errorf("time until refused: got %s, want none", got)
 		}
+		n.state.Store(judgedState(n))
+		if got := n.GateStatus().Targets; len(got) != 1 || got[0].Met || !got[0].Pays {
+			t.Errorf("targets: got %+v, want the one class to pay", got)
+		}
 		if got, want := refused, 10; got < want {
 			t.Errorf("refused: got %d, want at least %d", got, want)
 		}
 		time.Sleep(time.Minute)
 		s := n.GateStatus()
+		if len(s.Targets) != 0 {
+			t.Errorf("targets judged a minute later: got %+v, want none", s.Targets)
+		}
 		if s.InFlight != 0 || s.Queued != 0 || s.Classes["class-1"].Offered != 30 {
 			t.Errorf("status when all is over: got %+v, want nothing in flight and 30 offered", s)
 		}
 	})
 }
 
+// judgedState is the node's state with a class whose target is judged.
+func judgedState(n *Node) *State {
+	s := *n.State()
+	s.Classes = kqclass.NewTable(kqclass.Configuration{Classes: []kqclass.Class{{Name: "class-1", Target: kqclass.Target{Complete: 99}}}})
+	return &s
+}
+
 func TestCallerGoneLeavesTheQueueNotRun(t *testing.T) {
 	f := &fakeServer{took: 20 * time.Millisecond}
 	inBubble(t, f, func(t *testing.T, n *Node) {
--- a/io/kqnode/operator.go
+++ b/io/kqnode/operator.go
@@ -57,6 +57,8 @@
 	// as this node's view goes.
 	Watchers map[string][]string
 	Members  []kqmember.Record
+	// Gate is what the node's gate does at this moment.
+	Gate GateStatus
 	// LogDropped is how many log lines found the queue full.
 	LogDropped int64
 }
@@ -66,7 +68,7 @@
 	s := n.State()
 	status := Status{
 		InForce: n.inForce(s), Life: s.Life, Refusals: s.Refusals, Store: s.Store,
-		Watchers: kqconfig.Watchers(s.Members), Members: s.Members.Records, LogDropped: n.log.Dropped(),
+		Watchers: kqconfig.Watchers(s.Members), Members: s.Members.Records, LogDropped: n.log.Dropped(), Gate: n.GateStatus(),
 	}
 	if s.Backend != nil {
 		status.Service = s.Backend.Announcement.Service
