--- a/io/kqlink/frames.go
+++ b/io/kqlink/frames.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"kumquatlink/core/kqcall"
+	"kumquatlink/core/kqhome"
 )
 
 // Limits on what is read from a peer.
@@ -22,6 +23,7 @@
 const (
 	kindCall    streamKind = 1
 	kindMessage streamKind = 2
+	kindPing    streamKind = 3
 )
 
 // Header is one HTTP header field of a call or an answer.
@@ -36,6 +38,9 @@
 	Method  string
 	Path    string
 	Headers []Header
+	// ToHome asks the node to act as the home of the call's key, not as the
+	// gate of its backend server.
+	ToHome bool `cbor:",omitempty"`
 	// BodyLength is the exact number of body bytes; the stream ends there.
 	BodyLength int
 	// AskLoad is whether the stream only asks for the gate's load; nothing is
@@ -71,6 +76,9 @@
 	// RetriesLeft is the part of the call's retry allowance not used.
 	RetriesLeft int
 	Load        Load
+	// Token is the newest token of the key's bucket, when the node asked is not
+	// its home.
+	Token *kqhome.Token `cbor:",omitempty"`
 }
 
 var decodeMode = newDecodeMode()
@@ -99,6 +107,20 @@
 	return append(buffer, data...), nil
 }
 
+// joinLimit is the size up to which a head and a body are written at once.
+const joinLimit = 16 << 10
+
+// joinSmall gives what to write, in as few pieces as is cheap.
+func joinSmall(frame, body []byte) [][]byte {
+	if len(body) == 0 {
+		return [][]byte{frame}
+	}
+	if len(frame)+len(body) <= joinLimit {
+		return [][]byte{append(frame, body...)}
+	}
+	return [][]byte{frame, body}
+}
+
 // readFrame reads a value that appendFrame wrote.
 func readFrame(r io.Reader, limit int, value any) error {
 	var size [4]byte
--- a/io/kqmeasure/account.go
+++ b/io/kqmeasure/account.go
@@ -1,24 +1,27 @@
 package kqmeasure
 
 import (
+	"math"
+	"strings"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"kumquatlink/core/kqcall"
+	"kumquatlink/core/kqretry"
 	"kumquatlink/io/kqbackend"
 )
 
 // Constants of the account.
 const (
-	// retryBound is what the nodes promise for each sending of a request.
-	retryBound       = 2
 	leavingPatience  = 2 * time.Second
 	maxLatency       = 10 * time.Minute
 	latencyDigits    = 3
 	microsPerMilli   = 1000.0
 	medianPercentile = 50
 	tailPercentile   = 99
+	// reportScale keeps three decimals.
+	reportScale = 1000
 )
 
 // served is a run with the service and the host that ran it.
@@ -40,29 +43,38 @@
 	sends    []kqbackend.Send
 	leaving  []departure
 	injected int64
-	causes   map[tried]int
-	probes   []probe
+	// retried counts the retries of each request by the nodes' logs.
+	retried map[string]int
+	probes  []probe
 }
 
 // add takes in a backend server's record.
 func (t *trial) add(h *host) {
 	for _, r := range h.backend.Runs() {
+		if strings.HasPrefix(r.RequestID, settlePrefix) {
+			continue
+		}
 		t.runs = append(t.runs, served{r, h.service, h})
 	}
 	for _, s := range h.backend.Sheds() {
-		t.sheds = append(t.sheds, served{kqbackend.Run{RequestID: s.RequestID, Class: s.Class, Path: s.Path, At: s.At}, h.service, h})
+		t.sheds = append(t.sheds, served{kqbackend.Run{RequestID: s.RequestID, Class: s.Class, Path: s.Path, Attempt: s.Attempt, At: s.At}, h.service, h})
+	}
+	for _, s := range h.backend.Sends() {
+		if !strings.HasPrefix(s.Call.RequestID, settlePrefix) {
+			t.sends = append(t.sends, s)
+		}
 	}
-	t.sends = append(t.sends, h.backend.Sends()...)
 }
 
 // account works out the report from the records.
 func account(t *trial) *Run {
 	s := t.scenario
-	r := &Run{RetryBound: retryBound, FaultsInjected: t.injected, Causes: t.countCauses(), Refusals: t.countRefusals()}
+	r := &Run{RetryBound: kqretry.Bound, FaultsInjected: t.injected, Causes: t.countCauses(), Refusals: t.countRefusals()}
 	r.GoodputBefore = t.goodput(s.Warm, s.trigger())
 	r.GoodputDuring = t.goodput(s.trigger(), s.recovery())
 	r.GoodputAfter = t.goodput(s.recovery(), s.length())
-	r.OfferedDuring, r.CapacityDuring = t.capacityDuring()
+	offered, carried := t.capacityDuring()
+	r.OfferedDuring, r.CapacityDuring = rounded(offered), rounded(carried)
 	r.RecoverySeconds = recoveryTime(t.shares(), s).Seconds()
 	r.MaxRetriesPerRequest = t.maxRetries()
 	r.RanTwice = t.ranTwice()
@@ -70,7 +82,7 @@
 	r.WrongAnswers = t.wrongAnswers()
 	r.CutInFlight, r.NewWorkOnLeaving = t.leavingFaults()
 	r.ShedOrderBreaks = t.shedOrderBreaks()
-	r.WastedWorkRatio = t.wastedWork()
+	r.WastedWorkRatio = rounded(t.wastedWork())
 	r.AddedLatencyMicros = percentiles(t.probes, func(p probe) time.Duration { return p.via - p.direct })
 	r.DirectMicros = percentiles(t.probes, func(p probe) time.Duration { return p.direct })
 	r.Classes = t.classes()
@@ -78,6 +90,11 @@
 	return r
 }
 
+// rounded gives a figure with the digits that a report shows.
+func rounded(figure float64) float64 {
+	return math.Round(figure*reportScale) / reportScale
+}
+
 func (t *trial) inTime(q *root) bool {
 	return q.inTime(t.profile.within(q.Kind))
 }
@@ -90,7 +107,7 @@
 			n++
 		}
 	}
-	return float64(n) / (to - from).Seconds()
+	return rounded(float64(n) / (to - from).Seconds())
 }
 
 // capacityDuring gives the offered rate while the trigger lasts and what the
--- a/io/kqnode/call.go
+++ b/io/kqnode/call.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"kumquatlink/core/kqcall"
+	"kumquatlink/core/kqhome"
 	"kumquatlink/io/kqlink"
 	"kumquatlink/io/kqwire"
 )
@@ -23,6 +24,12 @@
 	body    []byte
 	// parent is the running call that this one was made for, or nil.
 	parent *running
+	// avoid holds the nodes whose gates the call must not use.
+	avoid map[string]bool
+	// named is whether the caller chose the request ID, and resent whether it
+	// has sent the call again by itself.
+	named  bool
+	resent bool
 }
 
 // result is how a call ended and, if it ran, the whole answer.
@@ -35,6 +42,9 @@
 	// load is what the gate told of itself, if it was heard at all.
 	load  kqlink.Load
 	heard bool
+	// token is the newest token of the key's bucket, when the call went to a
+	// node that is not its home.
+	token *kqhome.Token
 }
 
 func refused(c kqcall.Cause) *result {
--- a/io/kqnode/kqnode.go
+++ b/io/kqnode/kqnode.go
@@ -34,6 +34,8 @@
 	"kumquatlink/core/kqclass"
 	"kumquatlink/core/kqconfig"
 	"kumquatlink/core/kqmember"
+	"kumquatlink/core/kqretry"
+	"kumquatlink/io/kqhttp"
 	"kumquatlink/io/kqlink"
 	"kumquatlink/io/kqlog"
 	"kumquatlink/io/kqmetric"
@@ -64,6 +66,8 @@
 	// Refusals counts the configurations that were refused.
 	Refusals kqconfig.Refusals
 	Store    StoreView
+	// Fleet is the node's place in the fleet.
+	Fleet FleetView
 	// Life is the state of the node's own chart.
 	Life kqmember.Life
 	// Backend is the backend server's announcement, or nil.
@@ -97,9 +101,22 @@
 
 	state   atomic.Pointer[State]
 	control *control
-	gate    *gate
-	router  *router
-	shed    *shedder
+	// begun is when the node started, and lookedAt the nanoseconds since then
+	// at which the control goroutine last looked at the clock.
+	begun    time.Time
+	lookedAt atomic.Int64
+	// refusedAt is when a refused peer was last logged, in Unix nanoseconds.
+	refusedAt atomic.Int64
+	gate      *gate
+	router    *router
+	shed      *shedder
+	keys      *keeper
+	work      *work
+	shutDown  atomic.Bool
+	history   *history
+	flights   *flights
+	// failed remembers requests whose callers may send them again.
+	failed kqretry.Recent
 
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
@@ -133,7 +150,7 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "make pool"), ErrNode)
 	}
-	n := &Node{settings: settings, identity: identity, now: time.Now, pool: pool, exchanges: exchanges}
+	n := &Node{settings: settings, identity: identity, now: time.Now, pool: pool, exchanges: exchanges, work: newWork(), history: newHistory()}
 	for _, o := range options {
 		o(n)
 	}
@@ -145,10 +162,13 @@
 		return nil, errors.Mark(err, ErrNode)
 	}
 	n.store = kqstore.Guard(store, kqstore.WithObserver(n.observeStore))
-	n.dialer = kqlink.NewDialer(identity, n.linkOptions...)
+	n.dialer = kqlink.NewDialer(identity, append(n.linkOptions, kqlink.WithExpect(n.expects))...)
+	identity.OnRefusal(n.tellRefusal)
 	n.gate = newGate(n)
 	n.shed = newShedder(n)
 	n.router = newRouter(n)
+	n.keys = newKeeper(n)
+	n.flights = newFlights()
 	n.control = newControl(n)
 	return n, nil
 }
@@ -161,7 +181,7 @@
 	n.server, err = kqlink.Listen(n.settings.PeerAddress, n.identity, kqlink.Handlers{
 		Call:    n.handlePeerCall,
 		Message: n.handlePeerMessage,
-		Submit:  n.pool.Submit,
+		Submit:  n.submitPeer,
 	}, n.linkOptions...)
 	if err != nil {
 		return errors.Mark(err, ErrNode)
@@ -186,7 +206,9 @@
 	n.loop(ctx, n.control.run)
 	n.loop(ctx, n.runConfigurationWatch)
 	n.loop(ctx, n.runMembership)
+	n.loop(ctx, n.keys.run)
 	n.loop(ctx, n.runSeeds)
+	n.loop(ctx, n.runTrust)
 	n.loop(ctx, n.runMetrics)
 	return nil
 }
@@ -199,26 +221,6 @@
 	}()
 }
 
-// Shutdown stops taking work, lets what is in flight finish, and ends.
-func (n *Node) Shutdown(ctx context.Context) error {
-	n.control.send(leaveEvent{})
-	for _, s := range []*fasthttp.Server{n.callers, n.backend, n.operator} {
-		if err := s.ShutdownWithContext(ctx); err != nil {
-			return errors.Mark(errors.Wrap(err, "finish calls"), ErrNode)
-		}
-	}
-	n.cancel()
-	n.loops.Wait()
-	err := errors.CombineErrors(n.server.Close(), n.metrics.Close())
-	n.dialer.Close()
-	n.pool.Release()
-	n.exchanges.Release()
-	if n.ownsLog {
-		n.log.Close()
-	}
-	return errors.Mark(err, ErrNode)
-}
-
 // OperatorAddress is the TCP address that operators use, or empty.
 func (n *Node) OperatorAddress() string { return n.operatorAddress }
 
@@ -286,7 +288,11 @@
 	if err != nil {
 		return "", errors.Mark(errors.Wrapf(err, "listen at %s", address), ErrNode)
 	}
-	go func() { _ = s.Serve(listener) }()
+	watched, err := kqhttp.NewListener(listener)
+	if err != nil {
+		return "", errors.Mark(errors.CombineErrors(err, listener.Close()), ErrNode)
+	}
+	go func() { _ = s.Serve(watched) }()
 	return listener.Addr().String(), nil
 }
 
--- a/io/kqnode/member.go
+++ b/io/kqnode/member.go
@@ -1,8 +1,10 @@
 package kqnode
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,6 +14,7 @@
 	"kumquatlink/core/kqclass"
 	"kumquatlink/core/kqmember"
 	"kumquatlink/core/kqspread"
+	"kumquatlink/io/kqmetric"
 )
 
 // Limits of the exchange with neighbours.
@@ -19,6 +22,10 @@
 	exchangeTimeout = 2 * time.Second
 	// exchangePoolSize bounds the exchanges that are under way.
 	exchangePoolSize = 64
+	// snapshotPausePerMember keeps a fleet in which much changes at once from
+	// using a node's time for snapshots: the larger one is, the longer the
+	// pause to the next.
+	snapshotPausePerMember = 100 * time.Microsecond
 )
 
 // itemConfiguration names the item that carries the configuration.
@@ -42,16 +49,21 @@
 
 // member is this node's part in spreading; the control goroutine owns it.
 type member struct {
+	node   *Node
 	spread *kqspread.Machine
-	begun  time.Time
 	ticked time.Time
+	// pictured is when the view was last made into a snapshot.
+	pictured time.Duration
+	// viewed is when the view for operators was last made.
+	viewed time.Duration
 	// seeds are the addresses that the store gave last.
 	seeds []string
 }
 
-func newMember(begun time.Time, view *kqmember.View) *member {
+func newMember(n *Node, view *kqmember.View) *member {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return &member{spread: kqspread.New(0, view, random), begun: begun, ticked: begun}
+	n.begun = n.now()
+	return &member{node: n, spread: kqspread.New(0, view, random), ticked: n.begun}
 }
 
 // runMembership moves the member's time on.
@@ -74,15 +86,18 @@
 func (tickEvent) apply(c *control) bool {
 	now := c.member.advance(c.node.now())
 	c.offerConfiguration()
+	c.node.keys.offer(c.member.spread)
 	c.dispatch(c.member.spread.Tick(now))
-	return c.settle()
+	changed := c.live(now)
+	return c.settle(now) || changed
 }
 
 // advance gives the member's time. A host that was suspended stops its
 // monotonic clock, so that a jump of the wall clock alone counts as a pause
 // too: a needless check after a clock was set costs little.
 func (m *member) advance(at time.Time) time.Duration {
-	now := at.Sub(m.begun)
+	now := at.Sub(m.node.begun)
+	m.node.lookedAt.Store(int64(now))
 	wall := at.Round(0).Sub(m.ticked.Round(0))
 	if wall-at.Sub(m.ticked) >= kqspread.PauseAfter {
 		m.spread.Woke(now)
@@ -92,13 +107,18 @@
 }
 
 // settle takes over what spreading changed, and says whether to publish.
-func (c *control) settle() bool {
-	changed := c.view.Dirty()
+func (c *control) settle(now time.Duration) bool {
+	changed := false
 	for _, i := range c.member.spread.TakeItems() {
 		changed = c.takeItem(i) || changed
 	}
-	c.view.Snapshot()
-	return changed
+	pause := time.Duration(c.view.Len()) * snapshotPausePerMember
+	if c.view.Dirty() && now-c.member.pictured >= pause {
+		c.member.pictured = now
+		c.view.Snapshot()
+		changed = true
+	}
+	return c.viewFleet(now) || changed
 }
 
 // offerConfiguration spreads the configuration in force.
@@ -134,6 +154,9 @@
 
 // takeItem hands an item that others published to what it is for.
 func (c *control) takeItem(i kqspread.Item) bool {
+	if c.node.keys.takeItem(i) {
+		return false
+	}
 	if i.Name != itemConfiguration {
 		return false
 	}
@@ -157,6 +180,17 @@
 	}
 }
 
+// exchangeAll sends messages at once and waits for all replies.
+func (n *Node) exchangeAll(envelopes []kqspread.Envelope) {
+	var group sync.WaitGroup
+	for _, e := range envelopes {
+		if e.Address != "" {
+			group.Go(func() { n.exchange(e) })
+		}
+	}
+	group.Wait()
+}
+
 // exchange sends one message and hands the replies to control.
 func (n *Node) exchange(e kqspread.Envelope) {
 	message, err := cbor.Marshal(e.Message)
@@ -168,9 +202,11 @@
 	defer cancel()
 	peer, reply, err := n.dialer.Exchange(ctx, e.Address, message)
 	if err != nil {
+		n.metrics.Count(kqmetric.Exchanges, "failed")
 		n.log.Event(zerolog.DebugLevel, "exchange with "+e.Address, err)
 		return
 	}
+	n.metrics.Count(kqmetric.Exchanges, "done")
 	var replies []kqspread.Message
 	if err := spreadMode.Unmarshal(reply, &replies); err != nil {
 		n.log.Event(zerolog.WarnLevel, "reply of "+e.Address+" can't be read", err)
@@ -199,6 +235,9 @@
 
 // handlePeerMessage answers a peer's message.
 func (n *Node) handlePeerMessage(ctx context.Context, peer string, message []byte) ([]byte, error) {
+	if body, found := bytes.CutPrefix(message, keyPrefix); found {
+		return n.keys.answer(ctx, peer, body)
+	}
 	e := messageEvent{peer: peer, replies: make(chan []kqspread.Message, 1)}
 	if err := spreadMode.Unmarshal(message, &e.message); err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "read message"), ErrNode)
--- a/io/kqnode/operator.go
+++ b/io/kqnode/operator.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -53,6 +54,7 @@
 	Service  string
 	Refusals kqconfig.Refusals
 	Store    StoreView
+	Fleet    FleetView
 	// Watchers are the nodes that watch the store, by failure domain, as far
 	// as this node's view goes.
 	Watchers map[string][]string
@@ -67,7 +69,7 @@
 func (n *Node) Status() Status {
 	s := n.State()
 	status := Status{
-		InForce: n.inForce(s), Life: s.Life, Refusals: s.Refusals, Store: s.Store,
+		InForce: n.inForce(s), Life: s.Life, Refusals: s.Refusals, Store: s.Store, Fleet: s.Fleet,
 		Watchers: kqconfig.Watchers(s.Members), Members: s.Members.Records, LogDropped: n.log.Dropped(), Gate: n.GateStatus(),
 	}
 	if s.Backend != nil {
@@ -99,6 +101,10 @@
 	case PathMetrics:
 		fasthttpadaptor.NewFastHTTPHandler(n.metrics.Handler())(c)
 	default:
+		if id, found := strings.CutPrefix(string(c.Path()), PathExplain); found {
+			writeJSON(c, n.Explain(id))
+			return
+		}
 		c.SetStatusCode(fasthttp.StatusNotFound)
 		c.SetBodyString("unknown path\n")
 	}
@@ -162,9 +168,10 @@
 	for _, r := range s.Members.Records {
 		lives[r.Life]++
 	}
-	for l, count := range lives {
-		n.metrics.Set(kqmetric.Members, float64(count), string(l))
+	for _, l := range kqmember.Lives() {
+		n.metrics.Set(kqmetric.Members, float64(lives[l]), string(l))
 	}
+	n.gatherFleet(s.Fleet)
 	n.metrics.Set(kqmetric.LogDropped, float64(n.log.Dropped()))
 }
 
--- a/io/kqnode/router.go
+++ b/io/kqnode/router.go
@@ -59,6 +59,14 @@
 	return u.Record.NodeID == r.node.settings.NodeID || r.node.dialer.Usable(u.Record.Address)
 }
 
+// usableFor leaves out the gates that a call with a key must not use.
+func (r *router) usableFor(q *call) func(*kqroute.Upstream) bool {
+	if len(q.avoid) == 0 {
+		return r.usable
+	}
+	return func(u *kqroute.Upstream) bool { return !q.avoid[u.Record.NodeID] && r.usable(u) }
+}
+
 // table gives the table of a service as the fleet's records stand.
 func (r *router) table(service string) *kqroute.Table {
 	members := r.node.State().Members
@@ -99,7 +107,6 @@
 // route sends the call to an upstream, and to others while it may be retried
 // and the allowance lasts.
 func (r *router) route(ctx context.Context, q *call) *result {
-	r.brake.FirstTry()
 	if q.parent != nil {
 		return r.try(ctx, q, &q.parent.retries)
 	}
@@ -112,7 +119,7 @@
 // try sends the call with a grant from the allowance that is held, until it
 // has an answer that stands.
 func (r *router) try(ctx context.Context, q *call, held *kqretry.Allowance) *result {
-	ask := kqroute.Ask{Far: r.needsFar(q), Probe: q.head.Repeatable, Usable: r.usable, Allowance: r.allowance}
+	ask := kqroute.Ask{Far: r.needsFar(q), Probe: q.head.Repeatable, Usable: r.usableFor(q), Allowance: r.allowance}
 	last := refused(kqcall.CauseNoUpstream)
 	var doubt *result
 	for {
@@ -127,7 +134,7 @@
 		last = r.sendTo(ctx, q, upstream)
 		r.node.shed.heard(q, upstream.Record.NodeID, last)
 		held.PutBack(last.retriesLeft, q.head.Retries)
-		r.node.log.Decide(kqlog.Decision{
+		r.node.decide(kqlog.Decision{
 			RequestID: q.head.RequestID, Class: q.head.Class, Service: q.head.Service, Decision: "Route",
 			Cause: string(last.end.Cause), Outcome: string(last.end.Outcome),
 			Chosen: upstream.Record.NodeID, Others: table.Others(upstream),
@@ -232,6 +239,16 @@
 	}
 }
 
+// countTry counts a call of this entry for its share of retries. One that its
+// caller has sent again takes from it.
+func (r *router) countTry(q *call) {
+	if q.resent {
+		r.brake.Resend()
+		return
+	}
+	r.brake.FirstTry()
+}
+
 // drawRetry takes one retry from the request and from this entry's share.
 func (r *router) drawRetry(held *kqretry.Allowance) bool {
 	if !held.Draw() {
@@ -280,8 +297,11 @@
 // endOf turns a link's error into the end of the call.
 func endOf(ctx context.Context, err error) kqcall.End {
 	cause := kqcall.CauseLinkLost
-	if ctx.Err() != nil {
-		cause = kqcall.CauseDeadline
+	switch {
+	case ctx.Err() != nil:
+		cause = goneCause(ctx)
+	case errors.Is(err, kqlink.ErrSilent):
+		cause = kqcall.CauseLinkSilent
 	}
 	if errors.Is(err, kqlink.ErrNotSent) {
 		return kqcall.NotRun(cause)
@@ -297,6 +317,12 @@
 	q := &call{head: head.Head, method: head.Method, path: head.Path, headers: head.Headers, body: body}
 	ctx, cancel := withBudget(ctx, q.head)
 	defer cancel()
-	r := n.gate.run(ctx, q)
-	return kqlink.AnswerHead{End: r.end, Status: r.status, Headers: r.headers, RetriesLeft: r.retriesLeft, Load: r.load}, r.body
+	var r *result
+	if head.ToHome {
+		r = n.keys.atHome(ctx, q)
+	} else {
+		r = n.gate.run(ctx, q)
+	}
+	n.work.answeredPeer(n.now())
+	return kqlink.AnswerHead{End: r.end, Status: r.status, Headers: r.headers, RetriesLeft: r.retriesLeft, Load: r.load, Token: r.token}, r.body
 }
