--- a/core/kqroute/kqroute.go
+++ b/core/kqroute/kqroute.go
@@ -75,6 +75,8 @@
 	Usable func(u *Upstream) bool
 	// Allowance is what may be sent to other regions; nil means no limit.
 	Allowance *Allowance
+	// cold lets every call through to warming upstreams.
+	cold bool
 }
 
 // Table holds the upstreams of one service, nearest first.
@@ -133,8 +135,17 @@
 	return t.names[i+1 : i+len(t.upstreams)]
 }
 
-// Pick chooses an upstream, or gives nil when none is left for this call.
+// Pick chooses an upstream, or gives nil when none is left for this call. A
+// warming upstream is spared only while another one can take the call.
 func (t *Table) Pick(a Ask) *Upstream {
+	if u := t.pick(a); u != nil {
+		return u
+	}
+	a.cold = true
+	return t.pick(a)
+}
+
+func (t *Table) pick(a Ask) *Upstream {
 	ignoreFaults := t.tooManyAside(a.Now)
 	domain := t.pickFrom(RingDomain, &a, ignoreFaults)
 	if domain != nil && domain.share(a.Now) < busyShare {
--- a/core/kqroute/kqroute_test.go
+++ b/core/kqroute/kqroute_test.go
@@ -412,3 +412,21 @@
 		u.End(kqroute.Answer{Now: begun, Verdict: kqroute.Good, Load: &kqroute.Load{InFlight: 3, Limit: 36}})
 	}
 }
+
+// TestWarmingUpstreamTakesWhatNoOtherCan has only warming upstreams, and then
+// one warming upstream beside one that was tried.
+func TestWarmingUpstreamTakesWhatNoOtherCan(t *testing.T) {
+	warming := []kqmember.Record{record(0, "lothian", "lothian-a", kqmember.LifeWarming), record(1, "lothian", "lothian-a", kqmember.LifeWarming)}
+	mixed := []kqmember.Record{record(0, "lothian", "lothian-a", kqmember.LifeServing), record(1, "lothian", "lothian-a", kqmember.LifeWarming)}
+	for i := range 64 {
+		ask := kqroute.Ask{Now: begun, Random: rand.New(rand.NewPCG(4, uint64(i))).Uint64()}
+		if got := kqroute.NewTable(own, warming, nil, begun).Pick(ask); got == nil {
+			t.Fatalf("pick among warming upstreams: got none, want one")
+		}
+		table := kqroute.NewTable(own, mixed, nil, begun)
+		ask.Tried.Add(table.Upstreams()[0])
+		if got := table.Pick(ask); got != table.Upstreams()[1] {
+			t.Fatalf("pick beside a tried upstream: got %v, want the warming one", got)
+		}
+	}
+}
--- a/io/kqnode/entry.go
+++ b/io/kqnode/entry.go
@@ -27,6 +27,13 @@
 	if !q.named {
 		q.head.RequestID = newID()
 	}
+	leave, open := n.work.enter()
+	defer leave()
+	if !open {
+		c.SetConnectionClose()
+		n.serve(c, q, kqcall.CauseDraining)
+		return
+	}
 	cause := n.classify(q, string(c.Request.Header.Peek(kqwire.HeaderClass)), string(c.Request.Header.Peek(kqwire.HeaderBudget)))
 	n.serve(c, q, cause)
 }
@@ -141,7 +148,10 @@
 	default:
 		r = n.runOnPool(c, q)
 	}
-	n.log.Decide(kqlog.Decision{
+	if q.parent != nil && r.end.Outcome != kqcall.OutcomeNotRun {
+		q.parent.onward.mark()
+	}
+	n.decide(kqlog.Decision{
 		RequestID: q.head.RequestID, Class: q.head.Class, Service: q.head.Service, Decision: "Answer",
 		Cause: string(r.end.Cause), Outcome: string(r.end.Outcome), Took: n.now().Sub(begun),
 	})
@@ -177,6 +187,9 @@
 	}
 	ctx, cancel := withBudget(ctx, q.head)
 	defer cancel()
+	if q.keyed() {
+		return n.keys.dispatch(ctx, q)
+	}
 	return n.router.route(ctx, q)
 }
 
--- a/io/kqnode/gate.go
+++ b/io/kqnode/gate.go
@@ -37,10 +37,16 @@
 
 // run admits the call and runs it on the backend server.
 func (g *gate) run(ctx context.Context, q *call) *result {
+	if !g.node.keys.admits(q) {
+		return g.finish(q, &result{end: kqcall.NotRun(kqcall.CauseMoved), retriesLeft: q.head.Retries})
+	}
 	s := g.node.State()
-	if cause := closedBy(s); cause != "" {
+	if cause := g.closedBy(s, q.head.Service); cause != "" {
 		return g.finish(q, g.refuse(q, kqcall.NotRun(cause)))
 	}
+	if r := g.node.shed.refusesBehind(q); r != nil {
+		return g.finish(q, r)
+	}
 	p, end := g.admit(ctx, q, s.Backend)
 	if p == nil {
 		return g.finish(q, g.refuse(q, end))
@@ -50,12 +56,15 @@
 	return g.finish(q, r)
 }
 
-// closedBy says why the gate takes no call at all, or nothing.
-func closedBy(s *State) kqcall.Cause {
+// closedBy says why the gate takes no call of the service at all, or nothing.
+func (g *gate) closedBy(s *State, service string) kqcall.Cause {
 	if s.Life == kqmember.LifeDraining || s.Life == kqmember.LifeGone {
 		return kqcall.CauseDraining
 	}
-	if s.Backend == nil {
+	if s.Life == kqmember.LifeJoining || s.Backend == nil || !g.node.awake() {
+		return kqcall.CauseNoUpstream
+	}
+	if s.Backend.Announcement.Service != service {
 		return kqcall.CauseNoUpstream
 	}
 	return ""
@@ -71,7 +80,7 @@
 	g.mutex.Lock()
 	g.count(q, r)
 	g.mutex.Unlock()
-	g.node.log.Decide(kqlog.Decision{
+	g.node.decide(kqlog.Decision{
 		RequestID: q.head.RequestID, Class: q.head.Class, Service: q.head.Service, Decision: "Admit",
 		Cause: string(r.end.Cause), Outcome: string(r.end.Outcome), Chosen: g.node.settings.NodeID,
 	})
--- a/io/kqnode/router.go
+++ b/io/kqnode/router.go
@@ -59,6 +59,14 @@
 	return u.Record.NodeID == r.node.settings.NodeID || r.node.dialer.Usable(u.Record.Address)
 }
 
+// usableFor leaves out the gates that a call with a key must not use.
+func (r *router) usableFor(q *call) func(*kqroute.Upstream) bool {
+	if len(q.avoid) == 0 {
+		return r.usable
+	}
+	return func(u *kqroute.Upstream) bool { return !q.avoid[u.Record.NodeID] && r.usable(u) }
+}
+
 // table gives the table of a service as the fleet's records stand.
 func (r *router) table(service string) *kqroute.Table {
 	members := r.node.State().Members
@@ -111,7 +119,7 @@
 // try sends the call with a grant from the allowance that is held, until it
 // has an answer that stands.
 func (r *router) try(ctx context.Context, q *call, held *kqretry.Allowance) *result {
-	ask := kqroute.Ask{Far: r.needsFar(q), Probe: q.head.Repeatable, Usable: r.usable, Allowance: r.allowance}
+	ask := kqroute.Ask{Far: r.needsFar(q), Probe: q.head.Repeatable, Usable: r.usableFor(q), Allowance: r.allowance}
 	last := refused(kqcall.CauseNoUpstream)
 	var doubt *result
 	for {
@@ -126,7 +134,7 @@
 		last = r.sendTo(ctx, q, upstream)
 		r.node.shed.heard(q, upstream.Record.NodeID, last)
 		held.PutBack(last.retriesLeft, q.head.Retries)
-		r.node.log.Decide(kqlog.Decision{
+		r.node.decide(kqlog.Decision{
 			RequestID: q.head.RequestID, Class: q.head.Class, Service: q.head.Service, Decision: "Route",
 			Cause: string(last.end.Cause), Outcome: string(last.end.Outcome),
 			Chosen: upstream.Record.NodeID, Others: table.Others(upstream),
@@ -134,7 +142,7 @@
 		if last.end.Outcome == kqcall.OutcomeUnknown {
 			doubt = last
 		}
-		if ctx.Err() != nil || !mayRepeat(q, last.end) || !r.drawRetry(held) {
+		if ctx.Err() != nil || !mayRepeat(q, last.end) || r.node.shed.refuses(q) != nil || !r.drawRetry(held) {
 			return r.settle(q, last, doubt)
 		}
 	}
@@ -309,6 +317,12 @@
 	q := &call{head: head.Head, method: head.Method, path: head.Path, headers: head.Headers, body: body}
 	ctx, cancel := withBudget(ctx, q.head)
 	defer cancel()
-	r := n.gate.run(ctx, q)
-	return kqlink.AnswerHead{End: r.end, Status: r.status, Headers: r.headers, RetriesLeft: r.retriesLeft, Load: r.load}, r.body
+	var r *result
+	if head.ToHome {
+		r = n.keys.atHome(ctx, q)
+	} else {
+		r = n.gate.run(ctx, q)
+	}
+	n.work.answeredPeer(n.now())
+	return kqlink.AnswerHead{End: r.end, Status: r.status, Headers: r.headers, RetriesLeft: r.retriesLeft, Load: r.load, Token: r.token}, r.body
 }
