Begin links and joins at once

Cause: a fresh node waited for the next second to ask contacts that the store gave, and up to 0.5 s for its first links; a node that ended waited for neighbours that were gone.

--- a/core/kqspread/links.go
+++ b/core/kqspread/links.go
@@ -36,7 +36,7 @@
 // updateLinks follows the view: links to new neighbours begin, links to nodes
 // that are no neighbours any more are kept only while these speak.
 func (m *Machine) updateLinks(now time.Duration) {
-	if m.relink && now-m.relinked >= relinkPeriod {
+	if m.relink && (now-m.relinked >= relinkPeriod || len(m.links) == 0) {
 		m.relink, m.relinked = false, now
 		m.chooseNeighbours(now)
 	}
--- a/core/kqspread/news.go
+++ b/core/kqspread/news.go
@@ -253,7 +253,8 @@
 	for i := range m.order {
 		name := m.order[(first+i)%len(m.order)]
 		l := m.links[name]
-		if len(l.queue) == 0 {
+		held := m.view.Find(name)
+		if len(l.queue) == 0 || held != nil && held.Record.Life == kqmember.LifeGone {
 			continue
 		}
 		changes := m.drain(now, l)
--- a/core/kqspread/presence.go
+++ b/core/kqspread/presence.go
@@ -51,6 +51,9 @@
 // SetContacts sets the addresses to start from. Complete says that no more are
 // to be waited for.
 func (m *Machine) SetContacts(addresses []string, complete bool) {
+	if !m.presence.confirmed && !slices.Equal(addresses, m.contacts.addresses) || complete != m.contacts.complete {
+		m.contacts.askedAt -= contactPeriod
+	}
 	m.contacts.addresses = slices.Clone(addresses)
 	maps.DeleteFunc(m.contacts.rest, func(address string, _ time.Duration) bool { return !slices.Contains(addresses, address) })
 	m.contacts.complete = complete
