--- a/io/kqlink/exchange.go
+++ b/io/kqlink/exchange.go
@@ -22,5 +22,5 @@
 	if err != nil || after != c {
 		return "", nil, errors.Mark(errors.New("link was replaced during the exchange"), ErrLost)
 	}
-	return peerName(c), reply, nil
+	return peerName(c.conn), reply, nil
 }
--- a/io/kqnode/backend.go
+++ b/io/kqnode/backend.go
@@ -39,6 +39,22 @@
 	outstanding int
 	since       time.Time
 	total       time.Duration
+	// left is set when an onward call may have run.
+	left bool
+}
+
+// mark notes that an onward call may have run.
+func (o *onwardTime) mark() {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.left = true
+}
+
+// mayHaveRun is whether an onward call may have run, or is still out.
+func (o *onwardTime) mayHaveRun() bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.left || o.outstanding > 0
 }
 
 func (o *onwardTime) begin(now time.Time) {
@@ -77,9 +93,11 @@
 }
 
 // handOver runs the call on the backend server and gives how long its onward
-// calls took.
+// calls took. Onward calls that are still out when it ends are cancelled.
 func (g *gate) handOver(ctx context.Context, q *call, b *Backend) (*result, time.Duration) {
 	token := newID()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	run := &running{head: q.head, ctx: ctx}
 	run.deadline, _ = ctx.Deadline()
 	run.retries.Open(q.head.Retries)
@@ -98,6 +116,11 @@
 	err := b.pool.Do(ctx, request, response)
 	r := &result{retriesLeft: run.retries.Close()}
 	readResponse(ctx, r, response, err)
+	if r.end.Cause == kqcall.CauseBackendShed && run.onward.mayHaveRun() {
+		// A backend server that made onward calls has begun to run the call,
+		// whatever it says.
+		r.end = kqcall.Unknown(kqcall.CauseBackendShed)
+	}
 	return r, run.onward.sum(g.node.now())
 }
 
@@ -140,8 +163,11 @@
 // backendEnd turns the backend connection's error into the end of the call.
 func backendEnd(ctx context.Context, err error) kqcall.End {
 	cause := kqcall.CauseBackendLost
-	if ctx.Err() != nil {
-		cause = kqcall.CauseDeadline
+	switch {
+	case ctx.Err() != nil:
+		cause = goneCause(ctx)
+	case errors.Is(err, kqhttp.ErrSilent):
+		cause = kqcall.CauseBackendSilent
 	}
 	if errors.Is(err, kqhttp.ErrNotSent) {
 		return kqcall.NotRun(cause)
--- a/io/kqnode/operator.go
+++ b/io/kqnode/operator.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -98,6 +99,10 @@
 	case PathMetrics:
 		fasthttpadaptor.NewFastHTTPHandler(n.metrics.Handler())(c)
 	default:
+		if id, found := strings.CutPrefix(string(c.Path()), PathExplain); found {
+			writeJSON(c, n.Explain(id))
+			return
+		}
 		c.SetStatusCode(fasthttp.StatusNotFound)
 		c.SetBodyString("unknown path\n")
 	}
