Keep a superseded node superseded; read the keeper's service under its mutex

Cause: go test -race ./io/kqnode found keeper.successors reading the service while keeper.begin wrote it (TestLaterStartOfANameSupersedesTheEarlier); a superseded node took a new incarnation when the later start left. Run: go test -race -count=3 -run 'Later|ShutsDown|Leaving' ./io/kqnode passes; core/kqmember and core/kqspread pass.

--- a/core/kqmember/view.go
+++ b/core/kqmember/view.go
@@ -131,7 +131,7 @@
 // they hold is an earlier start whose host had a faster clock.
 func (v *View) answer(heard Record, stamp Stamp) bool {
 	own := v.own.Record
-	if heard == own && !stamp.Suspected || stamp.Less(own.Stamp()) {
+	if v.superseded || heard == own && !stamp.Suspected || stamp.Less(own.Stamp()) {
 		return false
 	}
 	if heard.Incarnation > own.Incarnation && !v.mayReplace(heard, stamp) {
--- a/io/kqnode/keysteps.go
+++ b/io/kqnode/keysteps.go
@@ -231,9 +231,9 @@
 func (k *keeper) successors(s *State) []kqmember.Record {
 	var all []kqmember.Record
 	k.mutex.Lock()
-	table := k.home.Table()
+	table, service := k.home.Table(), k.service
 	k.mutex.Unlock()
-	for _, u := range s.Members.Upstreams(k.service) {
+	for _, u := range s.Members.Upstreams(service) {
 		if u.NodeID != k.node.settings.NodeID && table.Usable(u.NodeID) {
 			all = append(all, u)
 		}
