Take members that have left out of the tables of homes

Cause: the overlay drops records of nodes that have ended, so a claim would have waited for ever for a member that was gone.

--- a/core/kqmember/snapshot.go
+++ b/core/kqmember/snapshot.go
@@ -7,13 +7,15 @@
 	Records []Record
 	// Suspects names the nodes of Records that are suspected.
 	Suspects map[string]bool
+	// Gone holds the incarnations that have ended by their own word, by node.
+	Gone     map[string]uint64
 	services map[string][]Record
 	known    map[string]bool
 }
 
 func newSnapshot(own Record, members []*Member) *Snapshot {
 	s := &Snapshot{
-		Own: own, Records: make([]Record, 0, len(members)), Suspects: map[string]bool{},
+		Own: own, Records: make([]Record, 0, len(members)), Suspects: map[string]bool{}, Gone: map[string]uint64{},
 		services: map[string][]Record{}, known: map[string]bool{},
 	}
 	suspects := map[string][]Record{}
@@ -22,6 +24,9 @@
 		if r.Service != "" {
 			s.known[r.Service] = true
 		}
+		if r.Life == LifeGone {
+			s.Gone[r.NodeID] = r.Incarnation
+		}
 		if m.Status >= StatusRemoved {
 			continue
 		}
--- a/io/kqnode/keyclaim.go
+++ b/io/kqnode/keyclaim.go
@@ -6,7 +6,6 @@
 	"github.com/rs/zerolog"
 
 	"kumquatlink/core/kqhome"
-	"kumquatlink/core/kqmember"
 	"kumquatlink/io/kqstore"
 )
 
@@ -93,12 +92,13 @@
 
 // fence asks one member for its word.
 func (k *keeper) fence(ctx context.Context, p *pendingClaim, nodeID string) {
-	record, found := recordOf(k.node.State(), nodeID)
-	if !found {
+	s := k.node.State()
+	if incarnation, gone := s.Members.Gone[nodeID]; gone {
+		p.claim.Over(kqhome.Node{NodeID: nodeID, Incarnation: incarnation})
 		return
 	}
-	if record.Life == kqmember.LifeGone {
-		p.claim.Over(kqhome.Node{NodeID: record.NodeID, Incarnation: record.Incarnation})
+	record, found := recordOf(s, nodeID)
+	if !found {
 		return
 	}
 	reply, err := k.ask(ctx, record, keyMessage{Fence: &keyFence{Table: p.claim.Table(), Buckets: p.claim.Buckets()}})
@@ -120,7 +120,7 @@
 }
 
 // complete makes this node the home of what it claimed, tells the former homes
-// that were alive, and removes the member that was left out.
+// that were alive, and notes the member that was left out.
 func (k *keeper) complete(ctx context.Context, p *pendingClaim) {
 	k.mutex.Lock()
 	k.home.Complete(k.now(), p.claim)
@@ -133,34 +133,54 @@
 		}
 		_, _ = k.ask(ctx, record, keyMessage{Taken: &keyTaken{Bucket: bucket, Token: p.claim.Table().Tokens[bucket]}})
 	}
-	k.removeSilent(ctx, p.claim.Silent())
+	for _, id := range p.claim.Silent() {
+		k.steps.leftOut[id] = true
+	}
 }
 
-// removeSilent takes members out of the store's table that a completed claim
-// has left out; all others know by then that they are leaving.
-func (k *keeper) removeSilent(ctx context.Context, nodeIDs []string) {
-	if len(nodeIDs) == 0 {
+// tidy takes members out of the store's table: those that a completed claim has
+// left out, of which all others know by then, and those that have ended by
+// their own word. Else the claims to come would wait for them in vain.
+func (k *keeper) tidy(ctx context.Context, s *State) {
+	k.mutex.Lock()
+	known := k.home.Table()
+	k.mutex.Unlock()
+	if k.now() < k.steps.joinAt || len(k.over(s, known)) == 0 {
 		return
 	}
 	o, err := k.node.store.Get(ctx, kqstore.KindLedger, k.service)
 	if err != nil {
+		k.postpone(err)
 		return
 	}
 	stored, err := decodeTable(o)
 	if err != nil {
+		k.postpone(err)
 		return
 	}
-	var leaving []string
-	for _, id := range nodeIDs {
-		if _, found := stored.Member(id); found && !stored.Usable(id) {
-			leaving = append(leaving, id)
-		}
+	over := k.over(s, stored)
+	if len(over) == 0 {
+		k.hear([]kqhome.Table{stored})
+		return
 	}
-	if len(leaving) == 0 {
+	next := stored.Remove(over)
+	if err := k.write(ctx, next, o.Version); err != nil {
+		k.postpone(err)
 		return
 	}
-	next := stored.Remove(leaving)
-	if k.write(ctx, next, o.Version) == nil {
-		k.hear([]kqhome.Table{next})
+	k.steps.joinPause = joinPause
+	k.hear([]kqhome.Table{next})
+}
+
+// over lists the members of a table that are to be taken out.
+func (k *keeper) over(s *State, t kqhome.Table) []string {
+	var ids []string
+	for _, m := range t.Members {
+		incarnation, gone := s.Members.Gone[m.NodeID]
+		gone = gone && incarnation >= m.Incarnation
+		if k.steps.leftOut[m.NodeID] && !t.Usable(m.NodeID) || gone && k.isClaimant(s, m) {
+			ids = append(ids, m.NodeID)
+		}
 	}
+	return ids
 }
--- a/io/kqnode/keyfault_test.go
+++ b/io/kqnode/keyfault_test.go
@@ -86,6 +86,11 @@
 	if doubted == 0 {
 		t.Error("keys in doubt: got 0, want some, else the test proves nothing")
 	}
+	eventually(ctx, t, "the node that was left out is no member", func() bool {
+		table, _ := f.entries[0].Node.KeyHomes("orders")
+		_, found := table.Member("orders-1")
+		return !found
+	})
 	f.orders[1].Resume()
 	eventually(ctx, t, "the node that woke is a home again", func() bool {
 		for _, name := range f.holders() {
@@ -136,3 +141,16 @@
 	}
 	f.checkRuns(t)
 }
+
+func TestMemberThatHasLeftIsTakenOutOfTheTable(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
+	defer cancel()
+	f := startKeyFleet(ctx, t, 3, kqbackend.Settings{})
+	if err := f.orders[2].Node.Shutdown(ctx); err != nil {
+		t.Fatal(err)
+	}
+	eventually(ctx, t, "the table has two members", func() bool {
+		table, _ := f.entries[0].Node.KeyHomes("orders")
+		return len(table.Members) == 2
+	})
+}
--- a/io/kqnode/keysteps.go
+++ b/io/kqnode/keysteps.go
@@ -35,6 +35,8 @@
 	claims map[kqhome.Node]*pendingClaim
 	// lost tells since when an offer may have arrived unanswered.
 	lost map[int]time.Duration
+	// leftOut are the members that a completed claim of this node left out.
+	leftOut map[string]bool
 	// silentSince is when a holder was first found out of reach.
 	silentSince map[kqhome.Node]time.Duration
 	probedAt    time.Duration
@@ -50,7 +52,7 @@
 
 func newKeySteps() keySteps {
 	return keySteps{
-		claims: map[kqhome.Node]*pendingClaim{}, lost: map[int]time.Duration{},
+		claims: map[kqhome.Node]*pendingClaim{}, lost: map[int]time.Duration{}, leftOut: map[string]bool{},
 		silentSince: map[kqhome.Node]time.Duration{}, joinPause: joinPause,
 	}
 }
@@ -90,6 +92,7 @@
 		return
 	}
 	k.watchHolders(ctx, s)
+	k.tidy(ctx, s)
 	for holder := range k.steps.claims {
 		k.pursue(ctx, holder)
 	}
@@ -383,8 +386,8 @@
 // isDead is whether the holder has restarted, has ended, or has not been
 // reached for a while.
 func (k *keeper) isDead(ctx context.Context, s *State, holder kqhome.Node, probe bool) bool {
-	record, same := findRecord(s, holder)
-	if record.Incarnation > holder.Incarnation || same && record.Life == kqmember.LifeGone {
+	record, _ := findRecord(s, holder)
+	if record.Incarnation > holder.Incarnation || s.Members.Gone[holder.NodeID] >= holder.Incarnation {
 		return true
 	}
 	if probe {
