--- a/io/kqnode/kqnode.go
+++ b/io/kqnode/kqnode.go
@@ -34,6 +34,7 @@
 	"kumquatlink/core/kqclass"
 	"kumquatlink/core/kqconfig"
 	"kumquatlink/core/kqmember"
+	"kumquatlink/core/kqretry"
 	"kumquatlink/io/kqhttp"
 	"kumquatlink/io/kqlink"
 	"kumquatlink/io/kqlog"
@@ -65,6 +66,8 @@
 	// Refusals counts the configurations that were refused.
 	Refusals kqconfig.Refusals
 	Store    StoreView
+	// Fleet is the node's place in the fleet.
+	Fleet FleetView
 	// Life is the state of the node's own chart.
 	Life kqmember.Life
 	// Backend is the backend server's announcement, or nil.
@@ -98,15 +101,22 @@
 
 	state   atomic.Pointer[State]
 	control *control
-	gate    *gate
-	router  *router
-	shed    *shedder
-	keys    *keeper
-	work    *work
-	// exchanging counts the exchanges with neighbours that are under way.
-	exchanging atomic.Int64
-	shutDown   atomic.Bool
-	history    *history
+	// begun is when the node started, and lookedAt the nanoseconds since then
+	// at which the control goroutine last looked at the clock.
+	begun    time.Time
+	lookedAt atomic.Int64
+	// refusedAt is when a refused peer was last logged, in Unix nanoseconds.
+	refusedAt atomic.Int64
+	gate      *gate
+	router    *router
+	shed      *shedder
+	keys      *keeper
+	work      *work
+	shutDown  atomic.Bool
+	history   *history
+	flights   *flights
+	// failed remembers requests whose callers may send them again.
+	failed kqretry.Recent
 
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
@@ -152,11 +162,13 @@
 		return nil, errors.Mark(err, ErrNode)
 	}
 	n.store = kqstore.Guard(store, kqstore.WithObserver(n.observeStore))
-	n.dialer = kqlink.NewDialer(identity, n.linkOptions...)
+	n.dialer = kqlink.NewDialer(identity, append(n.linkOptions, kqlink.WithExpect(n.expects))...)
+	identity.OnRefusal(n.tellRefusal)
 	n.gate = newGate(n)
 	n.shed = newShedder(n)
 	n.router = newRouter(n)
 	n.keys = newKeeper(n)
+	n.flights = newFlights()
 	n.control = newControl(n)
 	return n, nil
 }
@@ -196,6 +208,7 @@
 	n.loop(ctx, n.runMembership)
 	n.loop(ctx, n.keys.run)
 	n.loop(ctx, n.runSeeds)
+	n.loop(ctx, n.runTrust)
 	n.loop(ctx, n.runMetrics)
 	return nil
 }
--- a/io/kqnode/member.go
+++ b/io/kqnode/member.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,6 +14,7 @@
 	"kumquatlink/core/kqclass"
 	"kumquatlink/core/kqmember"
 	"kumquatlink/core/kqspread"
+	"kumquatlink/io/kqmetric"
 )
 
 // Limits of the exchange with neighbours.
@@ -20,6 +22,10 @@
 	exchangeTimeout = 2 * time.Second
 	// exchangePoolSize bounds the exchanges that are under way.
 	exchangePoolSize = 64
+	// snapshotPausePerMember keeps a fleet in which much changes at once from
+	// using a node's time for snapshots: the larger one is, the longer the
+	// pause to the next.
+	snapshotPausePerMember = 100 * time.Microsecond
 )
 
 // itemConfiguration names the item that carries the configuration.
@@ -43,16 +49,21 @@
 
 // member is this node's part in spreading; the control goroutine owns it.
 type member struct {
+	node   *Node
 	spread *kqspread.Machine
-	begun  time.Time
 	ticked time.Time
+	// pictured is when the view was last made into a snapshot.
+	pictured time.Duration
+	// viewed is when the view for operators was last made.
+	viewed time.Duration
 	// seeds are the addresses that the store gave last.
 	seeds []string
 }
 
-func newMember(begun time.Time, view *kqmember.View) *member {
+func newMember(n *Node, view *kqmember.View) *member {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return &member{spread: kqspread.New(0, view, random), begun: begun, ticked: begun}
+	n.begun = n.now()
+	return &member{node: n, spread: kqspread.New(0, view, random), ticked: n.begun}
 }
 
 // runMembership moves the member's time on.
@@ -77,14 +88,16 @@
 	c.offerConfiguration()
 	c.node.keys.offer(c.member.spread)
 	c.dispatch(c.member.spread.Tick(now))
-	return c.settle()
+	changed := c.live(now)
+	return c.settle(now) || changed
 }
 
 // advance gives the member's time. A host that was suspended stops its
 // monotonic clock, so that a jump of the wall clock alone counts as a pause
 // too: a needless check after a clock was set costs little.
 func (m *member) advance(at time.Time) time.Duration {
-	now := at.Sub(m.begun)
+	now := at.Sub(m.node.begun)
+	m.node.lookedAt.Store(int64(now))
 	wall := at.Round(0).Sub(m.ticked.Round(0))
 	if wall-at.Sub(m.ticked) >= kqspread.PauseAfter {
 		m.spread.Woke(now)
@@ -94,13 +107,18 @@
 }
 
 // settle takes over what spreading changed, and says whether to publish.
-func (c *control) settle() bool {
-	changed := c.view.Dirty()
+func (c *control) settle(now time.Duration) bool {
+	changed := false
 	for _, i := range c.member.spread.TakeItems() {
 		changed = c.takeItem(i) || changed
 	}
-	c.view.Snapshot()
-	return changed
+	pause := time.Duration(c.view.Len()) * snapshotPausePerMember
+	if c.view.Dirty() && now-c.member.pictured >= pause {
+		c.member.pictured = now
+		c.view.Snapshot()
+		changed = true
+	}
+	return c.viewFleet(now) || changed
 }
 
 // offerConfiguration spreads the configuration in force.
@@ -156,17 +174,25 @@
 		if e.Address == "" {
 			continue
 		}
-		c.node.exchanging.Add(1)
 		if err := c.node.exchanges.Submit(func() { c.node.exchange(e) }); err != nil {
-			c.node.exchanging.Add(-1)
 			c.node.log.Event(zerolog.DebugLevel, "too many exchanges under way", err)
 		}
 	}
 }
 
+// exchangeAll sends messages at once and waits for all replies.
+func (n *Node) exchangeAll(envelopes []kqspread.Envelope) {
+	var group sync.WaitGroup
+	for _, e := range envelopes {
+		if e.Address != "" {
+			group.Go(func() { n.exchange(e) })
+		}
+	}
+	group.Wait()
+}
+
 // exchange sends one message and hands the replies to control.
 func (n *Node) exchange(e kqspread.Envelope) {
-	defer n.exchanging.Add(-1)
 	message, err := cbor.Marshal(e.Message)
 	if err != nil {
 		n.log.Event(zerolog.ErrorLevel, "encode message", err)
@@ -176,9 +202,11 @@
 	defer cancel()
 	peer, reply, err := n.dialer.Exchange(ctx, e.Address, message)
 	if err != nil {
+		n.metrics.Count(kqmetric.Exchanges, "failed")
 		n.log.Event(zerolog.DebugLevel, "exchange with "+e.Address, err)
 		return
 	}
+	n.metrics.Count(kqmetric.Exchanges, "done")
 	var replies []kqspread.Message
 	if err := spreadMode.Unmarshal(reply, &replies); err != nil {
 		n.log.Event(zerolog.WarnLevel, "reply of "+e.Address+" can't be read", err)
--- a/io/kqnode/shutdown.go
+++ b/io/kqnode/shutdown.go
@@ -23,9 +23,7 @@
 	// answerLinger is how long links stay open behind the last answer, since
 	// closing a link cuts off what the peer has not acknowledged.
 	answerLinger = 500 * time.Millisecond
-	// tellTimeout bounds how long peers that are told of the end are waited for.
-	tellTimeout = 500 * time.Millisecond
-	drainPoll   = 10 * time.Millisecond
+	drainPoll    = 10 * time.Millisecond
 )
 
 // work counts the calls that are on their way through the node. Calls that
@@ -139,8 +137,7 @@
 	err = errors.CombineErrors(err, n.work.wait(ctx))
 	err = errors.CombineErrors(err, n.keys.finish(ctx))
 	err = errors.CombineErrors(err, n.closeHTTP())
-	n.control.send(emptyEvent{})
-	err = errors.CombineErrors(err, n.tellLast(ctx))
+	n.announceGone(ctx)
 	n.linger(ctx)
 	return errors.Mark(errors.CombineErrors(err, n.stop()), ErrNode)
 }
@@ -158,30 +155,6 @@
 	return err
 }
 
-// tellLast tells peers that this node is gone.
-func (n *Node) tellLast(ctx context.Context) error {
-	if err := n.WaitFor(ctx, func(s *State) bool { return s.Life == kqmember.LifeGone }); err != nil {
-		return err
-	}
-	told := tellEvent{done: make(chan struct{})}
-	n.control.send(told)
-	select {
-	case <-told.done:
-	case <-ctx.Done():
-		return errors.Wrap(ctx.Err(), "tell peers")
-	}
-	timer := time.NewTimer(tellTimeout)
-	defer timer.Stop()
-	for n.exchanging.Load() > 0 {
-		select {
-		case <-time.After(drainPoll):
-		case <-timer.C:
-			return nil
-		}
-	}
-	return nil
-}
-
 // linger keeps links open until the last answers have surely arrived.
 func (n *Node) linger(ctx context.Context) {
 	left := answerLinger - n.now().Sub(n.work.lastAnswer())
@@ -208,23 +181,6 @@
 	return err
 }
 
-// emptyEvent says that nothing is in flight any more.
-type emptyEvent struct{}
-
-func (emptyEvent) apply(c *control) bool {
-	return c.fire("Empty")
-}
-
-// tellEvent sends out what is to be told without waiting for the next tick.
-type tellEvent struct {
-	done chan struct{}
-}
-
-func (e tellEvent) apply(c *control) bool {
-	defer close(e.done)
-	return tickEvent{}.apply(c)
-}
-
 // handOff gives the buckets of this node to others of its service. When there
 // are none, or they do not answer in time, the keys are claimed later, in
 // doubt.
