Let a deep cut carry its age, so that it dies in a cycle of services

Cause: each hop gave a cut that it heard from behind a fresh life of 1 s; around a cycle of services it was heard anew for ever (count to infinity). Change: a deep cut travels with its age since the gate that set it told of it, and dies at the age of Life.

--- a/core/kqshed/kqshed.go
+++ b/core/kqshed/kqshed.go
@@ -53,6 +53,10 @@
 type ClassCut struct {
 	Class string
 	Level kqadmit.Level
+	// Age is how long ago the gate that set the cut told of it. Each hop adds
+	// the time that it held the cut, so that a cut that is passed on around a
+	// cycle of services dies at the age of Life like any other.
+	Age time.Duration
 }
 
 // Answer is what the answer of a gate told.
@@ -131,7 +135,7 @@
 	s.cuts[a.Upstream] = s.last
 	s.asked = now
 	for _, d := range a.Deep[:min(len(a.Deep), MaxClasses)] {
-		s.deep[d.Class] = held{d.Level, now}
+		s.deep[d.Class] = held{d.Level, now - max(0, d.Age)}
 	}
 	prune(s.cuts, now)
 	prune(s.deep, now)
@@ -175,7 +179,7 @@
 		if o.class != class || now-at >= callsLife {
 			continue
 		}
-		if level, known := t.services[o.service].behind(now, class); known && started > level {
+		if h, known := t.services[o.service].behind(now, class); known && started > h.level {
 			return true
 		}
 	}
@@ -202,23 +206,23 @@
 // onward and those behind them, of the classes for which one is not open or
 // was not a little while ago.
 func (t *Table) Deep(now time.Duration) []ClassCut {
-	strictest := map[string]kqadmit.Level{}
+	strictest := map[string]held{}
 	for o, at := range t.calls {
 		if now-at >= callsLife {
 			continue
 		}
-		level, known := t.services[o.service].behind(now, o.class)
+		h, known := t.services[o.service].behind(now, o.class)
 		if !known {
 			continue
 		}
-		if held, found := strictest[o.class]; !found || level < held {
-			strictest[o.class] = level
+		if other, found := strictest[o.class]; !found || h.level < other.level {
+			strictest[o.class] = h
 		}
 	}
 	var cuts []ClassCut
-	for class, level := range strictest {
-		if t.tells(now, class, level) && len(cuts) < MaxClasses {
-			cuts = append(cuts, ClassCut{class, level})
+	for class, h := range strictest {
+		if t.tells(now, class, h.level) && len(cuts) < MaxClasses {
+			cuts = append(cuts, ClassCut{class, h.level, now - h.at})
 		}
 	}
 	slices.SortFunc(cuts, func(a, b ClassCut) int { return strings.Compare(a.Class, b.Class) })
@@ -240,14 +244,14 @@
 }
 
 // behind gives the newest cut of the service or behind it for a class.
-func (s *service) behind(now time.Duration, class string) (kqadmit.Level, bool) {
+func (s *service) behind(now time.Duration, class string) (held, bool) {
 	if !s.last.fresh(now) {
-		return kqadmit.Open, false
+		return held{}, false
 	}
-	if deep, found := s.deep[class]; found && deep.fresh(now) {
-		return min(s.last.level, deep.level), true
+	if deep, found := s.deep[class]; found && deep.fresh(now) && deep.level < s.last.level {
+		return deep, true
 	}
-	return s.last.level, true
+	return s.last, true
 }
 
 // Stale lists the services that hold calls back and of which nothing was
--- a/io/kqlink/frames.go
+++ b/io/kqlink/frames.go
@@ -64,6 +64,8 @@
 type ClassCut struct {
 	Class    string
 	Withheld uint64
+	// AgeMilliseconds is how long ago the gate that set the cut told of it.
+	AgeMilliseconds int64
 }
 
 // AnswerHead opens the answer; BodyLength bytes of body follow it.
--- a/io/kqnode/shed.go
+++ b/io/kqnode/shed.go
@@ -98,7 +98,9 @@
 func answerOf(service, upstream string, l kqlink.Load) kqshed.Answer {
 	a := kqshed.Answer{Service: service, Upstream: upstream, Cut: kqadmit.CutOf(l.Withheld)}
 	for _, d := range l.Deep {
-		a.Deep = append(a.Deep, kqshed.ClassCut{Class: d.Class, Level: kqadmit.CutOf(d.Withheld)})
+		a.Deep = append(a.Deep, kqshed.ClassCut{
+			Class: d.Class, Level: kqadmit.CutOf(d.Withheld), Age: time.Duration(d.AgeMilliseconds) * time.Millisecond,
+		})
 	}
 	return a
 }
@@ -113,7 +115,7 @@
 	s.ask(stale)
 	var cuts []kqlink.ClassCut
 	for _, d := range held {
-		cuts = append(cuts, kqlink.ClassCut{Class: d.Class, Withheld: d.Level.Withheld()})
+		cuts = append(cuts, kqlink.ClassCut{Class: d.Class, Withheld: d.Level.Withheld(), AgeMilliseconds: d.Age.Milliseconds()})
 	}
 	return cuts
 }
