Claim from itself only what is stray, never while a claim is under way

Cause: a claim names its maker as the home in the table before it is done. The keeper took that for a stray bucket and claimed from itself all that it held, and a claim puts in doubt whatever no other member gives a ledger of: up to 7 of 16 living buckets were unknown for 15 minutes after an ordinary replacement. Ruled out: a bucket that is just being offered. Change: a claim from itself lists stray buckets only, and begins only when no other claim is pending. Fresh fleets whose keys did not settle are likely the same.

--- a/core/kqhome/claim.go
+++ b/core/kqhome/claim.go
@@ -72,6 +72,15 @@
 	})
 }
 
+// AllBuckets lists every bucket.
+func AllBuckets() []int {
+	all := make([]int, Buckets)
+	for b := range all {
+		all[b] = b
+	}
+	return all
+}
+
 // Claim is one node's attempt to become the home of buckets whose holder is
 // dead or out of reach. It is done when, at one moment, every other member
 // had given its word.
@@ -92,16 +101,17 @@
 	ledgers map[int]kqledger.Export
 }
 
-// NewClaim makes the table that claims the holder's buckets, to be written to
-// the store on condition that it still holds version t. It fails when nothing
-// is to be claimed.
-func NewClaim(t Table, self Node, holder Node) (*Claim, bool) {
+// NewClaim makes the table that claims those of the buckets that the holder
+// has, to be written to the store on condition that it still holds version t.
+// It fails when nothing is to be claimed. A node that claims from itself names
+// its stray buckets only: a claim puts in doubt whatever no ledger is found of.
+func NewClaim(t Table, self, holder Node, among []int) (*Claim, bool) {
 	c := &Claim{self: self, seen: map[string]uint64{}, newest: map[string]uint64{}, sure: map[string]bool{}, ledgers: map[int]kqledger.Export{}}
 	c.table = t.Clone()
 	c.table.Version++
 	remote := true
 	for b, k := range t.Tokens {
-		if k.Holder != holder {
+		if k.Holder != holder || !slices.Contains(among, b) {
 			continue
 		}
 		c.buckets = append(c.buckets, b)
--- a/core/kqhome/claim_test.go
+++ b/core/kqhome/claim_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"kumquatlink/core/kqhome"
+	"kumquatlink/core/kqledger"
 )
 
 // service is a service of four members of which the first holds all buckets
@@ -51,7 +53,7 @@
 
 func (s *service) claim(t *testing.T, claimant, holder int) *kqhome.Claim {
 	t.Helper()
-	c, some := kqhome.NewClaim(s.table, s.homes[claimant].Self(), s.homes[holder].Self())
+	c, some := kqhome.NewClaim(s.table, s.homes[claimant].Self(), s.homes[holder].Self(), kqhome.AllBuckets())
 	if !some {
 		t.Fatal("claim: got nothing to claim, want buckets")
 	}
@@ -137,3 +139,53 @@
 		t.Errorf("missing: got %s, want %s", got, want)
 	}
 }
+
+// keyIn gives a key of the bucket.
+func keyIn(bucket int) string {
+	for i := 0; ; i++ {
+		if key := fmt.Sprintf("key-%d", i); kqhome.BucketOf(key) == bucket {
+			return key
+		}
+	}
+}
+
+// TestClaimFromItselfLeavesHeldBucketsAlone has a node of which the table names
+// one bucket that it does not hold, as while its claim of that bucket is under
+// way: the others must not be put in doubt.
+func TestClaimFromItselfLeavesHeldBucketsAlone(t *testing.T) {
+	const stray = 5
+	s := newService()
+	h := s.homes[0]
+	if got := h.Stray(); len(got) > 0 {
+		t.Fatalf("stray buckets: got %v, want none", got)
+	}
+	named := h.Table()
+	named.Tokens[stray].Epoch.Generation++
+	h.Hear(named)
+	if got, want := h.Stray(), []int{stray}; !slices.Equal(got, want) {
+		t.Fatalf("stray buckets: got %v, want %v", got, want)
+	}
+	c, some := kqhome.NewClaim(h.Table(), h.Self(), h.Self(), h.Stray())
+	if !some {
+		t.Fatal("claim: got nothing to claim, want the stray bucket")
+	}
+	if got, want := c.Buckets(), []int{stray}; !slices.Equal(got, want) {
+		t.Errorf("claimed buckets: got %v, want %v", got, want)
+	}
+	h.Fence(0, c.Table(), c.Buckets())
+	for range 2 {
+		for i := range s.homes {
+			if i > 0 {
+				s.ask(c, i)
+			}
+		}
+		c.Advance()
+	}
+	h.Complete(0, c)
+	for bucket := range kqhome.Buckets {
+		v := h.Begin(0, keyIn(bucket), 1)
+		if got, want := v.Action == kqledger.ActionRun, bucket != stray; got != want {
+			t.Errorf("bucket %d runs a fresh key: got %v, want %v (%v)", bucket, got, want, v.End)
+		}
+	}
+}
--- a/core/kqhome/home.go
+++ b/core/kqhome/home.go
@@ -219,15 +219,16 @@
 	return offers
 }
 
-// Stray is whether the table names this node as a home that it is not, such as
-// after a claim that came to nothing.
-func (h *Home) Stray() bool {
+// Stray lists the buckets of which the table names this node as a home that it
+// is not, such as after a claim that came to nothing.
+func (h *Home) Stray() []int {
+	var buckets []int
 	for b, k := range h.table.Tokens {
 		if k.Holder == h.self && (h.held[b] == nil || h.held[b].Token.Epoch.Generation < k.Epoch.Generation) {
-			return true
+			buckets = append(buckets, b)
 		}
 	}
-	return false
+	return buckets
 }
 
 // Tick forgets runs of former holders that were never settled, and ledgers
--- a/core/kqhome/world_test.go
+++ b/core/kqhome/world_test.go
@@ -548,7 +548,11 @@
 		return
 	}
 	p.home.Hear(w.stored)
-	c, some := kqhome.NewClaim(p.home.Table(), p.self, holder)
+	among := kqhome.AllBuckets()
+	if holder == p.self {
+		among = p.home.Stray()
+	}
+	c, some := kqhome.NewClaim(p.home.Table(), p.self, holder, among)
 	if !some {
 		return
 	}
--- a/io/kqnode/keyclaim.go
+++ b/io/kqnode/keyclaim.go
@@ -29,8 +29,12 @@
 	k.mutex.Lock()
 	k.home.Hear(stored)
 	known := k.home.Table()
+	among := kqhome.AllBuckets()
+	if holder == k.home.Self() {
+		among = k.home.Stray()
+	}
 	k.mutex.Unlock()
-	c, some := kqhome.NewClaim(known, k.self(), holder)
+	c, some := kqhome.NewClaim(known, k.self(), holder, among)
 	if !some {
 		return
 	}
--- a/io/kqnode/keysteps.go
+++ b/io/kqnode/keysteps.go
@@ -346,13 +346,15 @@
 func (k *keeper) watchHolders(ctx context.Context, s *State) {
 	k.mutex.Lock()
 	table := k.home.Table()
-	stray := k.home.Stray()
+	stray := len(k.home.Stray()) > 0
 	k.mutex.Unlock()
 	probe := k.now()-k.steps.probedAt >= keyProbePeriod
 	if probe {
 		k.steps.probedAt = k.now()
 	}
-	if stray {
+	// While a claim is under way, the table names this node as the home of what
+	// it has claimed, but it is not yet.
+	if stray && len(k.steps.claims) == 0 {
 		k.claim(ctx, k.self())
 	}
 	holders := map[kqhome.Node]bool{}
