Count decisions in the metrics; one way to start a fleet in node tests

Change: decide counts by outcome and cause, checked by the path test; newFleet, patient and eventually stand once.

--- a/io/kqnode/badinput_test.go
+++ b/io/kqnode/badinput_test.go
@@ -20,23 +20,11 @@
 // startCatalog starts an entry and a node of the service catalog.
 func startCatalog(t *testing.T) (entry, deep *kqfleet.Member, ctx context.Context) {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
-	t.Cleanup(cancel)
-	fleet, err := kqfleet.New()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		if err := fleet.Close(); err != nil {
-			t.Errorf("close: %v", err)
-		}
-	})
-	if err := fleet.Configure(ctx, testClasses()); err != nil {
-		t.Fatal(err)
-	}
+	ctx = patient(t)
+	fleet := newFleet(ctx, t)
 	entry = addNode(t, fleet, "entry-1", "lothian")
 	place := kqfleet.Place{NodeID: "catalog-1", Region: "lothian", FailureDomain: "lothian-b"}
-	deep, err = fleet.AddBackend(place, kqbackend.Settings{Service: "catalog", Slots: 4})
+	deep, err := fleet.AddBackend(place, kqbackend.Settings{Service: "catalog", Slots: 4})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/io/kqnode/chain_test.go
+++ b/io/kqnode/chain_test.go
@@ -30,20 +30,8 @@
 // settings of the deepest.
 func startChain(t *testing.T, depth int, last kqbackend.Settings) (*chain, context.Context) {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
-	t.Cleanup(cancel)
-	fleet, err := kqfleet.New()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		if err := fleet.Close(); err != nil {
-			t.Errorf("close: %v", err)
-		}
-	})
-	if err := fleet.Configure(ctx, testClasses()); err != nil {
-		t.Fatal(err)
-	}
+	ctx := patient(t)
+	fleet := newFleet(ctx, t)
 	c := &chain{entry: addNode(t, fleet, "entry-1", "lothian"), network: fleet.Network}
 	for i := range depth {
 		settings := kqbackend.Settings{Slots: 8}
@@ -79,20 +67,6 @@
 	return runs
 }
 
-// waitFor looks at the condition again and again until it holds.
-func waitFor(ctx context.Context, t *testing.T, what string, holds func() bool) {
-	t.Helper()
-	look := time.NewTicker(5 * time.Millisecond)
-	defer look.Stop()
-	for !holds() {
-		select {
-		case <-look.C:
-		case <-ctx.Done():
-			t.Fatalf("waited in vain: %s", what)
-		}
-	}
-}
-
 const longWork = time.Hour
 
 func TestGoneCallerStopsTheDeepestHop(t *testing.T) {
@@ -105,7 +79,7 @@
 	if _, err := caller.Write([]byte(head)); err != nil {
 		t.Fatal(err)
 	}
-	waitFor(ctx, t, "the deepest hop runs", func() bool { return len(c.deepest()) == 1 })
+	eventually(ctx, t, "the deepest hop runs", func() bool { return len(c.deepest()) == 1 })
 	if err := caller.Close(); err != nil {
 		t.Fatal(err)
 	}
@@ -133,7 +107,7 @@
 // to all of its work saved.
 func wantStopped(ctx context.Context, t *testing.T, c *chain) {
 	t.Helper()
-	waitFor(ctx, t, "the deepest hop stops", func() bool {
+	eventually(ctx, t, "the deepest hop stops", func() bool {
 		runs := c.deepest()
 		return len(runs) == 1 && !runs[0].Ended.IsZero()
 	})
@@ -143,7 +117,7 @@
 	}
 	for i, hop := range c.hops {
 		for _, m := range hop {
-			waitFor(ctx, t, fmt.Sprintf("hop %d stops", i), func() bool {
+			eventually(ctx, t, fmt.Sprintf("hop %d stops", i), func() bool {
 				runs := m.Backend.Runs()
 				return len(runs) == 0 || !runs[0].Ended.IsZero()
 			})
@@ -187,7 +161,7 @@
 				})
 				answer <- outcome(response)
 			}()
-			waitFor(ctx, t, "the call runs", func() bool { return len(c.deepest()) == 1 })
+			eventually(ctx, t, "the call runs", func() bool { return len(c.deepest()) == 1 })
 			for _, m := range c.hops[0] {
 				if len(m.Backend.Runs()) == 0 {
 					m.Backend.SetFaults(kqbackend.Faults{})
@@ -307,7 +281,7 @@
 			head := text("GET /list", kqwire.HeaderService+": service-1", kqwire.HeaderContext+": "+token)
 			before := len(c.deepest())
 			if _, err := onward.Write([]byte(head)); err == nil {
-				waitFor(ctx, t, "the onward call runs", func() bool { return len(c.deepest()) > before })
+				eventually(ctx, t, "the onward call runs", func() bool { return len(c.deepest()) > before })
 			}
 		})
 	}
@@ -321,7 +295,7 @@
 	if len(c.deepest()) == 0 {
 		t.Error("no onward call ran, so that the test proves nothing")
 	}
-	waitFor(ctx, t, "all onward calls stop", func() bool {
+	eventually(ctx, t, "all onward calls stop", func() bool {
 		for _, r := range c.deepest() {
 			if r.Ended.IsZero() {
 				return false
--- a/io/kqnode/configuration_test.go
+++ b/io/kqnode/configuration_test.go
@@ -18,20 +18,8 @@
 // configuration.
 func startFleet(t *testing.T) (*kqfleet.Fleet, context.Context) {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
-	t.Cleanup(cancel)
-	fleet, err := kqfleet.New()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		if err := fleet.Close(); err != nil {
-			t.Errorf("close: %v", err)
-		}
-	})
-	if err := fleet.Configure(ctx, testClasses()); err != nil {
-		t.Fatal(err)
-	}
+	ctx := patient(t)
+	fleet := newFleet(ctx, t)
 	for _, region := range []string{"lothian", "clyde", "grampian"} {
 		addNode(t, fleet, "node-"+region, region)
 	}
--- a/io/kqnode/entry.go
+++ b/io/kqnode/entry.go
@@ -152,7 +152,7 @@
 		q.parent.onward.mark()
 	}
 	n.decide(kqlog.Decision{
-		RequestID: q.head.RequestID, Class: q.head.Class, Service: q.head.Service, Decision: "Answer",
+		RequestID: q.head.RequestID, Class: q.head.Class, Service: q.head.Service, Decision: decisionAnswer,
 		Cause: string(r.end.Cause), Outcome: string(r.end.Outcome), Took: n.now().Sub(begun),
 	})
 	if q.named && r.end.Outcome != kqcall.OutcomeRan {
--- a/io/kqnode/flights_test.go
+++ b/io/kqnode/flights_test.go
@@ -24,20 +24,13 @@
 
 func startStalled(t *testing.T) (*stalled, context.Context) {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
-	t.Cleanup(cancel)
-	fleet, err := kqfleet.New()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = fleet.Close() })
-	if err := fleet.Configure(ctx, testClasses()); err != nil {
-		t.Fatal(err)
-	}
+	ctx := patient(t)
+	fleet := newFleet(ctx, t)
 	s := &stalled{output: &lines{}}
 	log := kqlog.New(s.output, kqlog.WithNode("entry-1", "lothian-a"))
 	t.Cleanup(log.Close)
 	place := kqfleet.Place{NodeID: "entry-1", Region: "lothian", FailureDomain: "lothian-a"}
+	var err error
 	if s.entry, err = fleet.AddNode(place, kqnode.WithLog(log)); err != nil {
 		t.Fatal(err)
 	}
@@ -85,11 +78,11 @@
 func TestCopiesOfACallShareOneRun(t *testing.T) {
 	s, ctx := startStalled(t)
 	answers := []<-chan string{s.send(t, "voices")}
-	waitFor(ctx, t, "the first copy runs", func() bool { return s.runs() == 1 })
+	eventually(ctx, t, "the first copy runs", func() bool { return s.runs() == 1 })
 	for range 7 {
 		answers = append(answers, s.send(t, "voices"))
 	}
-	waitFor(ctx, t, "the others share its run", func() bool { return s.shared(t) == 7 })
+	eventually(ctx, t, "the others share its run", func() bool { return s.shared(t) == 7 })
 	s.deep.Backend.SetFaults(kqbackend.Faults{})
 	for _, a := range answers {
 		if got, want := <-a, "ran Done catalog POST /list?page=2 voices"; got != want {
@@ -106,9 +99,9 @@
 func TestOtherCallUnderTheSameIDRunsByItself(t *testing.T) {
 	s, ctx := startStalled(t)
 	first := s.send(t, "voices")
-	waitFor(ctx, t, "the first call runs", func() bool { return s.runs() == 1 })
+	eventually(ctx, t, "the first call runs", func() bool { return s.runs() == 1 })
 	second := s.send(t, "licences")
-	waitFor(ctx, t, "the second call runs", func() bool { return s.runs() == 2 })
+	eventually(ctx, t, "the second call runs", func() bool { return s.runs() == 2 })
 	s.deep.Backend.SetFaults(kqbackend.Faults{})
 	for a, want := range map[<-chan string]string{first: "ran Done catalog POST /list?page=2 voices", second: "ran Done catalog POST /list?page=2 licences"} {
 		if got := <-a; got != want {
@@ -127,7 +120,7 @@
 	if _, err := leaver.Write([]byte(head + "voices")); err != nil {
 		t.Fatal(err)
 	}
-	waitFor(ctx, t, "the first copy runs", func() bool { return s.runs() == 1 })
+	eventually(ctx, t, "the first copy runs", func() bool { return s.runs() == 1 })
 	stayer, err := net.Dial("tcp", s.entry.Node.CallerAddress())
 	if err != nil {
 		t.Fatal(err)
@@ -136,11 +129,11 @@
 	if _, err := stayer.Write([]byte(head + "voices")); err != nil {
 		t.Fatal(err)
 	}
-	waitFor(ctx, t, "the second copy shares its run", func() bool { return s.shared(t) == 1 })
+	eventually(ctx, t, "the second copy shares its run", func() bool { return s.shared(t) == 1 })
 	if err := leaver.Close(); err != nil {
 		t.Fatal(err)
 	}
-	waitFor(ctx, t, "the first caller's end is seen", func() bool {
+	eventually(ctx, t, "the first caller's end is seen", func() bool {
 		for _, d := range s.output.decisions(t) {
 			if d["Decision"] == "Answer" && d["Cause"] == "CallerGone" {
 				return true
--- a/io/kqnode/history.go
+++ b/io/kqnode/history.go
@@ -91,10 +91,11 @@
 	return found, h.records[h.head].At
 }
 
-// decide logs a decision and remembers it.
+// decide logs a decision, remembers it and counts it.
 func (n *Node) decide(d kqlog.Decision) {
 	n.history.add(Recorded{At: n.now(), Decision: d})
 	n.log.Decide(d)
+	n.countDecision(d)
 }
 
 // Explain gives what this node remembers of a request.
--- a/io/kqnode/keyed_test.go
+++ b/io/kqnode/keyed_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"testing"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -14,21 +13,6 @@
 	"kumquatlink/io/kqwire"
 )
 
-// pollPeriod is how often a condition that nothing announces is looked at.
-const pollPeriod = 5 * time.Millisecond
-
-// eventually waits until the condition holds.
-func eventually(ctx context.Context, t testing.TB, what string, condition func() bool) {
-	t.Helper()
-	for !condition() {
-		select {
-		case <-time.After(pollPeriod):
-		case <-ctx.Done():
-			t.Fatalf("waited in vain: %s", what)
-		}
-	}
-}
-
 // keyFleet is a fleet with two entries and some nodes of the service orders.
 type keyFleet struct {
 	*kqfleet.Fleet
@@ -38,14 +22,7 @@
 
 func startKeyFleet(ctx context.Context, t testing.TB, nodes int, backend kqbackend.Settings) *keyFleet {
 	t.Helper()
-	fleet, err := kqfleet.New()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = fleet.Close() })
-	if err := fleet.Configure(ctx, testClasses()); err != nil {
-		t.Fatal(err)
-	}
+	fleet := newFleet(ctx, t)
 	f := &keyFleet{Fleet: fleet}
 	for i := range 2 {
 		m, err := fleet.AddNode(kqfleet.Place{NodeID: fmt.Sprintf("entry-%d", i), Region: "lothian", FailureDomain: "lothian-a"})
@@ -119,8 +96,7 @@
 }
 
 func TestKeyRunsOnceThroughTwoEntries(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
-	defer cancel()
+	ctx := patient(t)
 	f := startKeyFleet(ctx, t, 4, kqbackend.Settings{})
 	for i := range 64 {
 		key := fmt.Sprintf("key-%d", i)
@@ -149,8 +125,7 @@
 }
 
 func TestKeysOfLeftNodeGoOnWhileStoreIsDown(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
-	defer cancel()
+	ctx := patient(t)
 	f := startKeyFleet(ctx, t, 4, kqbackend.Settings{})
 	for i := range 64 {
 		call(t, f.entries[0].Node.CallerAddress(), buy(fmt.Sprintf("key-%d", i), ""))
@@ -183,8 +158,7 @@
 }
 
 func TestExplainFindsTheDecisionsOfOneRequest(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
-	defer cancel()
+	ctx := patient(t)
 	f := startKeyFleet(ctx, t, 3, kqbackend.Settings{})
 	for _, id := range []string{"request-1", "request-2"} {
 		call(t, f.entries[0].Node.CallerAddress(), func(r *fasthttp.Request) {
--- a/io/kqnode/keyfault_test.go
+++ b/io/kqnode/keyfault_test.go
@@ -1,7 +1,6 @@
 package kqnode_test
 
 import (
-	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -39,8 +38,7 @@
 }
 
 func TestPausedHomeLosesItsKeysToAClaimAndWakesHarmless(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
-	defer cancel()
+	ctx := patient(t)
 	f := startKeyFleet(ctx, t, 4, kqbackend.Settings{})
 	eventually(ctx, t, "homes are balanced and leave their own gates unused", func() bool {
 		table, _ := f.entries[0].Node.KeyHomes("orders")
@@ -107,8 +105,7 @@
 }
 
 func TestPurchasesGoOnWhileTheStoreIsDown(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
-	defer cancel()
+	ctx := patient(t)
 	f := startKeyFleet(ctx, t, 3, kqbackend.Settings{})
 	f.Store.SetFaults(kqobject.Faults{Down: true, CutWatches: true})
 	for i := range keysOfFault {
@@ -123,8 +120,7 @@
 }
 
 func TestCopiesInTheNetworkAtOnceShareOneRun(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
-	defer cancel()
+	ctx := patient(t)
 	f := startKeyFleet(ctx, t, 3, kqbackend.Settings{ServiceTime: copyServiceTime})
 	ends := make(chan string, 2*keysOfFault)
 	for i := range keysOfFault {
@@ -143,8 +139,7 @@
 }
 
 func TestMemberThatHasLeftIsTakenOutOfTheTable(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
-	defer cancel()
+	ctx := patient(t)
 	f := startKeyFleet(ctx, t, 3, kqbackend.Settings{})
 	if err := f.orders[2].Node.Shutdown(ctx); err != nil {
 		t.Fatal(err)
--- a/io/kqnode/life_test.go
+++ b/io/kqnode/life_test.go
@@ -77,8 +77,7 @@
 }
 
 func TestLeavingBackendServerGetsNoNewWorkUntilItReturns(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
-	defer cancel()
+	ctx := patient(t)
 	f := newLifeFleet(t, ctx)
 	first := f.nodes[0]
 	if err := first.Backend.Announce(kqwire.StateLeaving); err != nil {
@@ -103,8 +102,7 @@
 }
 
 func TestSilentBackendServerIsNotReady(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
-	defer cancel()
+	ctx := patient(t)
 	f := newLifeFleet(t, ctx)
 	// The backend server ends without a word.
 	if err := f.nodes[0].Backend.Close(); err != nil {
@@ -117,8 +115,7 @@
 }
 
 func TestNodeThatShutsDownIsGoneEverywhere(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
-	defer cancel()
+	ctx := patient(t)
 	f := newLifeFleet(t, ctx)
 	if err := f.nodes[1].Node.Shutdown(ctx); err != nil {
 		t.Fatal(err)
@@ -141,8 +138,7 @@
 }
 
 func TestLaterStartOfANameSupersedesTheEarlier(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
-	defer cancel()
+	ctx := patient(t)
 	f := newLifeFleet(t, ctx)
 	if _, err := f.AddNode(kqfleet.Place{NodeID: "catalog-1", Region: "lothian", FailureDomain: "lothian-b"}); err != nil {
 		t.Fatal(err)
@@ -155,8 +151,7 @@
 }
 
 func TestNodeStartedWhileTheStoreIsDownJoinsThroughPeers(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
-	defer cancel()
+	ctx := patient(t)
 	f := newLifeFleet(t, ctx)
 	f.Store.SetFaults(kqobject.Faults{Down: true})
 	late, err := f.AddNode(kqfleet.Place{NodeID: "late-1", Region: "clyde", FailureDomain: "clyde-a"})
--- a/io/kqnode/operator.go
+++ b/io/kqnode/operator.go
@@ -14,6 +14,7 @@
 	"kumquatlink/core/kqclass"
 	"kumquatlink/core/kqconfig"
 	"kumquatlink/core/kqmember"
+	"kumquatlink/io/kqlog"
 	"kumquatlink/io/kqmetric"
 	"kumquatlink/io/kqstore"
 )
@@ -175,6 +176,26 @@
 	n.metrics.Set(kqmetric.LogDropped, float64(n.log.Dropped()))
 }
 
+// Decisions that are counted; their names are those of the log lines.
+const (
+	decisionAnswer = "Answer"
+	decisionRoute  = "Route"
+	decisionAdmit  = "Admit"
+)
+
+// countDecision counts a decision by its outcome and cause.
+func (n *Node) countDecision(d kqlog.Decision) {
+	switch d.Decision {
+	case decisionAnswer:
+		n.metrics.Count(kqmetric.Answers, d.Outcome, d.Cause)
+		n.metrics.Time(kqmetric.AnswerTime, d.Took)
+	case decisionRoute:
+		n.metrics.Count(kqmetric.Routes, d.Outcome, d.Cause)
+	case decisionAdmit:
+		n.metrics.Count(kqmetric.Admissions, d.Outcome, d.Cause)
+	}
+}
+
 // observeStore counts a call of the store.
 func (n *Node) observeStore(r kqstore.CallRecord) {
 	n.metrics.Count(kqmetric.StoreCalls, r.Operation, storeResult(r.Err))
--- a/io/kqnode/outcomes_test.go
+++ b/io/kqnode/outcomes_test.go
@@ -174,8 +174,7 @@
 }
 
 func TestEveryFailurePointHasItsOutcome(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
-	defer cancel()
+	ctx := patient(t)
 	entry, gate, fleet := startPlain(ctx, t)
 	backend := newScript(t, gate.Node.BackendAddress(), "catalog")
 	// Without the store nobody can claim the keys of a service that is new.
@@ -209,18 +208,12 @@
 
 func startPlain(ctx context.Context, t *testing.T) (entry, gate *kqfleet.Member, fleet *kqfleet.Fleet) {
 	t.Helper()
-	fleet, err := kqfleet.New()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = fleet.Close() })
-	if err := fleet.Configure(ctx, testClasses()); err != nil {
-		t.Fatal(err)
-	}
+	fleet = newFleet(ctx, t)
 	for _, m := range []struct {
 		name string
 		to   **kqfleet.Member
 	}{{"entry-1", &entry}, {"catalog-1", &gate}} {
+		var err error
 		if *m.to, err = fleet.AddNode(kqfleet.Place{NodeID: m.name, Region: "lothian", FailureDomain: "lothian-a"}); err != nil {
 			t.Fatal(err)
 		}
@@ -229,8 +222,7 @@
 }
 
 func TestGateRefusesAKeyThatNoHomeSent(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
-	defer cancel()
+	ctx := patient(t)
 	_, gate, fleet := startPlain(ctx, t)
 	backend := newScript(t, gate.Node.BackendAddress(), "catalog")
 	if err := fleet.Settle(ctx, "catalog"); err != nil {
@@ -268,8 +260,7 @@
 }
 
 func TestUnknownCallOfRunOnceClassIsNotTriedElsewhere(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
-	defer cancel()
+	ctx := patient(t)
 	entry, gate, fleet := startPlain(ctx, t)
 	other, err := fleet.AddNode(kqfleet.Place{NodeID: "catalog-2", Region: "lothian", FailureDomain: "lothian-a"})
 	if err != nil {
@@ -293,8 +284,7 @@
 }
 
 func TestShedBehindOnwardCallsIsNotBelieved(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
-	defer cancel()
+	ctx := patient(t)
 	entry, gate, fleet := startPlain(ctx, t)
 	if _, err := fleet.AddBackend(kqfleet.Place{NodeID: "orders-1", Region: "lothian", FailureDomain: "lothian-a"}, kqbackend.Settings{Service: "orders", Slots: 4}); err != nil {
 		t.Fatal(err)
--- a/io/kqnode/path_test.go
+++ b/io/kqnode/path_test.go
@@ -16,12 +16,10 @@
 	"kumquatlink/io/kqfleet"
 	"kumquatlink/io/kqlog"
 	"kumquatlink/io/kqnode"
+	"kumquatlink/io/kqoperator"
 	"kumquatlink/io/kqwire"
 )
 
-// testPatience only ends a test that hangs.
-const testPatience = time.Minute
-
 func testClasses() []kqclass.Class {
 	return []kqclass.Class{
 		{Name: "purchase", Target: kqclass.Target{Complete: 99.9, Within: kqclass.Duration(30 * time.Second)}, RunOnce: true},
@@ -73,20 +71,8 @@
 }
 
 func TestWholePathThroughTwoNodes(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
-	defer cancel()
-	fleet, err := kqfleet.New()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() {
-		if err := fleet.Close(); err != nil {
-			t.Errorf("close: %v", err)
-		}
-	}()
-	if err := fleet.Configure(ctx, testClasses()); err != nil {
-		t.Fatal(err)
-	}
+	ctx := patient(t)
+	fleet := newFleet(ctx, t)
 	output := &lines{}
 	log := kqlog.New(output, kqlog.WithNode("entry-1", "lothian-a"))
 	entry, err := fleet.AddNode(kqfleet.Place{NodeID: "entry-1", Region: "lothian", FailureDomain: "lothian-a"}, kqnode.WithLog(log))
@@ -124,6 +110,10 @@
 	if got, want := runs[0].Class, "browse"; got != want {
 		t.Errorf("class at the backend server: got %q, want %q", got, want)
 	}
+	wantMetrics(ctx, t, entry.Node.OperatorAddress(),
+		`kumquatlink_answers{cause="Done",outcome="ran"} 1`,
+		`kumquatlink_routes{cause="Done",outcome="ran"} 1`)
+	wantMetrics(ctx, t, deep.Node.OperatorAddress(), `kumquatlink_admissions{cause="Done",outcome="ran"} 1`)
 	log.Close()
 	routes := 0
 	for _, d := range output.decisions(t) {
@@ -138,3 +128,14 @@
 		t.Errorf("routing lines: got %d, want %d", got, want)
 	}
 }
+
+// wantMetrics waits until a node's metrics hold the lines.
+func wantMetrics(ctx context.Context, t *testing.T, address string, lines ...string) {
+	t.Helper()
+	for _, line := range lines {
+		eventually(ctx, t, line, func() bool {
+			text, err := kqoperator.Get(ctx, address, kqnode.PathMetrics)
+			return err == nil && strings.Contains(string(text), line+"\n")
+		})
+	}
+}
--- a/io/kqnode/router.go
+++ b/io/kqnode/router.go
@@ -135,7 +135,7 @@
 		r.node.shed.heard(q, upstream.Record.NodeID, last)
 		held.PutBack(last.retriesLeft, q.head.Retries)
 		r.node.decide(kqlog.Decision{
-			RequestID: q.head.RequestID, Class: q.head.Class, Service: q.head.Service, Decision: "Route",
+			RequestID: q.head.RequestID, Class: q.head.Class, Service: q.head.Service, Decision: decisionRoute,
 			Cause: string(last.end.Cause), Outcome: string(last.end.Outcome),
 			Chosen: upstream.Record.NodeID, Others: table.Others(upstream),
 		})
--- a/io/kqnode/shutdown_test.go
+++ b/io/kqnode/shutdown_test.go
@@ -1,7 +1,6 @@
 package kqnode_test
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"sync"
@@ -98,8 +97,7 @@
 const rollCallers = 12
 
 func TestRollingShutdownOfAServiceCutsNothing(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
-	defer cancel()
+	ctx := patient(t)
 	f := startKeyFleet(ctx, t, 3, kqbackend.Settings{ServiceTime: 3 * time.Millisecond})
 	l := startLoad(f, rollCallers)
 	for i := range 3 {
@@ -130,8 +128,7 @@
 }
 
 func TestShutdownLetsOnwardCallsOfRunningCallsOut(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
-	defer cancel()
+	ctx := patient(t)
 	entry, gate, fleet := startPlain(ctx, t)
 	deep, err := fleet.AddBackend(kqfleet.Place{NodeID: "orders-1", Region: "lothian", FailureDomain: "lothian-a"}, kqbackend.Settings{Service: "orders", Slots: 4})
 	if err != nil {
@@ -176,8 +173,7 @@
 }
 
 func TestShutdownOfANodeWhoseBackendServerStallsEndsWithTheDeadline(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
-	defer cancel()
+	ctx := patient(t)
 	entry, gate, fleet := startPlain(ctx, t)
 	backend := newScript(t, gate.Node.BackendAddress(), "catalog")
 	hold, begun := make(chan struct{}), make(chan struct{})
--- a/io/kqnode/whole_test.go
+++ b/io/kqnode/whole_test.go
@@ -1,7 +1,6 @@
 package kqnode_test
 
 import (
-	"context"
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
@@ -63,8 +62,7 @@
 }
 
 func TestEveryCallerGetsItsOwnWholeAnswer(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
-	defer cancel()
+	ctx := patient(t)
 	entry, gate, fleet := startPlain(ctx, t)
 	backend := &shuffler{hold: make(chan struct{})}
 	defer close(backend.hold)
