--- a/core/kqclass/kqclass.go
+++ b/core/kqclass/kqclass.go
@@ -37,6 +37,11 @@
 // Duration is a time.Duration written as text such as "250ms" in JSON.
 type Duration time.Duration
 
+// Value is the duration as the standard library has it.
+func (d Duration) Value() time.Duration {
+	return time.Duration(d)
+}
+
 // MarshalJSON writes d as text.
 func (d Duration) MarshalJSON() ([]byte, error) {
 	return json.Marshal(time.Duration(d).String())
--- /dev/null
+++ b/io/kqedge/kqedge.go
@@ -0,0 +1,497 @@
+// Package kqedge serves HTTP/1.1 to callers with fasthttp's codec over
+// connections that it owns itself. fasthttp's own server runs one request of a
+// connection at a time and does not notice a caller that leaves meanwhile;
+// this one reads ahead, so that requests sent behind another begin at once and
+// a closed connection cancels what runs for it.
+//
+// # Usage
+//
+//	server := kqedge.New(handle, kqedge.WithLimits(limits))
+//	address, err := server.Listen("10.1.0.8:8304")
+//	...
+//	server.Drain()           // answers say that the connection will close
+//	server.Close()
+//
+// A handler gets an [Exchange], fills its response and returns; ctx ends when
+// the caller is gone. Answers go out in the order of their requests. Requests
+// that may not be repeated are not begun before the ones ahead of them have
+// been answered, since a connection that closes in between has not read them.
+package kqedge
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// Bounds of a connection.
+const (
+	// maxAhead is how many requests of a connection are read ahead.
+	maxAhead = 16
+	// firstBufferBytes is the size of a connection's reader until a header
+	// does not fit into it.
+	firstBufferBytes = 4 << 10
+	// writeTimeout bounds an answer to a caller that does not read.
+	writeTimeout = 10 * time.Second
+	// lingerTime is how long a caller may take to see that the connection was
+	// closed behind an answer.
+	lingerTime = time.Second
+)
+
+// Defaults of the limits.
+const (
+	defaultHeaderBytes = 16 << 10
+	defaultBodyBytes   = 16 << 20
+	defaultHeaderTime  = 5 * time.Second
+	defaultIdleTime    = 60 * time.Second
+)
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int
+	// HeaderTime is how long a request may take to come in from its first
+	// byte, and IdleTime how long a connection may stay without one.
+	HeaderTime time.Duration
+	IdleTime   time.Duration
+}
+
+// WithDefaults fills in the limits that are 0.
+func (l Limits) WithDefaults() Limits {
+	if l.HeaderBytes <= 0 {
+		l.HeaderBytes = defaultHeaderBytes
+	}
+	if l.BodyBytes <= 0 {
+		l.BodyBytes = defaultBodyBytes
+	}
+	if l.HeaderTime <= 0 {
+		l.HeaderTime = defaultHeaderTime
+	}
+	if l.IdleTime <= 0 {
+		l.IdleTime = defaultIdleTime
+	}
+	return l
+}
+
+// Exchange is one request and its answer.
+type Exchange struct {
+	Request  *fasthttp.Request
+	Response *fasthttp.Response
+	// Came is when the request had been read.
+	Came time.Time
+	// Break is set by the handler to close the connection in place of an
+	// answer.
+	Break bool
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// Server is an HTTP/1.1 server.
+type Server struct {
+	handle func(ctx context.Context, e *Exchange)
+	limits func() Limits
+	submit func(task func()) error
+	// refused makes the answer to a request that can't be read.
+	refused func(response *fasthttp.Response, err error)
+
+	listener net.Listener
+	draining atomic.Bool
+	mutex    sync.Mutex
+	closed   bool
+	open     map[*connection]struct{}
+	inFlight atomic.Int64
+	lastCame atomic.Int64
+}
+
+// Option changes a server.
+type Option func(*Server)
+
+// WithLimits sets where the limits of the moment are read.
+func WithLimits(limits func() Limits) Option {
+	return func(s *Server) { s.limits = limits }
+}
+
+// WithSubmit sets what runs handlers; it must not block.
+func WithSubmit(submit func(task func()) error) Option {
+	return func(s *Server) { s.submit = submit }
+}
+
+// WithRefused sets how a request that can't be read is answered.
+func WithRefused(refused func(response *fasthttp.Response, err error)) Option {
+	return func(s *Server) { s.refused = refused }
+}
+
+// New makes a server.
+func New(handle func(ctx context.Context, e *Exchange), options ...Option) *Server {
+	s := &Server{
+		handle: handle, limits: func() Limits { return Limits{} }, open: map[*connection]struct{}{},
+		submit: func(task func()) error { go task(); return nil },
+		refused: func(r *fasthttp.Response, err error) {
+			r.SetStatusCode(StatusOf(err))
+			r.SetBodyString(err.Error() + "\n")
+		},
+	}
+	for _, o := range options {
+		o(s)
+	}
+	return s
+}
+
+// StatusOf gives the status for a request that can't be read.
+func StatusOf(err error) int {
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return fasthttp.StatusRequestEntityTooLarge
+	case errors.As(err, &small):
+		return fasthttp.StatusRequestHeaderFieldsTooLarge
+	default:
+		return fasthttp.StatusBadRequest
+	}
+}
+
+// Listen begins to serve at a TCP address and gives the address.
+func (s *Server) Listen(address string) (string, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", errors.Wrapf(err, "listen at %s", address)
+	}
+	s.listener = l
+	go s.accept(l)
+	return l.Addr().String(), nil
+}
+
+func (s *Server) accept(l net.Listener) {
+	for {
+		raw, err := l.Accept()
+		if err != nil {
+			return
+		}
+		c := &connection{server: s, raw: raw, answers: make(chan *Exchange, maxAhead)}
+		s.mutex.Lock()
+		closed := s.closed
+		if !closed {
+			s.open[c] = struct{}{}
+		}
+		s.mutex.Unlock()
+		if closed {
+			_ = raw.Close()
+			continue
+		}
+		go c.read()
+		go c.write()
+	}
+}
+
+// Drain has every further answer say that its connection will close. New
+// connections and requests are still taken.
+func (s *Server) Drain() {
+	s.draining.Store(true)
+}
+
+// InFlight is how many requests were read and not answered.
+func (s *Server) InFlight() int {
+	return int(s.inFlight.Load())
+}
+
+// LastCame is when the last request came, in Unix nanoseconds, or 0.
+func (s *Server) LastCame() int64 {
+	return s.lastCame.Load()
+}
+
+// Close closes the address and all connections.
+func (s *Server) Close() {
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+	s.mutex.Lock()
+	s.closed = true
+	open := s.open
+	s.open = map[*connection]struct{}{}
+	s.mutex.Unlock()
+	for c := range open {
+		_ = c.raw.Close()
+	}
+}
+
+// connection is one caller's connection: one goroutine reads, one writes.
+type connection struct {
+	server *Server
+	raw    net.Conn
+	// answers holds the exchanges in the order of their requests.
+	answers chan *Exchange
+	mutex   sync.Mutex
+	active  map[*Exchange]struct{}
+	gone    bool
+	closing atomic.Bool
+}
+
+// read reads requests until the caller is gone, and cancels what runs then.
+func (c *connection) read() {
+	defer close(c.answers)
+	limits := c.server.limits().WithDefaults()
+	reader := bufio.NewReaderSize(c.raw, firstBufferBytes)
+	var last *Exchange
+	for !c.closing.Load() {
+		if !c.await(reader, limits.IdleTime) {
+			break
+		}
+		limits = c.server.limits().WithDefaults()
+		e := &Exchange{Request: fasthttp.AcquireRequest(), Response: fasthttp.AcquireResponse(), done: make(chan struct{})}
+		e.ctx, e.cancel = context.WithCancel(context.Background())
+		_ = c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTime))
+		var err error
+		reader, err = c.readRequest(reader, e, limits)
+		e.Came = time.Now()
+		if err != nil {
+			c.refuse(e, err)
+			return
+		}
+		_ = c.raw.SetReadDeadline(time.Time{})
+		if !c.begin(e) {
+			break
+		}
+		if last != nil && !mayOverlap(e) {
+			<-last.done
+		}
+		last = e
+		if !c.start(e) {
+			return
+		}
+	}
+	c.lose()
+	if c.closing.Load() {
+		c.linger()
+	}
+}
+
+// linger reads what the caller still sends behind an answer that closes the
+// connection, since closing with unread bytes would reset it and might take
+// the answer away.
+func (c *connection) linger() {
+	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.Copy(io.Discard, c.raw)
+	_ = c.raw.Close()
+}
+
+// mayOverlap is whether the request may begin before the ones ahead of it
+// have been answered.
+func mayOverlap(e *Exchange) bool {
+	return e.Request.Header.IsGet() || e.Request.Header.IsHead()
+}
+
+// await waits for the first byte of a request. While requests run, the
+// connection may stay quiet for as long as it likes.
+func (c *connection) await(reader *bufio.Reader, idle time.Duration) bool {
+	for {
+		deadline := time.Now().Add(idle)
+		_ = c.raw.SetReadDeadline(deadline)
+		_, err := reader.Peek(1)
+		if err == nil {
+			return true
+		}
+		var timeout net.Error
+		if !errors.As(err, &timeout) || !timeout.Timeout() || !c.isActive() {
+			return false
+		}
+	}
+}
+
+func (c *connection) isActive() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return len(c.active) > 0
+}
+
+// readRequest reads one request, with a larger buffer when its header does not
+// fit into the first.
+func (c *connection) readRequest(reader *bufio.Reader, e *Exchange, limits Limits) (*bufio.Reader, error) {
+	err := e.Request.Header.Read(reader)
+	var small *fasthttp.ErrSmallBuffer
+	if errors.As(err, &small) && reader.Size() < limits.HeaderBytes {
+		held, _ := reader.Peek(reader.Buffered())
+		held = bytes.Clone(held)
+		reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(held), c.raw), limits.HeaderBytes)
+		err = e.Request.Header.Read(reader)
+	}
+	if err != nil {
+		return reader, err
+	}
+	if e.Request.MayContinue() {
+		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return reader, err
+		}
+	}
+	return reader, e.Request.ContinueReadBody(reader, limits.BodyBytes, false)
+}
+
+// begin counts a request in, unless an answer has already said that the
+// connection closes.
+func (c *connection) begin(e *Exchange) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.closing.Load() {
+		return false
+	}
+	c.server.inFlight.Add(1)
+	c.server.lastCame.Store(e.Came.UnixNano())
+	if c.active == nil {
+		c.active = map[*Exchange]struct{}{}
+	}
+	c.active[e] = struct{}{}
+	if c.gone {
+		e.cancel()
+	}
+	return true
+}
+
+// start queues the answer's place and runs the handler.
+func (c *connection) start(e *Exchange) bool {
+	last := e.Request.ConnectionClose()
+	if last {
+		c.closing.Store(true)
+	}
+	c.answers <- e
+	err := c.server.submit(func() {
+		defer close(e.done)
+		c.server.handle(e.ctx, e)
+	})
+	if err != nil {
+		e.Break = true
+		close(e.done)
+		return false
+	}
+	if last {
+		// Nothing more is read, but a caller that leaves is still noticed.
+		c.watchEnd()
+		return false
+	}
+	return true
+}
+
+// watchEnd waits until the caller closes its side or the answer is out.
+func (c *connection) watchEnd() {
+	_ = c.raw.SetReadDeadline(time.Time{})
+	_, _ = io.Copy(io.Discard, c.raw)
+	c.lose()
+	_ = c.raw.Close()
+}
+
+// refuse answers a request that could not be read, and ends the connection.
+func (c *connection) refuse(e *Exchange, err error) {
+	if errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) {
+		c.lose()
+		return
+	}
+	var timeout net.Error
+	if errors.As(err, &timeout) {
+		c.lose()
+		_ = c.raw.Close()
+		return
+	}
+	if !c.begin(e) {
+		c.linger()
+		return
+	}
+	c.closing.Store(true)
+	c.server.refused(e.Response, err)
+	e.Response.SetConnectionClose()
+	close(e.done)
+	c.answers <- e
+}
+
+// lose cancels what runs for a caller that is gone.
+func (c *connection) lose() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.gone = true
+	for e := range c.active {
+		e.cancel()
+	}
+}
+
+// write writes the answers in the order of their requests.
+func (c *connection) write() {
+	writer := bufio.NewWriterSize(c.raw, firstBufferBytes)
+	broken := false
+	for e := range c.answers {
+		<-e.done
+		if !broken && !c.answer(writer, e) {
+			broken = true
+			// Requests behind this answer have not been read, as far as the
+			// caller can tell.
+			c.lose()
+			c.hangUp()
+		}
+		c.end(e)
+	}
+	if !c.closing.Load() {
+		_ = c.raw.Close()
+	}
+	c.server.mutex.Lock()
+	delete(c.server.open, c)
+	c.server.mutex.Unlock()
+}
+
+// hangUp ends the connection behind the last answer. The reading goroutine
+// closes it when the caller has seen that.
+func (c *connection) hangUp() {
+	half, ok := c.raw.(interface{ CloseWrite() error })
+	if !c.closing.Load() || !ok || half.CloseWrite() != nil {
+		_ = c.raw.Close()
+		return
+	}
+	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTime))
+}
+
+// closes says whether the connection ends behind the answer: its caller wants
+// that, or the server drains and no further request is under way.
+func (c *connection) closes(e *Exchange) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if e.Response.ConnectionClose() || e.Request.ConnectionClose() || c.server.draining.Load() && len(c.active) == 1 {
+		c.closing.Store(true)
+		return true
+	}
+	return false
+}
+
+// answer writes one answer and says whether the connection goes on.
+func (c *connection) answer(writer *bufio.Writer, e *Exchange) bool {
+	if e.Break || e.ctx.Err() != nil {
+		return false
+	}
+	closes := c.closes(e)
+	if closes {
+		e.Response.SetConnectionClose()
+	}
+	e.Response.SkipBody = e.Request.Header.IsHead()
+	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if err := e.Response.Write(writer); err != nil {
+		return false
+	}
+	if err := writer.Flush(); err != nil {
+		return false
+	}
+	return !closes
+}
+
+func (c *connection) end(e *Exchange) {
+	e.cancel()
+	c.server.inFlight.Add(-1)
+	c.mutex.Lock()
+	delete(c.active, e)
+	c.mutex.Unlock()
+	fasthttp.ReleaseRequest(e.Request)
+	fasthttp.ReleaseResponse(e.Response)
+}
--- a/io/kqhttp/kqhttp.go
+++ b/io/kqhttp/kqhttp.go
@@ -40,6 +40,9 @@
 	defaultMaxBody = 16 << 20
 	dialTimeout    = time.Second
 	bufferSize     = 4 << 10
+	// maxStrayAnswers is how many answers are read for one call before the
+	// connection is given up.
+	maxStrayAnswers = 4
 )
 
 // Pool keeps idle connections to one server.
@@ -50,6 +53,8 @@
 	maxBody int
 	dial    func(ctx context.Context, address string) (net.Conn, error)
 	now     func() time.Time
+	// matches is whether an answer belongs to the call.
+	matches func(request *fasthttp.Request, response *fasthttp.Response) bool
 
 	mutex sync.Mutex
 	idle  []*connection
@@ -98,6 +103,13 @@
 	return func(p *Pool) { p.dial = dial }
 }
 
+// WithMatches sets how an answer is recognised as that of the call. Answers
+// that belong to another one, which a faulty server may send late or twice,
+// are passed over.
+func WithMatches(matches func(request *fasthttp.Request, response *fasthttp.Response) bool) Option {
+	return func(p *Pool) { p.matches = matches }
+}
+
 // NewPool makes a pool without connections.
 func NewPool(address string, options ...Option) *Pool {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
@@ -109,6 +121,7 @@
 		maxAge:  defaultMaxAge,
 		maxBody: defaultMaxBody,
 		now:     time.Now,
+		matches: func(*fasthttp.Request, *fasthttp.Response) bool { return true },
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
@@ -131,7 +144,7 @@
 		return errors.Mark(errors.Wrap(ctx.Err(), "call was cancelled"), ErrNotSent)
 	}
 	c.watch()
-	err = exchange(c, request, response, p.maxBody)
+	err = exchange(c, request, response, p.maxBody, p.matches)
 	c.unwatch()
 	if err != nil {
 		stop()
@@ -157,17 +170,27 @@
 	return errors.Mark(err, ErrSilent)
 }
 
-func exchange(c *connection, request *fasthttp.Request, response *fasthttp.Response, maxBody int) error {
-	if err := request.Write(c.writer); err != nil {
-		return errors.Wrap(err, "write call")
-	}
-	if err := c.writer.Flush(); err != nil {
-		return errors.Wrap(err, "write call")
+func exchange(c *connection, request *fasthttp.Request, response *fasthttp.Response, maxBody int, matches func(*fasthttp.Request, *fasthttp.Response) bool) error {
+	writeErr := request.Write(c.writer)
+	if writeErr == nil {
+		writeErr = c.writer.Flush()
 	}
-	if err := response.ReadLimitBody(c.reader, maxBody); err != nil {
-		return errors.Wrap(err, "read answer")
+	// A server may answer before it has read the whole call, and close then.
+	for range maxStrayAnswers {
+		if err := response.ReadLimitBody(c.reader, maxBody); err != nil {
+			return errors.CombineErrors(errors.Wrap(writeErr, "write call"), errors.Wrap(err, "read answer"))
+		}
+		if matches(request, response) {
+			if writeErr != nil {
+				response.SetConnectionClose()
+			}
+			return nil
+		}
+		skip := response.SkipBody
+		response.Reset()
+		response.SkipBody = skip
 	}
-	return nil
+	return errors.Newf("%d answers belong to other calls", maxStrayAnswers)
 }
 
 // take gives the idle connection that was used last, or opens one.
--- a/io/kqlog/kqlog.go
+++ b/io/kqlog/kqlog.go
@@ -46,6 +46,41 @@
 	Chosen string
 	Others []string
 	Took   time.Duration
+	// Left is the time that the request had left, and Queued how long it
+	// waited for a slot.
+	Left   time.Duration
+	Queued time.Duration
+	// Load is what was known of the load of what was chosen.
+	Load string
+	// Version is that of the routes by which it was decided, or 0.
+	Version int64
+	// Status is the HTTP status of the answer, or 0.
+	Status int
+	// Detail is the text of an error, or empty.
+	Detail string
+}
+
+// addTo adds the fields that not every decision has.
+func (d Decision) addTo(e *zerolog.Event) *zerolog.Event {
+	if d.Left != 0 {
+		e = e.Int64("LeftMicros", d.Left.Microseconds())
+	}
+	if d.Queued != 0 {
+		e = e.Int64("QueuedMicros", d.Queued.Microseconds())
+	}
+	if d.Load != "" {
+		e = e.Str("Load", d.Load)
+	}
+	if d.Version != 0 {
+		e = e.Int64("RoutesVersion", d.Version)
+	}
+	if d.Status != 0 {
+		e = e.Int("Status", d.Status)
+	}
+	if d.Detail != "" {
+		e = e.Str("Detail", d.Detail)
+	}
+	return e
 }
 
 // Log is a node's log.
@@ -96,6 +131,11 @@
 	return l
 }
 
+// Discard starts a log that nobody reads.
+func Discard() *Log {
+	return New(io.Discard, WithLevel(zerolog.Disabled))
+}
+
 // Dropped is how many lines found the queue full.
 func (l *Log) Dropped() int64 {
 	return l.dropped.Load()
@@ -122,7 +162,8 @@
 	l.enqueue(func() {
 		e := l.logger.Info().Time("Time", at).Str("Decision", d.Decision).Str("RequestID", d.RequestID)
 		e = e.Str("Class", d.Class).Str("Service", d.Service).Str("Cause", d.Cause).Str("Outcome", d.Outcome)
-		e.Str("Chosen", d.Chosen).Strs("Others", d.Others).Int64("TookMicros", d.Took.Microseconds()).Send()
+		e = e.Str("Chosen", d.Chosen).Strs("Others", d.Others).Int64("TookMicros", d.Took.Microseconds())
+		d.addTo(e).Send()
 	})
 }
 
--- /dev/null
+++ b/io/kqmesh/control.go
@@ -0,0 +1,283 @@
+package kqmesh
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"kumquatlink/core/kqmember"
+	"kumquatlink/core/kqroute"
+	"kumquatlink/core/kqroutes"
+	"kumquatlink/core/kqserver"
+	"kumquatlink/io/kqstore"
+)
+
+// eventQueue is how many events may wait for the control goroutine.
+const eventQueue = 256
+
+// event changes the control state; it says whether it did.
+type event interface {
+	apply(c *control) bool
+}
+
+// control owns the state that others read.
+type control struct {
+	node   *Node
+	events chan event
+	ended  chan struct{}
+	state  State
+	life   *kqserver.Life
+	// coldUntil is when the backend server is warm, on the node's clock.
+	coldUntil time.Duration
+
+	mutex   sync.Mutex
+	waiters chan struct{}
+	// missing names the nodes whose records were removed from the store.
+	missing map[string]bool
+	// storeDown is since when calls of the store fail, or zero.
+	storeDown time.Time
+}
+
+func newControl(n *Node) *control {
+	c := &control{
+		node: n, events: make(chan event, eventQueue), ended: make(chan struct{}), life: kqserver.New(),
+		waiters: make(chan struct{}), missing: map[string]bool{},
+	}
+	c.state = State{Hosts: map[string]HostRecord{}, Upstreams: map[string]*kqroute.Table{}, ServerState: kqserver.Unknown}
+	c.publish()
+	return c
+}
+
+// run applies events until ctx ends.
+func (c *control) run(ctx context.Context) {
+	defer close(c.ended)
+	for {
+		var warm <-chan time.Time
+		if c.state.Server.Cold > 0 {
+			warm = time.After(max(0, c.coldUntil-c.node.clock()))
+		}
+		select {
+		case e := <-c.events:
+			if e.apply(c) {
+				c.publish()
+			}
+			if done, waits := e.(interface{ finish() }); waits {
+				done.finish()
+			}
+		case <-warm:
+			c.state.Server.Cold = 0
+			c.publish()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// send hands an event to the control goroutine.
+func (c *control) send(e event) {
+	select {
+	case c.events <- e:
+	case <-c.ended:
+	}
+}
+
+// publish makes the state visible.
+func (c *control) publish() {
+	s := c.state
+	c.node.state.Store(&s)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	close(c.waiters)
+	c.waiters = make(chan struct{})
+}
+
+// changed is closed when the state changes next.
+func (c *control) changed() <-chan struct{} {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.waiters
+}
+
+// removed is whether the store said that the node's record was removed.
+func (c *control) removed(name string) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.missing[name]
+}
+
+// observeStore logs when the store is lost and regained.
+func (c *control) observeStore(r kqstore.CallRecord) {
+	failed := kqstore.Failed(r.Err)
+	c.mutex.Lock()
+	since := c.storeDown
+	switch {
+	case failed && since.IsZero():
+		c.storeDown = c.node.now()
+	case !failed:
+		c.storeDown = time.Time{}
+	}
+	c.mutex.Unlock()
+	if failed && since.IsZero() {
+		c.node.log.Event(zerolog.WarnLevel, "store is lost: "+r.Operation+" of "+r.Kind+" failed", r.Err)
+	}
+	if !failed && !since.IsZero() {
+		c.node.log.Event(zerolog.InfoLevel, fmt.Sprintf("store is back after %s", c.node.now().Sub(since)), nil)
+	}
+}
+
+// routesEvent offers routes.
+type routesEvent struct {
+	document kqroutes.Document
+	text     []byte
+	from     string
+}
+
+func (e routesEvent) apply(c *control) bool {
+	held := int64(0)
+	if c.state.Routes != nil {
+		held = c.state.Routes.Document().Version
+	}
+	if !e.document.Newer(held) {
+		if e.document.Version < held {
+			c.node.log.Event(zerolog.WarnLevel, fmt.Sprintf("routes of version %d from %s are refused: version %d is in force", e.document.Version, e.from, held), nil)
+		}
+		return false
+	}
+	c.state.Routes = kqroutes.NewTable(e.document)
+	c.state.RoutesText = e.text
+	c.node.log.Event(zerolog.InfoLevel, fmt.Sprintf("routes of version %d from %s are in force after version %d", e.document.Version, e.from, held), nil)
+	return true
+}
+
+// hostsEvent is the whole list of nodes.
+type hostsEvent struct {
+	all map[string]HostRecord
+}
+
+func (e hostsEvent) apply(c *control) bool {
+	known := c.state.Hosts
+	c.state.Hosts = map[string]HostRecord{}
+	for name, h := range e.all {
+		if held, found := known[name]; found && held.Incarnation > h.Incarnation {
+			h = held
+		}
+		c.state.Hosts[name] = h
+		c.note(known[name], h)
+	}
+	c.mutex.Lock()
+	for name := range known {
+		if _, listed := e.all[name]; !listed {
+			c.missing[name] = true
+		}
+	}
+	c.mutex.Unlock()
+	c.state.HostsKnown = true
+	c.rebuild()
+	return true
+}
+
+// hostEvent is one node's record, or its removal.
+type hostEvent struct {
+	name    string
+	record  HostRecord
+	removed bool
+}
+
+func (e hostEvent) apply(c *control) bool {
+	held, found := c.state.Hosts[e.name]
+	hosts := maps.Clone(c.state.Hosts)
+	c.mutex.Lock()
+	c.missing[e.name] = e.removed
+	c.mutex.Unlock()
+	if e.removed {
+		delete(hosts, e.name)
+		c.node.log.Event(zerolog.InfoLevel, "record of node "+e.name+" was removed", nil)
+	} else {
+		if found && (held == e.record || held.Incarnation > e.record.Incarnation) {
+			return false
+		}
+		hosts[e.name] = e.record
+		c.note(held, e.record)
+	}
+	c.state.Hosts = hosts
+	c.rebuild()
+	return true
+}
+
+// note logs a belief about a node that changed.
+func (c *control) note(held, h HostRecord) {
+	if held != h {
+		c.node.log.Event(zerolog.InfoLevel, fmt.Sprintf("node %s at %s is %s for %s, server %s, start %d", h.NodeID, h.Address, h.Life, h.Service, h.ServerID, h.Incarnation), nil)
+	}
+}
+
+// rebuild makes the tables of upstreams anew, keeping what was learned.
+func (c *control) rebuild() {
+	services := map[string][]kqmember.Record{}
+	for _, name := range slices.Sorted(maps.Keys(c.state.Hosts)) {
+		if h := c.state.Hosts[name]; h.takesWork() {
+			services[h.Service] = append(services[h.Service], h.member())
+		}
+	}
+	now := c.node.now()
+	tables := map[string]*kqroute.Table{}
+	for service, records := range services {
+		tables[service] = kqroute.NewTable(c.node.own(), records, c.state.Upstreams[service], now)
+	}
+	c.state.Upstreams = tables
+	addresses := map[string]bool{}
+	for _, h := range c.state.Hosts {
+		addresses[h.Address] = true
+		if h.takesWork() && h.Region == c.node.settings.Region && h.NodeID != c.node.settings.NodeID {
+			c.node.dialer.Warm(h.Address)
+		}
+	}
+	c.node.dialer.Keep(func(address string) bool { return addresses[address] })
+}
+
+// noticeEvent is what the backend server says of itself.
+type noticeEvent struct {
+	notice kqserver.Notice
+	// verdict is what became of the notice; heard gets it when the state that
+	// follows from it is in force.
+	verdict kqserver.Verdict
+	heard   chan kqserver.Verdict
+}
+
+func (e *noticeEvent) finish() { e.heard <- e.verdict }
+
+func (e *noticeEvent) apply(c *control) bool {
+	before := c.life.State()
+	held := c.life.Notice()
+	verdict := c.life.Hear(e.notice)
+	e.verdict = verdict
+	if verdict != kqserver.Taken {
+		c.node.log.Event(zerolog.InfoLevel, fmt.Sprintf("notice %d of server %s, started %d, is ignored: %s", e.notice.Sequence, e.notice.ServerID, e.notice.Born, verdict), nil)
+		return false
+	}
+	c.state.Server = c.life.Notice()
+	c.state.ServerState = c.life.State()
+	c.coldUntil = c.node.clock() + e.notice.Cold
+	changed := before != c.life.State() || held.ServerID != e.notice.ServerID || held.Born != e.notice.Born
+	if changed {
+		c.node.log.Event(zerolog.InfoLevel, fmt.Sprintf("server %s is %s after notice %d, was %s", e.notice.ServerID, c.life.State(), e.notice.Sequence, before), nil)
+	}
+	return changed || held.Slots != e.notice.Slots || (held.Cold > 0) != (e.notice.Cold > 0)
+}
+
+// leaveEvent tells that the node ends.
+type leaveEvent struct {
+	done chan struct{}
+}
+
+func (e leaveEvent) apply(c *control) bool {
+	c.state.Leaving = true
+	return true
+}
+
+func (e leaveEvent) finish() { close(e.done) }
--- /dev/null
+++ b/io/kqmesh/kqmesh.go
@@ -0,0 +1,249 @@
+// Package kqmesh is the node for fleets whose platform states routes, keeps a
+// store of objects and has each backend server report to the node beside it.
+// The node takes the requests of the callers and of the backend server on its
+// host, sends each to the node beside a backend server of the right service,
+// and decides what its own backend server runs.
+//
+// # Usage
+//
+//	node, err := kqmesh.New(settings, dialect, client, kqmesh.WithLog(log))
+//	err = node.Start()
+//	...
+//	err = node.Shutdown(ctx)
+//
+// [Settings] say where the node stands; a [Dialect] holds the names of header
+// fields and the codecs of the platform, so that nothing in here depends on
+// one. [OwnDialect] is the project's own.
+//
+// One goroutine owns control state and publishes an immutable [State]; traffic
+// reads the state of the moment. A request is decided by one table of routes
+// from start to end. Nodes find each other through one object each in the
+// store, and hear of newer routes from each other's calls as well, so that a
+// node which the store turns away still learns them.
+package kqmesh
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/panjf2000/ants/v2"
+	"github.com/rs/zerolog"
+
+	"kumquatlink/core/kqbudget"
+	"kumquatlink/core/kqclass"
+	"kumquatlink/core/kqmember"
+	"kumquatlink/core/kqroute"
+	"kumquatlink/core/kqroutes"
+	"kumquatlink/core/kqserver"
+	"kumquatlink/io/kqedge"
+	"kumquatlink/io/kqlog"
+	"kumquatlink/io/kqstore"
+	"kumquatlink/io/kqtrunk"
+)
+
+// ErrNode marks all errors of this package.
+var ErrNode = errors.New("mesh node failed")
+
+// poolSize bounds the requests and calls that run at once; those beyond it are
+// answered as not run.
+const poolSize = 4096
+
+// Settings say where a node stands and what it serves.
+type Settings struct {
+	NodeID        string
+	Region        string
+	FailureDomain string
+	// Service is the service of the backend server on this host.
+	Service string
+	// BackendAddress is where that backend server takes requests.
+	BackendAddress string
+	// CallerAddress takes the requests of callers and of the backend server,
+	// NoticeAddress what the backend server says of itself, ReadyAddress the
+	// question whether the node is ready, PeerAddress the calls of other nodes.
+	CallerAddress string
+	NoticeAddress string
+	ReadyAddress  string
+	PeerAddress   string
+	// RoutesKind and RoutesName name the object that holds the routes.
+	RoutesKind string
+	RoutesName string
+	// RepeatRatio, RepeatWindow and RepeatSlack bound how often the fleet
+	// hands requests to a second backend server.
+	RepeatRatio  float64
+	RepeatWindow kqclass.Duration
+	RepeatSlack  float64
+	// ShutdownTime is how long a node that was told to end may take.
+	ShutdownTime kqclass.Duration
+	// DrainTime is how long a backend server goes on serving after it said
+	// that it drains.
+	DrainTime kqclass.Duration
+	// FirstStart is whether the whole fleet starts for the first time.
+	FirstStart bool
+}
+
+// State is what traffic reads; it is immutable.
+type State struct {
+	// Routes is the table in force, or nil.
+	Routes *kqroutes.Table
+	// RoutesText is what the platform wrote, for peers that ask for it.
+	RoutesText []byte
+	// Hosts are the nodes that were found, by name.
+	Hosts map[string]HostRecord
+	// Upstreams are the tables of upstreams, by service.
+	Upstreams map[string]*kqroute.Table
+	// HostsKnown is whether the store's list was read since the start.
+	HostsKnown bool
+	// Server is the latest notice of the backend server on this host, and
+	// ServerState its state.
+	Server      kqserver.Notice
+	ServerState kqserver.State
+	// Leaving is whether the node was told to end.
+	Leaving bool
+}
+
+// entries is how many nodes share the fleet's bounds.
+func (s *State) entries() int {
+	return max(len(s.Hosts), 1)
+}
+
+// Node is one process of the fleet.
+type Node struct {
+	settings Settings
+	dialect  Dialect
+	store    *kqstore.Client
+	log      *kqlog.Log
+	ownsLog  bool
+	now      func() time.Time
+	random   func() uint64
+	begun    time.Time
+
+	pool    *ants.Pool
+	callers *kqedge.Server
+	notices *kqedge.Server
+	ready   *kqedge.Server
+	server  *kqtrunk.Server
+	dialer  *kqtrunk.Dialer
+
+	state   atomic.Pointer[State]
+	control *control
+	gate    *gate
+	budget  *kqbudget.Budget
+
+	incarnation uint64
+	// peerAddress is where other nodes reach this one.
+	peerAddress string
+	readiness   atomic.Bool
+	// asking is whether a peer is about to be asked for newer routes.
+	asking   atomic.Bool
+	shutDown atomic.Bool
+	cancel   context.CancelFunc
+	loops    sync.WaitGroup
+}
+
+// Option changes a node.
+type Option func(*Node)
+
+// WithLog sets the log that decisions are written to.
+func WithLog(l *kqlog.Log) Option {
+	return func(n *Node) { n.log = l }
+}
+
+// New makes a node of checked settings.
+func New(settings Settings, dialect Dialect, store *kqstore.Client, options ...Option) (*Node, error) {
+	pool, err := ants.NewPool(poolSize, ants.WithNonblocking(true))
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "make pool"), ErrNode)
+	}
+	n := &Node{settings: settings, dialect: dialect, now: time.Now, random: rand.Uint64, pool: pool}
+	for _, o := range options {
+		o(n)
+	}
+	if n.log == nil {
+		n.log = kqlog.Discard()
+		n.ownsLog = true
+	}
+	n.begun = n.now()
+	n.incarnation = uint64(n.begun.UnixMilli())
+	n.store = kqstore.Guard(store, kqstore.WithObserver(n.observeStore))
+	n.budget = kqbudget.New(kqbudget.Bound{
+		Ratio: settings.RepeatRatio, Window: time.Duration(settings.RepeatWindow), Slack: settings.RepeatSlack,
+	})
+	n.dialer = kqtrunk.NewDialer(kqtrunk.Handlers{Message: n.handleMessage, Changed: n.peerChanged})
+	n.gate = newGate(n)
+	n.control = newControl(n)
+	return n, nil
+}
+
+// Start opens the node's addresses and begins to follow the store.
+func (n *Node) Start() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	var err error
+	n.server, err = kqtrunk.Listen(n.settings.PeerAddress, kqtrunk.Handlers{
+		Call: n.handleCall, Message: n.handleMessage, Submit: n.pool.Submit,
+	})
+	if err != nil {
+		return errors.Mark(err, ErrNode)
+	}
+	n.peerAddress = n.server.Address()
+	n.callers = kqedge.New(n.handleCaller, kqedge.WithLimits(n.callerLimits), kqedge.WithSubmit(n.pool.Submit), kqedge.WithRefused(n.refuseUnread))
+	n.notices = kqedge.New(n.handleNotice, kqedge.WithLimits(ownLimits))
+	n.ready = kqedge.New(n.handleReady, kqedge.WithLimits(ownLimits))
+	for _, s := range []struct {
+		server  *kqedge.Server
+		address string
+	}{{n.ready, n.settings.ReadyAddress}, {n.notices, n.settings.NoticeAddress}, {n.callers, n.settings.CallerAddress}} {
+		if s.address == "" {
+			continue
+		}
+		if _, err := s.server.Listen(s.address); err != nil {
+			return errors.Mark(err, ErrNode)
+		}
+	}
+	n.loop(ctx, n.control.run)
+	n.loop(ctx, n.followRoutes)
+	n.loop(ctx, n.followHosts)
+	n.loop(ctx, n.keepRecord)
+	n.loop(ctx, n.askServer)
+	n.log.Event(zerolog.InfoLevel, "node started at "+n.settings.CallerAddress+" for callers and "+n.peerAddress+" for nodes", nil)
+	return nil
+}
+
+func (n *Node) loop(ctx context.Context, run func(context.Context)) {
+	n.loops.Add(1)
+	go func() {
+		defer n.loops.Done()
+		run(ctx)
+	}()
+}
+
+// State is the state of the moment.
+func (n *Node) State() *State { return n.state.Load() }
+
+// clock is the node's own monotonic time.
+func (n *Node) clock() time.Duration {
+	return n.now().Sub(n.begun)
+}
+
+// own is the node as its peers see it.
+func (n *Node) own() kqmember.Record {
+	return kqmember.Record{NodeID: n.settings.NodeID, Region: n.settings.Region, FailureDomain: n.settings.FailureDomain}
+}
+
+// peerChanged logs a connection to a peer that was made or lost.
+func (n *Node) peerChanged(peer string, up bool, err error) {
+	level, message := zerolog.InfoLevel, "peer "+peer+" is connected"
+	if !up {
+		level, message = zerolog.WarnLevel, "peer "+peer+" is lost"
+	}
+	n.log.Event(level, message, err)
+}
+
+// observeStore logs calls of the store that failed.
+func (n *Node) observeStore(r kqstore.CallRecord) {
+	n.control.observeStore(r)
+}
--- /dev/null
+++ b/io/kqmesh/notice.go
@@ -0,0 +1,162 @@
+package kqmesh
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"kumquatlink/core/kqserver"
+	"kumquatlink/io/kqedge"
+	"kumquatlink/io/kqhttp"
+)
+
+// Bounds of what the backend server and the platform send to the node.
+const (
+	noticeBytes    = 64 << 10
+	noticeIdleTime = time.Minute
+)
+
+// Times of asking the backend server for its health at the node's start.
+const (
+	askTimeout = time.Second
+	askTries   = 2
+)
+
+func ownLimits() kqedge.Limits {
+	return kqedge.Limits{BodyBytes: noticeBytes, IdleTime: noticeIdleTime}
+}
+
+// handleNotice takes what the backend server says of itself. What it says of
+// leaving holds before it is answered.
+func (n *Node) handleNotice(_ context.Context, e *kqedge.Exchange) {
+	notice, found, err := n.dialect.ReadNotice(string(e.Request.Header.Method()), string(e.Request.Header.RequestURI()), e.Request.Body())
+	if !found {
+		e.Response.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	if err != nil {
+		n.log.Event(zerolog.WarnLevel, "notice can't be read", err)
+		e.Response.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	if notice.State != kqserver.Gone && !n.isOwnServer(notice) {
+		n.log.Event(zerolog.WarnLevel, "notice of server "+notice.ServerID+" of "+notice.Service+" at "+notice.Address+" is not of the server on this host", nil)
+		e.Response.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	n.Hear(notice)
+	e.Response.Header.SetContentType("application/json")
+	e.Response.SetBodyRaw(n.dialect.Acknowledgement)
+}
+
+// Hear takes a notice of the backend server and says what became of it. The
+// gate acts on it from then on.
+func (n *Node) Hear(notice kqserver.Notice) kqserver.Verdict {
+	heard := make(chan kqserver.Verdict, 1)
+	n.control.send(&noticeEvent{notice: notice, heard: heard})
+	select {
+	case v := <-heard:
+		if notice.State != kqserver.Ready {
+			n.gate.drain()
+		}
+		return v
+	case <-n.control.ended:
+		return kqserver.Over
+	}
+}
+
+// isOwnServer is whether the notice is of a backend server that this node
+// stands beside.
+func (n *Node) isOwnServer(notice kqserver.Notice) bool {
+	return notice.ServerID != "" && notice.Service == n.settings.Service && notice.Address == n.settings.BackendAddress
+}
+
+// askServer asks the backend server for its health when the node starts beside
+// one that may have been running before, so that it need not wait for the next
+// notice. A server that is leaving does not say that it is healthy.
+func (n *Node) askServer(ctx context.Context) {
+	if n.settings.FirstStart {
+		return
+	}
+	for range askTries {
+		routes := n.State().Routes
+		for routes == nil && ctx.Err() == nil && n.State().ServerState == kqserver.Unknown {
+			select {
+			case <-n.control.changed():
+			case <-ctx.Done():
+			}
+			routes = n.State().Routes
+		}
+		if ctx.Err() != nil || n.State().ServerState != kqserver.Unknown {
+			return
+		}
+		service, found := routes.Service(n.settings.Service)
+		if found && n.askHealth(ctx, service.HealthPath) {
+			return
+		}
+		sleep(ctx, askTimeout)
+	}
+}
+
+func (n *Node) askHealth(ctx context.Context, path string) bool {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI(path)
+	request.Header.SetHost(n.settings.BackendAddress)
+	pool := kqhttp.NewPool(n.settings.BackendAddress)
+	defer pool.Close()
+	if err := pool.Do(ctx, request, response); err != nil {
+		n.log.Event(zerolog.InfoLevel, "server did not tell its health", err)
+		return false
+	}
+	id := string(response.Header.Peek(n.dialect.Headers.ServerID))
+	if response.StatusCode() != fasthttp.StatusOK || id == "" {
+		n.log.Event(zerolog.InfoLevel, "server is not healthy: status "+strconv.Itoa(response.StatusCode()), nil)
+		return false
+	}
+	if n.State().ServerState != kqserver.Unknown {
+		return true
+	}
+	v := n.Hear(kqserver.Notice{
+		ServerID: id, Service: n.settings.Service, Address: n.settings.BackendAddress, State: kqserver.Ready,
+		Slots: slotsOf(string(response.Header.Peek(n.dialect.Headers.Load))),
+	})
+	n.log.Event(zerolog.InfoLevel, "server "+id+" is healthy: "+string(v), nil)
+	return true
+}
+
+// slotsOf reads the number of slots out of a report of load, or gives 0.
+func slotsOf(load string) int {
+	parts := strings.Split(load, ",")
+	if len(parts) != 3 {
+		return 0
+	}
+	slots, err := strconv.Atoi(strings.TrimSpace(parts[2]))
+	if err != nil || slots < 0 {
+		return 0
+	}
+	return slots
+}
+
+// handleReady says whether callers may be sent to this node.
+func (n *Node) handleReady(_ context.Context, e *kqedge.Exchange) {
+	if string(e.Request.Header.RequestURI()) != n.dialect.ReadyPath {
+		e.Response.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	s := n.State()
+	ready := s.Routes != nil && s.HostsKnown && !s.Leaving
+	if n.readiness.Swap(ready) != ready {
+		n.log.Event(zerolog.InfoLevel, "node is ready: "+strconv.FormatBool(ready), nil)
+	}
+	if !ready {
+		e.Response.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+}
--- /dev/null
+++ b/io/kqmesh/record.go
@@ -0,0 +1,172 @@
+package kqmesh
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"kumquatlink/core/kqbackoff"
+	"kumquatlink/core/kqmember"
+	"kumquatlink/core/kqserver"
+	"kumquatlink/io/kqstore"
+)
+
+// writePause bounds the pauses between two tries to write the node's record.
+var writePause = kqbackoff.Pause{First: 300 * time.Millisecond, Most: 2 * time.Second}
+
+// HostRecord is what the store holds of one node. Only that node writes it.
+type HostRecord struct {
+	NodeID string
+	// Incarnation orders the starts of a node: the Unix millisecond at which
+	// one began, by its own clock.
+	Incarnation uint64
+	// Address is where other nodes reach it.
+	Address       string
+	Region        string
+	FailureDomain string
+	Service       string
+	// ServerID is the backend server beside it, or empty.
+	ServerID string
+	Slots    int
+	Life     kqmember.Life
+}
+
+// member gives the record as routing reads it.
+func (h HostRecord) member() kqmember.Record {
+	return kqmember.Record{
+		NodeID: h.NodeID, Incarnation: h.Incarnation, Address: h.Address,
+		FailureDomain: h.FailureDomain, Region: h.Region, Life: h.Life, Service: h.Service,
+	}
+}
+
+// takesWork is whether calls may be sent to the node.
+func (h HostRecord) takesWork() bool {
+	return h.Service != "" && (h.Life == kqmember.LifeServing || h.Life == kqmember.LifeWarming)
+}
+
+// ownRecord is what the node says of itself at this moment.
+func (n *Node) ownRecord(s *State) HostRecord {
+	h := HostRecord{
+		NodeID: n.settings.NodeID, Incarnation: n.incarnation, Address: n.peerAddress,
+		Region: n.settings.Region, FailureDomain: n.settings.FailureDomain,
+		Service: n.settings.Service, ServerID: s.Server.ServerID, Slots: s.Server.Slots, Life: kqmember.LifeJoining,
+	}
+	switch {
+	case s.Leaving || s.ServerState == kqserver.Draining:
+		h.Life = kqmember.LifeDraining
+	case s.ServerState == kqserver.Gone:
+		h.Life = kqmember.LifeGone
+	case s.ServerState == kqserver.Ready && s.Server.Cold > 0:
+		h.Life = kqmember.LifeWarming
+	case s.ServerState == kqserver.Ready:
+		h.Life = kqmember.LifeServing
+	}
+	return h
+}
+
+// recordWriter remembers what the store holds of this node.
+type recordWriter struct {
+	held    HostRecord
+	version string
+	written bool
+}
+
+// keepRecord writes the node's record whenever it changes, and again when
+// someone has removed it.
+func (n *Node) keepRecord(ctx context.Context) {
+	w := &recordWriter{}
+	failures := 0
+	for ctx.Err() == nil {
+		changed := n.control.changed()
+		s := n.State()
+		want := n.ownRecord(s)
+		if !n.needsWrite(w, s, want) {
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		err := n.writeRecord(ctx, w, want)
+		if err == nil {
+			failures = 0
+			continue
+		}
+		failures++
+		n.log.Event(zerolog.WarnLevel, "own record was not written", err)
+		sleep(ctx, writePause.After(failures, n.fraction()))
+	}
+}
+
+// needsWrite is whether the store should be told of the record. A node that
+// does not know its backend server yet says nothing.
+func (n *Node) needsWrite(w *recordWriter, s *State, want HostRecord) bool {
+	if want.Life == kqmember.LifeJoining {
+		return false
+	}
+	if !w.written || w.held != want {
+		return true
+	}
+	_, listed := s.Hosts[want.NodeID]
+	return s.HostsKnown && !listed && n.control.removed(want.NodeID)
+}
+
+func (n *Node) writeRecord(ctx context.Context, w *recordWriter, want HostRecord) error {
+	value, err := json.Marshal(want)
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "write record"), ErrNode)
+	}
+	o := kqstore.Object{Name: want.NodeID, Version: w.version, Value: value}
+	written, err := n.store.Put(ctx, kqstore.KindHosts, o)
+	if errors.Is(err, kqstore.ErrConflict) || errors.Is(err, kqstore.ErrNotFound) {
+		return n.settleRecord(ctx, w, o, err)
+	}
+	if err != nil {
+		return err
+	}
+	n.wroteRecord(w, want, written)
+	return nil
+}
+
+// settleRecord writes over what an earlier start, or a write whose answer was
+// lost, has left.
+func (n *Node) settleRecord(ctx context.Context, w *recordWriter, o kqstore.Object, cause error) error {
+	held, err := n.store.Get(ctx, kqstore.KindHosts, o.Name)
+	switch {
+	case errors.Is(err, kqstore.ErrNotFound):
+		o.Version = ""
+	case err != nil:
+		return errors.CombineErrors(cause, err)
+	default:
+		o.Version = held.Version
+	}
+	written, err := n.store.Put(ctx, kqstore.KindHosts, o)
+	if err != nil {
+		return err
+	}
+	var want HostRecord
+	if err := json.Unmarshal(o.Value, &want); err != nil {
+		return errors.Mark(errors.Wrap(err, "read own record"), ErrNode)
+	}
+	n.wroteRecord(w, want, written)
+	return nil
+}
+
+func (n *Node) wroteRecord(w *recordWriter, want HostRecord, written kqstore.Object) {
+	w.held, w.version, w.written = want, written.Version, true
+	n.control.send(hostEvent{name: want.NodeID, record: want})
+	n.log.Event(zerolog.InfoLevel, "own record says "+string(want.Life)+" at version "+written.Version, nil)
+}
+
+// sleep waits, or returns early when ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/io/kqmesh/shutdown.go
@@ -0,0 +1,72 @@
+package kqmesh
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+)
+
+// Times of a shutdown.
+const (
+	// noticeTime is how long callers may take to see that the node is not
+	// ready, as long as it goes on serving them.
+	noticeTime = 2500 * time.Millisecond
+	// calmTime is how long no request must have come before the node ends.
+	calmTime = 300 * time.Millisecond
+	// shutdownMargin is what is kept of the time of a shutdown for closing.
+	shutdownMargin = 400 * time.Millisecond
+	shutdownPoll   = 20 * time.Millisecond
+)
+
+// Shutdown takes the node out of service: it says that it is not ready, takes
+// no more calls of other nodes, serves its callers and its backend server's
+// onward calls until they are through, and ends. What is still under way when
+// the time of a shutdown is over is cut off, and the error says how much.
+func (n *Node) Shutdown(ctx context.Context) error {
+	if !n.shutDown.CompareAndSwap(false, true) {
+		return nil
+	}
+	begun := n.now()
+	done := make(chan struct{})
+	n.control.send(leaveEvent{done: done})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	n.callers.Drain()
+	n.log.Event(zerolog.InfoLevel, "node leaves", nil)
+	bound := n.settings.ShutdownTime.Value() - shutdownMargin
+	for ctx.Err() == nil && n.now().Sub(begun) < bound && !n.isCalm(begun) {
+		sleep(ctx, shutdownPoll)
+	}
+	left := n.callers.InFlight() + n.gate.busy()
+	n.callers.Close()
+	n.ready.Close()
+	n.notices.Close()
+	err := n.server.Close()
+	n.dialer.Close()
+	n.cancel()
+	n.loops.Wait()
+	n.pool.Release()
+	if left > 0 {
+		err = errors.CombineErrors(err, errors.Newf("%d requests were cut off at the bound of the shutdown", left))
+	}
+	n.log.Event(zerolog.InfoLevel, fmt.Sprintf("node ended after %s", n.now().Sub(begun)), err)
+	if n.ownsLog {
+		n.log.Close()
+	}
+	return errors.Mark(err, ErrNode)
+}
+
+// isCalm is whether nothing is under way and callers have had time to turn
+// away.
+func (n *Node) isCalm(begun time.Time) bool {
+	now := n.now()
+	if now.Sub(begun) < noticeTime || n.callers.InFlight() > 0 || n.gate.busy() > 0 {
+		return false
+	}
+	return now.Sub(time.Unix(0, n.callers.LastCame())) >= calmTime
+}
--- a/io/kqobject/kqobject.go
+++ b/io/kqobject/kqobject.go
@@ -177,7 +177,8 @@
 	return o, found
 }
 
-func (s *Store) list(p path) []Object {
+// list gives the objects of a kind and the version of the whole store.
+func (s *Store) list(p path) ([]Object, string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.counts.Reads++
@@ -187,7 +188,24 @@
 			objects = append(objects, o)
 		}
 	}
-	return objects
+	return objects, strconv.FormatInt(s.version, 10)
+}
+
+// remove deletes an object when its version is the one that is held.
+func (s *Store) remove(p path, version string) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.counts.Writes++
+	held, found := s.objects[p.key()]
+	if !found || held.Metadata.ResourceVersion != version {
+		return errStale
+	}
+	s.version++
+	held.Metadata.ResourceVersion = strconv.FormatInt(s.version, 10)
+	delete(s.objects, p.key())
+	s.history = append(s.history, entry{kind: p.kind, version: s.version, event: Event{Type: "DELETED", Object: held}})
+	s.wake()
+	return nil
 }
 
 var errStale = errors.New("stale version")
--- a/io/kqobject/server.go
+++ b/io/kqobject/server.go
@@ -64,15 +64,23 @@
 	case c.IsGet() && c.QueryArgs().GetBool("watch"):
 		s.handleWatch(c, p)
 	case c.IsGet() && p.name == "":
+		objects, version := s.list(p)
 		answer(c, fasthttp.StatusOK, struct {
-			Items []Object `json:"items"`
-		}{s.list(p)})
+			Metadata Metadata `json:"metadata"`
+			Items    []Object `json:"items"`
+		}{Metadata{ResourceVersion: version}, objects})
 	case c.IsGet():
 		s.handleGet(c, p)
 	case c.IsPut() && p.name != "":
 		s.handlePut(c, p)
+	case c.IsDelete() && p.name != "":
+		if err := s.remove(p, string(c.QueryArgs().Peek("resourceVersion"))); err != nil {
+			answer(c, fasthttp.StatusConflict, status{"Conflict", err.Error()})
+			return
+		}
+		answer(c, fasthttp.StatusOK, struct{}{})
 	default:
-		answer(c, fasthttp.StatusMethodNotAllowed, status{"MethodNotAllowed", "GET or PUT"})
+		answer(c, fasthttp.StatusMethodNotAllowed, status{"MethodNotAllowed", "GET, PUT or DELETE"})
 	}
 }
 
--- a/io/kqstore/guard.go
+++ b/io/kqstore/guard.go
@@ -21,7 +21,7 @@
 
 // CallRecord is one call of the store, for logs and metrics.
 type CallRecord struct {
-	// Operation is "Get", "Put" or "Watch".
+	// Operation is "Get", "Put", "List", "Delete" or "Watch".
 	Operation string
 	Kind      string
 	Name      string
@@ -64,7 +64,7 @@
 	for _, o := range options {
 		o(g)
 	}
-	return &Client{Get: g.get, Put: g.put, Watch: g.watch}
+	return &Client{Get: g.get, Put: g.put, Watch: g.watch, List: g.list, Delete: g.delete}
 }
 
 func (g *guard) get(ctx context.Context, kind, name string) (Object, error) {
@@ -85,6 +85,22 @@
 	return o, err
 }
 
+func (g *guard) list(ctx context.Context, kind string) ([]Object, string, error) {
+	var objects []Object
+	var version string
+	err := g.call(CallRecord{Operation: "List", Kind: kind}, func() (err error) {
+		objects, version, err = g.inner.List(ctx, kind)
+		return err
+	})
+	return objects, version, err
+}
+
+func (g *guard) delete(ctx context.Context, kind string, object Object) error {
+	return g.call(CallRecord{Operation: "Delete", Kind: kind, Name: object.Name}, func() error {
+		return g.inner.Delete(ctx, kind, object)
+	})
+}
+
 func (g *guard) watch(ctx context.Context, kind, name, version string, take func(Object) error) error {
 	return g.call(CallRecord{Operation: "Watch", Kind: kind, Name: name}, func() error {
 		return g.inner.Watch(ctx, kind, name, version, take)
--- a/io/kqstore/http.go
+++ b/io/kqstore/http.go
@@ -32,6 +32,17 @@
 	return Object{Name: w.Metadata.Name, Version: w.Metadata.ResourceVersion, Value: w.Spec}
 }
 
+// wireList is the answer to a list of a kind.
+type wireList struct {
+	Metadata struct {
+		ResourceVersion string `json:"resourceVersion"`
+	} `json:"metadata"`
+	Items []wireObject `json:"items"`
+}
+
+// eventDeleted is the type of the event of an object that was removed.
+const eventDeleted = "DELETED"
+
 // wireEvent is one line of a watch.
 type wireEvent struct {
 	Type   string     `json:"type"`
@@ -47,10 +58,10 @@
 // NewHTTP makes a client of the object API at a TCP address.
 func NewHTTP(address string) *Client {
 	h := &httpClient{address: address, pool: kqhttp.NewPool(address, kqhttp.WithMaxIdle(2))}
-	return &Client{Get: h.get, Put: h.put, Watch: h.watch}
+	return &Client{Get: h.get, Put: h.put, Watch: h.watch, List: h.list, Delete: h.delete}
 }
 
-func (h *httpClient) do(ctx context.Context, method, path string, body []byte) (Object, error) {
+func (h *httpClient) do(ctx context.Context, method, path string, body []byte, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	request := fasthttp.AcquireRequest()
@@ -60,16 +71,34 @@
 	h.fill(request, method, path)
 	request.SetBody(body)
 	if err := h.pool.Do(ctx, request, response); err != nil {
-		return Object{}, errors.Mark(err, ErrUnavailable)
+		return errors.Mark(err, ErrUnavailable)
 	}
 	if err := statusError(response.StatusCode(), response.Body()); err != nil {
-		return Object{}, err
+		return err
 	}
-	var w wireObject
-	if err := json.Unmarshal(response.Body(), &w); err != nil {
-		return Object{}, errors.Mark(errors.Wrap(err, "read object"), ErrMalformed)
+	if into == nil {
+		return nil
 	}
-	return w.object(), nil
+	if err := json.Unmarshal(response.Body(), into); err != nil {
+		return errors.Mark(errors.Wrap(err, "read object"), ErrMalformed)
+	}
+	return nil
+}
+
+func (h *httpClient) list(ctx context.Context, kind string) ([]Object, string, error) {
+	var l wireList
+	if err := h.do(ctx, fasthttp.MethodGet, "/apis/"+kind, nil, &l); err != nil {
+		return nil, "", err
+	}
+	objects := make([]Object, 0, len(l.Items))
+	for _, w := range l.Items {
+		objects = append(objects, w.object())
+	}
+	return objects, l.Metadata.ResourceVersion, nil
+}
+
+func (h *httpClient) delete(ctx context.Context, kind string, o Object) error {
+	return h.do(ctx, fasthttp.MethodDelete, "/apis/"+kind+"/"+o.Name+"?resourceVersion="+o.Version, nil, nil)
 }
 
 func (h *httpClient) fill(request *fasthttp.Request, method, path string) {
@@ -95,7 +124,9 @@
 }
 
 func (h *httpClient) get(ctx context.Context, kind, name string) (Object, error) {
-	return h.do(ctx, fasthttp.MethodGet, "/apis/"+kind+"/"+name, nil)
+	var w wireObject
+	err := h.do(ctx, fasthttp.MethodGet, "/apis/"+kind+"/"+name, nil, &w)
+	return w.object(), err
 }
 
 func (h *httpClient) put(ctx context.Context, kind string, o Object) (Object, error) {
@@ -107,7 +138,9 @@
 	if err != nil {
 		return Object{}, errors.Mark(errors.Wrap(err, "write object"), ErrMalformed)
 	}
-	return h.do(ctx, fasthttp.MethodPut, "/apis/"+kind+"/"+o.Name, body)
+	var written wireObject
+	err = h.do(ctx, fasthttp.MethodPut, "/apis/"+kind+"/"+o.Name, body, &written)
+	return written.object(), err
 }
 
 func (h *httpClient) watch(ctx context.Context, kind, name, version string, take func(Object) error) error {
@@ -138,7 +171,9 @@
 		if err := json.Unmarshal(lines.Bytes(), &e); err != nil {
 			return errors.Mark(errors.Wrap(err, "read event"), ErrMalformed)
 		}
-		if err := take(e.Object.object()); err != nil {
+		o := e.Object.object()
+		o.Deleted = e.Type == eventDeleted
+		if err := take(o); err != nil {
 			return err
 		}
 	}
--- a/io/kqstore/kqstore.go
+++ b/io/kqstore/kqstore.go
@@ -32,11 +32,19 @@
 	ErrMalformed = errors.New("answer of the store is malformed")
 )
 
+// Failed is whether an error means that the store did not answer, rather than
+// that it answered with a refusal.
+func Failed(err error) bool {
+	return errors.Is(err, ErrUnavailable)
+}
+
 // Object is a named value with the version that the store gave it.
 type Object struct {
 	Name    string
 	Version string
 	Value   json.RawMessage
+	// Deleted is whether a watch tells that the object is no longer there.
+	Deleted bool
 }
 
 // Client holds the calls of the object API.
@@ -46,7 +54,13 @@
 	// Put writes an object if its version is still the one given; an empty
 	// version writes only an object that is not there.
 	Put func(ctx context.Context, kind string, object Object) (Object, error)
-	// Watch calls take for every change behind the version, until ctx ends,
+	// List reads all objects of a kind, and the version from which a watch of
+	// the kind goes on.
+	List func(ctx context.Context, kind string) ([]Object, string, error)
+	// Delete removes an object if its version is still the one given.
+	Delete func(ctx context.Context, kind string, object Object) error
+	// Watch, for one object or with an empty name for the whole kind, calls
+	// take for every change behind the version, until ctx ends,
 	// the watch breaks, or take fails.
 	Watch func(ctx context.Context, kind, name, version string, take func(Object) error) error
 }
@@ -55,6 +69,9 @@
 // of idempotency keys.
 const KindLedger = "kumquatlink.dev/v1/ledgers"
 
+// KindHosts holds one object for each node that is found through the store.
+const KindHosts = "kumquatlink.dev/v1/hosts"
+
 // The one object that holds the configuration.
 const (
 	KindConfiguration = "kumquatlink.dev/v1/configurations"
--- /dev/null
+++ b/io/kqtrunk/frame.go
@@ -0,0 +1,99 @@
+package kqtrunk
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// frameKind says what a frame holds.
+type frameKind byte
+
+const (
+	frameCall    frameKind = 1
+	frameAnswer  frameKind = 2
+	frameCancel  frameKind = 3
+	frameMessage frameKind = 4
+	framePing    frameKind = 5
+	framePong    frameKind = 6
+)
+
+// prefixBytes is the length of what stands before a payload: its length, the
+// kind and the number of the call.
+const prefixBytes = 4 + 1 + 8
+
+// headLengthBytes is the length of a head's length.
+const headLengthBytes = 4
+
+type frame struct {
+	kind    frameKind
+	number  uint64
+	payload []byte
+}
+
+// pack puts a head and a body into a payload.
+func pack(head any, body []byte) ([]byte, error) {
+	data, err := cbor.Marshal(head)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "write head"), ErrFrame)
+	}
+	if len(data)+len(body)+headLengthBytes > MaxFrameBytes {
+		return nil, errors.Mark(errors.Newf("call of %d bytes, at most %d fit a frame", len(body), MaxFrameBytes), ErrFrame)
+	}
+	payload := make([]byte, headLengthBytes, headLengthBytes+len(data)+len(body))
+	binary.BigEndian.PutUint32(payload, uint32(len(data)))
+	payload = append(payload, data...)
+	return append(payload, body...), nil
+}
+
+// unpack takes a payload apart. The body shares its memory.
+func unpack(payload []byte, head any) ([]byte, error) {
+	if len(payload) < headLengthBytes {
+		return nil, errors.Mark(errors.Newf("payload of %d bytes", len(payload)), ErrFrame)
+	}
+	length := int(binary.BigEndian.Uint32(payload))
+	rest := payload[headLengthBytes:]
+	if length > len(rest) {
+		return nil, errors.Mark(errors.Newf("head of %d bytes in a payload of %d", length, len(payload)), ErrFrame)
+	}
+	if err := cbor.Unmarshal(rest[:length], head); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "read head"), ErrFrame)
+	}
+	return rest[length:], nil
+}
+
+func writeFrame(w *bufio.Writer, f frame) error {
+	var prefix [prefixBytes]byte
+	binary.BigEndian.PutUint32(prefix[:], uint32(len(f.payload)))
+	prefix[4] = byte(f.kind)
+	binary.BigEndian.PutUint64(prefix[5:], f.number)
+	if _, err := w.Write(prefix[:]); err != nil {
+		return err
+	}
+	if _, err := w.Write(f.payload); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+func readFrame(r *bufio.Reader) (frame, error) {
+	var prefix [prefixBytes]byte
+	if _, err := io.ReadFull(r, prefix[:]); err != nil {
+		return frame{}, err
+	}
+	length := binary.BigEndian.Uint32(prefix[:])
+	if length > MaxFrameBytes {
+		return frame{}, errors.Mark(errors.Newf("frame of %d bytes, at most %d are read", length, MaxFrameBytes), ErrFrame)
+	}
+	f := frame{kind: frameKind(prefix[4]), number: binary.BigEndian.Uint64(prefix[5:])}
+	if length > 0 {
+		f.payload = make([]byte, length)
+		if _, err := io.ReadFull(r, f.payload); err != nil {
+			return frame{}, err
+		}
+	}
+	return f, nil
+}
--- /dev/null
+++ b/io/kqtrunk/kqtrunk.go
@@ -0,0 +1,164 @@
+// Package kqtrunk carries calls between nodes over one TCP connection for each
+// pair and direction, on which any number of calls and messages run side by
+// side. It is for private networks, where the platform keeps others away from
+// the nodes' ports; [kqlink] is the carrier with certificates.
+//
+// # Usage
+//
+//	server, err := kqtrunk.Listen("10.1.0.8:7620", kqtrunk.Handlers{Call: run, Message: take})
+//	dialer := kqtrunk.NewDialer(kqtrunk.Handlers{Message: take})
+//	answer, err := dialer.Call(ctx, "10.1.0.9:7620", head, body)
+//
+// A frame is its length and kind, the number of the call, and a payload: a
+// CBOR head, its length before it, and the body. The end of ctx cancels the
+// call at the peer. Errors marked [ErrNotSent] prove that the peer was not
+// sent the whole call; those marked [ErrLost] leave open whether it ran. A
+// connection that passes no bytes while calls wait on it is pinged, and closed
+// when the peer does not answer.
+//
+// [kqlink]: kumquatlink/io/kqlink
+package kqtrunk
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+
+	"kumquatlink/core/kqcall"
+)
+
+// Errors of this package.
+var (
+	// ErrNotSent marks errors that prove that the peer did not get the call.
+	ErrNotSent = errors.New("call was not sent")
+	// ErrLost marks errors after which the peer may have run the call.
+	ErrLost = errors.New("answer was lost")
+	// ErrSilent marks lost answers of a connection that stopped passing bytes.
+	ErrSilent = errors.New("connection went silent")
+	// ErrFrame marks connections on which something else than frames came.
+	ErrFrame = errors.New("frame is malformed")
+)
+
+// Times after which a connection is found to be dead. Nodes answer a ping
+// without regard to what they run, and the farthest are 40 ms away.
+const (
+	dialTimeout = 700 * time.Millisecond
+	// quietTime is how long calls wait without any byte before a ping is sent.
+	quietTime = 400 * time.Millisecond
+	// pingTime is how long the peer has to answer a ping.
+	pingTime = 700 * time.Millisecond
+	// writeTimeout bounds a write to a peer that does not read.
+	writeTimeout = 2 * time.Second
+	// unackedTime is how long the kernel waits for an acknowledgement of what
+	// was sent before it gives the connection up.
+	unackedTime   = 1500 * time.Millisecond
+	probeIdle     = 2 * time.Second
+	probeInterval = time.Second
+	probeCount    = 2
+)
+
+// MaxFrameBytes bounds one frame, which holds a whole request or answer.
+const MaxFrameBytes = 65 << 20
+
+// Header is one HTTP header field.
+type Header struct {
+	_     struct{} `cbor:",toarray"`
+	Name  string
+	Value string
+}
+
+// CallHead is all of a call but its body.
+type CallHead struct {
+	_         struct{} `cbor:",toarray"`
+	RequestID string
+	Service   string
+	// Class names the route that the request came by.
+	Class string
+	Rank  int
+	// Onward is whether a backend server made the call.
+	Onward bool
+	// RunOnce is whether the call must not run more than once.
+	RunOnce bool
+	// Budget is the time left when the call was sent.
+	Budget time.Duration
+	// From is the service of the host where the request began.
+	From    string
+	Method  string
+	Path    string
+	Host    string
+	Headers []Header
+	// RoutesVersion is that of the routes by which the call was decided.
+	RoutesVersion int64
+}
+
+// Load is what a gate tells about itself on every answer.
+type Load struct {
+	_        struct{} `cbor:",toarray"`
+	InFlight int
+	Queued   int
+	Limit    int
+}
+
+// AnswerHead is all of an answer but its body.
+type AnswerHead struct {
+	_       struct{} `cbor:",toarray"`
+	End     kqcall.End
+	Status  int
+	Headers []Header
+	Load    Load
+	// ServerID is the backend server that ran the call, or empty.
+	ServerID string
+	// Queue and Run are the times spent in the gate's queue and at the backend
+	// server.
+	Queue time.Duration
+	Run   time.Duration
+	// RoutesVersion is that of the routes which the answering node holds.
+	RoutesVersion int64
+}
+
+// Answer is a whole answer.
+type Answer struct {
+	Head AnswerHead
+	Body []byte
+}
+
+// Handlers take what peers send.
+type Handlers struct {
+	// Call runs a call until it ends or ctx does.
+	Call func(ctx context.Context, peer string, head CallHead, body []byte) (AnswerHead, []byte)
+	// Message takes a message; reply sends one back on the same connection.
+	Message func(peer string, payload []byte, reply func([]byte))
+	// Submit runs a task without blocking; nil starts a goroutine.
+	Submit func(task func()) error
+	// Changed is told when a connection to a peer was made or lost.
+	Changed func(peer string, up bool, err error)
+}
+
+func (h Handlers) submit(task func()) error {
+	if h.Submit != nil {
+		return h.Submit(task)
+	}
+	go task()
+	return nil
+}
+
+// tune sets what finds dead connections.
+func tune(c net.Conn) error {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	err := tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount})
+	raw, rawErr := tcp.SyscallConn()
+	if rawErr != nil {
+		return errors.CombineErrors(err, rawErr)
+	}
+	var optionErr error
+	controlErr := raw.Control(func(descriptor uintptr) {
+		optionErr = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTime.Milliseconds()))
+	})
+	return errors.CombineErrors(err, errors.CombineErrors(controlErr, optionErr))
+}
--- /dev/null
+++ b/io/kqtrunk/server.go
@@ -0,0 +1,100 @@
+package kqtrunk
+
+import (
+	"net"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Server takes the connections of peers.
+type Server struct {
+	listener net.Listener
+	handlers Handlers
+
+	mutex  sync.Mutex
+	closed bool
+	trunks map[*trunk]struct{}
+}
+
+// Listen serves peers at a TCP address.
+func Listen(address string, handlers Handlers) (*Server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen at %s", address)
+	}
+	s := &Server{listener: l, handlers: handlers, trunks: map[*trunk]struct{}{}}
+	go s.accept()
+	return s, nil
+}
+
+// Address is where the server listens.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
+func (s *Server) accept() {
+	for {
+		raw, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		t := newTrunk(raw.RemoteAddr().String(), raw, s.handlers)
+		if err := tune(raw); err != nil || !s.add(t) {
+			_ = raw.Close()
+			continue
+		}
+		go func() {
+			_ = t.run()
+			s.remove(t)
+		}()
+	}
+}
+
+func (s *Server) add(t *trunk) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !s.closed {
+		s.trunks[t] = struct{}{}
+	}
+	return !s.closed
+}
+
+func (s *Server) remove(t *trunk) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.trunks, t)
+}
+
+// TellOne sends a message on the connection that the peer at this address has
+// made, if it stands.
+func (s *Server) TellOne(peer string, payload []byte) {
+	s.mutex.Lock()
+	var found *trunk
+	for t := range s.trunks {
+		if t.peer == peer {
+			found = t
+		}
+	}
+	s.mutex.Unlock()
+	if found == nil {
+		return
+	}
+	if err := found.send(frame{kind: frameMessage, payload: payload}); err != nil {
+		_ = found.fail(errors.Mark(err, ErrLost))
+	}
+}
+
+// Close ends all connections.
+func (s *Server) Close() error {
+	err := s.listener.Close()
+	s.mutex.Lock()
+	s.closed = true
+	trunks := s.trunks
+	s.trunks = map[*trunk]struct{}{}
+	s.mutex.Unlock()
+	for t := range trunks {
+		_ = t.fail(errors.Mark(errors.New("node ends"), ErrLost))
+	}
+	return errors.Wrap(err, "close listener")
+}
--- /dev/null
+++ b/io/kqtrunk/trunk.go
@@ -0,0 +1,291 @@
+package kqtrunk
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// bufferBytes is the size of a connection's buffers; most frames fit.
+const bufferBytes = 4 << 10
+
+// reply is what a waiting call gets.
+type reply struct {
+	payload []byte
+	err     error
+}
+
+// trunk is one connection between two nodes, seen from either end.
+type trunk struct {
+	peer     string
+	raw      net.Conn
+	handlers Handlers
+	now      func() time.Time
+
+	writing sync.Mutex
+	writer  *bufio.Writer
+
+	mutex sync.Mutex
+	// next is the number of the next call from this end.
+	next uint64
+	// waiting are the calls from this end, and running those from the other.
+	waiting map[uint64]chan reply
+	running map[uint64]context.CancelFunc
+	// heard is when bytes last came, pinged when a ping was sent that has not
+	// been answered.
+	heard  time.Time
+	pinged time.Time
+	timer  *time.Timer
+	failed error
+	done   chan struct{}
+}
+
+func newTrunk(peer string, raw net.Conn, handlers Handlers) *trunk {
+	return &trunk{
+		peer: peer, raw: raw, handlers: handlers, now: time.Now, writer: bufio.NewWriterSize(raw, bufferBytes),
+		waiting: map[uint64]chan reply{}, running: map[uint64]context.CancelFunc{}, done: make(chan struct{}),
+	}
+}
+
+// send writes one frame.
+func (t *trunk) send(f frame) error {
+	t.writing.Lock()
+	defer t.writing.Unlock()
+	if err := t.raw.SetWriteDeadline(t.now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	return writeFrame(t.writer, f)
+}
+
+// run reads frames until the connection ends.
+func (t *trunk) run() error {
+	reader := bufio.NewReaderSize(t.raw, bufferBytes)
+	for {
+		f, err := readFrame(reader)
+		if err != nil {
+			return t.fail(errors.Mark(err, ErrLost))
+		}
+		t.mutex.Lock()
+		t.heard, t.pinged = t.now(), time.Time{}
+		t.mutex.Unlock()
+		if err := t.take(f); err != nil {
+			return t.fail(errors.Mark(err, ErrLost))
+		}
+	}
+}
+
+func (t *trunk) take(f frame) error {
+	switch f.kind {
+	case frameCall:
+		return t.takeCall(f)
+	case frameAnswer:
+		t.settle(f.number, reply{payload: f.payload})
+	case frameCancel:
+		t.mutex.Lock()
+		cancel := t.running[f.number]
+		t.mutex.Unlock()
+		if cancel != nil {
+			cancel()
+		}
+	case frameMessage:
+		if t.handlers.Message != nil {
+			t.handlers.Message(t.peer, f.payload, func(payload []byte) { _ = t.send(frame{kind: frameMessage, payload: payload}) })
+		}
+	case framePing:
+		// A failed write ends the reading of this connection too.
+		_ = t.send(frame{kind: framePong, number: f.number})
+	case framePong:
+	default:
+		return errors.Mark(errors.Newf("frame of kind %d", f.kind), ErrFrame)
+	}
+	return nil
+}
+
+// takeCall runs a call of the peer and answers it.
+func (t *trunk) takeCall(f frame) error {
+	var head CallHead
+	body, err := unpack(f.payload, &head)
+	if err != nil {
+		return err
+	}
+	if t.handlers.Call == nil {
+		return errors.Mark(errors.New("call to a node that takes none"), ErrFrame)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.mutex.Lock()
+	t.running[f.number] = cancel
+	t.mutex.Unlock()
+	task := func() {
+		defer t.ended(f.number, cancel)
+		answer, data := t.handlers.Call(ctx, t.peer, head, body)
+		payload, err := pack(answer, data)
+		if err == nil {
+			err = t.send(frame{kind: frameAnswer, number: f.number, payload: payload})
+		}
+		if err != nil {
+			_ = t.fail(errors.Mark(err, ErrLost))
+		}
+	}
+	if err := t.handlers.submit(task); err != nil {
+		t.ended(f.number, cancel)
+		return err
+	}
+	return nil
+}
+
+func (t *trunk) ended(number uint64, cancel context.CancelFunc) {
+	cancel()
+	t.mutex.Lock()
+	delete(t.running, number)
+	t.mutex.Unlock()
+}
+
+// call sends a call and waits for its answer.
+func (t *trunk) call(ctx context.Context, head CallHead, body []byte) (*Answer, error) {
+	payload, err := pack(head, body)
+	if err != nil {
+		return nil, errors.Mark(err, ErrNotSent)
+	}
+	answered := make(chan reply, 1)
+	number, err := t.expect(answered)
+	if err != nil {
+		return nil, errors.Mark(err, ErrNotSent)
+	}
+	if err := t.send(frame{kind: frameCall, number: number, payload: payload}); err != nil {
+		// A peer acts on whole frames only, but the rest of this one may still
+		// be in the kernel's buffers.
+		_ = t.fail(errors.Mark(err, ErrLost))
+	}
+	select {
+	case r := <-answered:
+		return readAnswer(r)
+	case <-ctx.Done():
+		t.forget(number)
+		_ = t.send(frame{kind: frameCancel, number: number})
+		return nil, errors.Mark(errors.Wrap(ctx.Err(), "wait for an answer"), ErrLost)
+	}
+}
+
+func readAnswer(r reply) (*Answer, error) {
+	if r.err != nil {
+		return nil, r.err
+	}
+	a := &Answer{}
+	body, err := unpack(r.payload, &a.Head)
+	if err != nil {
+		return nil, errors.Mark(err, ErrLost)
+	}
+	a.Body = body
+	return a, nil
+}
+
+// expect registers a call and begins to look after the connection.
+func (t *trunk) expect(answered chan reply) (uint64, error) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.failed != nil {
+		return 0, t.failed
+	}
+	t.next++
+	t.waiting[t.next] = answered
+	if len(t.waiting) == 1 {
+		t.heard = t.now()
+		t.pinged = time.Time{}
+		if t.timer == nil {
+			t.timer = time.AfterFunc(quietTime, t.check)
+		} else {
+			t.timer.Reset(quietTime)
+		}
+	}
+	return t.next, nil
+}
+
+func (t *trunk) forget(number uint64) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	delete(t.waiting, number)
+}
+
+func (t *trunk) settle(number uint64, r reply) {
+	t.mutex.Lock()
+	answered := t.waiting[number]
+	delete(t.waiting, number)
+	t.mutex.Unlock()
+	if answered != nil {
+		answered <- r
+	}
+}
+
+// check pings a connection on which calls wait and nothing comes, and closes
+// one that does not answer the ping.
+func (t *trunk) check() {
+	t.mutex.Lock()
+	now := t.now()
+	quiet := now.Sub(t.heard)
+	pinged := t.pinged
+	if t.failed != nil || (len(t.waiting) == 0 && pinged.IsZero()) {
+		t.mutex.Unlock()
+		return
+	}
+	switch {
+	case !pinged.IsZero() && now.Sub(pinged) >= pingTime:
+		t.mutex.Unlock()
+		_ = t.fail(errors.Mark(errors.Mark(errors.Newf("no byte for %s", quiet), ErrLost), ErrSilent))
+		return
+	case pinged.IsZero() && quiet >= quietTime:
+		t.pinged = now
+		t.timer.Reset(pingTime)
+		t.mutex.Unlock()
+		if err := t.send(frame{kind: framePing}); err != nil {
+			_ = t.fail(errors.Mark(err, ErrLost))
+		}
+		return
+	case !pinged.IsZero():
+		t.timer.Reset(pingTime - now.Sub(pinged))
+	default:
+		t.timer.Reset(quietTime - quiet)
+	}
+	t.mutex.Unlock()
+}
+
+// fail ends the connection, with all calls on it, and gives the first reason.
+func (t *trunk) fail(err error) error {
+	t.mutex.Lock()
+	if t.failed != nil {
+		defer t.mutex.Unlock()
+		return t.failed
+	}
+	t.failed = err
+	waiting, running := t.waiting, t.running
+	t.waiting, t.running = map[uint64]chan reply{}, map[uint64]context.CancelFunc{}
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+	t.mutex.Unlock()
+	_ = t.raw.Close()
+	for _, w := range waiting {
+		w <- reply{err: err}
+	}
+	for _, cancel := range running {
+		cancel()
+	}
+	close(t.done)
+	return err
+}
+
+// busy is how many calls of either end are on the connection.
+func (t *trunk) busy() int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return len(t.waiting) + len(t.running)
+}
+
+func (t *trunk) alive() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.failed == nil
+}
