Reload the settings on SIGHUP and when the file changes

Change: the settings file is read again on SIGHUP and every 5 s when changed; bounds and the store's address are taken over, a faulty file changes nothing.

--- a/core/kqbudget/kqbudget.go
+++ b/core/kqbudget/kqbudget.go
@@ -60,6 +60,16 @@
 	return &Budget{bound: b, services: map[string]*counts{}}
 }
 
+// SetBound changes the bound; what was counted stays.
+func (b *Budget) SetBound(bound Bound) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if bound.Window != b.bound.Window {
+		b.services = map[string]*counts{}
+	}
+	b.bound = bound
+}
+
 // Request counts a request for the service. The time is on the node's own
 // monotonic clock.
 func (b *Budget) Request(now time.Duration, service string) {
--- a/io/kqcli/mesh.go
+++ b/io/kqcli/mesh.go
@@ -2,6 +2,11 @@
 
 import (
 	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"reflect"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -32,15 +37,66 @@
 	}
 	log := kqlog.New(e.output, kqlog.WithNode(s.NodeID, s.Zone), kqlog.WithLevel(zerolog.InfoLevel))
 	defer log.Close()
-	n, err := kqmesh.New(s.Node(), platform.Dialect(), platform.NewStore(s.Provider.Address), kqmesh.WithLog(log))
+	store := platform.NewStore(s.Provider.Address)
+	n, err := kqmesh.New(s.Node(), platform.Dialect(), store.Client(), kqmesh.WithLog(log))
 	if err != nil {
 		return err
 	}
 	if err := n.Start(); err != nil {
 		return err
 	}
-	<-e.ctx.Done()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(s.Bounds.Grace))
+	r := &reloader{path: path, node: n, store: store, log: log, held: *s}
+	r.run(e.ctx)
+	ctx, cancel := context.WithTimeout(context.Background(), r.held.Bounds.Grace.Value())
 	defer cancel()
 	return n.Shutdown(ctx)
 }
+
+// reloadPeriod is how often the settings file is looked at, since it may
+// change without a signal.
+const reloadPeriod = 5 * time.Second
+
+// reloader takes over changes of the settings file while the node runs.
+type reloader struct {
+	path  string
+	node  *kqmesh.Node
+	store *platform.Store
+	log   *kqlog.Log
+	held  platform.Settings
+}
+
+// run reloads on SIGHUP, and when the file has changed, until ctx ends.
+func (r *reloader) run(ctx context.Context) {
+	hangUp := make(chan os.Signal, 1)
+	signal.Notify(hangUp, syscall.SIGHUP)
+	defer signal.Stop(hangUp)
+	look := time.NewTicker(reloadPeriod)
+	defer look.Stop()
+	for {
+		select {
+		case <-hangUp:
+			r.reload(true)
+		case <-look.C:
+			r.reload(false)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// reload reads the file. What is faulty changes nothing.
+func (r *reloader) reload(asked bool) {
+	s, err := platform.ReadSettings(r.path)
+	if err != nil {
+		r.log.Event(zerolog.ErrorLevel, "settings are not reloaded", err)
+		return
+	}
+	changed := !reflect.DeepEqual(*s, r.held)
+	if !changed && !asked {
+		return
+	}
+	r.held = *s
+	r.node.Retune(s.Node().Tunables)
+	r.store.SetAddress(s.Provider.Address)
+	r.log.Event(zerolog.InfoLevel, fmt.Sprintf("settings reloaded, changed: %t", changed), nil)
+}
--- a/io/kqmesh/gate.go
+++ b/io/kqmesh/gate.go
@@ -216,7 +216,7 @@
 		return
 	}
 	if g.closeAt == 0 {
-		g.closeAt = g.node.clock() + time.Duration(drainWait*float64(g.node.settings.DrainTime))
+		g.closeAt = g.node.clock() + time.Duration(drainWait*float64(g.node.tunables.Load().DrainTime))
 	}
 	g.keepTicking()
 }
--- a/io/kqmesh/kqmesh.go
+++ b/io/kqmesh/kqmesh.go
@@ -71,6 +71,14 @@
 	// RoutesKind and RoutesName name the object that holds the routes.
 	RoutesKind string
 	RoutesName string
+	// Tunables may change while the node runs.
+	Tunables
+	// FirstStart is whether the whole fleet starts for the first time.
+	FirstStart bool
+}
+
+// Tunables are the settings that may change while a node runs.
+type Tunables struct {
 	// RepeatRatio, RepeatWindow and RepeatSlack bound how often the fleet
 	// hands requests to a second backend server.
 	RepeatRatio  float64
@@ -81,8 +89,11 @@
 	// DrainTime is how long a backend server goes on serving after it said
 	// that it drains.
 	DrainTime kqclass.Duration
-	// FirstStart is whether the whole fleet starts for the first time.
-	FirstStart bool
+}
+
+// bound is what the fleet's repeats are held to.
+func (t Tunables) bound() kqbudget.Bound {
+	return kqbudget.Bound{Ratio: t.RepeatRatio, Window: t.RepeatWindow.Value(), Slack: t.RepeatSlack}
 }
 
 // State is what traffic reads; it is immutable.
@@ -128,10 +139,11 @@
 	server  *kqtrunk.Server
 	dialer  *kqtrunk.Dialer
 
-	state   atomic.Pointer[State]
-	control *control
-	gate    *gate
-	budget  *kqbudget.Budget
+	state    atomic.Pointer[State]
+	tunables atomic.Pointer[Tunables]
+	control  *control
+	gate     *gate
+	budget   *kqbudget.Budget
 
 	incarnation uint64
 	// peerAddress is where other nodes reach this one.
@@ -169,9 +181,8 @@
 	n.begun = n.now()
 	n.incarnation = uint64(n.begun.UnixMilli())
 	n.store = kqstore.Guard(store, kqstore.WithObserver(n.observeStore))
-	n.budget = kqbudget.New(kqbudget.Bound{
-		Ratio: settings.RepeatRatio, Window: time.Duration(settings.RepeatWindow), Slack: settings.RepeatSlack,
-	})
+	n.budget = kqbudget.New(settings.bound())
+	n.tunables.Store(&settings.Tunables)
 	n.dialer = kqtrunk.NewDialer(kqtrunk.Handlers{Message: n.handleMessage, Changed: n.peerChanged})
 	n.gate = newGate(n)
 	n.control = newControl(n)
@@ -213,6 +224,12 @@
 	return nil
 }
 
+// Retune changes the settings that may change while the node runs.
+func (n *Node) Retune(t Tunables) {
+	n.tunables.Store(&t)
+	n.budget.SetBound(t.bound())
+}
+
 func (n *Node) loop(ctx context.Context, run func(context.Context)) {
 	n.loops.Add(1)
 	go func() {
--- a/io/kqmesh/shutdown.go
+++ b/io/kqmesh/shutdown.go
@@ -38,7 +38,7 @@
 	}
 	n.callers.Drain()
 	n.log.Event(zerolog.InfoLevel, "node leaves", nil)
-	bound := n.settings.ShutdownTime.Value() - shutdownMargin
+	bound := n.tunables.Load().ShutdownTime.Value() - shutdownMargin
 	for ctx.Err() == nil && n.now().Sub(begun) < bound && !n.isCalm(begun) {
 		sleep(ctx, shutdownPoll)
 	}
