Carry cuts of deep services to the entries; find the parents of onward calls

Cause: under load the licence service is the narrow part of every chain.

Change: an onward call ends in the moment in which its parent was told to stop, so core/kqlineage finds the parent and the call inherits root, class and rank. With that the cuts of kqadmit and kqshed work as between nodes of the own interface. Repeats made by a repeated run are counted as inherited, and each level of a chain spends a part of the bound (kqbudget).

--- a/core/kqadmit/level.go
+++ b/core/kqadmit/level.go
@@ -52,17 +52,6 @@
 	return Level(uint64(rank)<<rankShift | tie)
 }
 
-// LevelAt gives the level of a call that is known only by its rank and by
-// whether a backend server made it. Calls of the same level run in the order
-// in which they came.
-func LevelAt(rank int, onward bool) Level {
-	level := Level(uint64(min(max(rank, 0), maxRank)) << rankShift)
-	if !onward {
-		level |= 1 << freshBit
-	}
-	return level
-}
-
 // Rank is the rank that the level stands for.
 func (l Level) Rank() int {
 	return min(int(l>>rankShift), maxRank)
--- a/core/kqbudget/kqbudget.go
+++ b/core/kqbudget/kqbudget.go
@@ -4,14 +4,17 @@
 // # Usage
 //
 //	budget := kqbudget.New(kqbudget.Bound{Ratio: 0.2, Window: 10 * time.Second, Slack: 48})
-//	budget.Request(now, "orders")
-//	if budget.Repeat(now, "orders", entries) { ... } // hand it to another server
+//	budget.Request(now, "orders", inherited)
+//	if budget.Repeat(now, "orders", entries, urgent) { ... } // hand it to another server
 //
 // The bound for a service is a ratio of the requests in a sliding window, plus
 // a slack. The ratio holds for the fleet if it holds for each entry, and the
 // slack is divided by the number of entries. A repeated run repeats its onward
-// calls as well, which count at the services called; so each entry spends only
-// a part of the bound. A Budget is safe for concurrent use.
+// calls as well, which count at the services called: these are inherited, and
+// leave less for repeats of the entry's own. Since an entry can't refuse them,
+// each level of a chain spends only a part of the bound by itself. Requests
+// that are not urgent leave half of that to those that are. A Budget is safe
+// for concurrent use.
 package kqbudget
 
 import (
@@ -19,12 +22,16 @@
 	"time"
 )
 
-// Parts of the bound that repeats of one service may use. The rest is for the
-// onward calls of repeated runs of the services above, of which a chain has up
-// to three.
+// Parts of the bound.
 const (
-	ratioPart = 0.3
-	slackPart = 0.25
+	// levelPart is what one level of a chain may spend by itself; a chain has
+	// up to four levels.
+	levelPart = 0.23
+	// wholePart is what inherited and own repeats may sum up to before no more
+	// are made.
+	wholePart = 0.85
+	// plainPart is what requests that are not urgent may use of a level's part.
+	plainPart = 0.5
 )
 
 // slots is how many parts a window is counted in. One part more than the
@@ -50,9 +57,10 @@
 
 // counts are the requests and repeats of the latest parts of the window.
 type counts struct {
-	newest   int64
-	requests [slots + 1]int
-	repeats  [slots + 1]int
+	newest    int64
+	requests  [slots + 1]int
+	repeats   [slots + 1]int
+	inherited [slots + 1]int
 }
 
 // New makes a budget of which nothing is spent.
@@ -70,31 +78,39 @@
 	b.bound = bound
 }
 
-// Request counts a request for the service. The time is on the node's own
-// monotonic clock.
-func (b *Budget) Request(now time.Duration, service string) {
+// Request counts a request for the service. It is inherited when the run that
+// made it was itself a repeat. The time is on the node's own monotonic clock.
+func (b *Budget) Request(now time.Duration, service string, inherited bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	c := b.at(now, service)
 	c.requests[c.newest%(slots+1)]++
+	if inherited {
+		c.inherited[c.newest%(slots+1)]++
+	}
 }
 
 // Repeat takes one repeat for the service, if there is one left, in a fleet of
 // that many entries.
-func (b *Budget) Repeat(now time.Duration, service string, entries int) bool {
+func (b *Budget) Repeat(now time.Duration, service string, entries int, urgent bool) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	c := b.at(now, service)
-	requests, repeats := 0, 0
+	requests, repeats, inherited := 0, 0, 0
 	for i := range c.requests {
 		requests += c.requests[i]
 		repeats += c.repeats[i]
+		inherited += c.inherited[i]
 	}
 	// The oldest part may lie outside of the window, so its requests do not
 	// count; its repeats do.
 	requests -= c.requests[(c.newest+1)%(slots+1)]
-	allowed := ratioPart*b.bound.Ratio*float64(requests) + slackPart*b.bound.Slack/float64(max(entries, 1))
-	if float64(repeats+1) > allowed {
+	bound := b.bound.Ratio*float64(requests) + b.bound.Slack/float64(max(entries, 1))
+	own := levelPart * bound
+	if !urgent {
+		own *= plainPart
+	}
+	if float64(repeats+1) > own || float64(repeats+inherited+1) > wholePart*bound {
 		return false
 	}
 	c.repeats[c.newest%(slots+1)]++
@@ -114,7 +130,7 @@
 			c.newest = part - slots - 1
 		}
 		next := (c.newest + 1) % (slots + 1)
-		c.requests[next], c.repeats[next] = 0, 0
+		c.requests[next], c.repeats[next], c.inherited[next] = 0, 0, 0
 	}
 	return c
 }
--- /dev/null
+++ b/core/kqbudget/kqbudget_test.go
@@ -0,0 +1,110 @@
+package kqbudget_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"kumquatlink/core/kqbudget"
+)
+
+// event is an arrival that the service sees.
+type event struct {
+	at     time.Duration
+	repeat bool
+}
+
+// TestRepeatsOfAChainStayWithinTheBound has every call of a chain of four
+// levels fail, so that each entry repeats whenever it may, and looks at every
+// window of the last service.
+func TestRepeatsOfAChainStayWithinTheBound(t *testing.T) {
+	const entries = 24
+	names := []string{"catalog", "orders", "packs", "licensing"}
+	fanouts := []int{1, 1, 4}
+	bound := kqbudget.Bound{Ratio: 0.2, Window: 10 * time.Second, Slack: 48}
+	for seed := range uint64(4) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		budgets := make([]*kqbudget.Budget, entries)
+		for i := range budgets {
+			budgets[i] = kqbudget.New(bound)
+		}
+		var seen []event
+		// call makes a call at a level and, from it, calls of the next.
+		var call func(now time.Duration, level int, inherited bool)
+		call = func(now time.Duration, level int, inherited bool) {
+			b := budgets[random.IntN(entries)]
+			b.Request(now, names[level], inherited)
+			for try := range 4 {
+				if try > 0 && !b.Repeat(now, names[level], entries, random.IntN(4) == 0) {
+					return
+				}
+				if level == len(names)-1 {
+					seen = append(seen, event{now, inherited || try > 0})
+					continue
+				}
+				for range fanouts[level] {
+					call(now, level+1, inherited || try > 0)
+				}
+			}
+		}
+		for now := time.Duration(0); now < 40*time.Second; now += time.Duration(random.IntN(20)) * time.Millisecond {
+			call(now, 0, false)
+		}
+		check(t, bound, seen)
+	}
+}
+
+// check counts repeats against requests in windows that slide.
+func check(t *testing.T, bound kqbudget.Bound, seen []event) {
+	t.Helper()
+	for from := time.Duration(0); from < 30*time.Second; from += 500 * time.Millisecond {
+		requests, repeats := 0, 0
+		for _, e := range seen {
+			if e.at < from || e.at >= from+bound.Window {
+				continue
+			}
+			requests++
+			if e.repeat {
+				repeats++
+			}
+		}
+		if want := bound.Ratio*float64(requests) + bound.Slack; float64(repeats) > want {
+			t.Fatalf("window from %s: got %d repeats of %d arrivals, want at most %.0f", from, repeats, requests, want)
+		}
+	}
+}
+
+// TestUrgentRequestsFindWhatOthersLeft spends all that plain requests may.
+func TestUrgentRequestsFindWhatOthersLeft(t *testing.T) {
+	b := kqbudget.New(kqbudget.Bound{Ratio: 0.2, Window: 10 * time.Second, Slack: 0})
+	for range 1000 {
+		b.Request(0, "orders", false)
+	}
+	plain := 0
+	for b.Repeat(time.Millisecond, "orders", 1, false) {
+		plain++
+	}
+	urgent := 0
+	for b.Repeat(time.Millisecond, "orders", 1, true) {
+		urgent++
+	}
+	if plain == 0 || urgent == 0 || plain+urgent > 200 {
+		t.Errorf("repeats for 1000 requests: got %d plain and %d urgent, want some of each and at most 200", plain, urgent)
+	}
+}
+
+// TestRepeatsComeBackWithTime spends all, and finds it again a window later.
+func TestRepeatsComeBackWithTime(t *testing.T) {
+	b := kqbudget.New(kqbudget.Bound{Ratio: 0.2, Window: 10 * time.Second, Slack: 0})
+	for now := time.Duration(0); now < 30*time.Second; now += 10 * time.Millisecond {
+		b.Request(now, "orders", false)
+		if now == 9*time.Second {
+			for b.Repeat(now, "orders", 1, true) {
+				continue
+			}
+		}
+	}
+	if !b.Repeat(30*time.Second, "orders", 1, true) {
+		t.Error("repeat 21 s after all were spent: got none, want one")
+	}
+}
--- a/io/kqmesh/entry.go
+++ b/io/kqmesh/entry.go
@@ -59,6 +59,9 @@
 // handleCaller takes a request of a caller or of the backend server.
 func (n *Node) handleCaller(ctx context.Context, e *kqedge.Exchange) {
 	q, o := n.readCall(e)
+	if o == nil {
+		o = n.shed.refuses(q)
+	}
 	if o == nil {
 		// The entry waits a little longer than the gate.
 		waiting, cancel := context.WithDeadline(ctx, q.deadline.Add(answerGrace))
@@ -91,32 +94,44 @@
 		return q, ended(kqcall.NotRun(kqcall.CauseNoService))
 	}
 	q.route = route
-	q.head.Class = route.Name
+	q.head.Route = route.Name
 	q.head.Service = route.ServiceFor(q.head.RequestID)
-	q.head.Rank = route.Rank
 	q.head.RunOnce = route.RunOnce
-	q.deadline = e.Came.Add(timeFor(route, string(h.Peek(n.dialect.Headers.Deadline))))
+	given := timeGiven(string(h.Peek(n.dialect.Headers.Deadline)))
+	q.deadline = e.Came.Add(min(route.Timeout.Value(), given))
+	n.descend(q, e.Came.Sub(n.begun)+given)
 	for k, v := range h.All() {
 		if name := string(k); isEndToEnd(name) && !n.isOwnHeader(name) {
 			q.head.Headers = append(q.head.Headers, kqtrunk.Header{Name: name, Value: string(v)})
 		}
 	}
 	q.body = append([]byte(nil), e.Request.Body()...)
-	n.budget.Request(n.clock(), q.head.Service)
+	n.budget.Request(n.clock(), q.head.Service, q.head.Repeat)
 	if !q.deadline.After(n.now()) {
 		return q, ended(kqcall.NotRun(kqcall.CauseDeadline))
 	}
 	return q, nil
 }
 
-// timeFor is how long the caller may be kept waiting.
-func timeFor(route *kqroutes.Route, given string) time.Duration {
-	timeout := route.Timeout.Value()
-	milliseconds, err := strconv.ParseFloat(given, 64)
-	if err != nil || math.IsNaN(milliseconds) || milliseconds < 0 {
-		return timeout
+// descend fills in what a call takes from the request for which it is made.
+func (n *Node) descend(q *call, ends time.Duration) {
+	q.head.Root, q.head.Class, q.head.Rank = q.head.RequestID, q.route.Name, q.route.Rank
+	p, found := n.gate.runs.Parent(q.route.Name, ends)
+	if !found {
+		return
+	}
+	q.head.Root, q.head.Class, q.head.Rank = p.Root, p.Class, p.Rank
+	q.head.Depth, q.head.Repeat = p.Depth+1, p.Repeat
+}
+
+// timeGiven reads the time that the caller gives, in milliseconds. One that
+// can't be read is as good as none.
+func timeGiven(text string) time.Duration {
+	milliseconds, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(milliseconds) || milliseconds < 0 || milliseconds > math.MaxInt32 {
+		return math.MaxInt32 * time.Millisecond
 	}
-	return min(timeout, time.Duration(min(milliseconds, math.MaxInt32))*time.Millisecond)
+	return time.Duration(milliseconds * float64(time.Millisecond))
 }
 
 // isOwnHeader is whether the gate sets the field itself.
--- a/io/kqmesh/gate.go
+++ b/io/kqmesh/gate.go
@@ -12,6 +12,7 @@
 
 	"kumquatlink/core/kqadmit"
 	"kumquatlink/core/kqcall"
+	"kumquatlink/core/kqlineage"
 	"kumquatlink/core/kqserver"
 	"kumquatlink/io/kqhttp"
 	"kumquatlink/io/kqlog"
@@ -36,6 +37,7 @@
 type gate struct {
 	node *Node
 	pool *kqhttp.Pool
+	runs *kqlineage.Runs
 
 	mutex   sync.Mutex
 	queue   *kqadmit.Queue
@@ -50,7 +52,7 @@
 
 func newGate(n *Node) *gate {
 	return &gate{
-		node: n, queue: kqadmit.New(), waiting: map[uint64]chan kqadmit.Verdict{},
+		node: n, queue: kqadmit.New(), waiting: map[uint64]chan kqadmit.Verdict{}, runs: kqlineage.New(),
 		pool: kqhttp.NewPool(n.settings.BackendAddress, kqhttp.WithMaxAge(idleAge), kqhttp.WithMatches(n.answersRequest)),
 	}
 }
@@ -76,6 +78,9 @@
 // handleCall runs a call that a peer's entry sent.
 func (n *Node) handleCall(ctx context.Context, peer string, head kqtrunk.CallHead, body []byte) (kqtrunk.AnswerHead, []byte) {
 	n.noticeVersion(peer, head.RoutesVersion)
+	if head.AskLoad {
+		return kqtrunk.AnswerHead{End: kqcall.NotRun(""), Load: n.gate.load()}, nil
+	}
 	o := n.gate.run(ctx, head, body)
 	if s := n.State(); s.Routes != nil {
 		o.head.RoutesVersion = s.Routes.Document().Version
@@ -108,6 +113,9 @@
 	if cause := g.closedBy(s, head.Service); cause != "" {
 		return ended(kqcall.NotRun(cause))
 	}
+	if g.node.shed.refusesBehind(head) {
+		return ended(shedEnd(head, kqcall.CauseShedGate))
+	}
 	begun := g.node.clock()
 	end, admitted := g.admit(ctx, head, s.Server.Slots)
 	if !admitted {
@@ -138,7 +146,7 @@
 func (g *gate) admit(ctx context.Context, head kqtrunk.CallHead, slots int) (kqcall.End, bool) {
 	now := g.node.clock()
 	item := kqadmit.Item{
-		Level: kqadmit.LevelAt(head.Rank, head.Onward), Class: head.Class, Patient: true, Deadline: now + head.Budget,
+		Level: levelOf(head), Class: head.Route, Patient: head.RunOnce, Deadline: now + head.Budget,
 	}
 	answer := make(chan kqadmit.Verdict, 1)
 	g.mutex.Lock()
@@ -166,6 +174,13 @@
 	return end, false
 }
 
+// levelOf orders calls at a gate. All calls of one request have the same tie,
+// so that every service of a chain keeps the same requests. A request counts
+// like the onward calls of its rank: it has to get past the same cut.
+func levelOf(head kqtrunk.CallHead) kqadmit.Level {
+	return kqadmit.Started(kqcall.Head{RequestID: head.Root, Rank: head.Rank})
+}
+
 func verdictEnd(v kqadmit.Verdict) (kqcall.End, bool) {
 	if v.Run {
 		return kqcall.End{}, true
@@ -253,7 +268,7 @@
 func (g *gate) giveBack(head kqtrunk.CallHead) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.deliver(g.queue.Done(g.node.clock(), kqadmit.Finished{Level: kqadmit.LevelAt(head.Rank, head.Onward), Class: head.Class}))
+	g.deliver(g.queue.Done(g.node.clock(), kqadmit.Finished{Level: levelOf(head), Class: head.Route}))
 }
 
 // release gives the slot back and learns from how the call went.
@@ -263,21 +278,26 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.deliver(g.queue.Done(g.node.clock(), kqadmit.Finished{
-		Level: kqadmit.LevelAt(head.Rank, head.Onward), Class: head.Class, Took: took, Counts: counts,
+		Level: levelOf(head), Class: head.Route, Took: took, Counts: counts,
 	}))
 }
 
 // load is what the gate tells of itself.
 func (g *gate) load() kqtrunk.Load {
+	deep := g.node.shed.deep()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return kqtrunk.Load{InFlight: g.queue.InFlight(), Queued: g.queue.Waiting(), Limit: g.slots}
+	g.deliver(g.queue.Tick(g.node.clock()))
+	return kqtrunk.Load{
+		InFlight: g.queue.InFlight(), Queued: g.queue.Waiting(), Limit: g.slots, Withheld: g.queue.Cut().Withheld(), Deep: deep,
+	}
 }
 
 // busy is how many calls wait or run.
 func (g *gate) busy() int {
-	l := g.load()
-	return l.InFlight + l.Queued
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.queue.InFlight() + g.queue.Waiting()
 }
 
 // handOver runs the call on the backend server.
@@ -287,9 +307,12 @@
 	defer fasthttp.ReleaseResponse(response)
 	g.fill(ctx, request, head, body, serverID)
 	response.SkipBody = request.Header.IsHead()
+	run := g.runs.Begin(kqlineage.Run{
+		Root: head.Root, Class: head.Class, Rank: head.Rank, Depth: head.Depth, Route: head.Route, Repeat: head.Repeat, Ends: g.endOf(ctx),
+	})
 	err := g.pool.Do(ctx, request, response)
 	o := g.read(ctx, response, err)
-	o.head.ServerID = serverID
+	o.head.ServerID, o.head.Onward = serverID, g.runs.End(run)
 	return o
 }
 
@@ -302,10 +325,7 @@
 		request.Header.Add(f.Name, f.Value)
 	}
 	request.Header.SetHost(head.Host)
-	left := head.Budget
-	if deadline, set := ctx.Deadline(); set {
-		left = time.Until(deadline)
-	}
+	left := g.endOf(ctx) - g.node.clock()
 	request.Header.Set(h.Deadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	request.Header.Set(h.ExpectServer, serverID)
 	request.Header.Set(h.CallerService, head.From)
@@ -315,6 +335,12 @@
 	request.SetBodyRaw(body)
 }
 
+// endOf is when the time of a call is over, on the node's clock.
+func (g *gate) endOf(ctx context.Context) time.Duration {
+	deadline, _ := ctx.Deadline()
+	return deadline.Sub(g.node.begun)
+}
+
 // read turns an answer, or the lack of one, into the end of the call.
 func (g *gate) read(ctx context.Context, response *fasthttp.Response, err error) *outcome {
 	if err != nil {
--- a/io/kqmesh/kqmesh.go
+++ b/io/kqmesh/kqmesh.go
@@ -143,6 +143,7 @@
 	tunables atomic.Pointer[Tunables]
 	control  *control
 	gate     *gate
+	shed     *shedder
 	budget   *kqbudget.Budget
 
 	incarnation uint64
@@ -185,6 +186,7 @@
 	n.tunables.Store(&settings.Tunables)
 	n.dialer = kqtrunk.NewDialer(kqtrunk.Handlers{Message: n.handleMessage, Changed: n.peerChanged})
 	n.gate = newGate(n)
+	n.shed = newShedder(n)
 	n.control = newControl(n)
 	return n, nil
 }
--- a/io/kqmesh/place.go
+++ b/io/kqmesh/place.go
@@ -21,6 +21,9 @@
 	minTimeLeft = 20 * time.Millisecond
 )
 
+// mostUrgent is the rank whose requests may use all of the repeats.
+const mostUrgent = 0
+
 // place sends the call to upstreams until one has answered, or none may.
 func (n *Node) place(ctx context.Context, q *call) *outcome {
 	var tried kqroute.Tried
@@ -48,6 +51,7 @@
 		u.Begin()
 		o := n.send(ctx, q, u)
 		u.End(answerOf(n.now(), ctx, o))
+		n.shed.heard(q, u.Record.NodeID, o)
 		n.log.Decide(kqlog.Decision{
 			RequestID: q.head.RequestID, Class: q.head.Class, Service: q.head.Service, Decision: decisionRoute,
 			Cause: string(o.head.End.Cause), Outcome: string(o.head.End.Outcome), Chosen: u.Record.NodeID,
@@ -148,6 +152,9 @@
 		reached = end.Cause == kqcall.CauseBackendShed
 	case q.head.RunOnce:
 		return false
+	case end.Outcome == kqcall.OutcomeRan && o.head.Onward > 0:
+		// It failed for what it called, which has had its own repeats.
+		return false
 	}
 	if !reached {
 		return true
@@ -156,5 +163,9 @@
 	if q.attempts >= q.route.MaxAttempts || q.deadline.Sub(n.now()) < minTimeLeft {
 		return false
 	}
-	return n.budget.Repeat(n.clock(), q.head.Service, q.state.entries())
+	if !n.budget.Repeat(n.clock(), q.head.Service, q.state.entries(), q.head.Rank == mostUrgent) {
+		return false
+	}
+	q.head.Repeat = true
+	return true
 }
--- /dev/null
+++ b/io/kqmesh/shed.go
@@ -0,0 +1,159 @@
+package kqmesh
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"kumquatlink/core/kqadmit"
+	"kumquatlink/core/kqcall"
+	"kumquatlink/core/kqmember"
+	"kumquatlink/core/kqroute"
+	"kumquatlink/core/kqshed"
+	"kumquatlink/io/kqtrunk"
+)
+
+// askLoadTimeout bounds one question for a gate's load.
+const askLoadTimeout = 500 * time.Millisecond
+
+// shedder refuses calls at the entry by the cuts that gates told of.
+type shedder struct {
+	node  *Node
+	mutex sync.Mutex
+	table *kqshed.Table
+}
+
+func newShedder(n *Node) *shedder {
+	return &shedder{node: n, table: kqshed.New()}
+}
+
+// refuses gives the outcome of a call that is not sent, or nil. What must not
+// run twice is refused only by a gate that can't run it in time, since a cut
+// that was heard a moment ago is no proof that nothing less important gets in.
+func (s *shedder) refuses(q *call) *outcome {
+	if q.head.RunOnce {
+		return nil
+	}
+	level := levelOf(q.head)
+	c := kqshed.Call{Service: q.head.Service, Class: q.head.Class, Upstreams: len(upstreamsOf(q.state, q.head.Service)), Level: level, Started: level}
+	now := s.node.clock()
+	s.mutex.Lock()
+	refuses := s.table.Refuses(now, c)
+	var stale []string
+	if refuses {
+		stale = s.table.Stale(now)
+	}
+	s.mutex.Unlock()
+	if !refuses {
+		return nil
+	}
+	s.ask(stale)
+	return ended(shedEnd(q.head, kqcall.CauseShedEntry))
+}
+
+// refusesBehind is whether a deeper service would refuse the request after
+// this node's backend server had run the call.
+func (s *shedder) refusesBehind(head kqtrunk.CallHead) bool {
+	if head.RunOnce {
+		return false
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.table.RefusesBehind(s.node.clock(), head.Class, levelOf(head))
+}
+
+func shedEnd(head kqtrunk.CallHead, cause kqcall.Cause) kqcall.End {
+	end := kqcall.NotRun(cause)
+	end.RetryAfter = kqadmit.RetryAfter(levelOf(head))
+	return end
+}
+
+func upstreamsOf(s *State, service string) []*kqroute.Upstream {
+	if t := s.Upstreams[service]; t != nil {
+		return t.Upstreams()
+	}
+	return nil
+}
+
+// heard takes the load that a gate put on its answer.
+func (s *shedder) heard(q *call, upstream string, o *outcome) {
+	if !o.heard {
+		return
+	}
+	a := shedAnswer(q.head.Service, upstream, o.head.Load)
+	a.Class, a.Onward = q.head.Class, q.head.Depth > 0
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.table.Heard(s.node.clock(), a)
+}
+
+func shedAnswer(service, upstream string, l kqtrunk.Load) kqshed.Answer {
+	a := kqshed.Answer{Service: service, Upstream: upstream, Cut: kqadmit.CutOf(l.Withheld)}
+	for _, d := range l.Deep {
+		a.Deep = append(a.Deep, kqshed.ClassCut{Class: d.Class, Level: kqadmit.CutOf(d.Withheld), Age: d.Age})
+	}
+	return a
+}
+
+// deep lists the strictest cuts behind this node's backend server.
+func (s *shedder) deep() []kqtrunk.ClassCut {
+	now := s.node.clock()
+	s.mutex.Lock()
+	held := s.table.Deep(now)
+	stale := s.table.Stale(now)
+	s.mutex.Unlock()
+	s.ask(stale)
+	var cuts []kqtrunk.ClassCut
+	for _, d := range held {
+		cuts = append(cuts, kqtrunk.ClassCut{Class: d.Class, Withheld: d.Level.Withheld(), Age: d.Age})
+	}
+	return cuts
+}
+
+// ask asks one gate of each service for its load, off the call's way. Near
+// gates are asked, whose cuts are those that the calls of this node meet.
+func (s *shedder) ask(services []string) {
+	for _, name := range services {
+		all := upstreamsOf(s.node.State(), name)
+		near := 0
+		for near < len(all) && all[near].Ring < kqroute.RingFar {
+			near++
+		}
+		if near == 0 {
+			near = len(all)
+		}
+		if near == 0 {
+			continue
+		}
+		u := all[s.node.random()%uint64(near)].Record
+		if err := s.node.pool.Submit(func() { s.askGate(name, u) }); err != nil {
+			s.node.log.Event(zerolog.DebugLevel, "ask for load of "+name, err)
+		}
+	}
+}
+
+func (s *shedder) askGate(service string, u kqmember.Record) {
+	l, err := s.loadOf(service, u)
+	if err != nil {
+		s.node.log.Event(zerolog.DebugLevel, "ask "+u.NodeID+" for its load", err)
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.table.Heard(s.node.clock(), shedAnswer(service, u.NodeID, l))
+}
+
+func (s *shedder) loadOf(service string, u kqmember.Record) (kqtrunk.Load, error) {
+	if u.NodeID == s.node.settings.NodeID {
+		return s.node.gate.load(), nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), askLoadTimeout)
+	defer cancel()
+	answer, err := s.node.dialer.Call(ctx, u.Address, kqtrunk.CallHead{Service: service, Budget: askLoadTimeout, AskLoad: true}, nil)
+	if err != nil {
+		return kqtrunk.Load{}, err
+	}
+	return answer.Head.Load, nil
+}
--- a/io/kqtrunk/kqtrunk.go
+++ b/io/kqtrunk/kqtrunk.go
@@ -75,11 +75,19 @@
 	_         struct{} `cbor:",toarray"`
 	RequestID string
 	Service   string
-	// Class names the route that the request came by.
+	// Route is the route of this call.
+	Route string
+	// Root is the ID of the request for which the call is made, and Class and
+	// Rank are those of that request. A call that nobody is known to have made
+	// for another is its own root.
+	Root  string
 	Class string
 	Rank  int
-	// Onward is whether a backend server made the call.
-	Onward bool
+	// Depth is the number of hops above the call.
+	Depth int
+	// Repeat is whether the call, or one above it, was handed to a backend
+	// server before.
+	Repeat bool
 	// RunOnce is whether the call must not run more than once.
 	RunOnce bool
 	// Budget is the time left when the call was sent.
@@ -92,6 +100,8 @@
 	Headers []Header
 	// RoutesVersion is that of the routes by which the call was decided.
 	RoutesVersion int64
+	// AskLoad is whether only the gate's load is asked for; nothing is run then.
+	AskLoad bool
 }
 
 // Load is what a gate tells about itself on every answer.
@@ -100,6 +110,20 @@
 	InFlight int
 	Queued   int
 	Limit    int
+	// Withheld gives the gate's cut as kqadmit.Level.Withheld does; 0 lets
+	// every call in.
+	Withheld uint64
+	// Deep lists the strictest cuts behind the gate, by class.
+	Deep []ClassCut
+}
+
+// ClassCut is the strictest cut behind a gate for a class.
+type ClassCut struct {
+	_        struct{} `cbor:",toarray"`
+	Class    string
+	Withheld uint64
+	// Age is how long ago the gate that set the cut told of it.
+	Age time.Duration
 }
 
 // AnswerHead is all of an answer but its body.
@@ -111,6 +135,8 @@
 	Load    Load
 	// ServerID is the backend server that ran the call, or empty.
 	ServerID string
+	// Onward is how many calls the backend server was seen to make for it.
+	Onward int
 	// Queue and Run are the times spent in the gate's queue and at the backend
 	// server.
 	Queue time.Duration
