Stop reading requests three seconds into a shutdown

Change: three seconds in, the node closes its address and its idle connections and reads nothing more; what it has read is finished.

--- a/io/kqedge/kqedge.go
+++ b/io/kqedge/kqedge.go
@@ -9,7 +9,8 @@
 //	server := kqedge.New(handle, kqedge.WithLimits(limits))
 //	address, err := server.Listen("10.1.0.8:8304")
 //	...
-//	server.Drain()           // answers say that the connection will close
+//	server.Drain()  // answers say that the connection will close
+//	server.Finish() // nothing new is read
 //	server.Close()
 //
 // A handler gets an [Exchange], fills its response and returns; ctx ends when
@@ -199,6 +200,24 @@
 	s.draining.Store(true)
 }
 
+// Finish takes no more connections and reads no more requests; idle
+// connections are closed, and the others behind their last answer.
+func (s *Server) Finish() {
+	s.Drain()
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+	s.mutex.Lock()
+	open := make([]*connection, 0, len(s.open))
+	for c := range s.open {
+		open = append(open, c)
+	}
+	s.mutex.Unlock()
+	for _, c := range open {
+		c.finish()
+	}
+}
+
 // InFlight is how many requests were read and not answered.
 func (s *Server) InFlight() int {
 	return int(s.inFlight.Load())
@@ -234,6 +253,22 @@
 	active  map[*Exchange]struct{}
 	gone    bool
 	closing atomic.Bool
+	// finishing is whether nothing more may be read, though answers are due.
+	finishing bool
+}
+
+// finish has the connection read no more requests.
+func (c *connection) finish() {
+	c.mutex.Lock()
+	idle := len(c.active) == 0
+	c.finishing = true
+	if idle {
+		c.closing.Store(true)
+	}
+	c.mutex.Unlock()
+	if idle {
+		c.hangUp()
+	}
 }
 
 // read reads requests until the caller is gone, and cancels what runs then.
@@ -340,7 +375,7 @@
 func (c *connection) begin(e *Exchange) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.closing.Load() {
+	if c.closing.Load() || c.finishing {
 		return false
 	}
 	c.server.inFlight.Add(1)
--- a/io/kqmesh/shutdown.go
+++ b/io/kqmesh/shutdown.go
@@ -14,6 +14,9 @@
 	// noticeTime is how long callers may take to see that the node is not
 	// ready, as long as it goes on serving them.
 	noticeTime = 2500 * time.Millisecond
+	// takeTime is how long requests are still taken from callers who do not
+	// turn away; what comes later could not be finished in time.
+	takeTime = 3 * time.Second
 	// calmTime is how long no request must have come before the node ends.
 	calmTime = 300 * time.Millisecond
 	// shutdownMargin is what is kept of the time of a shutdown for closing.
@@ -39,7 +42,12 @@
 	n.callers.Drain()
 	n.log.Event(zerolog.InfoLevel, "node leaves", nil)
 	bound := n.tunables.Load().ShutdownTime.Value() - shutdownMargin
-	for ctx.Err() == nil && n.now().Sub(begun) < bound && !n.isCalm(begun) {
+	finishing := false
+	for ctx.Err() == nil && n.now().Sub(begun) < bound && !n.isCalm(begun, finishing) {
+		if !finishing && n.now().Sub(begun) >= min(takeTime, bound/2) {
+			finishing = true
+			n.callers.Finish()
+		}
 		sleep(ctx, shutdownPoll)
 	}
 	left := n.callers.InFlight() + n.gate.busy()
@@ -63,10 +71,10 @@
 
 // isCalm is whether nothing is under way and callers have had time to turn
 // away.
-func (n *Node) isCalm(begun time.Time) bool {
+func (n *Node) isCalm(begun time.Time, finishing bool) bool {
 	now := n.now()
 	if now.Sub(begun) < noticeTime || n.callers.InFlight() > 0 || n.gate.busy() > 0 {
 		return false
 	}
-	return now.Sub(time.Unix(0, n.callers.LastCame())) >= calmTime
+	return finishing || now.Sub(time.Unix(0, n.callers.LastCame())) >= calmTime
 }
