Tests of the mesh, its edge, links, routes, lives, and of the adapter

Two faults that they found first: a notice of leaving of a stranger that says no start took the present server out; and a backend server's own 503, 429 or 408 that does not say that it was not run was passed on, which callers read as a promise. Both failed before the change; the promise ends as 502.

--- a/core/kqserver/kqserver.go
+++ b/core/kqserver/kqserver.go
@@ -109,7 +109,7 @@
 		if n.Born != 0 && n.Born < l.notice.Born {
 			return Late
 		}
-		if n.Born == l.notice.Born && n.State == Gone {
+		if n.State == Gone && (n.Born == 0 || n.Born == l.notice.Born) {
 			// A leaving start that is not the present one says nothing of it.
 			return Late
 		}
--- /dev/null
+++ b/io/kqmesh/fleet_test.go
@@ -0,0 +1,387 @@
+package kqmesh_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"kumquatlink/core/kqclass"
+	"kumquatlink/core/kqroutes"
+	"kumquatlink/core/kqserver"
+	"kumquatlink/io/kqlog"
+	"kumquatlink/io/kqmesh"
+	"kumquatlink/io/kqobject"
+	"kumquatlink/io/kqstore"
+)
+
+// testPatience only ends a test that hangs.
+const testPatience = time.Minute
+
+// The object that holds the routes of a test fleet.
+const (
+	routesKind = "kumquatlink.dev/v1/routes"
+	routesName = "main"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// backend is a backend server that answers as its script says.
+type backend struct {
+	t        *testing.T
+	id       string
+	listener net.Listener
+	mutex    sync.Mutex
+	// runs counts the requests that were begun, by ID.
+	runs map[string]int
+	// seen holds the headers of the last request.
+	seen map[string]string
+	// answer writes the answer to a request; nil echoes.
+	answer func(c net.Conn, r *fasthttp.Request)
+	begun  chan string
+	gone   chan string
+}
+
+func newBackend(t *testing.T, id string) *backend {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &backend{t: t, id: id, listener: l, runs: map[string]int{}, begun: make(chan string, 256), gone: make(chan string, 256)}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(c)
+		}
+	}()
+	return b
+}
+
+func (b *backend) address() string { return b.listener.Addr().String() }
+
+func (b *backend) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		q := &fasthttp.Request{}
+		if err := q.Read(r); err != nil {
+			return
+		}
+		id := string(q.Header.Peek("Kumquatlink-Request-Id"))
+		if expect := string(q.Header.Peek("Kumquatlink-Expect-Server")); expect != b.id {
+			_, _ = io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\nKumquatlink-Request-Id: "+id+"\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
+		b.mutex.Lock()
+		b.runs[id]++
+		b.seen = map[string]string{}
+		for k, v := range q.Header.All() {
+			b.seen[string(k)] = string(v)
+		}
+		script := b.answer
+		b.mutex.Unlock()
+		b.begun <- id
+		if script == nil {
+			echo(c, q)
+			continue
+		}
+		script(c, q)
+	}
+}
+
+// echo answers with the request's method, path and body.
+func echo(c net.Conn, q *fasthttp.Request) {
+	body := fmt.Sprintf("%s %s %s", q.Header.Method(), q.Header.RequestURI(), q.Body())
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nKumquatlink-Request-Id: %s\r\nX-Stamp: s\r\nContent-Length: %d\r\n\r\n%s", q.Header.Peek("Kumquatlink-Request-Id"), len(body), body)
+}
+
+// hold answers when the channel is closed, or notes that its caller has gone.
+func (b *backend) hold(letGo chan struct{}) {
+	b.script(func(c net.Conn, q *fasthttp.Request) {
+		ended := make(chan struct{})
+		go func() {
+			var one [1]byte
+			if _, err := c.Read(one[:]); err != nil {
+				close(ended)
+			}
+		}()
+		select {
+		case <-letGo:
+			echo(c, q)
+		case <-ended:
+			b.gone <- string(q.Header.Peek("Kumquatlink-Request-Id"))
+		}
+	})
+}
+
+func (b *backend) script(f func(c net.Conn, q *fasthttp.Request)) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.answer = f
+}
+
+func (b *backend) ran(id string) int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.runs[id]
+}
+
+func (b *backend) header(name string) string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.seen[name]
+}
+
+// host is a node and the backend server beside it.
+type host struct {
+	*backend
+	node     *kqmesh.Node
+	settings kqmesh.Settings
+	store    *kqstore.Client
+	sequence int64
+}
+
+// fleet is a store and hosts.
+type fleet struct {
+	t     *testing.T
+	store *kqobject.Store
+	hosts map[string]*host
+	log   *lockedBuffer
+}
+
+// lockedBuffer takes the log of all nodes.
+type lockedBuffer struct {
+	mutex sync.Mutex
+	bytes.Buffer
+}
+
+// Write appends.
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.Buffer.Write(p)
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{t: t, store: kqobject.New(), hosts: map[string]*host{}, log: &lockedBuffer{}}
+	if err := f.store.Listen("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = f.store.Close() })
+	return f
+}
+
+// address reserves a free TCP address.
+func address(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// add starts a host whose backend server is not heard of yet.
+func (f *fleet) add(name, service string, change ...func(*kqmesh.Settings)) *host {
+	f.t.Helper()
+	h := &host{backend: newBackend(f.t, "i-"+name), store: kqstore.NewHTTP(f.store.Address())}
+	h.settings = kqmesh.Settings{
+		NodeID: name, Region: "south", FailureDomain: "south-a", Service: service, BackendAddress: h.address(),
+		CallerAddress: address(f.t), NoticeAddress: address(f.t), ReadyAddress: address(f.t), PeerAddress: "127.0.0.1:0",
+		RoutesKind: routesKind, RoutesName: routesName, FirstStart: true,
+		Tunables: kqmesh.Tunables{
+			RepeatRatio: 0.2, RepeatWindow: kqclass.Duration(10 * time.Second), RepeatSlack: 400,
+			ShutdownTime: kqclass.Duration(testPatience), DrainTime: kqclass.Duration(2 * time.Second),
+		},
+	}
+	for _, c := range change {
+		c(&h.settings)
+	}
+	f.start(h)
+	f.hosts[name] = h
+	return h
+}
+
+func (f *fleet) start(h *host) {
+	f.t.Helper()
+	log := kqlog.New(f.log, kqlog.WithNode(h.settings.NodeID, h.settings.FailureDomain))
+	n, err := kqmesh.New(h.settings, kqmesh.OwnDialect(), h.store, kqmesh.WithLog(log))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := n.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	h.node = n
+	f.t.Cleanup(func() {
+		h.node.Stop()
+		log.Close()
+	})
+}
+
+// say has the backend server tell its node of itself.
+func (h *host) say(state kqserver.State) kqserver.Verdict {
+	h.sequence++
+	return h.node.Hear(kqserver.Notice{
+		ServerID: h.id, Service: h.settings.Service, Address: h.address(), Slots: 4, State: state, Sequence: h.sequence, Born: 1,
+	})
+}
+
+func route(prefix, service string, runOnce bool) kqroutes.Route {
+	return kqroutes.Route{
+		Name: strings.Trim(prefix, "/"), Host: "shop", Prefix: prefix, RunOnce: runOnce, MaxAttempts: 2,
+		Parts: []kqroutes.Part{{Service: service, Weight: 1}}, Timeout: kqclass.Duration(testPatience), Rank: 2,
+	}
+}
+
+// write puts routes into the store.
+func (f *fleet) write(version int64, routes ...kqroutes.Route) {
+	f.t.Helper()
+	d := kqroutes.Document{Version: version, Routes: routes}
+	services := map[string]bool{}
+	for _, r := range routes {
+		for _, p := range r.Parts {
+			if !services[p.Service] {
+				d.Services = append(d.Services, kqroutes.Service{Name: p.Service, HealthPath: "/health"})
+			}
+			services[p.Service] = true
+		}
+	}
+	value, err := json.Marshal(d)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.put(value)
+}
+
+func (f *fleet) put(value []byte) {
+	f.t.Helper()
+	client := kqstore.NewHTTP(f.store.Address())
+	o := kqstore.Object{Name: routesName, Value: value}
+	if held, err := client.Get(context.Background(), routesKind, routesName); err == nil {
+		o.Version = held.Version
+	}
+	if _, err := client.Put(context.Background(), routesKind, o); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// until waits for a condition on a node's state.
+func (f *fleet) until(h *host, what string, condition func(*kqmesh.State) bool) {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
+	defer cancel()
+	if err := h.node.WaitFor(ctx, condition); err != nil {
+		f.t.Fatalf("%s waits for %s: %v", h.settings.NodeID, what, err)
+	}
+}
+
+// settle waits until every node has the routes and knows the hosts that serve.
+func (f *fleet) settle(version int64, serving int) {
+	f.t.Helper()
+	for _, h := range f.hosts {
+		f.until(h, "routes and hosts", func(s *kqmesh.State) bool {
+			upstreams := 0
+			for _, t := range s.Upstreams {
+				upstreams += len(t.Upstreams())
+			}
+			return s.Routes != nil && s.Routes.Document().Version == version && upstreams == serving
+		})
+	}
+}
+
+// result is what a caller got.
+type result struct {
+	status     int
+	body       string
+	retryAfter string
+}
+
+// request sends one request over a connection of its own.
+func (h *host) request(method, path, id, body string) result {
+	h.t.Helper()
+	c, err := net.Dial("tcp", h.settings.CallerAddress)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(testPatience))
+	_, _ = fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: shop\r\nKumquatlink-Request-Id: %s\r\nContent-Length: %d\r\n\r\n%s", method, path, id, len(body), body)
+	response := &fasthttp.Response{}
+	if err := response.Read(bufio.NewReader(c)); err != nil {
+		return result{body: "no answer"}
+	}
+	return result{response.StatusCode(), string(response.Body()), string(response.Header.Peek(fasthttp.HeaderRetryAfter))}
+}
+
+// golden compares text with a file.
+func golden(t *testing.T, name, got string) {
+	t.Helper()
+	path := "testdata/" + name
+	if *update {
+		if err := os.WriteFile(path, []byte(got), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got != string(want) {
+		t.Errorf("%s: got\n%s\nwant\n%s", name, got, want)
+	}
+}
+
+// ready asks the node whether callers may be sent to it.
+func (h *host) ready() int {
+	status, _, err := fasthttp.Get(nil, "http://"+h.settings.ReadyAddress+"/kumquatlink/ready")
+	if err != nil {
+		return 0
+	}
+	return status
+}
+
+func ids(prefix string, n int) []string {
+	var list []string
+	for i := range n {
+		list = append(list, prefix+strconv.Itoa(i))
+	}
+	return list
+}
+
+// removeRecord takes a node's record out of the store.
+func (f *fleet) removeRecord(name string) {
+	f.t.Helper()
+	client := kqstore.NewHTTP(f.store.Address())
+	o, err := client.Get(context.Background(), kqstore.KindHosts, name)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := client.Delete(context.Background(), kqstore.KindHosts, o); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fleet) holdsRecord(name string) bool {
+	_, err := kqstore.NewHTTP(f.store.Address()).Get(context.Background(), kqstore.KindHosts, name)
+	return err == nil
+}
--- a/io/kqmesh/gate.go
+++ b/io/kqmesh/gate.go
@@ -341,6 +341,11 @@
 	return deadline.Sub(g.node.begun)
 }
 
+// promises are the statuses that tell a caller that its request was not run.
+var promises = map[int]bool{
+	fasthttp.StatusRequestTimeout: true, fasthttp.StatusTooManyRequests: true, fasthttp.StatusServiceUnavailable: true,
+}
+
 // read turns an answer, or the lack of one, into the end of the call.
 func (g *gate) read(ctx context.Context, response *fasthttp.Response, err error) *outcome {
 	if err != nil {
@@ -353,6 +358,10 @@
 		return ended(kqcall.NotRun(kqcall.CauseMoved))
 	case notRun:
 		return ended(kqcall.NotRun(kqcall.CauseBackendShed))
+	case promises[status]:
+		// The status says to callers that the request was not run, which the
+		// backend server has not said.
+		return ended(kqcall.Unknown(kqcall.CauseBackendLost))
 	case len(response.Header.ContentEncoding()) > 0:
 		// The backend server sends no encoded bodies, so this is not its own.
 		return ended(kqcall.Unknown(kqcall.CauseBackendLost))
--- a/io/kqmesh/kqmesh.go
+++ b/io/kqmesh/kqmesh.go
@@ -24,6 +24,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -226,6 +227,32 @@
 	return nil
 }
 
+// WaitFor waits until the node's state satisfies the condition.
+func (n *Node) WaitFor(ctx context.Context, condition func(*State) bool) error {
+	for {
+		changed := n.control.changed()
+		if condition(n.State()) {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return errors.Mark(errors.Wrap(ctx.Err(), "wait for state"), ErrNode)
+		}
+	}
+}
+
+// OfferRoutes has the node take over routes if they are newer than its own,
+// as it does with those of the store and of its peers.
+func (n *Node) OfferRoutes(d kqroutes.Document) error {
+	text, err := json.Marshal(d)
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "write routes"), ErrNode)
+	}
+	n.offerRoutes(text, "this process")
+	return nil
+}
+
 // Retune changes the settings that may change while the node runs.
 func (n *Node) Retune(t Tunables) {
 	n.tunables.Store(&t)
--- /dev/null
+++ b/io/kqmesh/path_test.go
@@ -0,0 +1,310 @@
+package kqmesh_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"kumquatlink/core/kqclass"
+	"kumquatlink/core/kqserver"
+	"kumquatlink/io/kqmesh"
+)
+
+func TestWholePath(t *testing.T) {
+	f := newFleet(t)
+	catalog, orders := f.add("catalog-1", "catalog"), f.add("orders-1", "orders")
+	if got := catalog.ready(); got != fasthttp.StatusServiceUnavailable {
+		t.Errorf("ready without routes: got %d, want 503", got)
+	}
+	if got := catalog.request("GET", "/voices/1", "early", ""); got.status != fasthttp.StatusServiceUnavailable || got.retryAfter == "" {
+		t.Errorf("request without routes: got %+v, want 503 and when to come back", got)
+	}
+	f.write(1, route("/voices/", "catalog", false), route("/orders/", "orders", true))
+	catalog.say(kqserver.Ready)
+	orders.say(kqserver.Ready)
+	f.settle(1, 2)
+	if got := catalog.ready(); got != fasthttp.StatusOK {
+		t.Errorf("ready with routes: got %d, want 200", got)
+	}
+	want := result{status: 200, body: "POST /orders/1?x=%2f buy"}
+	if got := catalog.request("POST", "/orders/1?x=%2f", "o-1", "buy"); got != want {
+		t.Errorf("request to another host: got %+v, want %+v", got, want)
+	}
+	if got := orders.header("Kumquatlink-Caller-Service"); got != "catalog" {
+		t.Errorf("caller's service: got %q, want catalog", got)
+	}
+	if got := orders.header("Kumquatlink-Budget-Milliseconds"); got == "" {
+		t.Error("time left: got none")
+	}
+	want = result{status: 200, body: "GET /voices/1 "}
+	if got := catalog.request("GET", "/voices/1", "v-1", ""); got != want {
+		t.Errorf("request to the own host: got %+v, want %+v", got, want)
+	}
+	if got := catalog.request("GET", "/attic/1", "a-1", ""); got.status != fasthttp.StatusNotFound {
+		t.Errorf("request without a route: got %+v, want 404", got)
+	}
+}
+
+// TestWhatFaultyServersAnswer has one backend server misbehave in every way,
+// and keeps what a caller gets and how often the request was begun.
+func TestWhatFaultyServersAnswer(t *testing.T) {
+	head := func(q *fasthttp.Request, rest string) string {
+		return "HTTP/1.1 200 OK\r\nKumquatlink-Request-Id: " + string(q.Header.Peek("Kumquatlink-Request-Id")) + "\r\n" + rest
+	}
+	closing := func(text func(q *fasthttp.Request) string) func(net.Conn, *fasthttp.Request) {
+		return func(c net.Conn, q *fasthttp.Request) {
+			_, _ = io.WriteString(c, text(q))
+			_ = c.Close()
+		}
+	}
+	faults := []struct {
+		name   string
+		answer func(net.Conn, *fasthttp.Request)
+	}{
+		{"closes without a byte", func(c net.Conn, _ *fasthttp.Request) { _ = c.Close() }},
+		{"resets", func(c net.Conn, _ *fasthttp.Request) {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}},
+		{"sends nonsense", closing(func(*fasthttp.Request) string { return "nonsense\r\n\r\n" })},
+		{"breaks off within the body", closing(func(q *fasthttp.Request) string { return head(q, "Content-Length: 10\r\n\r\nfive.") })},
+		{"breaks off within the header", closing(func(q *fasthttp.Request) string { return head(q, "Content-Le") })},
+		{"breaks off within a chunk", closing(func(q *fasthttp.Request) string { return head(q, "Transfer-Encoding: chunked\r\n\r\nA\r\nfive.") })},
+		{"resets a body without length", func(c net.Conn, q *fasthttp.Request) {
+			_, _ = io.WriteString(c, head(q, "Connection: close\r\n\r\nfive."))
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}},
+		{"ends a body without length", closing(func(q *fasthttp.Request) string { return head(q, "Connection: close\r\n\r\nwhole") })},
+		{"answers another request first", func(c net.Conn, q *fasthttp.Request) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nKumquatlink-Request-Id: stranger\r\nContent-Length: 5\r\n\r\nwrong")
+			echo(c, q)
+		}},
+		{"answers only another request", closing(func(*fasthttp.Request) string {
+			return "HTTP/1.1 200 OK\r\nKumquatlink-Request-Id: stranger\r\nContent-Length: 5\r\n\r\nwrong"
+		})},
+		{"encodes the body", func(c net.Conn, q *fasthttp.Request) {
+			_, _ = io.WriteString(c, head(q, "Content-Encoding: gzip\r\nContent-Length: 5\r\n\r\nbytes"))
+		}},
+		{"sheds", func(c net.Conn, q *fasthttp.Request) {
+			_, _ = io.WriteString(c, strings.Replace(head(q, "Kumquatlink-Shed: 1\r\nContent-Length: 0\r\n\r\n"), "200 OK", "503 Full", 1))
+		}},
+		{"says 503 without having shed", func(c net.Conn, q *fasthttp.Request) {
+			_, _ = io.WriteString(c, strings.Replace(head(q, "Content-Length: 0\r\n\r\n"), "200 OK", "503 Tired", 1))
+		}},
+		{"fails", func(c net.Conn, q *fasthttp.Request) {
+			_, _ = io.WriteString(c, strings.Replace(head(q, "Content-Length: 5\r\n\r\nsorry"), "200 OK", "500 Error", 1))
+		}},
+		{"is another server", func(c net.Conn, q *fasthttp.Request) {
+			_, _ = io.WriteString(c, strings.Replace(head(q, "Content-Length: 0\r\n\r\n"), "200 OK", "421 Misdirected", 1))
+		}},
+		{"sends hints first", func(c net.Conn, q *fasthttp.Request) {
+			_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n")
+			echo(c, q)
+		}},
+	}
+	f := newFleet(t)
+	h := f.add("orders-1", "orders")
+	f.write(1, route("/buy/", "orders", true), route("/look/", "orders", false))
+	h.say(kqserver.Ready)
+	f.settle(1, 1)
+	var text strings.Builder
+	for i, x := range faults {
+		for _, path := range []string{"/buy/", "/look/"} {
+			id := fmt.Sprintf("%s%d", strings.Trim(path, "/"), i)
+			h.script(x.answer)
+			got := h.request("POST", path, id, "")
+			// A failed server is set aside for a while; a good answer takes it back.
+			h.script(nil)
+			h.restore(f)
+			fmt.Fprintf(&text, "%s, %s: %d %q, begun %d times\n", x.name, path, got.status, strings.TrimSpace(got.body), h.ran(id))
+			if path == "/buy/" && h.ran(id) > 1 {
+				t.Errorf("%s: a request that must not run twice was begun %d times", x.name, h.ran(id))
+			}
+			if got.status == fasthttp.StatusServiceUnavailable && got.retryAfter == "" {
+				t.Errorf("%s: refusal does not say when to come back", x.name)
+			}
+		}
+	}
+	golden(t, "faulty.txt", text.String())
+}
+
+// restore sends requests until one is answered, so that the upstream is not
+// set aside any more.
+func (h *host) restore(f *fleet) {
+	f.t.Helper()
+	pause := time.NewTicker(20 * time.Millisecond)
+	defer pause.Stop()
+	for begun := time.Now(); time.Since(begun) < testPatience; <-pause.C {
+		if got := h.request("GET", "/look/", "restore", ""); got.status == 200 {
+			return
+		}
+	}
+	f.t.Fatal("the upstream stays set aside")
+}
+
+func TestServerThatDrainsGetsNothingMore(t *testing.T) {
+	f := newFleet(t)
+	first, second := f.add("orders-1", "orders"), f.add("orders-2", "orders")
+	f.write(1, route("/buy/", "orders", true))
+	first.say(kqserver.Ready)
+	second.say(kqserver.Ready)
+	f.settle(1, 2)
+	letGo := make(chan struct{})
+	first.hold(letGo)
+	running := make(chan result, 1)
+	go func() { running <- first.request("POST", "/buy/", "running", "") }()
+	<-first.begun
+	first.script(nil)
+	if got := first.say(kqserver.Draining); got != kqserver.Taken {
+		t.Fatalf("notice of draining: got %s", got)
+	}
+	for _, id := range ids("after-", 20) {
+		if got := first.request("POST", "/buy/", id, ""); got.status != 200 {
+			t.Errorf("request %s after draining: got %+v, want the other server's answer", id, got)
+		}
+		if first.ran(id) > 0 {
+			t.Errorf("request %s was handed to a draining server", id)
+		}
+	}
+	if got := first.say(kqserver.Ready); got == kqserver.Taken {
+		t.Error("late notice of a draining server: got Taken")
+	}
+	close(letGo)
+	if got := <-running; got.status != 200 {
+		t.Errorf("request that ran when its server began to drain: got %+v, want its answer", got)
+	}
+}
+
+// TestNodeStartsBesideALeavingServer restarts the node of a server that has
+// said that it leaves and says nothing more.
+func TestNodeStartsBesideALeavingServer(t *testing.T) {
+	f := newFleet(t)
+	h := f.add("orders-1", "orders")
+	f.write(1, route("/buy/", "orders", true))
+	h.say(kqserver.Ready)
+	f.settle(1, 1)
+	h.say(kqserver.Gone)
+	h.node.Stop()
+	h.script(func(c net.Conn, _ *fasthttp.Request) {
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Leaving\r\nContent-Length: 0\r\n\r\n")
+	})
+	h.settings.FirstStart = false
+	f.start(h)
+	f.until(h, "routes", func(s *kqmesh.State) bool { return s.Routes != nil })
+	if got := h.request("POST", "/buy/", "late", ""); got.status != fasthttp.StatusServiceUnavailable || h.ran("late") > 0 {
+		t.Errorf("request to a server that has left: got %+v, begun %d times, want 503 and none", got, h.ran("late"))
+	}
+}
+
+func TestCallerThatLeavesStopsTheServer(t *testing.T) {
+	f := newFleet(t)
+	near, far := f.add("catalog-1", "catalog"), f.add("orders-1", "orders")
+	f.write(1, route("/near/", "catalog", false), route("/far/", "orders", false))
+	near.say(kqserver.Ready)
+	far.say(kqserver.Ready)
+	f.settle(1, 2)
+	for path, h := range map[string]*host{"/near/": near, "/far/": far} {
+		h.hold(make(chan struct{}))
+		c, err := net.Dial("tcp", near.settings.CallerAddress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: shop\r\nKumquatlink-Request-Id: left\r\n\r\n", path)
+		<-h.begun
+		_ = c.Close()
+		if got := <-h.gone; got != "left" {
+			t.Errorf("%s: server stopped %q, want left", path, got)
+		}
+	}
+}
+
+func TestRequestIsAnsweredAtItsTimeout(t *testing.T) {
+	f := newFleet(t)
+	h := f.add("orders-1", "orders")
+	short := route("/short/", "orders", true)
+	short.Timeout = kqclass.Duration(50 * time.Millisecond)
+	f.write(1, short)
+	h.say(kqserver.Ready)
+	f.settle(1, 1)
+	h.hold(make(chan struct{}))
+	if got := h.request("POST", "/short/", "slow", ""); got.status != fasthttp.StatusGatewayTimeout {
+		t.Errorf("request at its timeout: got %+v, want 504", got)
+	}
+	if got := <-h.gone; got != "slow" {
+		t.Errorf("server stopped %q, want slow", got)
+	}
+}
+
+// TestWaitingRequestWasNotRun has more requests than slots until their time is
+// over: those that waited say that they were not run, and were not.
+func TestWaitingRequestWasNotRun(t *testing.T) {
+	f := newFleet(t)
+	h := f.add("orders-1", "orders")
+	short := route("/short/", "orders", true)
+	short.Timeout = kqclass.Duration(200 * time.Millisecond)
+	f.write(1, short)
+	h.say(kqserver.Ready)
+	f.settle(1, 1)
+	h.hold(make(chan struct{}))
+	results := make(chan result, 12)
+	for _, id := range ids("r", cap(results)) {
+		go func() {
+			got := h.request("POST", "/short/", id, "")
+			if refused := got.status == fasthttp.StatusServiceUnavailable; refused == (h.ran(id) > 0) {
+				t.Errorf("request %s: got %+v, begun %d times", id, got, h.ran(id))
+			}
+			results <- got
+		}()
+	}
+	counts := map[int]int{}
+	for range cap(results) {
+		counts[(<-results).status]++
+	}
+	if counts[fasthttp.StatusGatewayTimeout] < 4 || counts[fasthttp.StatusServiceUnavailable] == 0 {
+		t.Errorf("12 requests for 4 slots: got %v, want 4 or more of 504, and some of 503", counts)
+	}
+}
+
+func TestShutdownCutsNothing(t *testing.T) {
+	f := newFleet(t)
+	first, second := f.add("orders-1", "orders"), f.add("orders-2", "orders")
+	f.write(1, route("/buy/", "orders", true))
+	first.say(kqserver.Ready)
+	second.say(kqserver.Ready)
+	f.settle(1, 2)
+	letGo := make(chan struct{})
+	first.hold(letGo)
+	second.hold(letGo)
+	results := make(chan result, 4)
+	for _, id := range ids("r", cap(results)) {
+		go func() { results <- first.request("POST", "/buy/", id, "") }()
+	}
+	for range cap(results) {
+		select {
+		case <-first.begun:
+		case <-second.begun:
+		}
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- first.node.Shutdown(context.Background()) }()
+	f.until(first, "leaving", func(s *kqmesh.State) bool { return s.Leaving })
+	if got := first.ready(); got == fasthttp.StatusOK {
+		t.Errorf("ready while leaving: got %d", got)
+	}
+	close(letGo)
+	for range cap(results) {
+		if got := <-results; got.status != 200 {
+			t.Errorf("request in flight at the shutdown: got %+v, want its answer", got)
+		}
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("shutdown: got %v", err)
+	}
+}
--- /dev/null
+++ b/io/kqmesh/routes_test.go
@@ -0,0 +1,100 @@
+package kqmesh_test
+
+import (
+	"strings"
+	"testing"
+
+	"kumquatlink/core/kqroutes"
+	"kumquatlink/core/kqserver"
+	"kumquatlink/io/kqmesh"
+	"kumquatlink/io/kqobject"
+)
+
+// TestRoutesOnlyGoForward writes faulty and older routes between newer ones.
+func TestRoutesOnlyGoForward(t *testing.T) {
+	f := newFleet(t)
+	h := f.add("orders-1", "orders")
+	h.say(kqserver.Ready)
+	f.write(5, route("/a/", "orders", false))
+	f.settle(5, 1)
+	f.write(3, route("/b/", "orders", false))
+	f.put([]byte("{\"Version\": 9, \"Routes\": [{}]}"))
+	f.put([]byte("[]"))
+	f.write(6, route("/c/", "orders", false))
+	f.until(h, "version 6", func(s *kqmesh.State) bool { return s.Routes.Document().Version == 6 })
+	if got := h.request("GET", "/c/", "c", ""); got.status != 200 {
+		t.Errorf("request on a newer route: got %+v, want 200", got)
+	}
+	f.log.mutex.Lock()
+	defer f.log.mutex.Unlock()
+	for _, want := range []string{"routes of version 3 from the store are refused: version 5 is in force", "routes from the store have faults", "routes from the store can't be read"} {
+		if !strings.Contains(f.log.String(), want) {
+			t.Errorf("log: got no line with %q", want)
+		}
+	}
+}
+
+// TestNodeThatTheStoreTurnsAwayLearnsRoutesFromItsPeers cuts one node off the
+// store before the routes change.
+func TestNodeThatTheStoreTurnsAwayLearnsRoutesFromItsPeers(t *testing.T) {
+	f := newFleet(t)
+	cut, other := f.add("orders-1", "orders"), f.add("packs-1", "packs")
+	cut.say(kqserver.Ready)
+	other.say(kqserver.Ready)
+	f.write(1, route("/look/", "packs", false))
+	f.settle(1, 2)
+	// The routes arrive at one node only, as when the store turns the other away.
+	offered := kqroutes.Document{
+		Version: 2, Routes: []kqroutes.Route{route("/look/", "packs", false), route("/more/", "packs", false)},
+		Services: []kqroutes.Service{{Name: "packs"}},
+	}
+	f.store.SetFaults(kqobject.Faults{Down: true})
+	if err := other.node.OfferRoutes(offered); err != nil {
+		t.Fatal(err)
+	}
+	f.until(other, "version 2", func(s *kqmesh.State) bool { return s.Routes.Document().Version == 2 })
+	if got := cut.request("GET", "/look/", "a", ""); got.status != 200 {
+		t.Fatalf("request to the peer: got %+v, want 200", got)
+	}
+	f.until(cut, "version 2", func(s *kqmesh.State) bool { return s.Routes.Document().Version == 2 })
+	if got := cut.request("GET", "/more/", "b", ""); got.status != 200 {
+		t.Errorf("request on the newer route: got %+v, want 200", got)
+	}
+}
+
+// TestTrafficGoesOnWhileTheStoreIsDown restarts nothing.
+func TestTrafficGoesOnWhileTheStoreIsDown(t *testing.T) {
+	f := newFleet(t)
+	first, second := f.add("orders-1", "orders"), f.add("packs-1", "packs")
+	first.say(kqserver.Ready)
+	second.say(kqserver.Ready)
+	f.write(1, route("/look/", "packs", false))
+	f.settle(1, 2)
+	f.store.SetFaults(kqobject.Faults{Down: true})
+	for _, id := range ids("r", 20) {
+		if got := first.request("GET", "/look/", id, ""); got.status != 200 {
+			t.Errorf("request %s: got %+v, want 200", id, got)
+		}
+	}
+	if got := first.ready(); got != 200 {
+		t.Errorf("ready while the store is down: got %d, want 200", got)
+	}
+	// What a server says while the store is down is told when it is back.
+	if got := second.say(kqserver.Draining); got != kqserver.Taken {
+		t.Errorf("notice while the store is down: got %s, want Taken", got)
+	}
+	f.store.SetFaults(kqobject.Faults{})
+	f.until(first, "no upstream", func(s *kqmesh.State) bool { return s.Upstreams["packs"] == nil })
+}
+
+// TestRecordThatWasRemovedIsWrittenAgain removes the record of a living node.
+func TestRecordThatWasRemovedIsWrittenAgain(t *testing.T) {
+	f := newFleet(t)
+	h := f.add("orders-1", "orders")
+	h.say(kqserver.Ready)
+	f.write(1, route("/look/", "orders", false))
+	f.settle(1, 1)
+	f.removeRecord("orders-1")
+	f.settle(1, 1)
+	f.until(h, "its record", func(s *kqmesh.State) bool { return s.Hosts["orders-1"].NodeID != "" && f.holdsRecord("orders-1") })
+}
--- a/io/kqmesh/shutdown.go
+++ b/io/kqmesh/shutdown.go
@@ -51,14 +51,7 @@
 		sleep(ctx, shutdownPoll)
 	}
 	left := n.callers.InFlight() + n.gate.busy()
-	n.callers.Close()
-	n.ready.Close()
-	n.notices.Close()
-	err := n.server.Close()
-	n.dialer.Close()
-	n.cancel()
-	n.loops.Wait()
-	n.pool.Release()
+	err := n.end()
 	if left > 0 {
 		err = errors.CombineErrors(err, errors.Newf("%d requests were cut off at the bound of the shutdown", left))
 	}
@@ -69,6 +62,28 @@
 	return errors.Mark(err, ErrNode)
 }
 
+// Stop ends the node at once, as the loss of its host would.
+func (n *Node) Stop() {
+	if n.shutDown.CompareAndSwap(false, true) {
+		if err := n.end(); err != nil {
+			n.log.Event(zerolog.WarnLevel, "node was stopped", err)
+		}
+	}
+}
+
+// end closes all that is open.
+func (n *Node) end() error {
+	n.callers.Close()
+	n.ready.Close()
+	n.notices.Close()
+	err := n.server.Close()
+	n.dialer.Close()
+	n.cancel()
+	n.loops.Wait()
+	n.pool.Release()
+	return err
+}
+
 // isCalm is whether nothing is under way and callers have had time to turn
 // away.
 func (n *Node) isCalm(begun time.Time, finishing bool) bool {
--- /dev/null
+++ b/io/kqtrunk/kqtrunk_test.go
@@ -0,0 +1,303 @@
+package kqtrunk_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"kumquatlink/core/kqcall"
+	"kumquatlink/io/kqtrunk"
+)
+
+// testPatience only ends a test that hangs.
+const testPatience = time.Minute
+
+func patient(t testing.TB) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testPatience)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// peer is a server that echoes, or waits for the calls of service "wait".
+type peer struct {
+	server    *kqtrunk.Server
+	begun     chan string
+	cancelled chan string
+	letGo     chan struct{}
+}
+
+func newPeer(t testing.TB) *peer {
+	t.Helper()
+	p := &peer{begun: make(chan string, 64), cancelled: make(chan string, 64), letGo: make(chan struct{})}
+	var err error
+	p.server, err = kqtrunk.Listen("127.0.0.1:0", kqtrunk.Handlers{Call: p.call, Message: func(_ string, payload []byte, reply func([]byte)) {
+		reply(append([]byte("heard "), payload...))
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = p.server.Close() })
+	return p
+}
+
+func (p *peer) call(ctx context.Context, _ string, head kqtrunk.CallHead, body []byte) (kqtrunk.AnswerHead, []byte) {
+	if head.Service == "wait" {
+		p.begun <- head.RequestID
+		select {
+		case <-p.letGo:
+		case <-ctx.Done():
+			p.cancelled <- head.RequestID
+		}
+	}
+	return kqtrunk.AnswerHead{End: kqcall.Ran(), Status: 200, Headers: []kqtrunk.Header{{Name: "X", Value: head.RequestID}}}, body
+}
+
+func TestManyCallsShareAConnection(t *testing.T) {
+	p := newPeer(t)
+	d := kqtrunk.NewDialer(kqtrunk.Handlers{})
+	defer d.Close()
+	var group sync.WaitGroup
+	for i := range 200 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			id := fmt.Sprint(i)
+			body := bytes.Repeat([]byte(id), i*50)
+			a, err := d.Call(patient(t), p.server.Address(), kqtrunk.CallHead{RequestID: id}, body)
+			if err != nil {
+				t.Errorf("call %s: %v", id, err)
+				return
+			}
+			if a.Head.Headers[0].Value != id || !bytes.Equal(a.Body, body) {
+				t.Errorf("answer to %s: got that of %s with %d bytes, want %d", id, a.Head.Headers[0].Value, len(a.Body), len(body))
+			}
+		}()
+	}
+	group.Wait()
+	if got := len(d.Peers()); got != 1 {
+		t.Errorf("connections: got %d, want 1", got)
+	}
+}
+
+func TestEndOfContextCancelsTheCall(t *testing.T) {
+	p := newPeer(t)
+	d := kqtrunk.NewDialer(kqtrunk.Handlers{})
+	defer d.Close()
+	ctx, cancel := context.WithCancel(patient(t))
+	ended := make(chan error, 1)
+	go func() {
+		_, err := d.Call(ctx, p.server.Address(), kqtrunk.CallHead{RequestID: "a", Service: "wait"}, nil)
+		ended <- err
+	}()
+	<-p.begun
+	cancel()
+	if err := <-ended; !errors.Is(err, kqtrunk.ErrLost) || errors.Is(err, kqtrunk.ErrNotSent) {
+		t.Errorf("cancelled call: got %v, want ErrLost", err)
+	}
+	<-p.cancelled
+	if _, err := d.Call(patient(t), p.server.Address(), kqtrunk.CallHead{RequestID: "b"}, nil); err != nil {
+		t.Errorf("call behind a cancelled one: got %v, want an answer", err)
+	}
+}
+
+func TestLostConnectionEndsItsCallsOnBothEnds(t *testing.T) {
+	p := newPeer(t)
+	changes := make(chan bool, 8)
+	d := kqtrunk.NewDialer(kqtrunk.Handlers{Changed: func(_ string, up bool, _ error) { changes <- up }})
+	ended := make(chan error, 1)
+	go func() {
+		_, err := d.Call(patient(t), p.server.Address(), kqtrunk.CallHead{RequestID: "a", Service: "wait"}, nil)
+		ended <- err
+	}()
+	<-p.begun
+	if up := <-changes; !up {
+		t.Error("first change: got lost, want connected")
+	}
+	d.Close()
+	if err := <-ended; !errors.Is(err, kqtrunk.ErrLost) || errors.Is(err, kqtrunk.ErrNotSent) {
+		t.Errorf("call on a lost connection: got %v, want ErrLost", err)
+	}
+	<-p.cancelled
+	if up := <-changes; up {
+		t.Error("second change: got connected, want lost")
+	}
+}
+
+func TestUnreachedPeerWasNotSentTheCall(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	d := kqtrunk.NewDialer(kqtrunk.Handlers{})
+	defer d.Close()
+	for range 3 {
+		if _, err := d.Call(patient(t), address, kqtrunk.CallHead{RequestID: "a"}, nil); !errors.Is(err, kqtrunk.ErrNotSent) {
+			t.Errorf("call to nobody: got %v, want ErrNotSent", err)
+		}
+	}
+}
+
+// silence stands between a dialer and a peer and passes bytes until told.
+type silence struct {
+	listener net.Listener
+	mutex    sync.Mutex
+	silent   bool
+}
+
+func newSilence(t *testing.T, to string) *silence {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &silence{listener: l}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			near, err := l.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", to)
+			if err != nil {
+				_ = near.Close()
+				continue
+			}
+			s.mutex.Lock()
+			s.silent = false
+			s.mutex.Unlock()
+			go s.pass(far, near)
+			go s.pass(near, far)
+		}
+	}()
+	return s
+}
+
+func (s *silence) pass(to, from net.Conn) {
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+		s.mutex.Lock()
+		silent := s.silent
+		s.mutex.Unlock()
+		if !silent {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func (s *silence) begin() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.silent = true
+}
+
+func TestSilentConnectionIsGivenUpWhileANewOneWorks(t *testing.T) {
+	p := newPeer(t)
+	s := newSilence(t, p.server.Address())
+	address := s.listener.Addr().String()
+	d := kqtrunk.NewDialer(kqtrunk.Handlers{})
+	defer d.Close()
+	if _, err := d.Call(patient(t), address, kqtrunk.CallHead{RequestID: "a"}, nil); err != nil {
+		t.Fatal(err)
+	}
+	s.begin()
+	if _, err := d.Call(patient(t), address, kqtrunk.CallHead{RequestID: "b"}, nil); !errors.Is(err, kqtrunk.ErrSilent) || !errors.Is(err, kqtrunk.ErrLost) {
+		t.Errorf("call on a silent connection: got %v, want ErrSilent and ErrLost", err)
+	}
+	if _, err := d.Call(patient(t), address, kqtrunk.CallHead{RequestID: "c"}, nil); err != nil {
+		t.Errorf("call over a new connection: got %v, want an answer", err)
+	}
+}
+
+// TestQuietCallKeepsItsConnection lets a call wait until pings were answered.
+func TestQuietCallKeepsItsConnection(t *testing.T) {
+	p := newPeer(t)
+	d := kqtrunk.NewDialer(kqtrunk.Handlers{})
+	defer d.Close()
+	ended := make(chan error, 1)
+	go func() {
+		_, err := d.Call(patient(t), p.server.Address(), kqtrunk.CallHead{RequestID: "a", Service: "wait"}, nil)
+		ended <- err
+	}()
+	<-p.begun
+	quiet := time.NewTimer(1500 * time.Millisecond)
+	defer quiet.Stop()
+	select {
+	case err := <-ended:
+		t.Fatalf("quiet call: got %v before its answer", err)
+	case <-quiet.C:
+	}
+	close(p.letGo)
+	if err := <-ended; err != nil {
+		t.Errorf("quiet call: got %v, want an answer", err)
+	}
+}
+
+func TestMessagesGoBothWays(t *testing.T) {
+	p := newPeer(t)
+	heard := make(chan string, 1)
+	d := kqtrunk.NewDialer(kqtrunk.Handlers{Message: func(_ string, payload []byte, _ func([]byte)) { heard <- string(payload) }})
+	defer d.Close()
+	if err := d.Tell(p.server.Address(), []byte("x")); !errors.Is(err, kqtrunk.ErrNotSent) {
+		t.Errorf("message without a connection: got %v, want ErrNotSent", err)
+	}
+	if _, err := d.Call(patient(t), p.server.Address(), kqtrunk.CallHead{}, nil); err != nil {
+		t.Fatal(err)
+	}
+	if err := d.Tell(p.server.Address(), []byte("routes?")); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-heard; got != "heard routes?" {
+		t.Errorf("reply: got %q", got)
+	}
+}
+
+// FuzzFrames sends bytes to a server, which must survive them.
+func FuzzFrames(f *testing.F) {
+	f.Add([]byte{0, 0, 0, 0, 5, 0, 0, 0, 0, 0, 0, 0, 1})
+	f.Add([]byte{0, 0, 0, 8, 1, 0, 0, 0, 0, 0, 0, 0, 1, 0, 0, 0, 200, 0x80, 0, 0, 0})
+	f.Add([]byte{255, 255, 255, 255, 1})
+	p := newPeer(f)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c, err := net.Dial("tcp", p.server.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if _, err := c.Write(data); err != nil {
+			return
+		}
+		_ = c.(*net.TCPConn).CloseWrite()
+		_, _ = io.Copy(io.Discard, c)
+	})
+}
+
+func BenchmarkCall(b *testing.B) {
+	p := newPeer(b)
+	d := kqtrunk.NewDialer(kqtrunk.Handlers{})
+	defer d.Close()
+	body := make([]byte, 1500)
+	b.ReportAllocs()
+	for range b.N {
+		if _, err := d.Call(context.Background(), p.server.Address(), kqtrunk.CallHead{RequestID: "a"}, body); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
