--- a/io/kqmesh/fleet_test.go
+++ b/io/kqmesh/fleet_test.go
@@ -201,7 +201,7 @@
 }
 
 // add starts a host whose backend server is not heard of yet.
-func (f *fleet) add(name, service string, change ...func(*kqmesh.Settings)) *host {
+func (f *fleet) add(name, service string) *host {
 	f.t.Helper()
 	h := &host{backend: newBackend(f.t, "i-"+name), store: kqstore.NewHTTP(f.store.Address())}
 	h.settings = kqmesh.Settings{
@@ -213,9 +213,6 @@
 			ShutdownTime: kqclass.Duration(testPatience), DrainTime: kqclass.Duration(2 * time.Second),
 		},
 	}
-	for _, c := range change {
-		c(&h.settings)
-	}
 	f.start(h)
 	f.hosts[name] = h
 	return h
--- a/io/kqtrunk/dialer.go
+++ b/io/kqtrunk/dialer.go
@@ -21,7 +21,6 @@
 	dial     func(ctx context.Context, address string) (net.Conn, error)
 
 	mutex  sync.Mutex
-	closed bool
 	routes map[string]*route
 }
 
