Metrics, a bound on log lines, and stories told from logs alone

The mesh serves its counters and latency histograms at the metrics address of the deploy file. Decisions are bounded to 400 lines a second: near the bound, ordinary lines of more and more whole requests are left out, by a hash of the root's ID, so that failures and refusals find room.

--- a/io/kqcli/explain.go
+++ b/io/kqcli/explain.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/url"
+	"os"
 	"strings"
 	"time"
 
@@ -14,20 +15,22 @@
 	"kumquatlink/core/kqmember"
 	"kumquatlink/io/kqnode"
 	"kumquatlink/io/kqoperator"
+	"kumquatlink/io/kqstory"
 )
 
 // formJSON is the output form for machines.
 const formJSON = "json"
 
 type explainCommand struct {
-	RequestID string   `arg:"" name:"request-id" help:"The request's ID, as in the Kumquatlink-Request-Id header of its answer."`
-	Node      []string `required:"" placeholder:"ADDRESS" help:"Operator address of the entry that the caller used; more may be named. The nodes that it chose are asked as well."`
+	RequestID string   `arg:"" optional:"" name:"request-id" help:"The request's ID, as in its answer. Without one, the logs' failures are summed up."`
+	Node      []string `placeholder:"ADDRESS" help:"Operator address of the entry that the caller used; more may be named. The nodes that it chose are asked as well."`
+	Log       []string `type:"existingfile" placeholder:"FILE" help:"Log of a node, or of many; more may be named. Nothing is asked of the nodes then."`
 	Output    string   `enum:"text,json" default:"text" help:"Form of the output: ${enum}."`
 }
 
 // Help is the longer help of the command.
 func (explainCommand) Help() string {
-	return "Example:\n\n  kumquatlink explain 0f1c --node 127.0.0.1:9000"
+	return "Examples:\n\n  kumquatlink explain 0f1c --node 127.0.0.1:9000\n  kumquatlink explain 0f1c --log entry.log --log gate.log\n  kumquatlink explain --log all.log"
 }
 
 // explained is what all nodes that were asked remember of a request.
@@ -40,6 +43,12 @@
 
 // Run tells what became of a request.
 func (k *explainCommand) Run(e *environment) error {
+	switch {
+	case len(k.Log) > 0:
+		return k.explainLogs(e)
+	case k.RequestID == "" || len(k.Node) == 0:
+		return errors.Mark(errors.New("want a request's ID and --node, or --log"), ErrInput)
+	}
 	x := explain(e.ctx, k.RequestID, k.Node)
 	if k.Output == formJSON {
 		return writeJSON(e.output, x)
@@ -47,6 +56,37 @@
 	return writeExplained(e.output, x)
 }
 
+// explainLogs tells a request's story, or sums up failures, from logs alone.
+func (k *explainCommand) explainLogs(e *environment) error {
+	var lines []kqstory.Line
+	for _, path := range k.Log {
+		more, err := readLog(path)
+		if err != nil {
+			return errors.Mark(err, ErrInput)
+		}
+		lines = append(lines, more...)
+	}
+	switch {
+	case k.RequestID == "" && k.Output == formJSON:
+		return writeJSON(e.output, kqstory.Sum(lines))
+	case k.RequestID == "":
+		return kqstory.WriteSummary(e.output, kqstory.Sum(lines))
+	case k.Output == formJSON:
+		return writeJSON(e.output, kqstory.Tell(lines, k.RequestID))
+	}
+	return kqstory.Tell(lines, k.RequestID).Write(e.output)
+}
+
+func readLog(path string) ([]kqstory.Line, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read log")
+	}
+	defer func() { _ = f.Close() }()
+	lines, _, err := kqstory.Read(f)
+	return lines, err
+}
+
 // explain asks the nodes named, and those that the request was sent to.
 func explain(ctx context.Context, requestID string, addresses []string) explained {
 	x := explained{RequestID: requestID}
--- a/io/kqcli/mesh.go
+++ b/io/kqcli/mesh.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"os/signal"
 	"reflect"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -16,8 +18,16 @@
 	"kumquatlink/platform"
 )
 
+// Bounds of a node's log. A node that serves 40 calls a second writes some 150
+// lines a second; the queue holds a burst of five times that.
+const (
+	logLines = 400
+	logQueue = 1024
+)
+
 type meshCommand struct {
-	Settings string `placeholder:"FILE" help:"The platform's settings file. Default: where the platform says it is."`
+	MetricsPort int    `placeholder:"PORT" help:"TCP port of the host's address at which metrics are served, at /metrics."`
+	Settings    string `placeholder:"FILE" help:"The platform's settings file. Default: where the platform says it is."`
 }
 
 // Help is the longer help of the command.
@@ -35,10 +45,15 @@
 	if err != nil {
 		return err
 	}
-	log := kqlog.New(e.output, kqlog.WithNode(s.NodeID, s.Zone), kqlog.WithLevel(zerolog.InfoLevel))
+	log := kqlog.New(e.output, kqlog.WithNode(s.NodeID, s.Zone), kqlog.WithLevel(zerolog.InfoLevel),
+		kqlog.WithQueueLength(logQueue), kqlog.WithBudget(logLines))
 	defer log.Close()
 	store := platform.NewStore(s.Provider.Address)
-	n, err := kqmesh.New(s.Node(), platform.Dialect(), store.Client(), kqmesh.WithLog(log))
+	settings := s.Node()
+	if k.MetricsPort != 0 {
+		settings.MetricsAddress = net.JoinHostPort(s.IP, strconv.Itoa(k.MetricsPort))
+	}
+	n, err := kqmesh.New(settings, platform.Dialect(), store.Client(), kqmesh.WithLog(log))
 	if err != nil {
 		return err
 	}
--- a/io/kqlog/kqlog.go
+++ b/io/kqlog/kqlog.go
@@ -8,7 +8,10 @@
 //	log.Close()
 //
 // Lines are queued and written by one goroutine. A line that finds the queue
-// full is counted, and the count is written as a line of its own.
+// full is counted, and the count is written as a line of its own. With
+// [WithBudget], the lines of a second are bounded as well: when they come near
+// the bound, ordinary decisions of more and more requests are left out, whole
+// requests at a time, so that failures, refusals and beliefs still find room.
 package kqlog
 
 import (
@@ -36,8 +39,11 @@
 // Decision is one routing or placement decision.
 type Decision struct {
 	RequestID string
-	Class     string
-	Service   string
+	// Root is the ID of the request for which the call was made, if it is
+	// another than RequestID.
+	Root    string
+	Class   string
+	Service string
 	// Decision names what was decided, such as "Route" or "Admit".
 	Decision string
 	Cause    string
@@ -62,6 +68,9 @@
 
 // addTo adds the fields that not every decision has.
 func (d Decision) addTo(e *zerolog.Event) *zerolog.Event {
+	if d.Root != "" {
+		e = e.Str("Root", d.Root)
+	}
 	if d.Left != 0 {
 		e = e.Int64("LeftMicros", d.Left.Microseconds())
 	}
@@ -92,6 +101,7 @@
 	closing sync.RWMutex
 	closed  bool
 	level   zerolog.Level
+	budget  *budget
 }
 
 // Option changes a log.
@@ -102,6 +112,7 @@
 	domain string
 	level  zerolog.Level
 	queue  int
+	lines  int
 }
 
 // WithNode names the node and its failure domain on every line.
@@ -119,6 +130,12 @@
 	return func(o *options) { o.queue = n }
 }
 
+// WithBudget bounds the decisions that are written in a second; events are
+// always written.
+func WithBudget(linesPerSecond int) Option {
+	return func(o *options) { o.lines = linesPerSecond }
+}
+
 // New starts a log.
 func New(w io.Writer, opts ...Option) *Log {
 	o := options{level: zerolog.InfoLevel, queue: defaultQueueLength}
@@ -126,7 +143,7 @@
 		f(&o)
 	}
 	logger := zerolog.New(w).Level(o.level).With().Str("Node", o.node).Str("FailureDomain", o.domain).Logger()
-	l := &Log{logger: logger, queue: make(chan func(), o.queue), done: make(chan struct{}), level: o.level}
+	l := &Log{logger: logger, queue: make(chan func(), o.queue), done: make(chan struct{}), level: o.level, budget: newBudget(o.lines)}
 	go l.write()
 	return l
 }
@@ -159,6 +176,10 @@
 		return
 	}
 	at := time.Now().UTC()
+	if !l.budget.admits(d, at) {
+		l.dropped.Add(1)
+		return
+	}
 	l.enqueue(func() {
 		e := l.logger.Info().Time("Time", at).Str("Decision", d.Decision).Str("RequestID", d.RequestID)
 		e = e.Str("Class", d.Class).Str("Service", d.Service).Str("Cause", d.Cause).Str("Outcome", d.Outcome)
--- a/io/kqmesh/entry.go
+++ b/io/kqmesh/entry.go
@@ -68,8 +68,8 @@
 		o = n.place(waiting, q)
 		cancel()
 	}
-	n.log.Decide(kqlog.Decision{
-		RequestID: q.head.RequestID, Class: q.head.Class, Service: q.head.Service, Decision: decisionAnswer,
+	n.decide(kqlog.Decision{
+		RequestID: q.head.RequestID, Root: q.head.Root, Class: q.head.Class, Service: q.head.Service, Decision: decisionAnswer,
 		Cause: string(o.head.End.Cause), Outcome: string(o.head.End.Outcome), Chosen: o.head.ServerID, Others: q.tries,
 		Took: n.now().Sub(e.Came), Left: q.deadline.Sub(n.now()), Version: q.head.RoutesVersion, Status: statusOf(o.head),
 	})
@@ -204,5 +204,5 @@
 // refuseUnread answers a request that can't be read.
 func (n *Node) refuseUnread(response *fasthttp.Response, err error) {
 	response.SetStatusCode(kqedge.StatusOf(err))
-	n.log.Decide(kqlog.Decision{Decision: decisionAnswer, Cause: string(kqcall.CauseBadRequest), Outcome: string(kqcall.OutcomeNotRun), Status: response.StatusCode(), Detail: err.Error()})
+	n.decide(kqlog.Decision{Decision: decisionAnswer, Cause: string(kqcall.CauseBadRequest), Outcome: string(kqcall.OutcomeNotRun), Status: response.StatusCode(), Detail: err.Error()})
 }
--- a/io/kqmesh/gate.go
+++ b/io/kqmesh/gate.go
@@ -16,6 +16,7 @@
 	"kumquatlink/core/kqserver"
 	"kumquatlink/io/kqhttp"
 	"kumquatlink/io/kqlog"
+	"kumquatlink/io/kqmetric"
 	"kumquatlink/io/kqtrunk"
 )
 
@@ -96,8 +97,8 @@
 	o := g.admitAndRun(ctx, head, body)
 	o.heard = true
 	o.head.Load = g.load()
-	g.node.log.Decide(kqlog.Decision{
-		RequestID: head.RequestID, Class: head.Class, Service: head.Service, Decision: decisionAdmit,
+	g.node.decide(kqlog.Decision{
+		RequestID: head.RequestID, Root: head.Root, Class: head.Class, Service: head.Service, Decision: decisionAdmit,
 		Cause: string(o.head.End.Cause), Outcome: string(o.head.End.Outcome), Chosen: o.head.ServerID,
 		Took: g.node.clock() - begun, Left: head.Budget, Queued: o.head.Queue, Load: loadText(o.head.Load), Version: head.RoutesVersion,
 	})
@@ -125,6 +126,7 @@
 	o := g.handOver(ctx, head, body, s.Server.ServerID)
 	took := g.node.clock() - begun - queued
 	o.head.Queue, o.head.Run = queued, took
+	g.node.metrics.Time(kqmetric.RunTime, took)
 	g.release(ctx, head, o, took)
 	return o
 }
--- a/io/kqmesh/kqmesh.go
+++ b/io/kqmesh/kqmesh.go
@@ -26,6 +26,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,6 +43,7 @@
 	"kumquatlink/core/kqserver"
 	"kumquatlink/io/kqedge"
 	"kumquatlink/io/kqlog"
+	"kumquatlink/io/kqmetric"
 	"kumquatlink/io/kqstore"
 	"kumquatlink/io/kqtrunk"
 )
@@ -69,6 +71,8 @@
 	NoticeAddress string
 	ReadyAddress  string
 	PeerAddress   string
+	// MetricsAddress serves the metrics, or is empty.
+	MetricsAddress string
 	// RoutesKind and RoutesName name the object that holds the routes.
 	RoutesKind string
 	RoutesName string
@@ -128,6 +132,7 @@
 	dialect  Dialect
 	store    *kqstore.Client
 	log      *kqlog.Log
+	metrics  *kqmetric.Metrics
 	ownsLog  bool
 	now      func() time.Time
 	random   func() uint64
@@ -137,8 +142,10 @@
 	callers *kqedge.Server
 	notices *kqedge.Server
 	ready   *kqedge.Server
-	server  *kqtrunk.Server
-	dialer  *kqtrunk.Dialer
+	// metricsServer is nil when no metrics are served.
+	metricsServer *http.Server
+	server        *kqtrunk.Server
+	dialer        *kqtrunk.Dialer
 
 	state    atomic.Pointer[State]
 	tunables atomic.Pointer[Tunables]
@@ -180,6 +187,9 @@
 		n.log = kqlog.Discard()
 		n.ownsLog = true
 	}
+	if n.metrics, err = kqmetric.New(); err != nil {
+		return nil, errors.Mark(err, ErrNode)
+	}
 	n.begun = n.now()
 	n.incarnation = uint64(n.begun.UnixMilli())
 	n.store = kqstore.Guard(store, kqstore.WithObserver(n.observeStore))
@@ -218,7 +228,11 @@
 			return errors.Mark(err, ErrNode)
 		}
 	}
+	if err := n.serveMetrics(); err != nil {
+		return err
+	}
 	n.loop(ctx, n.control.run)
+	n.loop(ctx, n.runMetrics)
 	n.loop(ctx, n.followRoutes)
 	n.loop(ctx, n.followHosts)
 	n.loop(ctx, n.keepRecord)
@@ -288,8 +302,3 @@
 	}
 	n.log.Event(level, message, err)
 }
-
-// observeStore logs calls of the store that failed.
-func (n *Node) observeStore(r kqstore.CallRecord) {
-	n.control.observeStore(r)
-}
--- /dev/null
+++ b/io/kqmesh/observe.go
@@ -0,0 +1,117 @@
+package kqmesh
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"kumquatlink/core/kqserver"
+	"kumquatlink/io/kqlog"
+	"kumquatlink/io/kqmetric"
+	"kumquatlink/io/kqstore"
+)
+
+// metricsPath is where the metrics are served.
+const metricsPath = "/metrics"
+
+// metricsPeriod is how often gauges are set.
+const metricsPeriod = time.Second
+
+// metricsHeaderTime bounds reading a question for metrics.
+const metricsHeaderTime = 2 * time.Second
+
+// Results of calls of the store in the metrics.
+const (
+	resultDone    = "done"
+	resultRefused = "refused"
+	resultFailed  = "failed"
+)
+
+// decide logs and counts a decision about a call.
+func (n *Node) decide(d kqlog.Decision) {
+	if d.Root == d.RequestID {
+		d.Root = ""
+	}
+	n.log.Decide(d)
+	switch d.Decision {
+	case decisionAnswer:
+		n.metrics.Count(kqmetric.Answers, d.Outcome, d.Cause)
+		n.metrics.Time(kqmetric.AnswerTime, d.Took)
+	case decisionRoute:
+		n.metrics.Count(kqmetric.Routes, d.Outcome, d.Cause)
+	case decisionAdmit:
+		n.metrics.Count(kqmetric.Admissions, d.Outcome, d.Cause)
+		n.metrics.Time(kqmetric.QueueTime, d.Queued)
+	}
+}
+
+// observeStore counts a call of the store and logs when it is lost or back.
+func (n *Node) observeStore(r kqstore.CallRecord) {
+	result := resultDone
+	switch {
+	case kqstore.Failed(r.Err):
+		result = resultFailed
+	case r.Err != nil:
+		result = resultRefused
+	}
+	n.metrics.Count(kqmetric.StoreCalls, r.Operation, result)
+	n.control.observeStore(r)
+}
+
+// serveMetrics serves the metrics until the node ends.
+func (n *Node) serveMetrics() error {
+	if n.settings.MetricsAddress == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", n.settings.MetricsAddress)
+	if err != nil {
+		return errors.Mark(errors.Wrapf(err, "listen at %s", n.settings.MetricsAddress), ErrNode)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(metricsPath, n.metrics.Handler())
+	n.metricsServer = &http.Server{Handler: mux, ReadHeaderTimeout: metricsHeaderTime}
+	go func() {
+		if err := n.metricsServer.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			n.log.Event(zerolog.ErrorLevel, "metrics are not served any more", err)
+		}
+	}()
+	return nil
+}
+
+// runMetrics sets the gauges.
+func (n *Node) runMetrics(ctx context.Context) {
+	t := time.NewTicker(metricsPeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			n.setGauges()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (n *Node) setGauges() {
+	s := n.State()
+	n.metrics.Set(kqmetric.ConfigurationVersion, float64(n.routesVersion()))
+	n.metrics.Set(kqmetric.LogDropped, float64(n.log.Dropped()))
+	l := n.gate.load()
+	n.metrics.Set(kqmetric.GateSlots, float64(l.Limit), "all")
+	n.metrics.Set(kqmetric.GateSlots, float64(l.InFlight), "running")
+	n.metrics.Set(kqmetric.GateSlots, float64(l.Queued), "waiting")
+	for service, t := range s.Upstreams {
+		n.metrics.Set(kqmetric.Upstreams, float64(len(t.Upstreams())), service)
+	}
+	for _, state := range []kqserver.State{kqserver.Unknown, kqserver.Ready, kqserver.Draining, kqserver.Gone} {
+		value := 0.0
+		if state == s.ServerState {
+			value = 1
+		}
+		n.metrics.Set(kqmetric.ServerState, value, string(state))
+	}
+}
--- a/io/kqmesh/place.go
+++ b/io/kqmesh/place.go
@@ -10,6 +10,7 @@
 	"kumquatlink/core/kqcall"
 	"kumquatlink/core/kqroute"
 	"kumquatlink/io/kqlog"
+	"kumquatlink/io/kqmetric"
 	"kumquatlink/io/kqtrunk"
 )
 
@@ -52,8 +53,8 @@
 		o := n.send(ctx, q, u)
 		u.End(answerOf(n.now(), ctx, o))
 		n.shed.heard(q, u.Record.NodeID, o)
-		n.log.Decide(kqlog.Decision{
-			RequestID: q.head.RequestID, Class: q.head.Class, Service: q.head.Service, Decision: decisionRoute,
+		n.decide(kqlog.Decision{
+			RequestID: q.head.RequestID, Root: q.head.Root, Class: q.head.Class, Service: q.head.Service, Decision: decisionRoute,
 			Cause: string(o.head.End.Cause), Outcome: string(o.head.End.Outcome), Chosen: u.Record.NodeID,
 			Took: n.now().Sub(now), Left: q.head.Budget, Queued: o.head.Queue, Load: loadText(o.head.Load), Version: q.head.RoutesVersion, Status: o.head.Status,
 		})
@@ -164,8 +165,10 @@
 		return false
 	}
 	if !n.budget.Repeat(n.clock(), q.head.Service, q.state.entries(), q.head.Rank == mostUrgent) {
+		n.metrics.Count(kqmetric.RepeatsRefused, q.head.Service)
 		return false
 	}
+	n.metrics.Count(kqmetric.Repeats, q.head.Service)
 	q.head.Repeat = true
 	return true
 }
--- a/io/kqmesh/shutdown.go
+++ b/io/kqmesh/shutdown.go
@@ -77,11 +77,14 @@
 	n.ready.Close()
 	n.notices.Close()
 	err := n.server.Close()
+	if n.metricsServer != nil {
+		err = errors.CombineErrors(err, n.metricsServer.Close())
+	}
 	n.dialer.Close()
 	n.cancel()
 	n.loops.Wait()
 	n.pool.Release()
-	return err
+	return errors.CombineErrors(err, n.metrics.Close())
 }
 
 // isCalm is whether nothing is under way and callers have had time to turn
--- a/io/kqmetric/kqmetric.go
+++ b/io/kqmetric/kqmetric.go
@@ -33,6 +33,9 @@
 // maxSeries bounds the series of one metric.
 const maxSeries = 128
 
+// timeBuckets are the bounds of the histograms of times, in seconds.
+var timeBuckets = []float64{0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4}
+
 // reportPeriod is how often values are handed to the reporter.
 const reportPeriod = time.Second
 
@@ -71,6 +74,13 @@
 	Confirmed            = Definition{"confirmed", KindGauge, nil, "0 or 1", "Whether other nodes have answered since the start or the last pause."}
 	Pauses               = Definition{"pauses", KindGauge, nil, "pauses", "Pauses of this node's process or host since its start."}
 	Exchanges            = Definition{"exchanges", KindCounter, []string{"result"}, "exchanges", "Control messages that this node sent to other nodes."}
+	QueueTime            = Definition{"queue_time", KindTimer, nil, "seconds", "Time that calls waited for a slot at this node's gate."}
+	RunTime              = Definition{"run_time", KindTimer, nil, "seconds", "Time that calls were at the backend server."}
+	GateSlots            = Definition{"gate_slots", KindGauge, []string{"use"}, "calls", "Slots of the backend server by use: all, running, and calls that wait for one."}
+	Upstreams            = Definition{"upstreams", KindGauge, []string{"service"}, "nodes", "Upstreams that take work, by service."}
+	Repeats              = Definition{"repeats", KindCounter, []string{"service"}, "calls", "Calls that this entry handed to a further backend server."}
+	RepeatsRefused       = Definition{"repeats_refused", KindCounter, []string{"service"}, "calls", "Calls that were not repeated since the budget was spent."}
+	ServerState          = Definition{"server_state", KindGauge, []string{"state"}, "0 or 1", "State of the backend server beside this node."}
 	LogDropped           = Definition{"log_dropped", KindGauge, nil, "lines", "Log lines that found the queue full since the start."}
 )
 
@@ -78,7 +88,8 @@
 func Definitions() []Definition {
 	return []Definition{
 		Answers, AnswerTime, Routes, Admissions, StoreCalls, StoreTime,
-		ConfigurationVersion, ConfigurationRefused, Members, Suspected, Confirmed, Pauses, Exchanges, LogDropped,
+		ConfigurationVersion, ConfigurationRefused, Members, Suspected, Confirmed, Pauses, Exchanges,
+		QueueTime, RunTime, GateSlots, Upstreams, Repeats, RepeatsRefused, ServerState, LogDropped,
 	}
 }
 
@@ -97,9 +108,11 @@
 	registry := prometheus.NewRegistry()
 	var failed error
 	reporter := tallyprometheus.NewReporter(tallyprometheus.Options{
-		Registerer:      registry,
-		Gatherer:        registry,
-		OnRegisterError: func(err error) { failed = err },
+		Registerer:              registry,
+		Gatherer:                registry,
+		DefaultTimerType:        tallyprometheus.HistogramTimerType,
+		DefaultHistogramBuckets: timeBuckets,
+		OnRegisterError:         func(err error) { failed = err },
 	})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "kumquatlink", Separator: tallyprometheus.DefaultSeparator, CachedReporter: reporter,
