--- a/io/kqmetric/kqmetric.go
+++ b/io/kqmetric/kqmetric.go
@@ -59,13 +59,16 @@
 	Help string
 }
 
+// unitCalls is the unit of metrics that count calls.
+const unitCalls = "calls"
+
 // The metrics of a node.
 var (
-	Answers              = Definition{"answers", KindCounter, []string{"outcome", "cause"}, "calls", "Calls answered by this node's entry."}
+	Answers              = Definition{"answers", KindCounter, []string{"outcome", "cause"}, unitCalls, "Calls answered by this node's entry."}
 	AnswerTime           = Definition{"answer_time", KindTimer, nil, "seconds", "Time from taking a call at the entry to its answer."}
 	Routes               = Definition{"routes", KindCounter, []string{"outcome", "cause"}, "tries", "Tries that this entry sent to an upstream."}
-	Admissions           = Definition{"admissions", KindCounter, []string{"outcome", "cause"}, "calls", "Calls that this node's gate decided on."}
-	StoreCalls           = Definition{"store_calls", KindCounter, []string{"operation", "result"}, "calls", "Calls of the object API, and those held back while it fails."}
+	Admissions           = Definition{"admissions", KindCounter, []string{"outcome", "cause"}, unitCalls, "Calls that this node's gate decided on."}
+	StoreCalls           = Definition{"store_calls", KindCounter, []string{"operation", "result"}, unitCalls, "Calls of the object API, and those held back while it fails."}
 	StoreTime            = Definition{"store_time", KindTimer, []string{"operation"}, "seconds", "Time of a call of the object API."}
 	ConfigurationVersion = Definition{"configuration_version", KindGauge, nil, "version", "Version of the configuration in force."}
 	ConfigurationRefused = Definition{"configuration_refused", KindGauge, []string{"verdict"}, "offers", "Offered configurations that were refused since the start."}
@@ -76,10 +79,10 @@
 	Exchanges            = Definition{"exchanges", KindCounter, []string{"result"}, "exchanges", "Control messages that this node sent to other nodes."}
 	QueueTime            = Definition{"queue_time", KindTimer, nil, "seconds", "Time that calls waited for a slot at this node's gate."}
 	RunTime              = Definition{"run_time", KindTimer, nil, "seconds", "Time that calls were at the backend server."}
-	GateSlots            = Definition{"gate_slots", KindGauge, []string{"use"}, "calls", "Slots of the backend server by use: all, running, and calls that wait for one."}
+	GateSlots            = Definition{"gate_slots", KindGauge, []string{"use"}, unitCalls, "Slots of the backend server by use: all, running, and calls that wait for one."}
 	Upstreams            = Definition{"upstreams", KindGauge, []string{"service"}, "nodes", "Upstreams that take work, by service."}
-	Repeats              = Definition{"repeats", KindCounter, []string{"service"}, "calls", "Calls that this entry handed to a further backend server."}
-	RepeatsRefused       = Definition{"repeats_refused", KindCounter, []string{"service"}, "calls", "Calls that were not repeated since the budget was spent."}
+	Repeats              = Definition{"repeats", KindCounter, []string{"service"}, unitCalls, "Calls that this entry handed to a further backend server."}
+	RepeatsRefused       = Definition{"repeats_refused", KindCounter, []string{"service"}, unitCalls, "Calls that were not repeated since the budget was spent."}
 	ServerState          = Definition{"server_state", KindGauge, []string{"state"}, "0 or 1", "State of the backend server beside this node."}
 	LogDropped           = Definition{"log_dropped", KindGauge, nil, "lines", "Log lines that found the queue full since the start."}
 )
