--- a/io/kqmesh/shutdown.go
+++ b/io/kqmesh/shutdown.go
@@ -42,12 +42,13 @@
 	n.callers.Drain()
 	n.log.Event(zerolog.InfoLevel, "node leaves", nil)
 	bound := n.tunables.Load().ShutdownTime.Value() - shutdownMargin
-	finishing := false
-	for ctx.Err() == nil && n.now().Sub(begun) < bound && !n.isCalm(begun, finishing) {
-		if !finishing && n.now().Sub(begun) >= min(takeTime, bound/2) {
-			finishing = true
-			n.callers.Finish()
-		}
+	for taking := begun.Add(min(takeTime, bound/2)); ctx.Err() == nil && n.now().Before(taking) && !n.isCalm(begun); {
+		sleep(ctx, shutdownPoll)
+	}
+	// From here on no request is begun, so that none can slip in between the
+	// look at those in flight and the end.
+	n.callers.Finish()
+	for ctx.Err() == nil && n.now().Sub(begun) < bound && n.isBusy() {
 		sleep(ctx, shutdownPoll)
 	}
 	left := n.callers.InFlight() + n.gate.busy()
@@ -87,12 +88,17 @@
 	return errors.CombineErrors(err, n.metrics.Close())
 }
 
+// isBusy is whether a request or a call is under way.
+func (n *Node) isBusy() bool {
+	return n.callers.InFlight() > 0 || n.gate.busy() > 0
+}
+
 // isCalm is whether nothing is under way and callers have had time to turn
 // away.
-func (n *Node) isCalm(begun time.Time, finishing bool) bool {
+func (n *Node) isCalm(begun time.Time) bool {
 	now := n.now()
-	if now.Sub(begun) < noticeTime || n.callers.InFlight() > 0 || n.gate.busy() > 0 {
+	if now.Sub(begun) < noticeTime || n.isBusy() {
 		return false
 	}
-	return finishing || now.Sub(time.Unix(0, n.callers.LastCame())) >= calmTime
+	return now.Sub(time.Unix(0, n.callers.LastCame())) >= calmTime
 }
