--- a/io/kqedge/kqedge.go
+++ b/io/kqedge/kqedge.go
@@ -294,7 +294,9 @@
 		}
 		_ = c.raw.SetReadDeadline(time.Time{})
 		if !c.begin(e) {
-			break
+			// What was read before goes on until it is answered.
+			c.watchEnd()
+			return
 		}
 		if last != nil && !mayOverlap(e) {
 			<-last.done
@@ -416,7 +418,9 @@
 
 // watchEnd waits until the caller closes its side or the answer is out.
 func (c *connection) watchEnd() {
-	_ = c.raw.SetReadDeadline(time.Time{})
+	if !c.closing.Load() {
+		_ = c.raw.SetReadDeadline(time.Time{})
+	}
 	_, _ = io.Copy(io.Discard, c.raw)
 	c.lose()
 	_ = c.raw.Close()
@@ -435,7 +439,7 @@
 		return
 	}
 	if !c.begin(e) {
-		c.linger()
+		c.watchEnd()
 		return
 	}
 	c.closing.Store(true)
--- a/io/kqedge/kqedge_test.go
+++ b/io/kqedge/kqedge_test.go
@@ -235,6 +235,11 @@
 		t.Errorf("idle connection: got %v, want its end", err)
 	}
 	send(t, busy, get("/late"))
+	select {
+	case path := <-s.gone:
+		t.Fatalf("request %s was cancelled by one that is not read any more", path)
+	case <-time.After(100 * time.Millisecond):
+	}
 	s.letGo <- struct{}{}
 	if _, body, closes := answer(t, busyReader); body != "GET /wait/1 " || !closes {
 		t.Errorf("answer of a finishing server: got %q, closes %t, want it to close", body, closes)
