--- a/io/kqmesh/gate.go
+++ b/io/kqmesh/gate.go
@@ -119,10 +119,12 @@
 	}
 	begun := g.node.clock()
 	end, admitted := g.admit(ctx, head, s.Server.Slots)
+	queued := g.node.clock() - begun
 	if !admitted {
-		return ended(end)
+		o := ended(end)
+		o.head.Queue = queued
+		return o
 	}
-	queued := g.node.clock() - begun
 	o := g.handOver(ctx, head, body, s.Server.ServerID)
 	took := g.node.clock() - begun - queued
 	o.head.Queue, o.head.Run = queued, took
--- /dev/null
+++ b/io/kqmesh/story_test.go
@@ -0,0 +1,96 @@
+package kqmesh_test
+
+import (
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"kumquatlink/core/kqclass"
+	"kumquatlink/core/kqserver"
+	"kumquatlink/io/kqmesh"
+	"kumquatlink/io/kqstory"
+)
+
+// logsOfStories is where the logs of these requests are kept for the page that
+// explains failures.
+const logsOfStories = "../kqstory/testdata/"
+
+// TestLogsTellWhatBecameOfRequests plays three kinds of failed requests and
+// looks for their causes in nothing but the logs.
+func TestLogsTellWhatBecameOfRequests(t *testing.T) {
+	f := newFleet(t)
+	near, far := f.add("catalog-1", "catalog"), f.add("orders-1", "orders")
+	short := route("/buy/", "orders", true)
+	short.Timeout = kqclass.Duration(300 * time.Millisecond)
+	f.write(1, short, route("/hold/", "orders", true))
+	near.say(kqserver.Ready)
+	far.say(kqserver.Ready)
+	f.settle(1, 2)
+	letGo := make(chan struct{})
+	far.hold(letGo)
+	results := make(chan result, 4)
+	for _, id := range ids("holder-", cap(results)) {
+		go func() { results <- near.request("POST", "/hold/", id, "") }()
+	}
+	for range cap(results) {
+		<-far.begun
+	}
+	if got := near.request("POST", "/buy/", "refused-1", ""); got.status != fasthttp.StatusServiceUnavailable {
+		t.Errorf("request behind full slots: got %+v, want 503", got)
+	}
+	close(letGo)
+	for range cap(results) {
+		<-results
+	}
+	f.keep("refused", "refused-1", "gate orders-1, server none: not-run Deadline")
+
+	far.script(func(c net.Conn, _ *fasthttp.Request) { _ = c.Close() })
+	if got := near.request("POST", "/buy/", "lost-1", ""); got.status != fasthttp.StatusBadGateway {
+		t.Errorf("request whose answer is lost: got %+v, want 502", got)
+	}
+	f.keep("lost", "lost-1", "BackendLost")
+
+	far.script(nil)
+	if got := near.request("GET", "/new/", "early-1", ""); got.status != fasthttp.StatusNotFound {
+		t.Errorf("request before its route: got %+v, want 404", got)
+	}
+	f.write(2, short, route("/hold/", "orders", true), route("/new/", "catalog", false))
+	f.until(near, "version 2", func(s *kqmesh.State) bool { return s.Routes.Document().Version == 2 })
+	f.keep("early", "early-1", "routes of version 2 from the store are in force after version 1")
+}
+
+// keep waits until the log has been written, checks that the story of the
+// request holds the cause, and keeps the lines it was told from.
+func (f *fleet) keep(name, id, cause string) {
+	f.t.Helper()
+	pause := time.NewTicker(10 * time.Millisecond)
+	defer pause.Stop()
+	for begun := time.Now(); ; <-pause.C {
+		f.log.mutex.Lock()
+		text := f.log.String()
+		f.log.mutex.Unlock()
+		lines, _, err := kqstory.Read(strings.NewReader(text))
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		var story strings.Builder
+		if err := kqstory.Tell(lines, id).Write(&story); err != nil {
+			f.t.Fatal(err)
+		}
+		if strings.Contains(story.String(), id+", class") && strings.Contains(story.String(), cause) {
+			if *update {
+				if err := os.WriteFile(logsOfStories+name+".log", []byte(text), 0o600); err != nil {
+					f.t.Fatal(err)
+				}
+			}
+			return
+		}
+		if time.Since(begun) > testPatience {
+			f.t.Fatalf("story of %s: got\n%s\nwant one with %q", id, story.String(), cause)
+		}
+	}
+}
--- a/io/kqstory/kqstory.go
+++ b/io/kqstory/kqstory.go
@@ -240,7 +240,7 @@
 		fmt.Fprintf(w, "%s  sent to %s for %s with %s left: %s after %s, load %s\n", indent, l.Chosen, l.Service, micros(l.LeftMicros), ending(l), micros(l.TookMicros), l.Load)
 	}
 	for _, l := range c.Admits {
-		fmt.Fprintf(w, "%s  gate %s, server %q: %s after %s, %s of them in the queue, load %s\n", indent, l.Node, l.Chosen, ending(l), micros(l.TookMicros), micros(l.QueuedMicros), l.Load)
+		fmt.Fprintf(w, "%s  gate %s, server %s: %s after %s, %s of them in the queue, load %s\n", indent, l.Node, cmp.Or(l.Chosen, "none"), ending(l), micros(l.TookMicros), micros(l.QueuedMicros), l.Load)
 	}
 	for _, o := range c.Calls {
 		o.write(w, indent+"  ")
--- a/io/kqtrunk/kqtrunk.go
+++ b/io/kqtrunk/kqtrunk.go
@@ -47,9 +47,9 @@
 const (
 	dialTimeout = 700 * time.Millisecond
 	// quietTime is how long calls wait without any byte before a ping is sent.
-	quietTime = 400 * time.Millisecond
+	quietTime = 250 * time.Millisecond
 	// pingTime is how long the peer has to answer a ping.
-	pingTime = 700 * time.Millisecond
+	pingTime = 450 * time.Millisecond
 	// writeTimeout bounds a write to a peer that does not read.
 	writeTimeout = 2 * time.Second
 	// unackedTime is how long the kernel waits for an acknowledgement of what
