Run the mesh node from own JSON settings as well

The same code runs from the first line after decoding: own settings with the project's dialect and store stand-in, or the platform's file with its own.

--- a/io/kqcli/explain.go
+++ b/io/kqcli/explain.go
@@ -30,7 +30,7 @@
 
 // Help is the longer help of the command.
 func (explainCommand) Help() string {
-	return "Examples:\n\n  kumquatlink explain 0f1c --node 127.0.0.1:9000\n  kumquatlink explain 0f1c --log entry.log --log gate.log\n  kumquatlink explain --log all.log"
+	return "With logs, nothing is asked of the nodes; without an ID, the failures in them are summed up.\n\nExample:\n\n  kumquatlink explain 0f1c --log entry.log --log gate.log"
 }
 
 // explained is what all nodes that were asked remember of a request.
--- a/io/kqcli/kqcli.go
+++ b/io/kqcli/kqcli.go
@@ -43,7 +43,7 @@
 type commands struct {
 	Demo     demoCommand     `cmd:"" help:"Show the whole path on stand-ins in one process, in under 20 s."`
 	Node     nodeCommand     `cmd:"" help:"Run a node beside a backend server."`
-	Mesh     meshCommand     `cmd:"" help:"Run a node on the users' platform."`
+	Mesh     meshCommand     `cmd:"" help:"Run a node of a fleet that is found through the store."`
 	Store    storeCommand    `cmd:"" help:"Run the stand-in of the platform's object API."`
 	Backend  backendCommand  `cmd:"" help:"Run the stand-in of a backend server."`
 	Class    classCommand    `cmd:"" help:"Work with the classes and their targets."`
--- a/io/kqcli/serve.go
+++ b/io/kqcli/serve.go
@@ -119,7 +119,7 @@
 
 type settingsCheckCommand struct {
 	File string `arg:"" help:"The settings file."`
-	Kind string `enum:"node,store,backend,platform" default:"node" help:"Whose settings it holds: ${enum}."`
+	Kind string `enum:"node,mesh,store,backend,platform" default:"node" help:"Whose settings it holds: ${enum}."`
 }
 
 // Help is the longer help of the command.
@@ -135,6 +135,8 @@
 		_, err = kqsettings.ReadStore(k.File)
 	case "backend":
 		_, err = kqsettings.ReadBackend(k.File)
+	case "mesh":
+		_, err = kqsettings.ReadMesh(k.File)
 	case "platform":
 		_, err = platform.ReadSettings(k.File)
 	default:
--- a/io/kqmesh/dialect.go
+++ b/io/kqmesh/dialect.go
@@ -43,22 +43,28 @@
 	Acknowledgement []byte
 }
 
+// The object of the project's own store that holds the routes.
+const (
+	OwnRoutesKind = "kumquatlink.dev/v1/routes"
+	OwnRoutesName = "fleet"
+)
+
 // Paths of the project's own dialect.
 const (
-	ownReadyPath  = "/kumquatlink/ready"
-	ownNoticePath = "/kumquatlink/notice"
+	OwnReadyPath  = "/kumquatlink/ready"
+	OwnNoticePath = "/kumquatlink/notice"
 )
 
 // Header names of the project's own dialect that kqwire does not have.
 const (
-	headerExpectServer  = "Kumquatlink-Expect-Server"
-	headerCallerService = "Kumquatlink-Caller-Service"
-	headerServerID      = "Kumquatlink-Server-Id"
-	headerLoad          = "Kumquatlink-Load"
+	HeaderExpectServer  = "Kumquatlink-Expect-Server"
+	HeaderCallerService = "Kumquatlink-Caller-Service"
+	HeaderServerID      = "Kumquatlink-Server-Id"
+	HeaderLoad          = "Kumquatlink-Load"
 )
 
-// ownNotice is a notice in the project's own format.
-type ownNotice struct {
+// OwnNotice is a notice in the project's own format.
+type OwnNotice struct {
 	ServerID string
 	Service  string
 	Address  string
@@ -74,10 +80,10 @@
 func OwnDialect() Dialect {
 	return Dialect{
 		Headers: Headers{
-			RequestID: kqwire.HeaderRequestID, Deadline: kqwire.HeaderBudget, ExpectServer: headerExpectServer,
-			NotRun: kqwire.HeaderShed, CallerService: headerCallerService, ServerID: headerServerID, Load: headerLoad,
+			RequestID: kqwire.HeaderRequestID, Deadline: kqwire.HeaderBudget, ExpectServer: HeaderExpectServer,
+			NotRun: kqwire.HeaderShed, CallerService: HeaderCallerService, ServerID: HeaderServerID, Load: HeaderLoad,
 		},
-		ReadyPath:  ownReadyPath,
+		ReadyPath:  OwnReadyPath,
 		ReadRoutes: readOwnRoutes,
 		ReadNotice: readOwnNotice,
 	}
@@ -90,10 +96,10 @@
 }
 
 func readOwnNotice(method, path string, body []byte) (kqserver.Notice, bool, error) {
-	if path != ownNoticePath || method != "PUT" {
+	if path != OwnNoticePath || method != "PUT" {
 		return kqserver.Notice{}, false, nil
 	}
-	var o ownNotice
+	var o OwnNotice
 	if err := json.Unmarshal(body, &o); err != nil {
 		return kqserver.Notice{}, true, errors.Mark(errors.Wrap(err, "read notice"), ErrNode)
 	}
--- a/io/kqmesh/kqmesh.go
+++ b/io/kqmesh/kqmesh.go
@@ -23,6 +23,7 @@
 package kqmesh
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
@@ -71,6 +72,9 @@
 	NoticeAddress string
 	ReadyAddress  string
 	PeerAddress   string
+	// AdvertisedAddress is where other nodes reach PeerAddress, when that is
+	// another address.
+	AdvertisedAddress string
 	// MetricsAddress serves the metrics, or is empty.
 	MetricsAddress string
 	// RoutesKind and RoutesName name the object that holds the routes.
@@ -213,7 +217,7 @@
 	if err != nil {
 		return errors.Mark(err, ErrNode)
 	}
-	n.peerAddress = n.server.Address()
+	n.peerAddress = cmp.Or(n.settings.AdvertisedAddress, n.server.Address())
 	n.callers = kqedge.New(n.handleCaller, kqedge.WithLimits(n.callerLimits), kqedge.WithSubmit(n.pool.Submit), kqedge.WithRefused(n.refuseUnread))
 	n.notices = kqedge.New(n.handleNotice, kqedge.WithLimits(ownLimits))
 	n.ready = kqedge.New(n.handleReady, kqedge.WithLimits(ownLimits))
--- a/io/kqsettings/kqsettings_test.go
+++ b/io/kqsettings/kqsettings_test.go
@@ -41,6 +41,9 @@
 	if _, err := kqsettings.ReadNode(filepath.Join(examples, "node.json")); err != nil {
 		t.Errorf("node.json: got %v, want no faults", err)
 	}
+	if _, err := kqsettings.ReadMesh(filepath.Join(examples, "mesh.json")); err != nil {
+		t.Error(err)
+	}
 	if _, err := kqsettings.ReadStore(filepath.Join(examples, "store.json")); err != nil {
 		t.Errorf("store.json: got %v, want no faults", err)
 	}
