--- a/io/kqcli/kqcli.go
+++ b/io/kqcli/kqcli.go
@@ -49,6 +49,7 @@
 	Class    classCommand    `cmd:"" help:"Work with the classes and their targets."`
 	Status   statusCommand   `cmd:"" help:"Show the fleet as one node sees it."`
 	Measure  measureCommand  `cmd:"" help:"Measure goodput and recovery under faults, against a naive policy."`
+	Soak     soakCommand     `cmd:"" help:"Run nodes as processes, inject faults and check the promises."`
 	Slopes   slopesCommand   `cmd:"" help:"Measure what control costs a node as the fleet grows."`
 	Explain  explainCommand  `cmd:"" help:"Tell what became of one request, from the nodes' recent decisions."`
 	Settings settingsCommand `cmd:"" help:"Work with settings files."`
