A request that was begun is never called not run; a silent watch ends

Change: the end of a try that was begun stands before a later refusal; a watch that passes no byte for 4 s ends. The soak takes the nodes' ports from below those of connections: two runs ended as another process had taken one.

--- a/io/kqmesh/path_test.go
+++ b/io/kqmesh/path_test.go
@@ -308,3 +308,28 @@
 		t.Errorf("shutdown: got %v", err)
 	}
 }
+
+// TestRequestThatRanIsNotCalledNotRun has a request fail at one server and be
+// refused by the next.
+func TestRequestThatRanIsNotCalledNotRun(t *testing.T) {
+	f := newFleet(t)
+	first, second := f.add("orders-1", "orders"), f.add("orders-2", "orders")
+	f.write(1, route("/look/", "orders", false))
+	first.say(kqserver.Ready)
+	second.say(kqserver.Ready)
+	f.settle(1, 2)
+	tries := make(chan struct{}, 256)
+	script := func(c net.Conn, q *fasthttp.Request) {
+		status, shed := "500 Error", ""
+		if len(tries) > 0 {
+			status, shed = "503 Full", "Kumquatlink-Shed: 1\r\n"
+		}
+		tries <- struct{}{}
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\nKumquatlink-Request-Id: %s\r\n%sContent-Length: 0\r\n\r\n", status, q.Header.Peek("Kumquatlink-Request-Id"), shed)
+	}
+	first.script(script)
+	second.script(script)
+	if got := first.request("GET", "/look/", "twice", ""); got.status != fasthttp.StatusInternalServerError || len(tries) != 2 {
+		t.Errorf("request that failed and was then refused, after %d tries: got %+v, want 500 after 2", len(tries), got)
+	}
+}
--- a/io/kqmesh/place.go
+++ b/io/kqmesh/place.go
@@ -29,6 +29,8 @@
 func (n *Node) place(ctx context.Context, q *call) *outcome {
 	var tried kqroute.Tried
 	last := ended(kqcall.NotRun(kqcall.CauseNoUpstream))
+	// begun is the latest end of a try that a backend server may have begun.
+	var begun *outcome
 	refusals := 0
 	for range maxPlaces {
 		now := n.now()
@@ -59,6 +61,9 @@
 			Took: n.now().Sub(now), Left: q.head.Budget, Queued: o.head.Queue, Load: loadText(o.head.Load), Version: q.head.RoutesVersion, Status: o.head.Status,
 		})
 		last = o
+		if o.head.End.Outcome != kqcall.OutcomeNotRun {
+			begun = o
+		}
 		if !n.mayGoOn(q, o) {
 			break
 		}
@@ -66,6 +71,10 @@
 		// The list of upstreams may have changed, but never the route.
 		q.state = n.withUpstreams(q.state)
 	}
+	if begun != nil {
+		// What was not run at last has been begun before.
+		return begun
+	}
 	return last
 }
 
--- a/io/kqsoak/faults.go
+++ b/io/kqsoak/faults.go
@@ -159,7 +159,7 @@
 
 // restart starts a node's process again.
 func (s *soak) restart(h *host) {
-	if err := h.process.start(); err != nil {
+	if err := h.start(); err != nil {
 		s.ledger.broke("%s did not start again: %v", h.name, err)
 	}
 }
--- a/io/kqsoak/host.go
+++ b/io/kqsoak/host.go
@@ -28,8 +28,9 @@
 	heartbeatTime = 200 * time.Millisecond
 	noticeTimeout = time.Second
 	drainTime     = time.Second
-	// drainSlack is what a request may be on its way between two processes.
-	drainSlack = 500 * time.Millisecond
+	// drainSlack is how long a request may be on its way between two processes
+	// of a busy machine.
+	drainSlack = 2 * time.Second
 	// shutdownTime is the nodes' own.
 	shutdownTime = 6 * time.Second
 )
@@ -80,7 +81,7 @@
 		return nil, err
 	}
 	h.process = newProcess(s.options, name, "mesh", "--settings", path)
-	if err := h.process.start(); err != nil {
+	if err := h.start(); err != nil {
 		return nil, err
 	}
 	go h.accept(listener)
@@ -169,8 +170,8 @@
 	}
 }
 
-// tell sends one notice and says whether it was acknowledged.
-func (v *server) tell() bool {
+// tell sends one notice; the server is bound by it once it is acknowledged.
+func (v *server) tell() {
 	v.mutex.Lock()
 	v.sequence++
 	n := kqmesh.OwnNotice{
@@ -180,7 +181,8 @@
 	v.mutex.Unlock()
 	data, err := json.Marshal(n)
 	if err != nil {
-		return false
+		v.host.soak.note("notice of %s can't be written: %v", v.id, err)
+		return
 	}
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
@@ -189,7 +191,7 @@
 	request.SetRequestURI("http://" + v.host.settings.NoticeAddress + kqmesh.OwnNoticePath)
 	request.SetBody(data)
 	if fasthttp.DoTimeout(request, response, noticeTimeout) != nil || response.StatusCode() != fasthttp.StatusOK {
-		return false
+		return
 	}
 	if n.State != kqserver.Ready {
 		v.mutex.Lock()
@@ -198,7 +200,6 @@
 		}
 		v.mutex.Unlock()
 	}
-	return true
 }
 
 // become changes what the server says of itself.
--- a/io/kqsoak/kqsoak.go
+++ b/io/kqsoak/kqsoak.go
@@ -111,7 +111,7 @@
 		}
 		o.Directory = directory
 	}
-	s := &soak{options: o, random: rand.New(rand.NewPCG(o.Seed, 0)), ledger: newLedger(), addresses: &addresses{given: map[string]bool{}}}
+	s := &soak{options: o, random: rand.New(rand.NewPCG(o.Seed, 0)), ledger: newLedger(), addresses: newAddresses()}
 	defer s.end()
 	if err := s.start(ctx); err != nil {
 		return nil, errors.Mark(err, ErrSoak)
--- a/io/kqsoak/process.go
+++ b/io/kqsoak/process.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -49,7 +51,7 @@
 		return errors.Wrap(err, "open log")
 	}
 	defer func() { _ = log.Close() }()
-	c := exec.Command(p.program, p.arguments...)
+	c := exec.Command(p.program, p.arguments...) //nolint:gosec // The program is the caller's own.
 	c.Stdout, c.Stderr = log, log
 	if err := c.Start(); err != nil {
 		return errors.Wrap(err, "start process")
@@ -154,27 +156,39 @@
 	}
 }
 
+// Ports of the nodes, below those that the system gives to connections.
+const (
+	firstPort = 12000
+	lastPort  = 31000
+)
+
 // addresses gives loopback addresses at which nobody listens, each once.
 type addresses struct {
-	mutex sync.Mutex
-	given map[string]bool
+	mutex  sync.Mutex
+	random *rand.Rand
+	given  map[string]bool
+}
+
+// newAddresses begins at a place that differs between processes.
+func newAddresses() *addresses {
+	return &addresses{random: rand.New(rand.NewPCG(uint64(os.Getpid()), uint64(time.Now().UnixNano()))), given: map[string]bool{}}
 }
 
 func (a *addresses) take() (string, error) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return "", errors.Wrap(err, "find address")
+	for range lastPort - firstPort {
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+a.random.IntN(lastPort-firstPort)))
+		if a.given[address] {
+			continue
 		}
-		address := l.Addr().String()
-		_ = l.Close()
-		if !a.given[address] {
-			a.given[address] = true
+		a.given[address] = true
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
 			return address, nil
 		}
 	}
+	return "", errors.New("no address is free")
 }
 
 func writeJSON(path string, value any) error {
--- a/io/kqstore/http.go
+++ b/io/kqstore/http.go
@@ -17,6 +17,9 @@
 const (
 	callTimeout     = 2 * time.Second
 	maxRefusalBytes = 4 << 10
+	// silentTime is how long a watch may pass no byte. The store writes a blank
+	// line each second to one that has nothing to tell.
+	silentTime = 4 * time.Second
 )
 
 // wireObject is an object as the API writes it.
@@ -147,23 +150,31 @@
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	h.fill(request, fasthttp.MethodGet, "/apis/"+kind+"/"+name+"?watch=1&resourceVersion="+version)
-	err := h.pool.Stream(ctx, request, func(status int, body io.Reader) error {
+	watching, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(silentTime, cancel)
+	defer silence.Stop()
+	err := h.pool.Stream(watching, request, func(status int, body io.Reader) error {
 		if status == fasthttp.StatusOK {
-			return readEvents(body, take)
+			return readEvents(body, func() { silence.Reset(silentTime) }, take)
 		}
 		text, err := io.ReadAll(io.LimitReader(body, maxRefusalBytes))
 		return errors.CombineErrors(statusError(status, text), err)
 	})
+	if ctx.Err() == nil && watching.Err() != nil {
+		return errors.Mark(errors.Newf("watch passed no byte for %s", silentTime), ErrUnavailable)
+	}
 	if errors.Is(err, kqhttp.ErrNotSent) || errors.Is(err, kqhttp.ErrLost) {
 		return errors.Mark(err, ErrUnavailable)
 	}
 	return err
 }
 
-func readEvents(r io.Reader, take func(Object) error) error {
+func readEvents(r io.Reader, heard func(), take func(Object) error) error {
 	lines := bufio.NewScanner(r)
 	lines.Buffer(nil, 2<<20)
 	for lines.Scan() {
+		heard()
 		if len(lines.Bytes()) == 0 {
 			continue
 		}
--- a/io/kqstore/kqstore_test.go
+++ b/io/kqstore/kqstore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -176,3 +177,27 @@
 		t.Errorf("calls in an hour of outage: got %d, want at least 100", calls)
 	}
 }
+
+// TestSilentWatchEnds has a store keep a watch open and pass nothing, not even
+// the blank lines of an idle one.
+func TestSilentWatchEnds(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n"))
+		}
+	}()
+	err = kqstore.NewHTTP(l.Addr().String()).Watch(context.Background(), "a/v1/b", "", "1", func(kqstore.Object) error { return nil })
+	if !errors.Is(err, kqstore.ErrUnavailable) {
+		t.Errorf("silent watch: got %v, want ErrUnavailable", err)
+	}
+}
