A node that starts without the store learns the other nodes from its peers

Change: such a node asks the peer for the nodes that it knows as well; the store's own list replaces them as soon as it is read. The test failed before.

--- a/io/kqmesh/peer.go
+++ b/io/kqmesh/peer.go
@@ -1,6 +1,8 @@
 package kqmesh
 
 import (
+	"fmt"
+	"maps"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -14,29 +16,35 @@
 // message is what nodes tell each other beside calls.
 type message struct {
 	_ struct{} `cbor:",toarray"`
-	// WantRoutes asks for the routes that the peer holds.
+	// WantRoutes asks for the routes that the peer holds, and WantHosts for the
+	// nodes that it knows.
 	WantRoutes bool
-	// RoutesText is what the platform wrote, as an answer.
+	WantHosts  bool
+	// RoutesText is what the platform wrote, and Hosts are the nodes, as an
+	// answer.
 	RoutesText []byte
+	Hosts      []HostRecord
 }
 
 // noticeVersion takes in which routes a peer holds. When they stay newer than
-// the own ones, the peer is asked for them.
+// the own ones, the peer is asked for them; and a node that has not reached the
+// store since its start asks for the other nodes as well.
 func (n *Node) noticeVersion(peer string, version int64) {
-	if version <= n.routesVersion() || !n.asking.CompareAndSwap(false, true) {
+	if version <= n.routesVersion() && n.State().HostsKnown || !n.asking.CompareAndSwap(false, true) {
 		return
 	}
 	time.AfterFunc(versionPatience, func() {
 		defer n.asking.Store(false)
-		if version <= n.routesVersion() {
+		wantHosts := !n.State().HostsKnown
+		if version <= n.routesVersion() && !wantHosts {
 			return
 		}
-		payload, err := cbor.Marshal(message{WantRoutes: true})
+		payload, err := cbor.Marshal(message{WantRoutes: version > n.routesVersion(), WantHosts: wantHosts})
 		if err != nil {
 			n.log.Event(zerolog.ErrorLevel, "question for routes can't be written", err)
 			return
 		}
-		n.log.Event(zerolog.InfoLevel, "routes of a peer are newer: asking "+peer, nil)
+		n.log.Event(zerolog.InfoLevel, fmt.Sprintf("peer %s holds routes of version %d, this node %d: asking it, for hosts too: %t", peer, version, n.routesVersion(), wantHosts), nil)
 		if err := n.dialer.Tell(peer, payload); err != nil {
 			n.server.TellOne(peer, payload)
 		}
@@ -60,20 +68,53 @@
 	if len(m.RoutesText) > 0 {
 		n.offerRoutes(m.RoutesText, "peer "+peer)
 	}
-	if m.WantRoutes {
-		n.tellRoutes(reply)
+	if len(m.Hosts) > 0 {
+		n.control.send(toldHostsEvent{hosts: m.Hosts, from: peer})
+	}
+	if m.WantRoutes || m.WantHosts {
+		n.tell(m, reply)
 	}
 }
 
-func (n *Node) tellRoutes(reply func([]byte)) {
+// tell answers what a peer asked for.
+func (n *Node) tell(asked message, reply func([]byte)) {
 	s := n.State()
-	if s.Routes == nil {
-		return
+	var m message
+	if asked.WantRoutes && s.Routes != nil {
+		m.RoutesText = s.RoutesText
 	}
-	payload, err := cbor.Marshal(message{RoutesText: s.RoutesText})
+	if asked.WantHosts && s.HostsKnown {
+		for _, h := range s.Hosts {
+			m.Hosts = append(m.Hosts, h)
+		}
+	}
+	payload, err := cbor.Marshal(m)
 	if err != nil {
-		n.log.Event(zerolog.ErrorLevel, "routes can't be written for a peer", err)
+		n.log.Event(zerolog.ErrorLevel, "answer to a peer can't be written", err)
 		return
 	}
 	reply(payload)
 }
+
+// toldHostsEvent is the list of nodes as a peer knows it.
+type toldHostsEvent struct {
+	hosts []HostRecord
+	from  string
+}
+
+// apply takes over the list unless the store has told of the nodes meanwhile.
+func (e toldHostsEvent) apply(c *control) bool {
+	if c.state.HostsKnown {
+		return false
+	}
+	all := maps.Clone(c.state.Hosts)
+	for _, h := range e.hosts {
+		if held, found := all[h.NodeID]; h.NodeID != c.node.settings.NodeID && (!found || held.Incarnation <= h.Incarnation) {
+			all[h.NodeID] = h
+		}
+	}
+	c.node.log.Event(zerolog.InfoLevel, fmt.Sprintf("peer %s told of %d nodes", e.from, len(e.hosts)), nil)
+	c.state.Hosts, c.state.HostsKnown = all, true
+	c.rebuild()
+	return true
+}
--- a/io/kqmesh/routes_test.go
+++ b/io/kqmesh/routes_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"kumquatlink/core/kqroutes"
 	"kumquatlink/core/kqserver"
@@ -98,3 +99,35 @@
 	f.settle(1, 1)
 	f.until(h, "its record", func(s *kqmesh.State) bool { return s.Hosts["orders-1"].NodeID != "" && f.holdsRecord("orders-1") })
 }
+
+// TestNodeThatStartsWithoutTheStoreLearnsFromItsPeers restarts a node while
+// the store is down.
+func TestNodeThatStartsWithoutTheStoreLearnsFromItsPeers(t *testing.T) {
+	f := newFleet(t)
+	first, second := f.add("orders-1", "orders"), f.add("packs-1", "packs")
+	first.say(kqserver.Ready)
+	second.say(kqserver.Ready)
+	f.write(1, route("/buy/", "orders", false), route("/look/", "packs", false))
+	f.settle(1, 2)
+	f.store.SetFaults(kqobject.Faults{Down: true})
+	address := first.node.State().Hosts["orders-1"].Address
+	first.node.Stop()
+	first.settings.PeerAddress = address
+	f.start(first)
+	first.sequence++
+	first.say(kqserver.Ready)
+	// The peer's calls to the node are how it hears of the others.
+	known := func(s *kqmesh.State) bool { return s.Routes != nil && s.Upstreams["packs"] != nil }
+	for begun := time.Now(); !known(first.node.State()); {
+		second.request("GET", "/buy/", "knock", "")
+		if time.Since(begun) > testPatience {
+			t.Fatalf("node without the store: got %+v, want routes and its peer", first.node.State())
+		}
+	}
+	if got := first.request("GET", "/look/", "after", ""); got.status != 200 {
+		t.Errorf("request to the peer: got %+v, want 200", got)
+	}
+	if got := first.ready(); got != 200 {
+		t.Errorf("ready without the store: got %d, want 200", got)
+	}
+}
