A node claims keys only from a holder that it could have asked

Cause: TestEachKindOfFaultIsInjected ended with all keys of a service KeyInDoubt.

Change: a holder without a record is waited for twice kqmember.RemoveAfter before it counts as dead; one whose record was removed, as before. The claim says how many ledgers it got, and each failed probe is logged. On the way: an offer of which another copy has been taken is no longer refused.

The new test panics on the old code, which asks a node that it has no record of.

--- a/core/kqmember/snapshot.go
+++ b/core/kqmember/snapshot.go
@@ -8,14 +8,16 @@
 	// Suspects names the nodes of Records that are suspected.
 	Suspects map[string]bool
 	// Gone holds the incarnations that have ended by their own word, by node.
-	Gone     map[string]uint64
+	Gone map[string]uint64
+	// Removed holds the incarnations that are taken for dead, by node.
+	Removed  map[string]uint64
 	services map[string][]Record
 	known    map[string]bool
 }
 
 func newSnapshot(own Record, members []*Member) *Snapshot {
 	s := &Snapshot{
-		Own: own, Records: make([]Record, 0, len(members)), Suspects: map[string]bool{}, Gone: map[string]uint64{},
+		Own: own, Records: make([]Record, 0, len(members)), Suspects: map[string]bool{}, Gone: map[string]uint64{}, Removed: map[string]uint64{},
 		services: map[string][]Record{}, known: map[string]bool{},
 	}
 	suspects := map[string][]Record{}
@@ -28,6 +30,7 @@
 			s.Gone[r.NodeID] = r.Incarnation
 		}
 		if m.Status >= StatusRemoved {
+			s.Removed[r.NodeID] = r.Incarnation
 			continue
 		}
 		s.Records = append(s.Records, r)
--- a/io/kqnode/keyclaim.go
+++ b/io/kqnode/keyclaim.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/rs/zerolog"
 
@@ -73,6 +74,7 @@
 			k.complete(ctx, p)
 			delete(k.steps.claims, holder)
 			delete(k.steps.silentSince, holder)
+			delete(k.steps.unknownSince, holder)
 			return
 		}
 	}
@@ -130,6 +132,7 @@
 	k.home.Complete(k.now(), p.claim)
 	k.publish()
 	k.mutex.Unlock()
+	k.node.log.Event(zerolog.InfoLevel, fmt.Sprintf("home of %d claimed buckets, with the ledgers of %d", len(p.claim.Buckets()), len(p.givers)), nil)
 	for bucket, giver := range p.givers {
 		record, found := recordOf(k.node.State(), giver)
 		if !found {
--- a/io/kqnode/keysteps.go
+++ b/io/kqnode/keysteps.go
@@ -23,6 +23,10 @@
 	// holderSilence is how long a holder must be out of reach before its
 	// buckets are claimed. A claim of a living holder's buckets is harmless.
 	holderSilence = 3 * time.Second
+	// unknownSilence is the same for a holder that the node has not heard of,
+	// and so can't ask. It is twice kqmember.RemoveAfter, within which
+	// spreading tells of every node that lives.
+	unknownSilence = 2 * kqmember.RemoveAfter
 	// joinPause spaces a node's attempts to register in the store; it grows
 	// with every failure up to joinPauseMost.
 	joinPause     = 50 * time.Millisecond
@@ -39,9 +43,11 @@
 	leftOut map[string]bool
 	// silentSince is when a holder was first found out of reach.
 	silentSince map[kqhome.Node]time.Duration
-	probedAt    time.Duration
-	joinAt      time.Duration
-	joinPause   time.Duration
+	// unknownSince is when a holder was first found to have no record.
+	unknownSince map[kqhome.Node]time.Duration
+	probedAt     time.Duration
+	joinAt       time.Duration
+	joinPause    time.Duration
 }
 
 // pendingClaim is a claim under way.
@@ -53,10 +59,23 @@
 func newKeySteps() keySteps {
 	return keySteps{
 		claims: map[kqhome.Node]*pendingClaim{}, lost: map[int]time.Duration{}, leftOut: map[string]bool{},
-		silentSince: map[kqhome.Node]time.Duration{}, joinPause: joinPause,
+		silentSince: map[kqhome.Node]time.Duration{}, unknownSince: map[kqhome.Node]time.Duration{}, joinPause: joinPause,
 	}
 }
 
+// noteSince keeps the time at which a holder was first found so.
+func noteSince(since map[kqhome.Node]time.Duration, holder kqhome.Node, now time.Duration) {
+	if _, found := since[holder]; !found {
+		since[holder] = now
+	}
+}
+
+// outlasted is whether a holder has been found so for that long.
+func outlasted(since map[kqhome.Node]time.Duration, holder kqhome.Node, now, patience time.Duration) bool {
+	at, found := since[holder]
+	return found && now-at >= patience
+}
+
 // run is the keeper's loop: it registers the node, spreads buckets over the
 // nodes of the service, and claims what dead nodes held.
 func (k *keeper) run(ctx context.Context) {
@@ -386,20 +405,35 @@
 }
 
 // isDead is whether the holder has restarted, has ended, or has not been
-// reached for a while.
+// reached for a while. A holder without a record is one that this node has
+// never heard of, as in a fleet that starts, or that has been removed.
 func (k *keeper) isDead(ctx context.Context, s *State, holder kqhome.Node, probe bool) bool {
-	record, _ := findRecord(s, holder)
+	record, found := recordOf(s, holder.NodeID)
 	if record.Incarnation > holder.Incarnation || s.Members.Gone[holder.NodeID] >= holder.Incarnation {
 		return true
 	}
-	if probe {
-		self := k.self()
-		if _, err := k.ask(ctx, record, keyMessage{Sync: &self}); err == nil {
-			delete(k.steps.silentSince, holder)
-		} else if _, found := k.steps.silentSince[holder]; !found {
-			k.steps.silentSince[holder] = k.now()
+	switch removed := s.Members.Removed[holder.NodeID] >= holder.Incarnation; {
+	case found:
+		delete(k.steps.unknownSince, holder)
+		if probe {
+			k.probe(ctx, record, holder)
 		}
+	case removed:
+		noteSince(k.steps.silentSince, holder, k.now())
+	default:
+		noteSince(k.steps.unknownSince, holder, k.now())
+	}
+	return outlasted(k.steps.silentSince, holder, k.now(), holderSilence) ||
+		outlasted(k.steps.unknownSince, holder, k.now(), unknownSilence)
+}
+
+// probe asks a holder whether it is there.
+func (k *keeper) probe(ctx context.Context, record kqmember.Record, holder kqhome.Node) {
+	self := k.self()
+	if _, err := k.ask(ctx, record, keyMessage{Sync: &self}); err != nil {
+		k.node.log.Event(zerolog.WarnLevel, "no answer of "+holder.NodeID+", which is the home of keys", err)
+		noteSince(k.steps.silentSince, holder, k.now())
+		return
 	}
-	since, silent := k.steps.silentSince[holder]
-	return silent && k.now()-since >= holderSilence
+	delete(k.steps.silentSince, holder)
 }
--- a/io/kqnode/keywire.go
+++ b/io/kqnode/keywire.go
@@ -153,8 +153,10 @@
 	defer k.mutex.Unlock()
 	defer k.publish()
 	if err != nil {
+		// Another copy of the offer may have been taken meanwhile, and what is
+		// taken is never refused.
 		k.home.Decline(o)
-		return false
+		return k.home.Taken(o)
 	}
 	return k.home.Take(k.now(), o, x)
 }
