A call goes to another region at once when its own is full

Change: the router may look at other regions whenever no near upstream has a free slot; a gate that can't reach its server is faulty, not full.

Both tests fail on the code before.

--- a/io/kqmesh/fleet_test.go
+++ b/io/kqmesh/fleet_test.go
@@ -206,10 +206,16 @@
 
 // add starts a host whose backend server is not heard of yet.
 func (f *fleet) add(name, service string) *host {
+	f.t.Helper()
+	return f.addIn("south", name, service)
+}
+
+// addIn starts such a host in a region.
+func (f *fleet) addIn(region, name, service string) *host {
 	f.t.Helper()
 	h := &host{backend: newBackend(f.t, "i-"+name), store: kqstore.NewHTTP(f.store.Address())}
 	h.settings = kqmesh.Settings{
-		NodeID: name, Region: "south", FailureDomain: "south-a", Service: service, BackendAddress: h.address(),
+		NodeID: name, Region: region, FailureDomain: region + "-a", Service: service, BackendAddress: h.address(),
 		CallerAddress: address(f.t), NoticeAddress: address(f.t), ReadyAddress: address(f.t), PeerAddress: "127.0.0.1:0",
 		RoutesKind: routesKind, RoutesName: routesName, FirstStart: true,
 		Tunables: kqmesh.Tunables{
--- a/io/kqmesh/place.go
+++ b/io/kqmesh/place.go
@@ -31,7 +31,6 @@
 	last := ended(kqcall.NotRun(kqcall.CauseNoUpstream))
 	// begun is the latest end of a try that a backend server may have begun.
 	var begun *outcome
-	refusals := 0
 	for range maxPlaces {
 		now := n.now()
 		q.head.Budget = q.deadline.Sub(now)
@@ -43,7 +42,7 @@
 			break
 		}
 		u := table.Pick(kqroute.Ask{
-			Now: now, Random: n.random(), Tried: tried, Far: refusals > 0, Probe: !q.head.RunOnce, Usable: n.usable,
+			Now: now, Random: n.random(), Tried: tried, Far: true, Probe: !q.head.RunOnce, Usable: n.usable,
 		})
 		if u == nil {
 			break
@@ -67,7 +66,6 @@
 		if !n.mayGoOn(q, o) {
 			break
 		}
-		refusals++
 		// The list of upstreams may have changed, but never the route.
 		q.state = n.withUpstreams(q.state)
 	}
@@ -136,7 +134,7 @@
 		a.Verdict = kqroute.Faulty
 	case end.Cause == kqcall.CauseCallerGone:
 		a.Verdict = kqroute.Silent
-	case end.Outcome == kqcall.OutcomeNotRun && o.heard:
+	case end.Outcome == kqcall.OutcomeNotRun && o.heard && end.Cause != kqcall.CauseBackendLost:
 		a.Verdict = kqroute.Full
 	default:
 		a.Verdict = kqroute.Faulty
--- /dev/null
+++ b/io/kqmesh/place_test.go
@@ -0,0 +1,48 @@
+package kqmesh_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"kumquatlink/core/kqclass"
+	"kumquatlink/core/kqserver"
+)
+
+// TestFullRegionLeavesWorkToAnother has all slots of the own region held, so
+// that a request waits there in vain while another region has room.
+func TestFullRegionLeavesWorkToAnother(t *testing.T) {
+	f := newFleet(t)
+	entry, near := f.add("catalog-1", "catalog"), f.add("orders-1", "orders")
+	far := f.addIn("north", "orders-2", "orders")
+	short := route("/buy/", "orders", true)
+	short.Timeout = kqclass.Duration(2 * time.Second)
+	f.write(1, short, route("/hold/", "orders", true))
+	for _, h := range []*host{entry, near, far} {
+		h.say(kqserver.Ready)
+	}
+	f.settle(1, 3)
+	if got := entry.request("POST", "/buy/", "first-1", ""); got.status != fasthttp.StatusOK || near.ran("first-1") != 1 {
+		t.Fatalf("request while the own region is free: got %+v, run there %d times, want 200 and 1", got, near.ran("first-1"))
+	}
+	letGo := make(chan struct{})
+	near.hold(letGo)
+	results := make(chan result, 4)
+	for _, id := range ids("holder-", cap(results)) {
+		go func() { results <- entry.request("POST", "/hold/", id, "") }()
+	}
+	for range cap(results) {
+		<-near.begun
+	}
+	if got := entry.request("POST", "/buy/", "spilled-1", ""); got.status != fasthttp.StatusOK {
+		t.Errorf("request while only another region has room: got %+v, want 200", got)
+	}
+	if got, want := far.ran("spilled-1"), 1; got != want {
+		t.Errorf("runs in the other region: got %d, want %d", got, want)
+	}
+	close(letGo)
+	for range cap(results) {
+		<-results
+	}
+}
--- /dev/null
+++ b/io/kqmesh/verdict_test.go
@@ -0,0 +1,46 @@
+package kqmesh
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"kumquatlink/core/kqcall"
+	"kumquatlink/core/kqroute"
+	"kumquatlink/io/kqtrunk"
+)
+
+// TestWhatAnEndTellsOfItsUpstream has among others a gate whose backend server
+// is gone: its slots are all free, so that it would draw every call if it only
+// counted as full for a moment.
+func TestWhatAnEndTellsOfItsUpstream(t *testing.T) {
+	ran := func(status int) kqtrunk.AnswerHead { return kqtrunk.AnswerHead{End: kqcall.Ran(), Status: status} }
+	notRun := func(c kqcall.Cause) kqtrunk.AnswerHead { return kqtrunk.AnswerHead{End: kqcall.NotRun(c)} }
+	unknown := func(c kqcall.Cause) kqtrunk.AnswerHead { return kqtrunk.AnswerHead{End: kqcall.Unknown(c)} }
+	for name, c := range map[string]struct {
+		outcome outcome
+		want    kqroute.Verdict
+	}{
+		"answer":                   {outcome{head: ran(200), heard: true}, kqroute.Good},
+		"the caller's mistake":     {outcome{head: ran(404), heard: true}, kqroute.Good},
+		"failure":                  {outcome{head: ran(500), heard: true}, kqroute.Faulty},
+		"no room at the gate":      {outcome{head: notRun(kqcall.CauseShedGate), heard: true}, kqroute.Full},
+		"server turned it away":    {outcome{head: notRun(kqcall.CauseBackendShed), heard: true}, kqroute.Faulty},
+		"server can't be reached":  {outcome{head: notRun(kqcall.CauseBackendLost), heard: true}, kqroute.Faulty},
+		"server lost while it ran": {outcome{head: unknown(kqcall.CauseBackendLost), heard: true}, kqroute.Faulty},
+		"server drains":            {outcome{head: notRun(kqcall.CauseDraining), heard: true}, kqroute.Leaving},
+		"another server there":     {outcome{head: notRun(kqcall.CauseMoved), heard: true}, kqroute.Leaving},
+		"link was down":            {outcome{head: notRun(kqcall.CauseLinkLost)}, kqroute.Faulty},
+		"caller went away":         {outcome{head: unknown(kqcall.CauseCallerGone), heard: true}, kqroute.Silent},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := answerOf(time.Unix(0, 0), context.Background(), &c.outcome)
+			if got := a.Verdict; got != c.want {
+				t.Errorf("verdict: got %v, want %v", got, c.want)
+			}
+			if got, want := a.Load != nil, c.outcome.heard; got != want {
+				t.Errorf("tells its load: got %v, want %v", got, want)
+			}
+		})
+	}
+}
