A class is refused for a deeper service only if most of its runs call it

Onward calls find their parents by their deadlines, mostly but not always the right one; a single call to licensing that was taken for a download's put downloads behind licensing's cut for a minute.

Ruled out: a lack of slots at packs, and packs' own cut (no Admit line of it says Displaced or WouldMissDeadline there).

Change: the table counts the runs of a class and the calls that they make, also those that are refused before they are sent, and believes that a class needs a service from half a call a run on.

The new test fails without the share.

--- a/core/kqshed/kqshed.go
+++ b/core/kqshed/kqshed.go
@@ -7,7 +7,9 @@
 // before it sends a call:
 //
 //	table := kqshed.New()
-//	table.Heard(now, kqshed.Answer{Service: "orders", Upstream: "orders-1", Class: "browse", Cut: cut, Deep: deep})
+//	table.Ran(now, "browse") // the own backend server begins a call
+//	table.Called(now, "browse", "orders") // and calls another service
+//	table.Heard(now, kqshed.Answer{Service: "orders", Upstream: "orders-1", Cut: cut, Deep: deep})
 //	if table.Refuses(now, call) { ... }
 //	for _, service := range table.Stale(now) { ... } // ask one of its gates
 //
@@ -23,6 +25,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -41,6 +44,11 @@
 	minHeard = 2
 	// callsLife is how long it is remembered that a class calls a service.
 	callsLife = time.Minute
+	// callsShare is how many onward calls to a service each run of a class
+	// must make on average: requests of which fewer than half call it are not
+	// refused for it, nor those that were taken for the makers of a few calls
+	// by mistake.
+	callsShare = 0.5
 	// shutLife is how long an open cut is still told of after it was not open.
 	shutLife = 2 * time.Second
 	// MaxClasses bounds the classes of which one answer tells.
@@ -63,11 +71,6 @@
 type Answer struct {
 	Service  string
 	Upstream string
-	// Class is the class of the call, or empty when the gate was only asked.
-	Class string
-	// Onward is whether the call was made for a call that this node's own
-	// backend server runs.
-	Onward bool
 	// Cut is the gate's own cut, and Deep what it knows of those behind it.
 	Cut  kqadmit.Level
 	Deep []ClassCut
@@ -87,8 +90,10 @@
 // Table is what one entry has heard.
 type Table struct {
 	services map[string]*service
-	// calls is when a class last called a service onward.
-	calls map[onward]time.Duration
+	// runs counts the runs of each class at this node's backend server, and
+	// calls the onward calls that they made to each service.
+	runs  map[string]tally
+	calls map[onward]tally
 	// shut is when a class's deep cut was last not open.
 	shut map[string]time.Duration
 }
@@ -98,6 +103,22 @@
 	service string
 }
 
+// tally counts events that fade over [callsLife].
+type tally struct {
+	count float64
+	at    time.Duration
+}
+
+// value is what is left of the count.
+func (c tally) value(now time.Duration) float64 {
+	return c.count * math.Exp(-float64(now-c.at)/float64(callsLife))
+}
+
+// next is the tally with one event more.
+func (c tally) next(now time.Duration) tally {
+	return tally{c.value(now) + 1, now}
+}
+
 // service is what was heard of one service.
 type service struct {
 	// cuts holds the cuts of its upstreams, and last the newest of them.
@@ -121,7 +142,7 @@
 
 // New makes an empty table.
 func New() *Table {
-	return &Table{services: map[string]*service{}, calls: map[onward]time.Duration{}, shut: map[string]time.Duration{}}
+	return &Table{services: map[string]*service{}, runs: map[string]tally{}, calls: map[onward]tally{}, shut: map[string]time.Duration{}}
 }
 
 // Heard takes what an answer told.
@@ -139,19 +160,33 @@
 	}
 	prune(s.cuts, now)
 	prune(s.deep, now)
-	if a.Onward && a.Class != "" {
-		t.called(now, onward{a.Class, a.Service})
+}
+
+// Ran counts a run of the class at this node's backend server. A table that
+// is told of no runs takes every onward call as proof that its class makes it.
+func (t *Table) Ran(now time.Duration, class string) {
+	t.runs[class] = t.runs[class].next(now)
+	if len(t.runs) > pruneAt {
+		maps.DeleteFunc(t.runs, func(_ string, c tally) bool { return now-c.at >= callsLife })
 	}
 }
 
-// called remembers that a class calls a service onward.
-func (t *Table) called(now time.Duration, o onward) {
-	t.calls[o] = now
+// Called counts a call to a service that a run of the class at this node's
+// backend server makes, whether it is sent or refused.
+func (t *Table) Called(now time.Duration, class, service string) {
+	o := onward{class, service}
+	t.calls[o] = t.calls[o].next(now)
 	if len(t.calls) > pruneAt {
-		maps.DeleteFunc(t.calls, func(_ onward, at time.Duration) bool { return now-at >= callsLife })
+		maps.DeleteFunc(t.calls, func(_ onward, c tally) bool { return now-c.at >= callsLife })
 	}
 }
 
+// needs is whether the runs of a class call the service as a rule.
+func (t *Table) needs(now time.Duration, o onward) bool {
+	calls := t.calls[o]
+	return now-calls.at < callsLife && calls.value(now) >= callsShare*t.runs[o.class].value(now)
+}
+
 func prune(cuts map[string]held, now time.Duration) {
 	if len(cuts) > pruneAt {
 		maps.DeleteFunc(cuts, func(_ string, h held) bool { return !h.fresh(now) })
@@ -175,11 +210,15 @@
 // RefusesBehind is whether a service that is called onward for the class would
 // refuse a request whose onward calls have the level.
 func (t *Table) RefusesBehind(now time.Duration, class string, started kqadmit.Level) bool {
-	for o, at := range t.calls {
-		if o.class != class || now-at >= callsLife {
+	for o := range t.calls {
+		if o.class != class || !t.needs(now, o) {
 			continue
 		}
-		if h, known := t.services[o.service].behind(now, class); known && started > h.level {
+		s, found := t.services[o.service]
+		if !found {
+			continue
+		}
+		if h, known := s.behind(now, class); known && started > h.level {
 			return true
 		}
 	}
@@ -207,11 +246,15 @@
 // was not a little while ago.
 func (t *Table) Deep(now time.Duration) []ClassCut {
 	strictest := map[string]held{}
-	for o, at := range t.calls {
-		if now-at >= callsLife {
+	for o := range t.calls {
+		if !t.needs(now, o) {
+			continue
+		}
+		s, found := t.services[o.service]
+		if !found {
 			continue
 		}
-		h, known := t.services[o.service].behind(now, o.class)
+		h, known := s.behind(now, o.class)
 		if !known {
 			continue
 		}
--- a/core/kqshed/kqshed_test.go
+++ b/core/kqshed/kqshed_test.go
@@ -56,7 +56,7 @@
 			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "milliseconds")) * time.Millisecond
 			a := kqshed.Answer{
 				Service: service.Draw(t, "service"), Upstream: rapid.SampledFrom([]string{"1", "2", "3"}).Draw(t, "upstream"),
-				Class: class.Draw(t, "class"), Cut: level.Draw(t, "cut"),
+				Cut: level.Draw(t, "cut"),
 			}
 			if rapid.Bool().Draw(t, "tells of deep cuts") {
 				age := time.Duration(rapid.IntRange(0, 1200).Draw(t, "age")) * time.Millisecond
@@ -79,7 +79,8 @@
 func TestDeepCutsTravelUpTheChain(t *testing.T) {
 	middle, entry := kqshed.New(), kqshed.New()
 	tell := func(now time.Duration, cut kqadmit.Level) {
-		middle.Heard(now, kqshed.Answer{Service: "licensing", Upstream: "1", Class: "browse", Onward: true, Cut: cut})
+		middle.Called(now, "browse", "licensing")
+		middle.Heard(now, kqshed.Answer{Service: "licensing", Upstream: "1", Cut: cut})
 		entry.Heard(now, kqshed.Answer{Service: "orders", Upstream: "1", Cut: kqadmit.Open, Deep: middle.Deep(now)})
 	}
 	call := kqshed.Call{Service: "orders", Class: "browse", Level: 100, Started: 100, Upstreams: 1}
@@ -127,7 +128,8 @@
 	deep := []kqshed.ClassCut{{Class: "browse", Level: 50}}
 	for n := range b.N {
 		now += time.Millisecond
-		table.Heard(now, kqshed.Answer{Service: "orders", Upstream: upstreams[n%6], Class: "browse", Onward: true, Cut: 100, Deep: deep})
+		table.Called(now, "browse", "orders")
+		table.Heard(now, kqshed.Answer{Service: "orders", Upstream: upstreams[n%6], Cut: 100, Deep: deep})
 		table.Refuses(now, kqshed.Call{Service: "orders", Class: "browse", Level: 60, Started: 60, Upstreams: 6})
 		table.Deep(now)
 	}
@@ -139,12 +141,15 @@
 func TestCutDiesInACycleOfServices(t *testing.T) {
 	const step = 10 * time.Millisecond
 	packs, catalog := kqshed.New(), kqshed.New()
-	packs.Heard(0, kqshed.Answer{Service: "licensing", Upstream: "1", Class: "browse", Onward: true, Cut: 50})
+	packs.Called(0, "browse", "licensing")
+	packs.Heard(0, kqshed.Answer{Service: "licensing", Upstream: "1", Cut: 50})
 	call := kqshed.Call{Service: "packs", Class: "browse", Level: 100, Started: 100, Upstreams: 1}
 	refused := 0
 	for now := time.Duration(0); now < 3*kqshed.Life; now += step {
-		catalog.Heard(now, kqshed.Answer{Service: "packs", Upstream: "1", Class: "browse", Onward: true, Cut: kqadmit.Open, Deep: packs.Deep(now)})
-		packs.Heard(now, kqshed.Answer{Service: "catalog", Upstream: "1", Class: "browse", Onward: true, Cut: kqadmit.Open, Deep: catalog.Deep(now)})
+		catalog.Called(now, "browse", "packs")
+		catalog.Heard(now, kqshed.Answer{Service: "packs", Upstream: "1", Cut: kqadmit.Open, Deep: packs.Deep(now)})
+		packs.Called(now, "browse", "catalog")
+		packs.Heard(now, kqshed.Answer{Service: "catalog", Upstream: "1", Cut: kqadmit.Open, Deep: catalog.Deep(now)})
 		got := catalog.Refuses(now, call)
 		if got {
 			refused++
@@ -157,3 +162,30 @@
 		t.Error("the cut never refused anything, so that the test proves nothing")
 	}
 }
+
+// TestMistakenMakerOfCallsIsNotRefused has a class of which one run in fifty
+// is taken for the maker of a call to a service that refuses most, and one that
+// calls it on each run, also while its calls are all refused.
+func TestMistakenMakerOfCallsIsNotRefused(t *testing.T) {
+	table := kqshed.New()
+	now := time.Duration(0)
+	for i := range 3000 {
+		now += 20 * time.Millisecond
+		table.Ran(now, "download")
+		if i%50 == 0 {
+			table.Called(now, "download", "licensing")
+		}
+		table.Ran(now, "buy")
+		table.Called(now, "buy", "licensing")
+		table.Heard(now, kqshed.Answer{Service: "licensing", Upstream: "1", Cut: 0})
+	}
+	for class, want := range map[string]bool{"download": false, "buy": true} {
+		if got := table.RefusesBehind(now, class, 1); got != want {
+			t.Errorf("%s refused for licensing: got %v, want %v", class, got, want)
+		}
+	}
+	deep := table.Deep(now)
+	if len(deep) != 1 || deep[0].Class != "buy" {
+		t.Errorf("deep cuts told: got %v, want one of buy", deep)
+	}
+}
--- a/io/kqmesh/gate.go
+++ b/io/kqmesh/gate.go
@@ -312,6 +312,7 @@
 	run, ends := g.runs.Begin(g.node.clock(), kqlineage.Run{
 		Root: head.Root, Class: head.Class, Rank: head.Rank, Depth: head.Depth, Route: head.Route, Repeat: head.Repeat, Ends: g.endOf(ctx),
 	})
+	g.node.shed.ran(head.Class)
 	g.fill(request, head, body, serverID, ends-g.node.clock())
 	response.SkipBody = request.Header.IsHead()
 	err := g.pool.Do(ctx, request, response)
--- a/io/kqmesh/shed.go
+++ b/io/kqmesh/shed.go
@@ -33,6 +33,9 @@
 // run twice is refused only by a gate that can't run it in time, since a cut
 // that was heard a moment ago is no proof that nothing less important gets in.
 func (s *shedder) refuses(q *call) *outcome {
+	if q.head.Depth > 0 {
+		s.called(q)
+	}
 	if q.head.RunOnce {
 		return nil
 	}
@@ -53,6 +56,20 @@
 	return ended(shedEnd(q.head, kqcall.CauseShedEntry))
 }
 
+// ran notes that the backend server begins a call of the class.
+func (s *shedder) ran(class string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.table.Ran(s.node.clock(), class)
+}
+
+// called notes what a class calls while this node's backend server runs it.
+func (s *shedder) called(q *call) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.table.Called(s.node.clock(), q.head.Class, q.head.Service)
+}
+
 // refusesBehind is whether a deeper service would refuse the request after
 // this node's backend server had run the call.
 func (s *shedder) refusesBehind(head kqtrunk.CallHead) bool {
@@ -83,7 +100,6 @@
 		return
 	}
 	a := shedAnswer(q.head.Service, upstream, o.head.Load)
-	a.Class, a.Onward = q.head.Class, q.head.Depth > 0
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.table.Heard(s.node.clock(), a)
--- a/io/kqnode/shed.go
+++ b/io/kqnode/shed.go
@@ -39,6 +39,9 @@
 // be repeated is refused only by a gate that can't run it in time, since a cut
 // that was heard a moment ago is no proof that nothing less important gets in.
 func (s *shedder) refuses(q *call) *result {
+	if q.parent != nil {
+		s.called(q)
+	}
 	if !q.head.Repeatable {
 		return nil
 	}
@@ -61,6 +64,13 @@
 	return shedResult(q, kqcall.CauseShedEntry)
 }
 
+// called notes what a class calls while this node's backend server runs it.
+func (s *shedder) called(q *call) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.table.Called(s.clock(), q.head.Class, q.head.Service)
+}
+
 // refusesBehind gives the end of a call that a deeper service would refuse
 // after this node's backend server had run it, or nil.
 func (s *shedder) refusesBehind(q *call) *result {
@@ -89,7 +99,6 @@
 		return
 	}
 	a := answerOf(q.head.Service, upstream, r.load)
-	a.Class, a.Onward = q.head.Class, q.parent != nil
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.table.Heard(s.clock(), a)
