Slow servers are spared while others have room

Admit lines of 20 to 25 s: in clyde all three servers are slow, 420 to 460 ms for calls with 700 ms left, and the region's nodes fill them first, while leith-9 runs 25 of 36 slots at 25 ms.

Ruled out: setting slow servers aside as faulty (most of their calls end well), and unframed answers (read whole, tested).

Change: the router learns what a class's calls usually take at a service and how many times that an upstream's last calls took, from runs that made no calls of their own; an upstream at 2.5 times the usual is spared while another one, also in another region, has a free slot, and tried out once a second. A run that fails for what it called says nothing of its server any more.

The test of slow upstreams fails when none is found slow.

--- a/core/kqroute/kqroute.go
+++ b/core/kqroute/kqroute.go
@@ -77,6 +77,8 @@
 	Allowance *Allowance
 	// cold lets every call through to warming upstreams.
 	cold bool
+	// spare leaves slow upstreams out.
+	spare bool
 }
 
 // Table holds the upstreams of one service, nearest first.
@@ -86,14 +88,18 @@
 	// names lists every upstream twice over, so that the others of any of them
 	// are one slice of it.
 	names []string
+	pace  *pace
 }
 
 // NewTable makes a table of the records for an entry at own. Upstreams that
 // stand in former with the same incarnation keep what was learned of them.
 func NewTable(own kqmember.Record, records []kqmember.Record, former *Table, now time.Time) *Table {
-	t := &Table{upstreams: make([]*Upstream, 0, len(records)), names: make([]string, 0, 2*len(records))}
+	t := &Table{upstreams: make([]*Upstream, 0, len(records)), names: make([]string, 0, 2*len(records)), pace: newPace()}
+	if former != nil {
+		t.pace = former.pace
+	}
 	for _, r := range records {
-		t.upstreams = append(t.upstreams, newUpstream(own, r, former.find(r), now))
+		t.upstreams = append(t.upstreams, newUpstream(own, r, former.find(r), t.pace, now))
 	}
 	slices.SortStableFunc(t.upstreams, func(a, b *Upstream) int { return int(a.Ring) - int(b.Ring) })
 	for i, u := range t.upstreams {
@@ -136,8 +142,15 @@
 }
 
 // Pick chooses an upstream, or gives nil when none is left for this call. A
-// warming upstream is spared only while another one can take the call.
+// slow or warming upstream is spared only while another one can take the call.
 func (t *Table) Pick(a Ask) *Upstream {
+	if t.someSpared(a.Now) {
+		b := a
+		b.spare = true
+		if u := t.pick(b); u != nil && u.share(a.Now) < fullShare {
+			return u
+		}
+	}
 	if u := t.pick(a); u != nil {
 		return u
 	}
@@ -165,6 +178,11 @@
 	return near
 }
 
+// someSpared is whether any upstream is spared at the moment.
+func (t *Table) someSpared(now time.Time) bool {
+	return slices.ContainsFunc(t.upstreams, func(u *Upstream) bool { return u.spared(now) })
+}
+
 // roomier gives the one with the smaller share of its limit in use; near
 // stands when they are alike.
 func roomier(near, further *Upstream, now time.Time) *Upstream {
--- /dev/null
+++ b/core/kqroute/pace_test.go
@@ -0,0 +1,92 @@
+package kqroute_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"kumquatlink/core/kqmember"
+	"kumquatlink/core/kqroute"
+)
+
+// paceWorld is a service of two upstreams in the own domain and one in another
+// region, each of which holds a call for its own time.
+type paceWorld struct {
+	table *kqroute.Table
+	now   time.Time
+	took  map[string]time.Duration
+	sent  map[string]int
+}
+
+func newPaceWorld(took map[string]time.Duration) *paceWorld {
+	own := kqmember.Record{NodeID: "entry", Region: "south", FailureDomain: "south-a"}
+	w := &paceWorld{now: time.Unix(1000, 0), took: took, sent: map[string]int{}}
+	records := []kqmember.Record{
+		{NodeID: "near-1", Region: "south", FailureDomain: "south-a"}, {NodeID: "near-2", Region: "south", FailureDomain: "south-a"},
+		{NodeID: "far-1", Region: "north", FailureDomain: "north-a"},
+	}
+	w.table = kqroute.NewTable(own, records, nil, w.now)
+	return w
+}
+
+// play sends a call every few milliseconds, each after the one before it.
+func (w *paceWorld) play(calls int, verdict kqroute.Verdict) {
+	clear(w.sent)
+	for i := range calls {
+		w.now = w.now.Add(5 * time.Millisecond)
+		u := w.table.Pick(kqroute.Ask{Now: w.now, Random: uint64(i) * 0x9e3779b97f4a7c15, Far: true, Probe: true})
+		u.Probing(w.now)
+		u.Begin()
+		id := u.Record.NodeID
+		w.sent[id]++
+		u.End(kqroute.Answer{
+			Now: w.now, Verdict: verdict, Load: &kqroute.Load{InFlight: 1, Limit: 10}, Run: w.took[id], Class: "check",
+		})
+	}
+}
+
+func TestSlowUpstreamIsSparedAndTriedOut(t *testing.T) {
+	const quick, slow = 40 * time.Millisecond, 400 * time.Millisecond
+	const calls, second = 2000, 200
+	w := newPaceWorld(map[string]time.Duration{"near-1": quick, "near-2": quick, "far-1": quick})
+	w.play(calls, kqroute.Good)
+	if got := w.sent["near-1"]; got < calls/3 {
+		t.Fatalf("calls to a sound upstream: got %d of %d, want a fair part", got, calls)
+	}
+	w.took["near-1"] = slow
+	w.play(calls, kqroute.Good)
+	// A few until it is found, then one a second.
+	if got, want := w.sent["near-1"], 10+calls/second; got > want {
+		t.Errorf("calls to a slow upstream: got %d of %d, want at most %d", got, calls, want)
+	}
+	if got, want := w.sent["near-2"], calls*9/10; got < want {
+		t.Errorf("calls to its sound neighbour: got %d of %d, want %d", got, calls, want)
+	}
+	w.took["near-2"] = slow
+	w.play(calls, kqroute.Good)
+	if got, want := w.sent["far-1"], calls*9/10; got < want {
+		t.Errorf("calls to another region while the own one is slow: got %d of %d, want %d", got, calls, want)
+	}
+	w.took["near-1"], w.took["near-2"] = quick, quick
+	w.play(calls*5, kqroute.Good)
+	w.play(calls, kqroute.Good)
+	if got := w.sent["near-1"] + w.sent["near-2"]; got < calls*9/10 {
+		t.Errorf("calls to the own region when it is quick again: got %d of %d, want most", got, calls)
+	}
+}
+
+// TestAllSlowMeansNoneIsSpared has a service that gets slower as a whole.
+func TestAllSlowMeansNoneIsSpared(t *testing.T) {
+	const calls = 2000
+	took := map[string]time.Duration{"near-1": 40 * time.Millisecond, "near-2": 40 * time.Millisecond, "far-1": 40 * time.Millisecond}
+	w := newPaceWorld(took)
+	w.play(calls, kqroute.Good)
+	for id := range took {
+		took[id] *= 10
+	}
+	w.play(calls, kqroute.Good)
+	w.play(calls, kqroute.Good)
+	if got := w.sent["near-1"] + w.sent["near-2"]; got < calls/2 {
+		t.Errorf("calls to the own region: got %s, want most there", fmt.Sprint(w.sent))
+	}
+}
--- a/core/kqroute/upstream.go
+++ b/core/kqroute/upstream.go
@@ -64,12 +64,17 @@
 	Verdict Verdict
 	// Load is what came with the answer; nil means that nothing came.
 	Load *Load
+	// Run is how long the backend server took by itself for a call of the
+	// class, or 0 when that is not known.
+	Run   time.Duration
+	Class string
 }
 
 // Upstream is one upstream as one entry sees it.
 type Upstream struct {
 	Record kqmember.Record
 	Ring   Ring
+	pace   *pace
 	*learned
 }
 
@@ -87,10 +92,16 @@
 	faultAt     atomic.Int64
 	asideUntil  atomic.Int64
 	probeAt     atomic.Int64
+	// slowness is the logarithm of how many times the usual time calls take,
+	// slowAt when it last changed, and tryAt when a slow upstream was last
+	// tried out.
+	slowness mean
+	slowAt   atomic.Int64
+	tryAt    atomic.Int64
 }
 
-func newUpstream(own, r kqmember.Record, known *learned, now time.Time) *Upstream {
-	u := &Upstream{Record: r, Ring: RingFar, learned: known}
+func newUpstream(own, r kqmember.Record, known *learned, p *pace, now time.Time) *Upstream {
+	u := &Upstream{Record: r, Ring: RingFar, pace: p, learned: known}
 	if known == nil {
 		u.learned = &learned{firstSeen: now}
 	}
@@ -117,6 +128,9 @@
 		u.limit.Store(int64(max(0, a.Load.Limit)))
 		u.reportedAt.Store(now)
 	}
+	if a.Run > 0 {
+		u.compare(a)
+	}
 	switch a.Verdict {
 	case Silent:
 	case Good:
@@ -226,6 +240,9 @@
 	if a.Usable != nil && !a.Usable(u) {
 		return false
 	}
+	if a.spare && u.spared(a.Now) {
+		return false
+	}
 	return ignoreFaults || !u.aside(a.Now) || u.probeDue(a)
 }
 
@@ -244,9 +261,13 @@
 	return a.Probe && now >= u.asideUntil.Load() && now-u.probeAt.Load() >= int64(minAside)
 }
 
-// Probing says that a call to an upstream that is set aside has been chosen as
-// its probe, so that no other one goes there until it has had time to end.
+// Probing says that a call to an upstream that is set aside or slow has been
+// chosen as its probe, so that no other one goes there until it has had time to
+// end.
 func (u *Upstream) Probing(now time.Time) {
+	if u.slow() {
+		u.tryAt.Store(now.UnixNano())
+	}
 	if u.aside(now) {
 		u.probeAt.Store(now.UnixNano())
 	}
--- a/io/kqmesh/place.go
+++ b/io/kqmesh/place.go
@@ -52,7 +52,9 @@
 		u.Probing(now)
 		u.Begin()
 		o := n.send(ctx, q, u)
-		u.End(answerOf(n.now(), ctx, o))
+		a := answerOf(n.now(), ctx, o)
+		a.Class, a.Run = q.head.Route, ownTime(o)
+		u.End(a)
 		n.shed.heard(q, u.Record.NodeID, o)
 		n.decide(kqlog.Decision{
 			RequestID: q.head.RequestID, Root: q.head.Root, Class: q.head.Class, Service: q.head.Service, Decision: decisionRoute,
@@ -117,6 +119,15 @@
 	return kqcall.Unknown(cause)
 }
 
+// ownTime is how long the backend server took by itself, or 0 when that is not
+// known, as when it made calls of its own.
+func ownTime(o *outcome) time.Duration {
+	if !o.heard || o.head.Onward > 0 || o.head.End.Outcome == kqcall.OutcomeNotRun {
+		return 0
+	}
+	return o.head.Run
+}
+
 // answerOf says what the end of a call tells of its upstream.
 func answerOf(now time.Time, ctx context.Context, o *outcome) kqroute.Answer {
 	a := kqroute.Answer{Now: now, Verdict: kqroute.Good}
@@ -126,6 +137,9 @@
 	}
 	switch end := o.head.End; {
 	case end.Outcome == kqcall.OutcomeRan && o.head.Status < fasthttp.StatusInternalServerError:
+	case end.Outcome == kqcall.OutcomeRan && o.head.Onward > 0:
+		// It failed for what it called, which says nothing of itself.
+		a.Verdict = kqroute.Silent
 	case end.Outcome == kqcall.OutcomeRan:
 		a.Verdict = kqroute.Faulty
 	case end.Cause == kqcall.CauseDraining || end.Cause == kqcall.CauseMoved || end.Cause == kqcall.CauseNoUpstream:
--- a/io/kqmesh/verdict_test.go
+++ b/io/kqmesh/verdict_test.go
@@ -24,6 +24,7 @@
 		"answer":                   {outcome{head: ran(200), heard: true}, kqroute.Good},
 		"the caller's mistake":     {outcome{head: ran(404), heard: true}, kqroute.Good},
 		"failure":                  {outcome{head: ran(500), heard: true}, kqroute.Faulty},
+		"failure of what it calls": {outcome{head: kqtrunk.AnswerHead{End: kqcall.Ran(), Status: 500, Onward: 2}, heard: true}, kqroute.Silent},
 		"no room at the gate":      {outcome{head: notRun(kqcall.CauseShedGate), heard: true}, kqroute.Full},
 		"server turned it away":    {outcome{head: notRun(kqcall.CauseBackendShed), heard: true}, kqroute.Faulty},
 		"server can't be reached":  {outcome{head: notRun(kqcall.CauseBackendLost), heard: true}, kqroute.Faulty},
