Each event of a mesh node has a name and fields, and a page made from the code

Events were sentences only: whoever looked for them had to know the wording, and no page listed them.

--- a/core/kqroute/pace_test.go
+++ b/core/kqroute/pace_test.go
@@ -22,7 +22,8 @@
 	own := kqmember.Record{NodeID: "entry", Region: "south", FailureDomain: "south-a"}
 	w := &paceWorld{now: time.Unix(1000, 0), took: took, sent: map[string]int{}}
 	records := []kqmember.Record{
-		{NodeID: "near-1", Region: "south", FailureDomain: "south-a"}, {NodeID: "near-2", Region: "south", FailureDomain: "south-a"},
+		{NodeID: "near-1", Region: "south", FailureDomain: "south-a"},
+		{NodeID: "near-2", Region: "south", FailureDomain: "south-a"},
 		{NodeID: "far-1", Region: "north", FailureDomain: "north-a"},
 	}
 	w.table = kqroute.NewTable(own, records, nil, w.now)
@@ -30,7 +31,7 @@
 }
 
 // play sends a call every few milliseconds, each after the one before it.
-func (w *paceWorld) play(calls int, verdict kqroute.Verdict) {
+func (w *paceWorld) play(calls int) {
 	clear(w.sent)
 	for i := range calls {
 		w.now = w.now.Add(5 * time.Millisecond)
@@ -40,7 +41,7 @@
 		id := u.Record.NodeID
 		w.sent[id]++
 		u.End(kqroute.Answer{
-			Now: w.now, Verdict: verdict, Load: &kqroute.Load{InFlight: 1, Limit: 10}, Run: w.took[id], Class: "check",
+			Now: w.now, Verdict: kqroute.Good, Load: &kqroute.Load{InFlight: 1, Limit: 10}, Run: w.took[id], Class: "check",
 		})
 	}
 }
@@ -49,12 +50,12 @@
 	const quick, slow = 40 * time.Millisecond, 400 * time.Millisecond
 	const calls, second = 2000, 200
 	w := newPaceWorld(map[string]time.Duration{"near-1": quick, "near-2": quick, "far-1": quick})
-	w.play(calls, kqroute.Good)
+	w.play(calls)
 	if got := w.sent["near-1"]; got < calls/3 {
 		t.Fatalf("calls to a sound upstream: got %d of %d, want a fair part", got, calls)
 	}
 	w.took["near-1"] = slow
-	w.play(calls, kqroute.Good)
+	w.play(calls)
 	// A few until it is found, then one a second.
 	if got, want := w.sent["near-1"], 10+calls/second; got > want {
 		t.Errorf("calls to a slow upstream: got %d of %d, want at most %d", got, calls, want)
@@ -63,13 +64,13 @@
 		t.Errorf("calls to its sound neighbour: got %d of %d, want %d", got, calls, want)
 	}
 	w.took["near-2"] = slow
-	w.play(calls, kqroute.Good)
+	w.play(calls)
 	if got, want := w.sent["far-1"], calls*9/10; got < want {
 		t.Errorf("calls to another region while the own one is slow: got %d of %d, want %d", got, calls, want)
 	}
 	w.took["near-1"], w.took["near-2"] = quick, quick
-	w.play(calls*5, kqroute.Good)
-	w.play(calls, kqroute.Good)
+	w.play(calls * 5)
+	w.play(calls)
 	if got := w.sent["near-1"] + w.sent["near-2"]; got < calls*9/10 {
 		t.Errorf("calls to the own region when it is quick again: got %d of %d, want most", got, calls)
 	}
@@ -80,12 +81,12 @@
 	const calls = 2000
 	took := map[string]time.Duration{"near-1": 40 * time.Millisecond, "near-2": 40 * time.Millisecond, "far-1": 40 * time.Millisecond}
 	w := newPaceWorld(took)
-	w.play(calls, kqroute.Good)
+	w.play(calls)
 	for id := range took {
 		took[id] *= 10
 	}
-	w.play(calls, kqroute.Good)
-	w.play(calls, kqroute.Good)
+	w.play(calls)
+	w.play(calls)
 	if got := w.sent["near-1"] + w.sent["near-2"]; got < calls/2 {
 		t.Errorf("calls to the own region: got %s, want most there", fmt.Sprint(w.sent))
 	}
--- a/io/kqcli/docs.go
+++ b/io/kqcli/docs.go
@@ -9,12 +9,14 @@
 	"github.com/alecthomas/kong"
 	"github.com/cockroachdb/errors"
 
+	"kumquatlink/io/kqlog"
+	"kumquatlink/io/kqmesh"
 	"kumquatlink/io/kqmetric"
 )
 
 // docsCommand writes the pages that are made from the code.
 type docsCommand struct {
-	Directory string `required:"" placeholder:"DIR" help:"Where cli/ and metrics.md are written."`
+	Directory string `required:"" placeholder:"DIR" help:"Where cli/, metrics.md and logs.md are written."`
 }
 
 // Help is the longer help of the command.
@@ -22,7 +24,8 @@
 	return "Example:\n\n  kumquatlink docs --directory docs"
 }
 
-// Run writes one page for each command and one for the metrics.
+// Run writes one page for each command, one for the metrics and one for the
+// logs.
 func (k *docsCommand) Run(e *environment) error {
 	directory := filepath.Join(k.Directory, "cli")
 	if err := os.MkdirAll(directory, 0o750); err != nil {
@@ -37,8 +40,12 @@
 			return errors.Mark(errors.Wrap(err, "write page"), ErrInput)
 		}
 	}
-	path := filepath.Join(k.Directory, "metrics.md")
-	return errors.Mark(errors.Wrap(os.WriteFile(path, []byte(metricsPage()), 0o600), "write page"), ErrInput)
+	for name, page := range map[string]string{"metrics.md": metricsPage(), "logs.md": logsPage()} {
+		if err := os.WriteFile(filepath.Join(k.Directory, name), []byte(page), 0o600); err != nil {
+			return errors.Mark(errors.Wrap(err, "write page"), ErrInput)
+		}
+	}
+	return nil
 }
 
 func commandPage(command *kong.Node) string {
@@ -110,3 +117,23 @@
 	}
 	return b.String()
 }
+
+func logsPage() string {
+	var b strings.Builder
+	b.WriteString("# Log lines\n\nMade from the code by `make docs`. A node of a mesh writes one JSON object a line\nto its standard output: decisions about requests, and events. [OPERATIONS.md](OPERATIONS.md)\nshows how to read them.\n\n")
+	fieldTable(&b, "Fields of every line", kqlog.CommonFields())
+	fieldTable(&b, "Fields of a decision", kqlog.DecisionFields())
+	b.WriteString("## Events\n\nEach has its `Event`, the fields named here, a `Message` for people, and an `Error`\nwhere something failed. Times are in microseconds.\n\n| event | level | logged when | fields |\n|---|---|---|---|\n")
+	for _, k := range kqmesh.Events() {
+		_, _ = fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", k.Name, k.Level, k.Means, strings.Join(k.Fields, ", "))
+	}
+	return b.String()
+}
+
+func fieldTable(b *strings.Builder, title string, fields []kqlog.FieldMeaning) {
+	_, _ = fmt.Fprintf(b, "## %s\n\n| field | meaning |\n|---|---|\n", title)
+	for _, f := range fields {
+		_, _ = fmt.Fprintf(b, "| `%s` | %s |\n", f.Name, f.Means)
+	}
+	b.WriteString("\n")
+}
--- a/io/kqlog/kqlog.go
+++ b/io/kqlog/kqlog.go
@@ -66,6 +66,45 @@
 	Detail string
 }
 
+// FieldMeaning tells what a field of a line holds.
+type FieldMeaning struct {
+	Name  string
+	Means string
+}
+
+// CommonFields are the fields that every line has.
+func CommonFields() []FieldMeaning {
+	return []FieldMeaning{
+		{"Level", "debug, info, warn or error"},
+		{"Node", "the node that wrote the line"},
+		{"FailureDomain", "where its host stands"},
+		{"Time", "when it was decided, by the node's clock, RFC 3339 in UTC with microseconds"},
+	}
+}
+
+// DecisionFields are the fields of a decision about a request. Those up to
+// TookMicros stand on every such line, the others where they apply.
+func DecisionFields() []FieldMeaning {
+	return []FieldMeaning{
+		{"Decision", "Answer: the entry's final answer; Route: a try that the entry sent to a gate; Admit: what a gate did"},
+		{"RequestID", "the ID that the caller gave"},
+		{"Class", "the route of the request for which the call was made"},
+		{"Service", "the service that is called"},
+		{"Cause", "why it ended so, see OPERATIONS.md"},
+		{"Outcome", "ran, not-run or unknown"},
+		{"Chosen", "the node that was tried, or the backend server that ran it"},
+		{"Others", "the nodes that were tried, in their order"},
+		{"TookMicros", "from the call's arrival to this decision"},
+		{"Root", "the ID of the request for which the call was made, if it is another"},
+		{"LeftMicros", "the time that the call had left"},
+		{"QueuedMicros", "the time that it waited for a slot"},
+		{"Load", "the gate's calls when it answered: running, waiting, and its slots"},
+		{"RoutesVersion", "the version of the routes by which it was decided"},
+		{"Status", "the HTTP status that the caller or the entry got"},
+		{"Detail", "the text of an error"},
+	}
+}
+
 // addTo adds the fields that not every decision has.
 func (d Decision) addTo(e *zerolog.Event) *zerolog.Event {
 	if d.Root != "" {
@@ -188,6 +227,54 @@
 	})
 }
 
+// Kind is one kind of event: what a node may log besides decisions.
+type Kind struct {
+	// Name stands in the line's field "Event".
+	Name  string
+	Level zerolog.Level
+	// Means says when it is logged, as a sentence.
+	Means string
+	// Fields are the names of the fields that its lines have.
+	Fields []string
+}
+
+// Field is a field of an event.
+type Field struct {
+	Name  string
+	value func(*zerolog.Event, string) *zerolog.Event
+}
+
+// Text is a field that holds a text.
+func Text(name, value string) Field {
+	return Field{name, func(e *zerolog.Event, name string) *zerolog.Event { return e.Str(name, value) }}
+}
+
+// Number is a field that holds a whole number.
+func Number[N int64 | uint64](name string, value N) Field {
+	return Field{name, func(e *zerolog.Event, name string) *zerolog.Event { return e.Int64(name, int64(value)) }}
+}
+
+// Micros is a field that holds a time in microseconds.
+func Micros(name string, value time.Duration) Field {
+	return Number(name, value.Microseconds())
+}
+
+// Note logs an event of a kind. The message tells people what the fields tell
+// programs.
+func (l *Log) Note(k Kind, message string, err error, fields ...Field) {
+	if k.Level < l.level {
+		return
+	}
+	at := time.Now().UTC()
+	l.enqueue(func() {
+		e := l.logger.WithLevel(k.Level).Time("Time", at).Str("Event", k.Name)
+		for _, f := range fields {
+			e = f.value(e, f.Name)
+		}
+		e.Err(err).Msg(message)
+	})
+}
+
 // Event logs something other than a decision.
 func (l *Log) Event(level zerolog.Level, message string, err error) {
 	if level < l.level {
--- a/io/kqmesh/control.go
+++ b/io/kqmesh/control.go
@@ -8,12 +8,11 @@
 	"sync"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"kumquatlink/core/kqmember"
 	"kumquatlink/core/kqroute"
 	"kumquatlink/core/kqroutes"
 	"kumquatlink/core/kqserver"
+	"kumquatlink/io/kqlog"
 	"kumquatlink/io/kqstore"
 )
 
@@ -123,10 +122,11 @@
 	}
 	c.mutex.Unlock()
 	if failed && since.IsZero() {
-		c.node.log.Event(zerolog.WarnLevel, "store is lost: "+r.Operation+" of "+r.Kind+" failed", r.Err)
+		c.node.note(remarkStoreLost, "store is lost: "+r.Operation+" of "+r.Kind+" failed", r.Err, kqlog.Text("Operation", r.Operation), kqlog.Text(fieldKind, r.Kind))
 	}
 	if !failed && !since.IsZero() {
-		c.node.log.Event(zerolog.InfoLevel, fmt.Sprintf("store is back after %s", c.node.now().Sub(since)), nil)
+		took := c.node.now().Sub(since)
+		c.node.note(remarkStoreBack, "store is back after "+took.String(), nil, kqlog.Micros(fieldTook, took))
 	}
 }
 
@@ -144,13 +144,15 @@
 	}
 	if !e.document.Newer(held) {
 		if e.document.Version < held {
-			c.node.log.Event(zerolog.WarnLevel, fmt.Sprintf("routes of version %d from %s are refused: version %d is in force", e.document.Version, e.from, held), nil)
+			c.node.note(remarkRoutesRefused, fmt.Sprintf("routes of version %d from %s are refused: version %d is in force", e.document.Version, e.from, held), nil,
+				kqlog.Number(fieldRoutes, e.document.Version), kqlog.Number(fieldFormer, held), kqlog.Text(fieldSource, e.from))
 		}
 		return false
 	}
 	c.state.Routes = kqroutes.NewTable(e.document)
 	c.state.RoutesText = e.text
-	c.node.log.Event(zerolog.InfoLevel, fmt.Sprintf("routes of version %d from %s are in force after version %d", e.document.Version, e.from, held), nil)
+	c.node.note(remarkRoutesTaken, fmt.Sprintf("routes of version %d from %s are in force after version %d", e.document.Version, e.from, held), nil,
+		kqlog.Number(fieldRoutes, e.document.Version), kqlog.Number(fieldFormer, held), kqlog.Text(fieldSource, e.from))
 	return true
 }
 
@@ -196,7 +198,7 @@
 	c.mutex.Unlock()
 	if e.removed {
 		delete(hosts, e.name)
-		c.node.log.Event(zerolog.InfoLevel, "record of node "+e.name+" was removed", nil)
+		c.node.note(remarkHostRemoved, "record of node "+e.name+" was removed", nil, kqlog.Text(fieldHost, e.name))
 	} else {
 		if found && (held == e.record || held.Incarnation > e.record.Incarnation) {
 			return false
@@ -212,7 +214,9 @@
 // note logs a belief about a node that changed.
 func (c *control) note(held, h HostRecord) {
 	if held != h {
-		c.node.log.Event(zerolog.InfoLevel, fmt.Sprintf("node %s at %s is %s for %s, server %s, start %d", h.NodeID, h.Address, h.Life, h.Service, h.ServerID, h.Incarnation), nil)
+		c.node.note(remarkHostSeen, fmt.Sprintf("node %s at %s is %s for %s, server %s, start %d", h.NodeID, h.Address, h.Life, h.Service, h.ServerID, h.Incarnation), nil,
+			kqlog.Text(fieldHost, h.NodeID), kqlog.Text(fieldAddress, h.Address), kqlog.Text(fieldState, string(h.Life)), kqlog.Text(fieldService, h.Service),
+			kqlog.Text(fieldServer, h.ServerID), kqlog.Number(fieldIncarnation, h.Incarnation))
 	}
 }
 
@@ -257,7 +261,8 @@
 	verdict := c.life.Hear(e.notice)
 	e.verdict = verdict
 	if verdict != kqserver.Taken {
-		c.node.log.Event(zerolog.InfoLevel, fmt.Sprintf("notice %d of server %s, started %d, is ignored: %s", e.notice.Sequence, e.notice.ServerID, e.notice.Born, verdict), nil)
+		c.node.note(remarkNoticeIgnored, fmt.Sprintf("notice %d of server %s, started %d, is ignored: %s", e.notice.Sequence, e.notice.ServerID, e.notice.Born, verdict), nil,
+			kqlog.Text(fieldServer, e.notice.ServerID), kqlog.Number(fieldSequence, e.notice.Sequence), kqlog.Number(fieldIncarnation, e.notice.Born), kqlog.Text(fieldVerdict, string(verdict)))
 		return false
 	}
 	c.state.Server = c.life.Notice()
@@ -265,7 +270,8 @@
 	c.coldUntil = c.node.clock() + e.notice.Cold
 	changed := before != c.life.State() || held.ServerID != e.notice.ServerID || held.Born != e.notice.Born
 	if changed {
-		c.node.log.Event(zerolog.InfoLevel, fmt.Sprintf("server %s is %s after notice %d, was %s", e.notice.ServerID, c.life.State(), e.notice.Sequence, before), nil)
+		c.node.note(remarkServerState, fmt.Sprintf("server %s is %s after notice %d, was %s", e.notice.ServerID, c.life.State(), e.notice.Sequence, before), nil,
+			kqlog.Text(fieldServer, e.notice.ServerID), kqlog.Text(fieldState, string(c.life.State())), kqlog.Text("FormerState", string(before)), kqlog.Number(fieldSequence, e.notice.Sequence))
 	}
 	return changed || held.Slots != e.notice.Slots || (held.Cold > 0) != (e.notice.Cold > 0)
 }
--- /dev/null
+++ b/io/kqmesh/events_test.go
@@ -0,0 +1,95 @@
+package kqmesh_test
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"kumquatlink/core/kqserver"
+	"kumquatlink/io/kqlog"
+	"kumquatlink/io/kqmesh"
+)
+
+func TestEventsAreDescribed(t *testing.T) {
+	names := map[string]bool{}
+	for i, k := range kqmesh.Events() {
+		if k.Name == "" || !strings.HasSuffix(k.Means, ".") {
+			t.Errorf("event %d: got %+v, want a name and a sentence", i, k)
+		}
+		if names[k.Name] {
+			t.Errorf("event %s: described twice", k.Name)
+		}
+		names[k.Name] = true
+	}
+}
+
+// TestLinesHaveTheFieldsThatThePageTells plays a short life of a fleet and
+// holds every line against the tables that docs/logs.md is made of.
+func TestLinesHaveTheFieldsThatThePageTells(t *testing.T) {
+	f := newFleet(t)
+	near, far := f.add("catalog-1", "catalog"), f.add("orders-1", "orders")
+	f.write(1, route("/buy/", "orders", true))
+	near.say(kqserver.Ready)
+	far.say(kqserver.Ready)
+	f.settle(1, 2)
+	for _, path := range []string{"/buy/", "/nowhere/"} {
+		near.request("GET", path, "told"+strings.Trim(path, "/"), "")
+	}
+	far.say(kqserver.Draining)
+	near.say(kqserver.Ready)
+	f.settle(1, 1)
+	far.node.Stop()
+	if got := near.ready(); got != fasthttp.StatusOK {
+		t.Errorf("ready: got %d, want 200", got)
+	}
+	pause := time.NewTicker(10 * time.Millisecond)
+	defer pause.Stop()
+	for begun := time.Now(); !strings.Contains(f.logged(), `"Event":"Readiness"`); <-pause.C {
+		if time.Since(begun) > testPatience {
+			t.Fatal("log: no line of the node's readiness")
+		}
+	}
+	common := fieldNames(kqlog.CommonFields())
+	events := map[string]kqlog.Kind{}
+	for _, k := range kqmesh.Events() {
+		events[k.Name] = k
+	}
+	decisions := 0
+	for _, text := range strings.Split(strings.TrimSpace(f.logged()), "\n") {
+		line := map[string]any{}
+		if err := json.Unmarshal([]byte(text), &line); err != nil {
+			t.Fatalf("line %s: %v", text, err)
+		}
+		told := slices.Concat(common, fieldNames(kqlog.DecisionFields()))
+		if name, is := line["Event"].(string); is {
+			told = slices.Concat(common, []string{"Event", "Message", "Error"}, events[name].Fields)
+			for _, field := range events[name].Fields {
+				if _, found := line[field]; !found {
+					t.Errorf("event without its field %s: %s", field, text)
+				}
+			}
+		} else {
+			decisions++
+		}
+		for field := range line {
+			if !slices.Contains(told, field) {
+				t.Errorf("field %s is not in the tables: %s", field, text)
+			}
+		}
+	}
+	if decisions < 4 {
+		t.Errorf("decisions: got %d, want those of two requests", decisions)
+	}
+}
+
+func fieldNames(fields []kqlog.FieldMeaning) []string {
+	var names []string
+	for _, f := range fields {
+		names = append(names, f.Name)
+	}
+	return names
+}
--- a/io/kqmesh/fleet_test.go
+++ b/io/kqmesh/fleet_test.go
@@ -183,6 +183,13 @@
 	return b.Buffer.Write(p)
 }
 
+// logged gives what the nodes have logged so far.
+func (f *fleet) logged() string {
+	f.log.mutex.Lock()
+	defer f.log.mutex.Unlock()
+	return f.log.String()
+}
+
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
 	f := &fleet{t: t, store: kqobject.New(), hosts: map[string]*host{}, log: &lockedBuffer{}}
--- a/io/kqmesh/follow.go
+++ b/io/kqmesh/follow.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/rs/zerolog"
 
 	"kumquatlink/core/kqbackoff"
+	"kumquatlink/io/kqlog"
 	"kumquatlink/io/kqstore"
 )
 
@@ -38,7 +38,7 @@
 			return
 		}
 		failures++
-		n.log.Event(zerolog.InfoLevel, "watch of "+kind+" ended: listing again", err)
+		n.note(remarkWatchEnded, "watch of "+kind+" ended: listing again", err, kqlog.Text(fieldKind, kind))
 		sleep(ctx, followPause.After(failures, n.fraction()))
 	}
 }
@@ -61,11 +61,11 @@
 func (n *Node) offerRoutes(text []byte, from string) {
 	d, err := n.dialect.ReadRoutes(text)
 	if err != nil {
-		n.log.Event(zerolog.ErrorLevel, "routes from "+from+" can't be read", err)
+		n.note(remarkRoutesUnreadable, "routes from "+from+" can't be read", err, kqlog.Text(fieldSource, from))
 		return
 	}
 	if faults := d.Check(); len(faults) > 0 {
-		n.log.Event(zerolog.ErrorLevel, "routes from "+from+" have faults, the first: "+faults[0].String(), nil)
+		n.note(remarkRoutesFaulty, "routes from "+from+" have faults, the first: "+faults[0].String(), nil, kqlog.Text(fieldSource, from), kqlog.Text("Detail", faults[0].String()))
 		return
 	}
 	n.control.send(routesEvent{document: d, text: text, from: from})
@@ -77,7 +77,7 @@
 		all := map[string]HostRecord{}
 		for _, o := range objects {
 			if h, err := readHost(o); err != nil {
-				n.log.Event(zerolog.WarnLevel, "record of node "+o.Name+" is ignored", err)
+				n.note(remarkHostIgnored, "record of node "+o.Name+" is ignored", err, kqlog.Text(fieldHost, o.Name))
 			} else {
 				all[h.NodeID] = h
 			}
@@ -90,7 +90,7 @@
 		}
 		h, err := readHost(o)
 		if err != nil {
-			n.log.Event(zerolog.WarnLevel, "record of node "+o.Name+" is ignored", err)
+			n.note(remarkHostIgnored, "record of node "+o.Name+" is ignored", err, kqlog.Text(fieldHost, o.Name))
 			return
 		}
 		n.control.send(hostEvent{name: o.Name, record: h})
--- a/io/kqmesh/kqmesh.go
+++ b/io/kqmesh/kqmesh.go
@@ -34,7 +34,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/panjf2000/ants/v2"
-	"github.com/rs/zerolog"
 
 	"kumquatlink/core/kqbudget"
 	"kumquatlink/core/kqclass"
@@ -241,7 +240,8 @@
 	n.loop(ctx, n.followHosts)
 	n.loop(ctx, n.keepRecord)
 	n.loop(ctx, n.askServer)
-	n.log.Event(zerolog.InfoLevel, "node started at "+n.settings.CallerAddress+" for callers and "+n.peerAddress+" for nodes", nil)
+	n.note(remarkNodeStarted, "node started at "+n.settings.CallerAddress+" for callers and "+n.peerAddress+" for nodes", nil,
+		kqlog.Text(fieldAddress, n.settings.CallerAddress), kqlog.Text("PeerAddress", n.peerAddress))
 	return nil
 }
 
@@ -300,9 +300,9 @@
 
 // peerChanged logs a connection to a peer that was made or lost.
 func (n *Node) peerChanged(peer string, up bool, err error) {
-	level, message := zerolog.InfoLevel, "peer "+peer+" is connected"
-	if !up {
-		level, message = zerolog.WarnLevel, "peer "+peer+" is lost"
+	if up {
+		n.note(remarkPeerConnected, "peer "+peer+" is connected", err, kqlog.Text(fieldPeer, peer))
+		return
 	}
-	n.log.Event(level, message, err)
+	n.note(remarkPeerLost, "peer "+peer+" is lost", err, kqlog.Text(fieldPeer, peer))
 }
--- a/io/kqmesh/notice.go
+++ b/io/kqmesh/notice.go
@@ -6,12 +6,12 @@
 	"strings"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"kumquatlink/core/kqserver"
 	"kumquatlink/io/kqedge"
 	"kumquatlink/io/kqhttp"
+	"kumquatlink/io/kqlog"
 )
 
 // Bounds of what the backend server and the platform send to the node.
@@ -39,12 +39,13 @@
 		return
 	}
 	if err != nil {
-		n.log.Event(zerolog.WarnLevel, "notice can't be read", err)
+		n.note(remarkNoticeUnreadable, "notice can't be read", err)
 		e.Response.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
 	if notice.State != kqserver.Gone && !n.isOwnServer(notice) {
-		n.log.Event(zerolog.WarnLevel, "notice of server "+notice.ServerID+" of "+notice.Service+" at "+notice.Address+" is not of the server on this host", nil)
+		n.note(remarkNoticeForeign, "notice of server "+notice.ServerID+" of "+notice.Service+" at "+notice.Address+" is not of the server on this host", nil,
+			kqlog.Text(fieldServer, notice.ServerID), kqlog.Text(fieldService, notice.Service), kqlog.Text(fieldAddress, notice.Address))
 		e.Response.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
@@ -113,12 +114,12 @@
 	pool := kqhttp.NewPool(n.settings.BackendAddress)
 	defer pool.Close()
 	if err := pool.Do(ctx, request, response); err != nil {
-		n.log.Event(zerolog.InfoLevel, "server did not tell its health", err)
+		n.note(remarkHealthNotTold, "server did not tell its health", err)
 		return false
 	}
 	id := string(response.Header.Peek(n.dialect.Headers.ServerID))
 	if response.StatusCode() != fasthttp.StatusOK || id == "" {
-		n.log.Event(zerolog.InfoLevel, "server is not healthy: status "+strconv.Itoa(response.StatusCode()), nil)
+		n.note(remarkServerUnhealthy, "server is not healthy: status "+strconv.Itoa(response.StatusCode()), nil, kqlog.Number("Status", int64(response.StatusCode())))
 		return false
 	}
 	if n.State().ServerState != kqserver.Unknown {
@@ -128,7 +129,7 @@
 		ServerID: id, Service: n.settings.Service, Address: n.settings.BackendAddress, State: kqserver.Ready,
 		Slots: slotsOf(string(response.Header.Peek(n.dialect.Headers.Load))),
 	})
-	n.log.Event(zerolog.InfoLevel, "server "+id+" is healthy: "+string(v), nil)
+	n.note(remarkServerHealthy, "server "+id+" is healthy: "+string(v), nil, kqlog.Text(fieldServer, id), kqlog.Text(fieldVerdict, string(v)))
 	return true
 }
 
@@ -154,7 +155,7 @@
 	s := n.State()
 	ready := s.Routes != nil && s.HostsKnown && !s.Leaving
 	if n.readiness.Swap(ready) != ready {
-		n.log.Event(zerolog.InfoLevel, "node is ready: "+strconv.FormatBool(ready), nil)
+		n.note(remarkReadiness, "node is ready: "+strconv.FormatBool(ready), nil, kqlog.Text(fieldState, strconv.FormatBool(ready)))
 	}
 	if !ready {
 		e.Response.SetStatusCode(fasthttp.StatusServiceUnavailable)
--- a/io/kqmesh/observe.go
+++ b/io/kqmesh/observe.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/rs/zerolog"
 
 	"kumquatlink/core/kqserver"
 	"kumquatlink/io/kqlog"
@@ -76,7 +75,7 @@
 	n.metricsServer = &http.Server{Handler: mux, ReadHeaderTimeout: metricsHeaderTime}
 	go func() {
 		if err := n.metricsServer.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			n.log.Event(zerolog.ErrorLevel, "metrics are not served any more", err)
+			n.note(remarkMetricsEnded, "metrics are not served any more", err)
 		}
 	}()
 	return nil
--- a/io/kqmesh/peer.go
+++ b/io/kqmesh/peer.go
@@ -6,7 +6,8 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
-	"github.com/rs/zerolog"
+
+	"kumquatlink/io/kqlog"
 )
 
 // versionPatience is how long a node that heard of newer routes waits for the
@@ -41,10 +42,11 @@
 		}
 		payload, err := cbor.Marshal(message{WantRoutes: version > n.routesVersion(), WantHosts: wantHosts})
 		if err != nil {
-			n.log.Event(zerolog.ErrorLevel, "question for routes can't be written", err)
+			n.note(remarkMessageNotWritten, "question for routes can't be written", err)
 			return
 		}
-		n.log.Event(zerolog.InfoLevel, fmt.Sprintf("peer %s holds routes of version %d, this node %d: asking it, for hosts too: %t", peer, version, n.routesVersion(), wantHosts), nil)
+		n.note(remarkPeerAsked, fmt.Sprintf("peer %s holds routes of version %d, this node %d: asking it, for hosts too: %t", peer, version, n.routesVersion(), wantHosts), nil,
+			kqlog.Text(fieldPeer, peer), kqlog.Number(fieldRoutes, version), kqlog.Number(fieldFormer, n.routesVersion()))
 		if err := n.dialer.Tell(peer, payload); err != nil {
 			n.server.TellOne(peer, payload)
 		}
@@ -62,7 +64,7 @@
 func (n *Node) handleMessage(peer string, payload []byte, reply func([]byte)) {
 	var m message
 	if err := cbor.Unmarshal(payload, &m); err != nil {
-		n.log.Event(zerolog.WarnLevel, "message of peer "+peer+" can't be read", err)
+		n.note(remarkPeerUnreadable, "message of peer "+peer+" can't be read", err, kqlog.Text(fieldPeer, peer))
 		return
 	}
 	if len(m.RoutesText) > 0 {
@@ -90,7 +92,7 @@
 	}
 	payload, err := cbor.Marshal(m)
 	if err != nil {
-		n.log.Event(zerolog.ErrorLevel, "answer to a peer can't be written", err)
+		n.note(remarkMessageNotWritten, "answer to a peer can't be written", err)
 		return
 	}
 	reply(payload)
@@ -113,7 +115,7 @@
 			all[h.NodeID] = h
 		}
 	}
-	c.node.log.Event(zerolog.InfoLevel, fmt.Sprintf("peer %s told of %d nodes", e.from, len(e.hosts)), nil)
+	c.node.note(remarkPeerTold, fmt.Sprintf("peer %s told of %d nodes", e.from, len(e.hosts)), nil, kqlog.Text(fieldPeer, e.from), kqlog.Number("Hosts", int64(len(e.hosts))))
 	c.state.Hosts, c.state.HostsKnown = all, true
 	c.rebuild()
 	return true
--- a/io/kqmesh/record.go
+++ b/io/kqmesh/record.go
@@ -6,11 +6,11 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/rs/zerolog"
 
 	"kumquatlink/core/kqbackoff"
 	"kumquatlink/core/kqmember"
 	"kumquatlink/core/kqserver"
+	"kumquatlink/io/kqlog"
 	"kumquatlink/io/kqstore"
 )
 
@@ -96,7 +96,7 @@
 			continue
 		}
 		failures++
-		n.log.Event(zerolog.WarnLevel, "own record was not written", err)
+		n.note(remarkRecordNotWritten, "own record was not written", err)
 		sleep(ctx, writePause.After(failures, n.fraction()))
 	}
 }
@@ -158,7 +158,7 @@
 func (n *Node) wroteRecord(w *recordWriter, want HostRecord, written kqstore.Object) {
 	w.held, w.version, w.written = want, written.Version, true
 	n.control.send(hostEvent{name: want.NodeID, record: want})
-	n.log.Event(zerolog.InfoLevel, "own record says "+string(want.Life)+" at version "+written.Version, nil)
+	n.note(remarkRecordWritten, "own record says "+string(want.Life)+" at version "+written.Version, nil, kqlog.Text(fieldState, string(want.Life)), kqlog.Text("StoreVersion", written.Version))
 }
 
 // sleep waits, or returns early when ctx ends.
--- a/io/kqmesh/shed.go
+++ b/io/kqmesh/shed.go
@@ -5,13 +5,12 @@
 	"sync"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"kumquatlink/core/kqadmit"
 	"kumquatlink/core/kqcall"
 	"kumquatlink/core/kqmember"
 	"kumquatlink/core/kqroute"
 	"kumquatlink/core/kqshed"
+	"kumquatlink/io/kqlog"
 	"kumquatlink/io/kqtrunk"
 )
 
@@ -145,7 +144,7 @@
 		}
 		u := all[s.node.random()%uint64(near)].Record
 		if err := s.node.pool.Submit(func() { s.askGate(name, u) }); err != nil {
-			s.node.log.Event(zerolog.DebugLevel, "ask for load of "+name, err)
+			s.node.note(remarkLoadNotAsked, "ask for load of "+name, err, kqlog.Text(fieldService, name), kqlog.Text(fieldHost, u.NodeID))
 		}
 	}
 }
@@ -153,7 +152,7 @@
 func (s *shedder) askGate(service string, u kqmember.Record) {
 	l, err := s.loadOf(service, u)
 	if err != nil {
-		s.node.log.Event(zerolog.DebugLevel, "ask "+u.NodeID+" for its load", err)
+		s.node.note(remarkLoadNotAsked, "ask "+u.NodeID+" for its load", err, kqlog.Text(fieldService, service), kqlog.Text(fieldHost, u.NodeID))
 		return
 	}
 	s.mutex.Lock()
--- a/io/kqmesh/shutdown.go
+++ b/io/kqmesh/shutdown.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/rs/zerolog"
+
+	"kumquatlink/io/kqlog"
 )
 
 // Times of a shutdown.
@@ -40,7 +40,7 @@
 	case <-ctx.Done():
 	}
 	n.callers.Drain()
-	n.log.Event(zerolog.InfoLevel, "node leaves", nil)
+	n.note(remarkNodeLeaves, "node leaves", nil)
 	bound := n.tunables.Load().ShutdownTime.Value() - shutdownMargin
 	for taking := begun.Add(min(takeTime, bound/2)); ctx.Err() == nil && n.now().Before(taking) && !n.isCalm(begun); {
 		sleep(ctx, shutdownPoll)
@@ -56,7 +56,8 @@
 	if left > 0 {
 		err = errors.CombineErrors(err, errors.Newf("%d requests were cut off at the bound of the shutdown", left))
 	}
-	n.log.Event(zerolog.InfoLevel, fmt.Sprintf("node ended after %s", n.now().Sub(begun)), err)
+	took := n.now().Sub(begun)
+	n.note(remarkNodeEnded, "node ended after "+took.String(), err, kqlog.Micros(fieldTook, took))
 	if n.ownsLog {
 		n.log.Close()
 	}
@@ -67,7 +68,7 @@
 func (n *Node) Stop() {
 	if n.shutDown.CompareAndSwap(false, true) {
 		if err := n.end(); err != nil {
-			n.log.Event(zerolog.WarnLevel, "node was stopped", err)
+			n.note(remarkNodeStopped, "node was stopped", err)
 		}
 	}
 }
--- a/io/kqmesh/story_test.go
+++ b/io/kqmesh/story_test.go
@@ -70,9 +70,7 @@
 	pause := time.NewTicker(10 * time.Millisecond)
 	defer pause.Stop()
 	for begun := time.Now(); ; <-pause.C {
-		f.log.mutex.Lock()
-		text := f.log.String()
-		f.log.mutex.Unlock()
+		text := f.logged()
 		lines, _, err := kqstory.Read(strings.NewReader(text))
 		if err != nil {
 			f.t.Fatal(err)
