Tests reserve addresses anew when another program has taken one

The test fleet reserves a free port, closes it and gives it to the node a moment later; any outgoing connection on the machine may get it meanwhile. Not a fault of the node. The harness reserves anew, for this error only; the node's own error is a test of its own now, with the restart after it.

--- a/io/kqmesh/fleet_test.go
+++ b/io/kqmesh/fleet_test.go
@@ -13,9 +13,11 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"kumquatlink/core/kqclass"
@@ -30,6 +32,9 @@
 // testPatience only ends a test that hangs.
 const testPatience = time.Minute
 
+// maxReservations bounds how often addresses are reserved anew.
+const maxReservations = 5
+
 // The object that holds the routes of a test fleet.
 const (
 	routesKind = "kumquatlink.dev/v1/routes"
@@ -221,7 +226,26 @@
 func (f *fleet) addIn(region, name, service string) *host {
 	f.t.Helper()
 	h := &host{backend: newBackend(f.t, "i-"+name), store: kqstore.NewHTTP(f.store.Address())}
-	h.settings = kqmesh.Settings{
+	// Another program may take an address between its reservation and its use.
+	for tries := 0; ; tries++ {
+		h.settings = f.settingsOf(h, region, name, service)
+		err := f.tryStart(h)
+		if err == nil {
+			break
+		}
+		if tries == maxReservations || !errors.Is(err, syscall.EADDRINUSE) {
+			f.t.Fatal(err)
+		}
+	}
+	f.hosts[name] = h
+	return h
+}
+
+// settingsOf gives a node's settings, with addresses that were free a moment
+// ago.
+func (f *fleet) settingsOf(h *host, region, name, service string) kqmesh.Settings {
+	f.t.Helper()
+	return kqmesh.Settings{
 		NodeID: name, Region: region, FailureDomain: region + "-a", Service: service, BackendAddress: h.address(),
 		CallerAddress: address(f.t), NoticeAddress: address(f.t), ReadyAddress: address(f.t), PeerAddress: "127.0.0.1:0",
 		RoutesKind: routesKind, RoutesName: routesName, FirstStart: true,
@@ -230,26 +254,34 @@
 			ShutdownTime: kqclass.Duration(testPatience), DrainTime: kqclass.Duration(2 * time.Second),
 		},
 	}
-	f.start(h)
-	f.hosts[name] = h
-	return h
 }
 
 func (f *fleet) start(h *host) {
+	f.t.Helper()
+	if err := f.tryStart(h); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fleet) tryStart(h *host) error {
 	f.t.Helper()
 	log := kqlog.New(f.log, kqlog.WithNode(h.settings.NodeID, h.settings.FailureDomain))
 	n, err := kqmesh.New(h.settings, kqmesh.OwnDialect(), h.store, kqmesh.WithLog(log))
 	if err != nil {
-		f.t.Fatal(err)
+		log.Close()
+		return err
 	}
 	if err := n.Start(); err != nil {
-		f.t.Fatal(err)
+		n.Stop()
+		log.Close()
+		return err
 	}
 	h.node = n
 	f.t.Cleanup(func() {
 		h.node.Stop()
 		log.Close()
 	})
+	return nil
 }
 
 // say has the backend server tell its node of itself.
@@ -399,3 +431,25 @@
 	_, err := kqstore.NewHTTP(f.store.Address()).Get(context.Background(), kqstore.KindHosts, name)
 	return err == nil
 }
+
+// TestStartOnATakenAddressFailsAndLeavesNothing has another program listen
+// where callers are to be taken, and the node start when that has ended.
+func TestStartOnATakenAddressFailsAndLeavesNothing(t *testing.T) {
+	f := newFleet(t)
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &host{backend: newBackend(t, "i-orders-1"), store: kqstore.NewHTTP(f.store.Address())}
+	h.settings = f.settingsOf(h, "south", "orders-1", "orders")
+	h.settings.CallerAddress = taken.Addr().String()
+	if err := f.tryStart(h); !errors.Is(err, syscall.EADDRINUSE) || !errors.Is(err, kqmesh.ErrNode) {
+		t.Errorf("start on a taken address: got %v, want an error of the node that says so", err)
+	}
+	if err := taken.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.tryStart(h); err != nil {
+		t.Errorf("start on the same addresses when they are free: got %v, want none", err)
+	}
+}
