A refusal says for which service, and how old the word of it is

Cuts that travel up the chain now carry the service whose gate set them; the decision's line has it as Behind with AgeMicros, and `explain` tells "for licensing as told 120ms ago". Tests: the table names the service over two hops, the story tells it.

--- a/core/kqshed/kqshed.go
+++ b/core/kqshed/kqshed.go
@@ -10,7 +10,7 @@
 //	table.Ran(now, "browse") // the own backend server begins a call
 //	table.Called(now, "browse", "orders") // and calls another service
 //	table.Heard(now, kqshed.Answer{Service: "orders", Upstream: "orders-1", Cut: cut, Deep: deep})
-//	if table.Refuses(now, call) { ... }
+//	if reason, refuses := table.Refuses(now, call); refuses { ... }
 //	for _, service := range table.Stale(now) { ... } // ask one of its gates
 //
 // A gate puts [Table.Deep] on its answers: for each class, the strictest cut
@@ -61,6 +61,8 @@
 type ClassCut struct {
 	Class string
 	Level kqadmit.Level
+	// Service is the one whose gate set the cut.
+	Service string
 	// Age is how long ago the gate that set the cut told of it. Each hop adds
 	// the time that it held the cut, so that a cut that is passed on around a
 	// cycle of services dies at the age of Life like any other.
@@ -76,6 +78,14 @@
 	Deep []ClassCut
 }
 
+// Reason is the cut for which a call is refused.
+type Reason struct {
+	// Service is the one whose gate set the cut, and Age how long ago it told
+	// of it.
+	Service string
+	Age     time.Duration
+}
+
 // Call is a call that is about to be sent.
 type Call struct {
 	Service string
@@ -134,6 +144,12 @@
 type held struct {
 	level kqadmit.Level
 	at    time.Duration
+	// service is the one whose gate set the cut.
+	service string
+}
+
+func (h held) reason(now time.Duration) Reason {
+	return Reason{Service: h.service, Age: now - h.at}
 }
 
 func (h held) fresh(now time.Duration) bool {
@@ -152,11 +168,11 @@
 		s = &service{cuts: map[string]held{}, deep: map[string]held{}}
 		t.services[a.Service] = s
 	}
-	s.last = held{a.Cut, now}
+	s.last = held{a.Cut, now, a.Service}
 	s.cuts[a.Upstream] = s.last
 	s.asked = now
 	for _, d := range a.Deep[:min(len(a.Deep), MaxClasses)] {
-		s.deep[d.Class] = held{d.Level, now - max(0, d.Age)}
+		s.deep[d.Class] = held{d.Level, now - max(0, d.Age), d.Service}
 	}
 	prune(s.cuts, now)
 	prune(s.deep, now)
@@ -194,22 +210,26 @@
 }
 
 // Refuses is whether every upstream that was heard of lately would refuse the
-// call, or each would begin it and a deeper service refuse the request.
-func (t *Table) Refuses(now time.Duration, c Call) bool {
+// call, or each would begin it and a deeper service refuse the request, and for
+// which cut.
+func (t *Table) Refuses(now time.Duration, c Call) (Reason, bool) {
 	s, found := t.services[c.Service]
 	if !found {
-		return false
+		return Reason{}, false
 	}
 	if c.Level > s.loosest(now, max(1, min(minHeard, c.Upstreams))) {
-		return true
+		return s.last.reason(now), true
 	}
 	deep, heard := s.deep[c.Class]
-	return heard && deep.fresh(now) && c.Started > deep.level
+	if heard && deep.fresh(now) && c.Started > deep.level {
+		return deep.reason(now), true
+	}
+	return Reason{}, false
 }
 
 // RefusesBehind is whether a service that is called onward for the class would
-// refuse a request whose onward calls have the level.
-func (t *Table) RefusesBehind(now time.Duration, class string, started kqadmit.Level) bool {
+// refuse a request whose onward calls have the level, and for which cut.
+func (t *Table) RefusesBehind(now time.Duration, class string, started kqadmit.Level) (Reason, bool) {
 	for o := range t.calls {
 		if o.class != class || !t.needs(now, o) {
 			continue
@@ -219,10 +239,10 @@
 			continue
 		}
 		if h, known := s.behind(now, class); known && started > h.level {
-			return true
+			return h.reason(now), true
 		}
 	}
-	return false
+	return Reason{}, false
 }
 
 // loosest gives the loosest fresh cut of the service's upstreams, or an open
@@ -265,7 +285,7 @@
 	var cuts []ClassCut
 	for class, h := range strictest {
 		if t.tells(now, class, h.level) && len(cuts) < MaxClasses {
-			cuts = append(cuts, ClassCut{class, h.level, now - h.at})
+			cuts = append(cuts, ClassCut{class, h.level, h.service, now - h.at})
 		}
 	}
 	slices.SortFunc(cuts, func(a, b ClassCut) int { return strings.Compare(a.Class, b.Class) })
--- a/core/kqshed/kqshed_test.go
+++ b/core/kqshed/kqshed_test.go
@@ -68,7 +68,8 @@
 				Service: service.Draw(t, "called"), Class: class.Draw(t, "call class"), Level: level.Draw(t, "level"),
 				Started: level.Draw(t, "started"), Upstreams: rapid.IntRange(1, 3).Draw(t, "upstreams"),
 			}
-			if got, want := table.Refuses(now, c), twin.refuses(now, c); got != want {
+			_, got := table.Refuses(now, c)
+			if want := twin.refuses(now, c); got != want {
 				t.Fatalf("at %s, refuses %+v: got %v, want %v", now, c, got, want)
 			}
 		}
@@ -91,10 +92,14 @@
 	}{{0, kqadmit.Open, false}, {time.Millisecond, 50, true}, {2 * time.Millisecond, 100, false}, {3 * time.Millisecond, 50, true}, {4 * time.Millisecond, kqadmit.Open, false}}
 	for _, s := range steps {
 		tell(s.at, s.cut)
-		if got := entry.Refuses(s.at, call); got != s.want {
+		reason, got := entry.Refuses(s.at, call)
+		if got != s.want {
 			t.Errorf("cut %d: entry refuses: got %v, want %v", s.cut, got, s.want)
 		}
-		if got := middle.RefusesBehind(s.at, "browse", 100); got != s.want {
+		if got && reason.Service != "licensing" {
+			t.Errorf("service for which it is refused: got %q, want licensing", reason.Service)
+		}
+		if _, got := middle.RefusesBehind(s.at, "browse", 100); got != s.want {
 			t.Errorf("cut %d: gate refuses: got %v, want %v", s.cut, got, s.want)
 		}
 	}
@@ -106,10 +111,10 @@
 	table := kqshed.New()
 	table.Heard(0, kqshed.Answer{Service: "orders", Upstream: "1", Cut: 0})
 	call := kqshed.Call{Service: "orders", Class: "browse", Level: 100, Upstreams: 1}
-	if !table.Refuses(kqshed.Life-1, call) {
+	if _, refuses := table.Refuses(kqshed.Life-1, call); !refuses {
 		t.Error("just before the end of its life: got let in, want refused")
 	}
-	if table.Refuses(kqshed.Life, call) {
+	if _, refuses := table.Refuses(kqshed.Life, call); refuses {
 		t.Error("at the end of its life: got refused, want let in")
 	}
 	if got := len(table.Stale(kqshed.AskPeriod)); got != 1 {
@@ -150,7 +155,7 @@
 		catalog.Heard(now, kqshed.Answer{Service: "packs", Upstream: "1", Cut: kqadmit.Open, Deep: packs.Deep(now)})
 		packs.Called(now, "browse", "catalog")
 		packs.Heard(now, kqshed.Answer{Service: "catalog", Upstream: "1", Cut: kqadmit.Open, Deep: catalog.Deep(now)})
-		got := catalog.Refuses(now, call)
+		_, got := catalog.Refuses(now, call)
 		if got {
 			refused++
 		}
@@ -180,7 +185,7 @@
 		table.Heard(now, kqshed.Answer{Service: "licensing", Upstream: "1", Cut: 0})
 	}
 	for class, want := range map[string]bool{"download": false, "buy": true} {
-		if got := table.RefusesBehind(now, class, 1); got != want {
+		if _, got := table.RefusesBehind(now, class, 1); got != want {
 			t.Errorf("%s refused for licensing: got %v, want %v", class, got, want)
 		}
 	}
--- a/io/kqlog/kqlog.go
+++ b/io/kqlog/kqlog.go
@@ -62,6 +62,10 @@
 	Version int64
 	// Status is the HTTP status of the answer, or 0.
 	Status int
+	// Behind is the service whose gates hold back calls like this one, for
+	// which it was refused, and Age how old the word of that is; or empty.
+	Behind string
+	Age    time.Duration
 	// Detail is the text of an error, or empty.
 	Detail string
 }
@@ -101,6 +105,8 @@
 		{"Load", "the gate's calls when it answered: running, waiting, and its slots"},
 		{"RoutesVersion", "the version of the routes by which it was decided"},
 		{"Status", "the HTTP status that the caller or the entry got"},
+		{"Behind", "the service whose gates hold back calls like it, for which it was refused"},
+		{"AgeMicros", "how long ago one of those gates told of that"},
 		{"Detail", "the text of an error"},
 	}
 }
@@ -125,6 +131,9 @@
 	if d.Status != 0 {
 		e = e.Int("Status", d.Status)
 	}
+	if d.Behind != "" {
+		e = e.Str("Behind", d.Behind).Int64("AgeMicros", d.Age.Microseconds())
+	}
 	if d.Detail != "" {
 		e = e.Str("Detail", d.Detail)
 	}
--- a/io/kqmesh/entry.go
+++ b/io/kqmesh/entry.go
@@ -72,6 +72,7 @@
 		RequestID: q.head.RequestID, Root: q.head.Root, Class: q.head.Class, Service: q.head.Service, Decision: decisionAnswer,
 		Cause: string(o.head.End.Cause), Outcome: string(o.head.End.Outcome), Chosen: o.head.ServerID, Others: q.tries,
 		Took: n.now().Sub(e.Came), Left: q.deadline.Sub(n.now()), Version: q.head.RoutesVersion, Status: statusOf(o.head),
+		Behind: o.shedBy.Service, Age: o.shedBy.Age,
 	})
 	n.answer(e, o)
 }
--- a/io/kqmesh/gate.go
+++ b/io/kqmesh/gate.go
@@ -14,6 +14,7 @@
 	"kumquatlink/core/kqcall"
 	"kumquatlink/core/kqlineage"
 	"kumquatlink/core/kqserver"
+	"kumquatlink/core/kqshed"
 	"kumquatlink/io/kqhttp"
 	"kumquatlink/io/kqlog"
 	"kumquatlink/io/kqmetric"
@@ -70,6 +71,8 @@
 	body []byte
 	// heard is whether a gate answered at all.
 	heard bool
+	// shedBy is the cut for which this node refused the call, if it did.
+	shedBy kqshed.Reason
 }
 
 func ended(end kqcall.End) *outcome {
@@ -101,6 +104,7 @@
 		RequestID: head.RequestID, Root: head.Root, Class: head.Class, Service: head.Service, Decision: decisionAdmit,
 		Cause: string(o.head.End.Cause), Outcome: string(o.head.End.Outcome), Chosen: o.head.ServerID,
 		Took: g.node.clock() - begun, Left: head.Budget, Queued: o.head.Queue, Load: loadText(o.head.Load), Version: head.RoutesVersion,
+		Behind: o.shedBy.Service, Age: o.shedBy.Age,
 	})
 	return o
 }
@@ -114,8 +118,8 @@
 	if cause := g.closedBy(s, head.Service); cause != "" {
 		return ended(kqcall.NotRun(cause))
 	}
-	if g.node.shed.refusesBehind(head) {
-		return ended(shedEnd(head, kqcall.CauseShedGate))
+	if o := g.node.shed.refusesBehind(head); o != nil {
+		return o
 	}
 	begun := g.node.clock()
 	end, admitted := g.admit(ctx, head, s.Server.Slots)
--- a/io/kqmesh/shed.go
+++ b/io/kqmesh/shed.go
@@ -42,7 +42,7 @@
 	c := kqshed.Call{Service: q.head.Service, Class: q.head.Class, Upstreams: len(upstreamsOf(q.state, q.head.Service)), Level: level, Started: level}
 	now := s.node.clock()
 	s.mutex.Lock()
-	refuses := s.table.Refuses(now, c)
+	reason, refuses := s.table.Refuses(now, c)
 	var stale []string
 	if refuses {
 		stale = s.table.Stale(now)
@@ -52,7 +52,7 @@
 		return nil
 	}
 	s.ask(stale)
-	return ended(shedEnd(q.head, kqcall.CauseShedEntry))
+	return shedOutcome(q.head, kqcall.CauseShedEntry, reason)
 }
 
 // ran notes that the backend server begins a call of the class.
@@ -69,15 +69,26 @@
 	s.table.Called(s.node.clock(), q.head.Class, q.head.Service)
 }
 
-// refusesBehind is whether a deeper service would refuse the request after
-// this node's backend server had run the call.
-func (s *shedder) refusesBehind(head kqtrunk.CallHead) bool {
+// refusesBehind gives the outcome of a call if a deeper service would refuse
+// the request after this node's backend server had run the call, or nil.
+func (s *shedder) refusesBehind(head kqtrunk.CallHead) *outcome {
 	if head.RunOnce {
-		return false
+		return nil
 	}
 	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.table.RefusesBehind(s.node.clock(), head.Class, levelOf(head))
+	reason, refuses := s.table.RefusesBehind(s.node.clock(), head.Class, levelOf(head))
+	s.mutex.Unlock()
+	if !refuses {
+		return nil
+	}
+	return shedOutcome(head, kqcall.CauseShedGate, reason)
+}
+
+// shedOutcome is that of a call which is refused for a cut that was heard of.
+func shedOutcome(head kqtrunk.CallHead, cause kqcall.Cause, r kqshed.Reason) *outcome {
+	o := ended(shedEnd(head, cause))
+	o.shedBy = r
+	return o
 }
 
 func shedEnd(head kqtrunk.CallHead, cause kqcall.Cause) kqcall.End {
@@ -107,7 +118,7 @@
 func shedAnswer(service, upstream string, l kqtrunk.Load) kqshed.Answer {
 	a := kqshed.Answer{Service: service, Upstream: upstream, Cut: kqadmit.CutOf(l.Withheld)}
 	for _, d := range l.Deep {
-		a.Deep = append(a.Deep, kqshed.ClassCut{Class: d.Class, Level: kqadmit.CutOf(d.Withheld), Age: d.Age})
+		a.Deep = append(a.Deep, kqshed.ClassCut{Class: d.Class, Level: kqadmit.CutOf(d.Withheld), Service: d.Service, Age: d.Age})
 	}
 	return a
 }
@@ -122,7 +133,7 @@
 	s.ask(stale)
 	var cuts []kqtrunk.ClassCut
 	for _, d := range held {
-		cuts = append(cuts, kqtrunk.ClassCut{Class: d.Class, Withheld: d.Level.Withheld(), Age: d.Age})
+		cuts = append(cuts, kqtrunk.ClassCut{Class: d.Class, Withheld: d.Level.Withheld(), Age: d.Age, Service: d.Service})
 	}
 	return cuts
 }
--- a/io/kqnode/shed.go
+++ b/io/kqnode/shed.go
@@ -51,7 +51,7 @@
 	}
 	now := s.clock()
 	s.mutex.Lock()
-	refuses := s.table.Refuses(now, c)
+	_, refuses := s.table.Refuses(now, c)
 	var stale []string
 	if refuses {
 		stale = s.table.Stale(now)
@@ -79,7 +79,7 @@
 	}
 	level := kqadmit.Started(q.head)
 	s.mutex.Lock()
-	refuses := s.table.RefusesBehind(s.clock(), q.head.Class, level)
+	_, refuses := s.table.RefusesBehind(s.clock(), q.head.Class, level)
 	s.mutex.Unlock()
 	if !refuses {
 		return nil
--- a/io/kqstory/kqstory.go
+++ b/io/kqstory/kqstory.go
@@ -73,6 +73,8 @@
 	Load          string
 	RoutesVersion int64
 	Status        int
+	Behind        string
+	AgeMicros     int64
 	Detail        string
 }
 
@@ -248,7 +250,11 @@
 }
 
 func ending(l Line) string {
-	return l.Outcome + " " + l.Cause
+	text := l.Outcome + " " + l.Cause
+	if l.Behind != "" {
+		text += ", for " + l.Behind + " as told " + micros(l.AgeMicros).String() + " ago"
+	}
+	return text
 }
 
 func micros(n int64) time.Duration {
--- a/io/kqstory/kqstory_test.go
+++ b/io/kqstory/kqstory_test.go
@@ -117,3 +117,21 @@
 		}
 	})
 }
+
+// TestRefusalTellsForWhichService has a request refused at the entry for a
+// service that it would have called by way of others.
+func TestRefusalTellsForWhichService(t *testing.T) {
+	log := `{"Level":"info","Node":"catalog-1","Time":"2026-12-04T07:00:00.000000Z","Decision":"Answer","RequestID":"r1","Class":"browse",` +
+		`"Service":"catalog","Cause":"ShedAtEntry","Outcome":"not-run","Status":503,"RoutesVersion":4,"Behind":"licensing","AgeMicros":120000}`
+	lines, _, err := kqstory.Read(strings.NewReader(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text strings.Builder
+	if err := kqstory.Tell(lines, "r1").Write(&text); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := text.String(), "not-run ShedAtEntry, for licensing as told 120ms ago"; !strings.Contains(got, want) {
+		t.Errorf("story: got %q, want it to hold %q", got, want)
+	}
+}
--- a/io/kqtrunk/kqtrunk.go
+++ b/io/kqtrunk/kqtrunk.go
@@ -122,8 +122,10 @@
 	_        struct{} `cbor:",toarray"`
 	Class    string
 	Withheld uint64
-	// Age is how long ago the gate that set the cut told of it.
-	Age time.Duration
+	// Age is how long ago the gate that set the cut told of it, and Service
+	// the service of that gate.
+	Age     time.Duration
+	Service string
 }
 
 // AnswerHead is all of an answer but its body.
