Soak: repeats held against the bound of all nodes, connections that trickle

The soak did not look at the promise that repeats stay within the bound, nor at bytes that come a few at a time. Backend servers now count what they are handed beyond the first time, and the calls of repeated runs with it, and each window is held against ratio and slack.

--- a/io/kqcli/soak.go
+++ b/io/kqcli/soak.go
@@ -42,7 +42,7 @@
 			}
 			continue
 		}
-		_, _ = fmt.Fprintf(e.output, "seed %d: %d requests, %d runs, %d faults, answers %v, %d promises broken\n", r.Seed, r.Requests, r.Runs, len(r.Faults), r.Answers, len(r.Broken))
+		_, _ = fmt.Fprintf(e.output, "seed %d: %d requests, %d runs, %d repeats, %d faults, answers %v, %d promises broken\n", r.Seed, r.Requests, r.Runs, r.Repeats, len(r.Faults), r.Answers, len(r.Broken))
 		for _, b := range r.Broken {
 			_, _ = fmt.Fprintf(e.output, "  %s\n", b)
 		}
--- a/io/kqsoak/call.go
+++ b/io/kqsoak/call.go
@@ -38,6 +38,8 @@
 	body    string
 	runOnce bool
 	onward  bool
+	// inherited is whether it is made by a run that was itself a repeat.
+	inherited bool
 	// left is the time that the caller gives, in milliseconds.
 	left string
 }
@@ -56,7 +58,7 @@
 
 func (h *host) sendOver(ctx context.Context, pool *kqhttp.Pool, c call) answer {
 	ledger := h.soak.ledger
-	ledger.sent(c.id, c.runOnce)
+	ledger.sent(c)
 	begun := time.Now()
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
--- a/io/kqsoak/faults.go
+++ b/io/kqsoak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
@@ -22,6 +23,8 @@
 const (
 	// faultPause is the mean pause between two faults.
 	faultPause = 500 * time.Millisecond
+	// laterPause is the same for laterKinds.
+	laterPause = 3 * time.Second
 	// faultLength is the longest time that a fault lasts.
 	faultLength = 3 * time.Second
 	// afterTime is how long connections may still break after a fault.
@@ -128,6 +131,17 @@
 	}},
 }
 
+// laterKinds came after seeds had been kept, which draw from kinds; they have
+// draws of their own, so that those seeds stay the days that they were.
+var laterKinds = []fault{
+	{"the server's connections trickle", false, func(_ *soak, ctx context.Context, h *host, length time.Duration) {
+		h.during(ctx, h.link, trouble{trickle: true}, length)
+	}},
+	{"the peers' connections to the node trickle", false, func(_ *soak, ctx context.Context, h *host, length time.Duration) {
+		h.during(ctx, h.peer, trouble{trickle: true}, length)
+	}},
+}
+
 // inject injects faults, alone, at once and one after the other, until the
 // length of the soak is over, and waits until they are.
 func (s *soak) inject(ctx context.Context) {
@@ -136,9 +150,19 @@
 	for _, h := range s.hosts {
 		busy[h] = &sync.Mutex{}
 	}
+	running.Go(func() {
+		later := rand.New(rand.NewPCG(s.options.Seed, 1))
+		s.injectFrom(ctx, &running, busy, laterKinds, later, laterPause)
+	})
+	s.injectFrom(ctx, &running, busy, kinds, s.random, faultPause)
+	running.Wait()
+}
+
+// injectFrom injects faults of some kinds with a mean pause between them.
+func (s *soak) injectFrom(ctx context.Context, running *sync.WaitGroup, busy map[*host]*sync.Mutex, kinds []fault, random *rand.Rand, mean time.Duration) {
 	for until := time.Now().Add(s.options.Length); time.Now().Before(until) && ctx.Err() == nil; {
-		f, h := kinds[s.random.IntN(len(kinds))], s.hosts[s.random.IntN(len(s.hosts))]
-		length := time.Duration(s.random.Int64N(int64(faultLength)))
+		f, h := kinds[random.IntN(len(kinds))], s.hosts[random.IntN(len(s.hosts))]
+		length := time.Duration(random.Int64N(int64(faultLength)))
 		running.Go(func() {
 			// Two faults of one host come one after the other.
 			busy[h].Lock()
@@ -152,9 +176,8 @@
 				s.ledger.disturb(time.Now().Add(afterTime))
 			}
 		})
-		pause(ctx, time.Duration(s.random.Int64N(int64(2*faultPause))))
+		pause(ctx, time.Duration(random.Int64N(int64(2*mean))))
 	}
-	running.Wait()
 }
 
 // restart starts a node's process again.
--- a/io/kqsoak/host.go
+++ b/io/kqsoak/host.go
@@ -33,6 +33,11 @@
 	drainSlack = 2 * time.Second
 	// shutdownTime is the nodes' own.
 	shutdownTime = 6 * time.Second
+	// The bound of repeats, as the deployments that the nodes are made for
+	// have it.
+	repeatRatio  = 0.2
+	repeatSlack  = 48
+	repeatWindow = 10 * time.Second
 )
 
 // host is a node's process and the backend server beside it.
@@ -54,7 +59,7 @@
 	h := &host{soak: s, name: name}
 	h.settings = kqsettings.Mesh{
 		NodeID: name, Region: "south", FailureDomain: "south-" + name[len(name)-1:], Service: service, StoreAddress: s.store.proxy.address(),
-		RepeatRatio: 0.2, RepeatWindow: kqclass.Duration(10 * time.Second), RepeatSlack: 48,
+		RepeatRatio: repeatRatio, RepeatWindow: kqclass.Duration(repeatWindow), RepeatSlack: repeatSlack,
 		ShutdownTime: kqclass.Duration(shutdownTime), DrainTime: kqclass.Duration(drainTime),
 	}
 	for _, address := range []*string{&h.settings.CallerAddress, &h.settings.NoticeAddress, &h.settings.ReadyAddress, &h.settings.PeerAddress} {
@@ -254,6 +259,7 @@
 
 // run runs one request and says whether the connection goes on.
 func (v *server) run(c net.Conn, q *fasthttp.Request, id string) bool {
+	repeat := v.host.soak.ledger.arrived(id, v.host.settings.Service)
 	select {
 	case v.slots <- struct{}{}:
 	default:
@@ -270,7 +276,7 @@
 	v.host.soak.ledger.ran(id, v.id)
 	time.Sleep(serviceTime(id) + t.slow)
 	body := bodyOf(id, q)
-	if v.host.settings.Service == services[0] && !v.onward(q) {
+	if v.host.settings.Service == services[0] && !v.onward(q, repeat) {
 		body = "onward call failed"
 		_, err := fmt.Fprintf(c, "HTTP/1.1 500 Error\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", kqwire.HeaderRequestID, id, len(body), body)
 		return err == nil
@@ -295,7 +301,7 @@
 }
 
 // onward makes the server's own call, which expires with the request.
-func (v *server) onward(q *fasthttp.Request) bool {
+func (v *server) onward(q *fasthttp.Request, repeat bool) bool {
 	if string(q.Header.Peek(headerOnward)) == "" {
 		return true
 	}
@@ -303,7 +309,7 @@
 	id := v.host.soak.ledger.newID("onward")
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
-	a := v.host.send(ctx, call{id: id, path: v.host.soak.newestPath(services[1]), service: services[1], left: left})
+	a := v.host.send(ctx, call{id: id, path: v.host.soak.newestPath(services[1]), service: services[1], left: left, inherited: repeat})
 	return a.status == fasthttp.StatusOK
 }
 
--- a/io/kqsoak/kqsoak.go
+++ b/io/kqsoak/kqsoak.go
@@ -9,8 +9,8 @@
 //
 // The seed decides which faults come when: nodes that are ended, killed,
 // paused and started again; connections between nodes, to the store and to
-// backend servers that are slowed, reset, cut one way or silenced by a proxy
-// on loopback; a store that is down, slow, paused or loses answers; backend
+// backend servers that are slowed, trickle, are reset, cut one way or silenced by
+// a proxy on loopback; a store that is down, slow, paused or loses answers; backend
 // servers that drain, leave without a word, are replaced, lose answers or
 // answer twice; routes that change. Faults overlap and come in series.
 // Timing differs between runs of a seed, so a seed is a kind of day and no
@@ -19,8 +19,9 @@
 // Promises that are checked: what must not run twice does not; what was said
 // not to have run has not and never does; each caller gets its own whole
 // answer; a backend server that has told its node that it drains gets nothing
-// after the time it serves on; a planned end of a node cuts off nothing; once
-// the faults are over, every node serves the newest routes.
+// after the time it serves on; a planned end of a node cuts off nothing; repeats
+// stay within the bound of all nodes together; once the faults are over, every
+// node serves the newest routes.
 package kqsoak
 
 import (
@@ -72,7 +73,10 @@
 	Requests int
 	Answers  map[int]int
 	Runs     int
-	Faults   []string
+	// Repeats counts what backend servers were handed beyond the first time,
+	// and what repeated runs called.
+	Repeats int
+	Faults  []string
 	// Broken lists the promises that were broken.
 	Broken []string
 	// Directory holds the logs if something broke.
@@ -117,6 +121,7 @@
 		return nil, errors.Mark(err, ErrSoak)
 	}
 	s.play(ctx)
+	s.ledger.checkRepeats(repeatRatio, repeatSlack, repeatWindow)
 	r := s.report()
 	if made && len(r.Broken) == 0 {
 		if err := os.RemoveAll(o.Directory); err != nil {
--- a/io/kqsoak/ledger.go
+++ b/io/kqsoak/ledger.go
@@ -1,7 +1,9 @@
 package kqsoak
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -15,6 +17,19 @@
 	runs    int
 	// refused is whether its caller was told that it was not run.
 	refused bool
+	// inherited is whether it was made by a run that was itself a repeat, and
+	// arrived whether a backend server was handed it.
+	inherited bool
+	arrived   bool
+}
+
+// arrival is a request that was sent to a service, or handed to one of its
+// backend servers.
+type arrival struct {
+	at      time.Time
+	service string
+	// repeat is whether it counts towards the bound of repeats.
+	repeat bool
 }
 
 // ledger holds what callers and backend servers saw of every request.
@@ -28,6 +43,10 @@
 	broken   []string
 	// disturbed is until when connections may break without a promise broken.
 	disturbed time.Time
+	// asked are the requests that were sent, and handed what arrived at
+	// backend servers, each in the order of time.
+	asked  []arrival
+	handed []arrival
 }
 
 func newLedger() *ledger {
@@ -52,11 +71,52 @@
 }
 
 // sent notes a request that a caller sends.
-func (l *ledger) sent(id string, runOnce bool) {
+func (l *ledger) sent(c call) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.requests++
-	l.at(id).runOnce = runOnce
+	r := l.at(c.id)
+	r.runOnce, r.inherited = c.runOnce, c.inherited
+	l.asked = append(l.asked, arrival{at: time.Now(), service: c.service})
+}
+
+// arrived notes that a backend server was handed a request, and says whether
+// that was a repeat. Calls that a repeated run makes are repeats as well.
+func (l *ledger) arrived(id, service string) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	r := l.at(id)
+	repeat := r.arrived || r.inherited
+	r.arrived = true
+	l.handed = append(l.handed, arrival{at: time.Now(), service: service, repeat: repeat})
+	return repeat
+}
+
+// checkRepeats holds the repeats of each service against the bound, in windows
+// that end with each of them.
+func (l *ledger) checkRepeats(ratio, slack float64, window time.Duration) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for _, service := range services {
+		of := func(a arrival) bool { return a.service != service }
+		asked := slices.DeleteFunc(slices.Clone(l.asked), of)
+		repeats := slices.DeleteFunc(slices.Clone(l.handed), func(a arrival) bool { return of(a) || !a.repeat })
+		for i, last := range repeats {
+			from := last.at.Add(-window)
+			n := i + 1 - since(repeats[:i+1], from)
+			requests := len(asked[since(asked, from):since(asked, last.at)])
+			if bound := ratio*float64(requests) + slack; float64(n) > bound {
+				l.add("%s got %d repeats within %s of %d requests, more than %.0f", service, n, window, requests, bound)
+				break
+			}
+		}
+	}
+}
+
+// since is the index of the first arrival that is not before a time.
+func since(list []arrival, at time.Time) int {
+	i, _ := slices.BinarySearchFunc(list, at, func(a arrival, at time.Time) int { return cmp.Compare(a.at.Sub(at), 0) })
+	return i
 }
 
 // ran notes that a backend server began a request.
@@ -128,5 +188,11 @@
 func (l *ledger) report() *Report {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return &Report{Requests: l.requests, Answers: l.answers, Runs: l.runs, Broken: l.broken}
+	r := &Report{Requests: l.requests, Answers: l.answers, Runs: l.runs, Broken: l.broken}
+	for _, a := range l.handed {
+		if a.repeat {
+			r.Repeats++
+		}
+	}
+	return r
 }
--- a/io/kqsoak/proxy.go
+++ b/io/kqsoak/proxy.go
@@ -19,8 +19,17 @@
 	towards, back bool
 	// refuse closes new connections at once.
 	refuse bool
+	// trickle passes the bytes of a direction on a few at a time.
+	trickle bool
 }
 
+// A connection that trickles passes this many bytes at a time, which is less
+// than a request's header, with this pause between.
+const (
+	trickleBytes = 48
+	tricklePause = 2 * time.Millisecond
+)
+
 // proxy passes the bytes of TCP connections on, with trouble.
 type proxy struct {
 	listener net.Listener
@@ -117,12 +126,24 @@
 		if silent || cut(t) {
 			continue
 		}
-		if _, err := to.Write(buffer[:n]); err != nil {
+		if write(to, buffer[:n], t.trickle) != nil {
 			return
 		}
 	}
 }
 
+func write(to net.Conn, data []byte, trickle bool) error {
+	for trickle && len(data) > trickleBytes {
+		if _, err := to.Write(data[:trickleBytes]); err != nil {
+			return errors.Wrap(err, "trickle")
+		}
+		data = data[trickleBytes:]
+		time.Sleep(tricklePause)
+	}
+	_, err := to.Write(data)
+	return errors.Wrap(err, "pass on")
+}
+
 // reset resets all open connections.
 func (p *proxy) reset() {
 	for _, c := range p.passages() {
