Repeats are shared out by depth, most of them to callers' requests

An entry with 40 requests in ten seconds has a bound of 10, of which one level of a chain got 0.23 and a request that is not urgent half of that: one repeat.

Ruled out: MaxAttempts (2), time left (1.2 s), another upstream (five sound ones).

Change: instead of equal parts for each of four levels, the budget counts by service and depth, and the parts are 0.4, 0.22, 0.18 and 0.15 for calls of depth 0 to 3, which sum up to 0.95; what is not urgent may use 0.8 of its part instead of half. The test of a chain in which all fails holds with these parts as before; the new one gets 1 repeat on the old code and wants 2.

--- a/core/kqbudget/kqbudget.go
+++ b/core/kqbudget/kqbudget.go
@@ -4,17 +4,19 @@
 // # Usage
 //
 //	budget := kqbudget.New(kqbudget.Bound{Ratio: 0.2, Window: 10 * time.Second, Slack: 48})
-//	budget.Request(now, "orders", inherited)
-//	if budget.Repeat(now, "orders", entries, urgent) { ... } // hand it to another server
+//	call := kqbudget.Call{Service: "orders", Depth: 1}
+//	budget.Request(now, call, inherited)
+//	if budget.Repeat(now, call, entries, urgent) { ... } // hand it to another server
 //
 // The bound for a service is a ratio of the requests in a sliding window, plus
 // a slack. The ratio holds for the fleet if it holds for each entry, and the
 // slack is divided by the number of entries. A repeated run repeats its onward
 // calls as well, which count at the services called: these are inherited, and
 // leave less for repeats of the entry's own. Since an entry can't refuse them,
-// each level of a chain spends only a part of the bound by itself. Requests
-// that are not urgent leave half of that to those that are. A Budget is safe
-// for concurrent use.
+// the calls of each depth may spend only a part of the bound by themselves, and
+// the parts of all depths sum up to less than the whole. Requests that are not
+// urgent leave some of their part to those that are. A Budget is safe for
+// concurrent use.
 package kqbudget
 
 import (
@@ -22,16 +24,22 @@
 	"time"
 )
 
-// Parts of the bound.
+// depthParts is what the calls of each depth may spend by themselves. A call of
+// depth 2 may be inherited from depths 0 and 1, so that the first three parts
+// bound what its service sees of such calls; the last one is that of all
+// deeper calls, of a chain of up to four levels. Requests of callers get the
+// most, since they come in small numbers at many entries.
+var depthParts = [depths]float64{0.4, 0.22, 0.18, 0.15}
+
+const depths = 4
+
+// Other parts of the bound.
 const (
-	// levelPart is what one level of a chain may spend by itself; a chain has
-	// up to four levels.
-	levelPart = 0.23
 	// wholePart is what inherited and own repeats may sum up to before no more
 	// are made.
 	wholePart = 0.85
-	// plainPart is what requests that are not urgent may use of a level's part.
-	plainPart = 0.5
+	// plainPart is what requests that are not urgent may use of their part.
+	plainPart = 0.8
 )
 
 // slots is how many parts a window is counted in. One part more than the
@@ -47,12 +55,19 @@
 	Slack float64
 }
 
-// Budget counts requests and repeats by service.
+// Call is what is counted: a call to a service, with the number of hops above
+// it.
+type Call struct {
+	Service string
+	Depth   int
+}
+
+// Budget counts requests and repeats by service and depth.
 type Budget struct {
 	bound Bound
 
-	mutex    sync.Mutex
-	services map[string]*counts
+	mutex sync.Mutex
+	calls map[Call]*counts
 }
 
 // counts are the requests and repeats of the latest parts of the window.
@@ -65,7 +80,7 @@
 
 // New makes a budget of which nothing is spent.
 func New(b Bound) *Budget {
-	return &Budget{bound: b, services: map[string]*counts{}}
+	return &Budget{bound: b, calls: map[Call]*counts{}}
 }
 
 // SetBound changes the bound; what was counted stays.
@@ -73,29 +88,29 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	if bound.Window != b.bound.Window {
-		b.services = map[string]*counts{}
+		b.calls = map[Call]*counts{}
 	}
 	b.bound = bound
 }
 
-// Request counts a request for the service. It is inherited when the run that
+// Request counts a call. It is inherited when the run that
 // made it was itself a repeat. The time is on the node's own monotonic clock.
-func (b *Budget) Request(now time.Duration, service string, inherited bool) {
+func (b *Budget) Request(now time.Duration, call Call, inherited bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	c := b.at(now, service)
+	c := b.at(now, call)
 	c.requests[c.newest%(slots+1)]++
 	if inherited {
 		c.inherited[c.newest%(slots+1)]++
 	}
 }
 
-// Repeat takes one repeat for the service, if there is one left, in a fleet of
-// that many entries.
-func (b *Budget) Repeat(now time.Duration, service string, entries int, urgent bool) bool {
+// Repeat takes one repeat of the call, if there is one left, in a fleet of that
+// many entries.
+func (b *Budget) Repeat(now time.Duration, call Call, entries int, urgent bool) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	c := b.at(now, service)
+	c := b.at(now, call)
 	requests, repeats, inherited := 0, 0, 0
 	for i := range c.requests {
 		requests += c.requests[i]
@@ -106,7 +121,7 @@
 	// count; its repeats do.
 	requests -= c.requests[(c.newest+1)%(slots+1)]
 	bound := b.bound.Ratio*float64(requests) + b.bound.Slack/float64(max(entries, 1))
-	own := levelPart * bound
+	own := depthParts[call.level()] * bound
 	if !urgent {
 		own *= plainPart
 	}
@@ -117,13 +132,19 @@
 	return true
 }
 
-// at gives the counts of the service, moved on to the moment.
-func (b *Budget) at(now time.Duration, service string) *counts {
+// level is the call's place among the parts.
+func (c Call) level() int {
+	return min(max(c.Depth, 0), depths-1)
+}
+
+// at gives the counts of such calls, moved on to the moment.
+func (b *Budget) at(now time.Duration, call Call) *counts {
+	call.Depth = call.level()
 	part := int64(now / (b.bound.Window / slots))
-	c, found := b.services[service]
+	c, found := b.calls[call]
 	if !found {
 		c = &counts{newest: part}
-		b.services[service] = c
+		b.calls[call] = c
 	}
 	for ; c.newest < part; c.newest++ {
 		if part-c.newest > slots+1 {
--- a/core/kqbudget/kqbudget_test.go
+++ b/core/kqbudget/kqbudget_test.go
@@ -33,9 +33,9 @@
 		var call func(now time.Duration, level int, inherited bool)
 		call = func(now time.Duration, level int, inherited bool) {
 			b := budgets[random.IntN(entries)]
-			b.Request(now, names[level], inherited)
+			b.Request(now, kqbudget.Call{Service: names[level], Depth: level}, inherited)
 			for try := range 4 {
-				if try > 0 && !b.Repeat(now, names[level], entries, random.IntN(4) == 0) {
+				if try > 0 && !b.Repeat(now, kqbudget.Call{Service: names[level], Depth: level}, entries, random.IntN(4) == 0) {
 					return
 				}
 				if level == len(names)-1 {
@@ -78,14 +78,14 @@
 func TestUrgentRequestsFindWhatOthersLeft(t *testing.T) {
 	b := kqbudget.New(kqbudget.Bound{Ratio: 0.2, Window: 10 * time.Second, Slack: 0})
 	for range 1000 {
-		b.Request(0, "orders", false)
+		b.Request(0, kqbudget.Call{Service: "orders"}, false)
 	}
 	plain := 0
-	for b.Repeat(time.Millisecond, "orders", 1, false) {
+	for b.Repeat(time.Millisecond, kqbudget.Call{Service: "orders"}, 1, false) {
 		plain++
 	}
 	urgent := 0
-	for b.Repeat(time.Millisecond, "orders", 1, true) {
+	for b.Repeat(time.Millisecond, kqbudget.Call{Service: "orders"}, 1, true) {
 		urgent++
 	}
 	if plain == 0 || urgent == 0 || plain+urgent > 200 {
@@ -97,14 +97,32 @@
 func TestRepeatsComeBackWithTime(t *testing.T) {
 	b := kqbudget.New(kqbudget.Bound{Ratio: 0.2, Window: 10 * time.Second, Slack: 0})
 	for now := time.Duration(0); now < 30*time.Second; now += 10 * time.Millisecond {
-		b.Request(now, "orders", false)
+		b.Request(now, kqbudget.Call{Service: "orders"}, false)
 		if now == 9*time.Second {
-			for b.Repeat(now, "orders", 1, true) {
+			for b.Repeat(now, kqbudget.Call{Service: "orders"}, 1, true) {
 				continue
 			}
 		}
 	}
-	if !b.Repeat(30*time.Second, "orders", 1, true) {
+	if !b.Repeat(30*time.Second, kqbudget.Call{Service: "orders"}, 1, true) {
 		t.Error("repeat 21 s after all were spent: got none, want one")
 	}
 }
+
+// TestCallersSpreadOverManyEntriesFindRepeats has few requests at each of many
+// entries and one in six lost: each entry must have a few repeats for them.
+func TestCallersSpreadOverManyEntriesFindRepeats(t *testing.T) {
+	b := kqbudget.New(kqbudget.Bound{Ratio: 0.2, Window: 10 * time.Second, Slack: 48})
+	call := kqbudget.Call{Service: "orders"}
+	granted := 0
+	for i := range 40 {
+		now := time.Duration(i) * 250 * time.Millisecond
+		b.Request(now, call, false)
+		if i%6 == 5 && b.Repeat(now, call, 24, false) {
+			granted++
+		}
+	}
+	if got, want := granted, 2; got < want {
+		t.Errorf("repeats of 40 requests, 6 of them lost: got %d, want at least %d", got, want)
+	}
+}
--- a/io/kqlog/kqlog.go
+++ b/io/kqlog/kqlog.go
@@ -66,7 +66,7 @@
 	// which it was refused, and Age how old the word of that is; or empty.
 	Behind string
 	Age    time.Duration
-	// Detail is the text of an error, or empty.
+	// Detail is the text of an error or a further reason, or empty.
 	Detail string
 }
 
@@ -107,7 +107,7 @@
 		{"Status", "the HTTP status that the caller or the entry got"},
 		{"Behind", "the service whose gates hold back calls like it, for which it was refused"},
 		{"AgeMicros", "how long ago one of those gates told of that"},
-		{"Detail", "the text of an error"},
+		{"Detail", "the text of an error, or why no other server was handed the call"},
 	}
 }
 
--- a/io/kqmesh/entry.go
+++ b/io/kqmesh/entry.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"kumquatlink/core/kqbudget"
 	"kumquatlink/core/kqcall"
 	"kumquatlink/core/kqroutes"
 	"kumquatlink/io/kqedge"
@@ -42,10 +43,17 @@
 	deadline time.Time
 	// tries are the upstreams that the call was sent to, for the log.
 	tries []string
+	// detail is what else the log is told of the answer.
+	detail string
 	// attempts counts those whose backend server may have begun it.
 	attempts int
 }
 
+// counted is how the budget of repeats counts the call.
+func (q *call) counted() kqbudget.Call {
+	return kqbudget.Call{Service: q.head.Service, Depth: q.head.Depth}
+}
+
 // callerLimits are the limits of the routes in force.
 func (n *Node) callerLimits() kqedge.Limits {
 	s := n.State()
@@ -72,7 +80,7 @@
 		RequestID: q.head.RequestID, Root: q.head.Root, Class: q.head.Class, Service: q.head.Service, Decision: decisionAnswer,
 		Cause: string(o.head.End.Cause), Outcome: string(o.head.End.Outcome), Chosen: o.head.ServerID, Others: q.tries,
 		Took: n.now().Sub(e.Came), Left: q.deadline.Sub(n.now()), Version: q.head.RoutesVersion, Status: statusOf(o.head),
-		Behind: o.shedBy.Service, Age: o.shedBy.Age,
+		Behind: o.shedBy.Service, Age: o.shedBy.Age, Detail: q.detail,
 	})
 	n.answer(e, o)
 }
@@ -107,7 +115,7 @@
 		}
 	}
 	q.body = append([]byte(nil), e.Request.Body()...)
-	n.budget.Request(n.clock(), q.head.Service, q.head.Repeat)
+	n.budget.Request(n.clock(), q.counted(), q.head.Repeat)
 	if !q.deadline.After(n.now()) {
 		return q, ended(kqcall.NotRun(kqcall.CauseDeadline))
 	}
--- a/io/kqmesh/place.go
+++ b/io/kqmesh/place.go
@@ -185,8 +185,9 @@
 	if q.attempts >= q.route.MaxAttempts || q.deadline.Sub(n.now()) < minTimeLeft {
 		return false
 	}
-	if !n.budget.Repeat(n.clock(), q.head.Service, q.state.entries(), q.head.Rank == mostUrgent) {
+	if !n.budget.Repeat(n.clock(), q.counted(), q.state.entries(), q.head.Rank == mostUrgent) {
 		n.metrics.Count(kqmetric.RepeatsRefused, q.head.Service)
+		q.detail = "not handed to another server: the repeats of the moment are spent"
 		return false
 	}
 	n.metrics.Count(kqmetric.Repeats, q.head.Service)
--- a/io/kqstory/kqstory.go
+++ b/io/kqstory/kqstory.go
@@ -254,6 +254,9 @@
 	if l.Behind != "" {
 		text += ", for " + l.Behind + " as told " + micros(l.AgeMicros).String() + " ago"
 	}
+	if l.Detail != "" {
+		text += ", " + l.Detail
+	}
 	return text
 }
 
