A node with own settings reads them again, and a hang-up at its start is no end

Found by the soak's new fault, settings that are spoilt, mended and told with SIGHUP: a node with settings in the project's own format did not listen for the signal at all, which ends a process, and any node did not until it had started.

Now the signal is waited for from the first line of the command, and both kinds of settings are read again by the same code, on the signal and when the file has changed; a new address of the store takes a restart with own settings, and the log says so. The soak tells a node only once it has opened its address: a process that was made a millisecond ago can't wait for anything yet.

--- a/io/kqcli/mesh.go
+++ b/io/kqcli/mesh.go
@@ -7,7 +7,6 @@
 	"os"
 	"os/signal"
 	"path/filepath"
-	"reflect"
 	"strconv"
 	"syscall"
 	"time"
@@ -35,14 +34,18 @@
 
 // Help is the longer help of the command.
 func (meshCommand) Help() string {
-	return "The node ends on SIGTERM when all that is in flight has been answered.\n\nExample:\n\n  kumquatlink mesh --settings mesh.json"
+	return "The node ends on SIGTERM when all that is in flight has been answered, and reads its settings again on SIGHUP and when the file has changed: bounds of repeats and times of shutdown and draining take effect at once, and faulty settings change nothing.\n\nExample:\n\n  kumquatlink mesh --settings mesh.json"
 }
 
 // Run runs a node until it is told to end. Settings in the project's own
 // format have names that end in .json; others are the platform's.
 func (k *meshCommand) Run(e *environment) error {
+	// From here on, since the signal ends a process that does not wait for it.
+	hangUp := make(chan os.Signal, 1)
+	signal.Notify(hangUp, syscall.SIGHUP)
+	defer signal.Stop(hangUp)
 	if filepath.Ext(k.Settings) == ".json" {
-		return k.runOwn(e)
+		return k.runOwn(e, hangUp)
 	}
 	path := k.Settings
 	if path == "" {
@@ -57,14 +60,22 @@
 	if k.MetricsPort != 0 {
 		settings.MetricsAddress = net.JoinHostPort(s.IP, strconv.Itoa(k.MetricsPort))
 	}
+	read := func() (reloadable, error) {
+		s, err := platform.ReadSettings(path)
+		if err != nil {
+			return reloadable{}, err
+		}
+		return reloadable{tunables: s.Node().Tunables, storeAddress: s.Provider.Address}, nil
+	}
 	return runMesh(e, settings, platform.Dialect(), store.Client(), func(ctx context.Context, n *kqmesh.Node, log *kqlog.Log) {
-		r := &reloader{path: path, node: n, store: store, log: log, held: *s}
-		r.run(ctx)
+		r := newReloader(n, log, read, reloadable{settings.Tunables, s.Provider.Address})
+		r.setStore = store.SetAddress
+		r.run(ctx, hangUp)
 	})
 }
 
 // runOwn runs a node with settings in the project's own format.
-func (k *meshCommand) runOwn(e *environment) error {
+func (k *meshCommand) runOwn(e *environment, hangUp <-chan os.Signal) error {
 	m, err := kqsettings.ReadMesh(k.Settings)
 	if err != nil {
 		return err
@@ -74,16 +85,27 @@
 		BackendAddress: m.BackendAddress, CallerAddress: m.CallerAddress, NoticeAddress: m.NoticeAddress,
 		ReadyAddress: m.ReadyAddress, PeerAddress: m.PeerAddress, AdvertisedAddress: m.AdvertisedAddress, MetricsAddress: m.MetricsAddress,
 		RoutesKind: kqmesh.OwnRoutesKind, RoutesName: kqmesh.OwnRoutesName, FirstStart: m.FirstStart,
-		Tunables: kqmesh.Tunables{
-			RepeatRatio: m.RepeatRatio, RepeatWindow: m.RepeatWindow, RepeatSlack: m.RepeatSlack,
-			ShutdownTime: m.ShutdownTime, DrainTime: m.DrainTime,
-		},
+		Tunables: tunablesOf(m),
 	}
-	return runMesh(e, settings, kqmesh.OwnDialect(), kqstore.NewHTTP(m.StoreAddress), func(ctx context.Context, _ *kqmesh.Node, _ *kqlog.Log) {
-		<-ctx.Done()
+	read := func() (reloadable, error) {
+		m, err := kqsettings.ReadMesh(k.Settings)
+		if err != nil {
+			return reloadable{}, err
+		}
+		return reloadable{tunables: tunablesOf(m), storeAddress: m.StoreAddress}, nil
+	}
+	return runMesh(e, settings, kqmesh.OwnDialect(), kqstore.NewHTTP(m.StoreAddress), func(ctx context.Context, n *kqmesh.Node, log *kqlog.Log) {
+		newReloader(n, log, read, reloadable{settings.Tunables, m.StoreAddress}).run(ctx, hangUp)
 	})
 }
 
+func tunablesOf(m *kqsettings.Mesh) kqmesh.Tunables {
+	return kqmesh.Tunables{
+		RepeatRatio: m.RepeatRatio, RepeatWindow: m.RepeatWindow, RepeatSlack: m.RepeatSlack,
+		ShutdownTime: m.ShutdownTime, DrainTime: m.DrainTime,
+	}
+}
+
 // runMesh runs a node while attend does.
 func runMesh(e *environment, settings kqmesh.Settings, dialect kqmesh.Dialect, store *kqstore.Client, attend func(context.Context, *kqmesh.Node, *kqlog.Log)) error {
 	log := kqlog.New(e.output, kqlog.WithNode(settings.NodeID, settings.FailureDomain), kqlog.WithLevel(zerolog.InfoLevel),
@@ -104,20 +126,28 @@
 // change without a signal.
 const reloadPeriod = 5 * time.Second
 
+// reloadable is what may change while a node runs.
+type reloadable struct {
+	tunables     kqmesh.Tunables
+	storeAddress string
+}
+
 // reloader takes over changes of the settings file while the node runs.
 type reloader struct {
-	path  string
-	node  *kqmesh.Node
-	store *platform.Store
-	log   *kqlog.Log
-	held  platform.Settings
+	node *kqmesh.Node
+	log  *kqlog.Log
+	read func() (reloadable, error)
+	held reloadable
+	// setStore moves the client of the store, or is nil if that takes a start.
+	setStore func(address string)
+}
+
+func newReloader(n *kqmesh.Node, log *kqlog.Log, read func() (reloadable, error), held reloadable) *reloader {
+	return &reloader{node: n, log: log, read: read, held: held}
 }
 
 // run reloads on SIGHUP, and when the file has changed, until ctx ends.
-func (r *reloader) run(ctx context.Context) {
-	hangUp := make(chan os.Signal, 1)
-	signal.Notify(hangUp, syscall.SIGHUP)
-	defer signal.Stop(hangUp)
+func (r *reloader) run(ctx context.Context, hangUp <-chan os.Signal) {
 	look := time.NewTicker(reloadPeriod)
 	defer look.Stop()
 	for {
@@ -134,17 +164,22 @@
 
 // reload reads the file. What is faulty changes nothing.
 func (r *reloader) reload(asked bool) {
-	s, err := platform.ReadSettings(r.path)
+	s, err := r.read()
 	if err != nil {
 		r.log.Event(zerolog.ErrorLevel, "settings are not reloaded", err)
 		return
 	}
-	changed := !reflect.DeepEqual(*s, r.held)
+	changed := s != r.held
 	if !changed && !asked {
 		return
 	}
-	r.held = *s
-	r.node.Retune(s.Node().Tunables)
-	r.store.SetAddress(s.Provider.Address)
+	r.node.Retune(s.tunables)
+	switch {
+	case r.setStore != nil:
+		r.setStore(s.storeAddress)
+	case s.storeAddress != r.held.storeAddress:
+		r.log.Event(zerolog.WarnLevel, "the new address of the store takes effect at the next start", nil)
+	}
+	r.held = s
 	r.log.Event(zerolog.InfoLevel, fmt.Sprintf("settings reloaded, changed: %t", changed), nil)
 }
--- a/io/kqsoak/faults.go
+++ b/io/kqsoak/faults.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -25,6 +27,8 @@
 	faultPause = 500 * time.Millisecond
 	// laterPause is the same for laterKinds.
 	laterPause = 3 * time.Second
+	// openPause is the pause between looks at whether a node has started.
+	openPause = 50 * time.Millisecond
 	// faultLength is the longest time that a fault lasts.
 	faultLength = 3 * time.Second
 	// afterTime is how long connections may still break after a fault.
@@ -137,6 +141,9 @@
 	{"the server's connections trickle", false, func(_ *soak, ctx context.Context, h *host, length time.Duration) {
 		h.during(ctx, h.link, trouble{trickle: true}, length)
 	}},
+	{"the node's settings are rewritten, and it is told", true, func(_ *soak, ctx context.Context, h *host, length time.Duration) {
+		h.rewrite(ctx, length)
+	}},
 	{"the peers' connections to the node trickle", false, func(_ *soak, ctx context.Context, h *host, length time.Duration) {
 		h.during(ctx, h.peer, trouble{trickle: true}, length)
 	}},
@@ -187,6 +194,37 @@
 	}
 }
 
+// rewrite spoils the node's settings for a while, and mends them with a bound
+// that was lower. A process that has just been made can't wait for the signal
+// yet, so it is told once it has opened its address.
+func (h *host) rewrite(ctx context.Context, length time.Duration) {
+	for until := time.Now().Add(length); !h.isOpen(); pause(ctx, openPause) {
+		if ctx.Err() != nil || time.Now().After(until) {
+			return
+		}
+	}
+	if err := os.WriteFile(h.settingsPath, []byte("{"), 0o600); err != nil {
+		h.soak.note("settings were not spoilt: %v", err)
+	}
+	h.signal(syscall.SIGHUP)
+	pause(ctx, length/4)
+	changed := h.settings
+	changed.RepeatSlack /= 2
+	if err := writeJSON(h.settingsPath, changed); err != nil {
+		h.soak.ledger.broke("settings of %s were not mended: %v", h.name, err)
+	}
+	h.signal(syscall.SIGHUP)
+}
+
+// isOpen is whether the node takes connections of callers.
+func (h *host) isOpen() bool {
+	c, err := net.DialTimeout("tcp", h.settings.CallerAddress, openPause)
+	if err != nil {
+		return false
+	}
+	return c.Close() == nil
+}
+
 func (h *host) during(ctx context.Context, p *proxy, t trouble, length time.Duration) {
 	p.set(t)
 	pause(ctx, length)
--- a/io/kqsoak/host.go
+++ b/io/kqsoak/host.go
@@ -46,6 +46,8 @@
 	soak     *soak
 	name     string
 	settings kqsettings.Mesh
+	// settingsPath is where the node reads them.
+	settingsPath string
 	// peer stands before the node's address for other nodes, and link before
 	// the backend server.
 	peer *proxy
@@ -81,11 +83,11 @@
 		return nil, err
 	}
 	h.settings.BackendAddress = h.link.address()
-	path := filepath.Join(s.options.Directory, name+".json")
-	if err := writeJSON(path, h.settings); err != nil {
+	h.settingsPath = filepath.Join(s.options.Directory, name+".json")
+	if err := writeJSON(h.settingsPath, h.settings); err != nil {
 		return nil, err
 	}
-	h.process = newProcess(s.options, name, "mesh", "--settings", path)
+	h.process = newProcess(s.options, name, "mesh", "--settings", h.settingsPath)
 	if err := h.start(); err != nil {
 		return nil, err
 	}
