--- a/io/kqmesh/events_test.go
+++ b/io/kqmesh/events_test.go
@@ -5,7 +5,6 @@
 	"slices"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -46,13 +45,7 @@
 	if got := near.ready(); got != fasthttp.StatusOK {
 		t.Errorf("ready: got %d, want 200", got)
 	}
-	pause := time.NewTicker(10 * time.Millisecond)
-	defer pause.Stop()
-	for begun := time.Now(); !strings.Contains(f.logged(), `"Event":"Readiness"`); <-pause.C {
-		if time.Since(begun) > testPatience {
-			t.Fatal("log: no line of the node's readiness")
-		}
-	}
+	f.awaitLogged(`"Event":"Readiness"`)
 	common := fieldNames(kqlog.CommonFields())
 	events := map[string]kqlog.Kind{}
 	for _, k := range kqmesh.Events() {
--- a/io/kqmesh/fleet_test.go
+++ b/io/kqmesh/fleet_test.go
@@ -195,6 +195,18 @@
 	return f.log.String()
 }
 
+// awaitLogged waits until a text has been logged.
+func (f *fleet) awaitLogged(text string) {
+	f.t.Helper()
+	pause := time.NewTicker(10 * time.Millisecond)
+	defer pause.Stop()
+	for begun := time.Now(); !strings.Contains(f.logged(), text); <-pause.C {
+		if time.Since(begun) > testPatience {
+			f.t.Fatalf("log: got no line with %q, want one", text)
+		}
+	}
+}
+
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
 	f := &fleet{t: t, store: kqobject.New(), hosts: map[string]*host{}, log: &lockedBuffer{}}
--- a/io/kqmesh/place_test.go
+++ b/io/kqmesh/place_test.go
@@ -1,6 +1,7 @@
 package kqmesh_test
 
 import (
+	"net"
 	"testing"
 	"time"
 
@@ -46,3 +47,26 @@
 		<-results
 	}
 }
+
+// TestLineTellsThatRepeatsAreSpent has a server break off a request that may
+// repeat, while nothing is left of the bound of repeats.
+func TestLineTellsThatRepeatsAreSpent(t *testing.T) {
+	f := newFleet(t)
+	entry, broken, sound := f.add("catalog-1", "catalog"), f.add("orders-1", "orders"), f.addIn("north", "orders-2", "orders")
+	f.write(1, route("/look/", "orders", false))
+	for _, h := range []*host{entry, broken, sound} {
+		h.say(kqserver.Ready)
+	}
+	f.settle(1, 3)
+	none := entry.settings.Tunables
+	none.RepeatRatio, none.RepeatSlack = 0, 0
+	entry.node.Retune(none)
+	broken.script(func(c net.Conn, _ *fasthttp.Request) { _ = c.Close() })
+	if got := entry.request("GET", "/look/", "spent-1", ""); got.status != fasthttp.StatusBadGateway {
+		t.Errorf("request that is lost while repeats are spent: got %+v, want 502", got)
+	}
+	if got, want := sound.ran("spent-1"), 0; got != want {
+		t.Errorf("runs at the other server: got %d, want %d", got, want)
+	}
+	f.awaitLogged("the repeats of the moment are spent")
+}
