A test that counted the first request among those that hold the slots

Traced: the server's channel of begun requests also held the first request, so that the test went on when three of the four slots were held; the request in question took the fourth, and the last holder went to the other region. The first one is now taken off the channel.

--- a/io/kqmesh/place_test.go
+++ b/io/kqmesh/place_test.go
@@ -27,6 +27,7 @@
 	if got := entry.request("POST", "/buy/", "first-1", ""); got.status != fasthttp.StatusOK || near.ran("first-1") != 1 {
 		t.Fatalf("request while the own region is free: got %+v, run there %d times, want 200 and 1", got, near.ran("first-1"))
 	}
+	<-near.begun
 	letGo := make(chan struct{})
 	near.hold(letGo)
 	results := make(chan result, 4)
