A server that finishes while an answer goes out ends that connection

Finish found the request before still counted as under way: its answer had been written and read, but the writer had not counted it out yet. The answer could no longer say that the connection closes, and nothing closed it later; a request sent on it would have been read and not answered until the idle time was over. Now the writer ends the connection when it counts out the last request of a finishing server. Two deadlines that could be set over the one for lingering are read again after they are set.

Ruled out: load alone.

The new test has the server finish from the body of the answer, with no race; it fails on the code before (60 s, no end).

--- a/io/kqedge/connection.go
+++ b/io/kqedge/connection.go
@@ -104,6 +104,10 @@
 	for {
 		deadline := time.Now().Add(idle)
 		_ = c.raw.SetReadDeadline(deadline)
+		if c.closing.Load() {
+			// The deadline for lingering may just have been set over.
+			return false
+		}
 		_, err := reader.Peek(1)
 		if err == nil {
 			return true
@@ -191,6 +195,9 @@
 func (c *connection) watchEnd() {
 	if !c.closing.Load() {
 		_ = c.raw.SetReadDeadline(time.Time{})
+		if c.closing.Load() {
+			_ = c.raw.SetReadDeadline(time.Now().Add(lingerTime))
+		}
 	}
 	_, _ = io.Copy(io.Discard, c.raw)
 	c.lose()
@@ -296,12 +303,26 @@
 	return !closes
 }
 
+// leave takes out an exchange whose answer is out, and says whether the
+// connection ends with it though the answer could not say so yet: the server
+// finished while the answer was being written.
+func (c *connection) leave(e *Exchange) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.active, e)
+	if !c.finishing || len(c.active) > 0 || c.closing.Load() {
+		return false
+	}
+	c.closing.Store(true)
+	return true
+}
+
 func (c *connection) end(e *Exchange) {
 	e.cancel()
 	c.server.inFlight.Add(-1)
-	c.mutex.Lock()
-	delete(c.active, e)
-	c.mutex.Unlock()
+	if c.leave(e) {
+		c.hangUp()
+	}
 	fasthttp.ReleaseRequest(e.Request)
 	fasthttp.ReleaseResponse(e.Response)
 }
--- a/io/kqedge/kqedge_test.go
+++ b/io/kqedge/kqedge_test.go
@@ -253,6 +253,38 @@
 	}
 }
 
+// finishingBody is the body of an answer that finishes its server when it has
+// been written, before the server counts the request out.
+type finishingBody struct {
+	io.Reader
+	finish func()
+}
+
+func (b *finishingBody) Close() error {
+	b.finish()
+	return nil
+}
+
+// TestServerThatFinishesDuringAnAnswerEndsTheConnection has the server finish
+// when the answer can't say any more that the connection closes.
+func TestServerThatFinishesDuringAnAnswerEndsTheConnection(t *testing.T) {
+	var server *kqedge.Server
+	server = kqedge.New(func(_ context.Context, e *kqedge.Exchange) {
+		e.Response.SetBodyStream(&finishingBody{Reader: strings.NewReader("last"), finish: server.Finish}, len("last"))
+	})
+	address, err := server.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	c, r := dial(t, address)
+	send(t, c, get("/"))
+	wantAnswer(t, r, "last")
+	if _, err := r.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("behind the last answer: got %v, want the end", err)
+	}
+}
+
 // TestAnswersOfManyCallersAreTheirOwn has callers with several requests ahead.
 func TestAnswersOfManyCallersAreTheirOwn(t *testing.T) {
 	s := newSite(t)
