Nodes of the landed code and of this one read each other's answers

Cause: a cut on the wire got a fourth field, its service, and heads are arrays that are read by their exact length. While a cut is told, neither side of an upgrade could read the other's answers. Now both ends of a connection say which frames they know, in the number of a pong that nobody asked for; landed nodes pass over such a pong. A peer that says nothing gets the cut of three fields, and a cut is read with three fields or more.

Ruled out: a frame of a new kind (landed nodes close the connection on it); maps in place of arrays (landed nodes can't read them either).

Tests: a node of the landed code written from its frames, in both directions, a pair of new ones, and a cut with a fifth field. On the code before, three of the four fail (the last two frames can't be read, nor the fifth field).

--- a/io/kqtrunk/kqtrunk.go
+++ b/io/kqtrunk/kqtrunk.go
@@ -16,6 +16,11 @@
 // connection that passes no bytes while calls wait on it is pinged, and closed
 // when the peer does not answer.
 //
+// Both ends of a connection say which frames they know, in the number of a
+// pong that nobody asked for: nodes that know nothing of it pass it over. Heads
+// are CBOR arrays, read by their length, so that a field can only be added for
+// peers that have said so; see [ClassCut].
+//
 // [kqlink]: kumquatlink/io/kqlink
 package kqtrunk
 
@@ -117,17 +122,6 @@
 	Deep []ClassCut
 }
 
-// ClassCut is the strictest cut behind a gate for a class.
-type ClassCut struct {
-	_        struct{} `cbor:",toarray"`
-	Class    string
-	Withheld uint64
-	// Age is how long ago the gate that set the cut told of it, and Service
-	// the service of that gate.
-	Age     time.Duration
-	Service string
-}
-
 // AnswerHead is all of an answer but its body.
 type AnswerHead struct {
 	_       struct{} `cbor:",toarray"`
--- a/io/kqtrunk/trunk.go
+++ b/io/kqtrunk/trunk.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,6 +26,8 @@
 	raw      net.Conn
 	handlers Handlers
 	now      func() time.Time
+	// version is that of the frames which the peer knows, 0 until it says so.
+	version atomic.Uint64
 
 	writing sync.Mutex
 	writer  *bufio.Writer
@@ -63,6 +66,9 @@
 
 // run reads frames until the connection ends.
 func (t *trunk) run() error {
+	if err := t.send(frame{kind: framePong, number: ownVersion}); err != nil {
+		return t.fail(errors.Mark(err, ErrLost))
+	}
 	reader := bufio.NewReaderSize(t.raw, bufferBytes)
 	for {
 		f, err := readFrame(reader)
@@ -99,6 +105,10 @@
 		// A failed write ends the reading of this connection too.
 		_ = t.send(frame{kind: framePong, number: f.number})
 	case framePong:
+		// Pings have the number 0, and the answers to them too.
+		if f.number > 0 {
+			t.version.Store(f.number)
+		}
 	default:
 		return errors.Mark(errors.Newf("frame of kind %d", f.kind), ErrFrame)
 	}
@@ -122,7 +132,7 @@
 	task := func() {
 		defer t.ended(f.number, cancel)
 		answer, data := t.handlers.Call(ctx, t.peer, head, body)
-		payload, err := pack(answer, data)
+		payload, err := pack(answer.forPeer(t.version.Load()), data)
 		if err == nil {
 			err = t.send(frame{kind: frameAnswer, number: f.number, payload: payload})
 		}
