A slow server is found by its own usual time, not by its siblings'

Cause: servers of one service differ for good. Runs that failed at once also counted as what is usual. And the table kept each class it had ever seen.

Now an upstream is compared with its own usual time of a class; what is usual at the service only stands for one that had no calls; only good runs make anything usual; a slow upstream's usual time moves ten times more slowly; 128 classes.

Ruled out: chance in the times (spread of their logarithm 0.2 to 0.5, of a mean of five a third of that, against 0.92). Without the service's usual time TestAllSlowMeansNoneIsSpared failed: all calls went to the one nobody knew.

Three new tests; on the code before 594 of 4000 calls went to another region in the first, 21 in the second, and 1000 classes were kept in the third.

--- a/core/kqroute/pace.go
+++ b/core/kqroute/pace.go
@@ -9,60 +9,116 @@
 
 // Settings of which upstreams are spared.
 const (
-	// paceMemory is over how long the usual time of a class is taken; it is
-	// several times longer than servers are slow for a passing cause.
+	// paceMemory is over how long the usual time of a class is taken, and
+	// slowMemory the same while the upstream is slow: it is longer than servers
+	// are slow for a passing cause, so that these do not become usual.
 	paceMemory = time.Minute
+	slowMemory = 10 * time.Minute
+	// firstCalls is how many calls make a usual time, and startCalls how many
+	// of them the service's usual time stands for.
+	firstCalls = 20
+	startCalls = 10
+	// maxClasses bounds the classes whose usual time is kept for an upstream. There
+	// are as many as routes, and routes come and go.
+	maxClasses = 128
 	// slowShare is the weight of one call in an upstream's slowness: about the
 	// last five calls count.
 	slowShare = 0.2
 	// slowFactor is how many times the usual time the calls of a slow upstream
-	// take. Servers of one service differ by up to this much.
+	// take. The mean of five calls, the longest of which takes ten times as
+	// long as the shortest, seldom gets there by chance.
 	slowFactor = 2.5
 	// tryPause is how long an upstream is spared after its last call, and then
 	// the pause between the calls that try it out.
 	tryPause = time.Second
 )
 
-// pace is how long the calls of each class usually take at a service.
+// pace is how long the calls of each class usually take, at one upstream or at
+// all of a service. Servers of one service differ for good, by their machine
+// and by what is near to them, so an upstream is compared with itself; what is
+// usual at the service only stands for one that has had no calls yet.
 type pace struct {
 	mutex   sync.Mutex
 	classes map[string]usual
 }
 
-// usual is the mean of the logarithms of times in seconds, and its last change.
-type usual struct {
-	mean float64
-	at   time.Time
-}
-
 func newPace() *pace {
 	return &pace{classes: map[string]usual{}}
 }
 
-// compare gives the logarithm of a call's time as a multiple of the usual one,
-// and then takes the call into what is usual.
-func (p *pace) compare(now time.Time, class string, took time.Duration) float64 {
-	x := math.Log(max(took, time.Millisecond).Seconds())
+// held gives what is usual for a class, if that is known.
+func (p *pace) held(class string) (usual, bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	u, found := p.classes[class]
+	return u, found
+}
+
+// take takes a call into what is usual; start is what stands for a class that
+// had no call yet.
+func (p *pace) take(a Answer, x float64, start usual, memory time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	u, found := p.classes[a.Class]
 	if !found {
-		p.classes[class] = usual{mean: x, at: now}
-		return 0
+		p.makeRoom()
+		u = start
 	}
-	share := 1 - math.Exp(-max(now.Sub(u.at), 0).Seconds()/paceMemory.Seconds())
-	p.classes[class] = usual{mean: u.mean + share*(x-u.mean), at: now}
-	return x - u.mean
+	p.classes[a.Class] = u.move(a.Now, x, memory)
 }
 
-// compare takes in how long a call took. One that ended unfinished counts only
-// if it took longer than usual.
+// makeRoom drops the class that was called least lately.
+func (p *pace) makeRoom() {
+	if len(p.classes) < maxClasses {
+		return
+	}
+	oldest := ""
+	for class, u := range p.classes {
+		if o, found := p.classes[oldest]; !found || u.at.Before(o.at) {
+			oldest = class
+		}
+	}
+	delete(p.classes, oldest)
+}
+
+// usual is the mean of the logarithms of times in seconds, of how many calls,
+// and when it last changed.
+type usual struct {
+	mean  float64
+	calls float64
+	at    time.Time
+}
+
+// move takes in one more call: each of the first ones as much as those before
+// it, and later ones by how long it took until they came.
+func (u usual) move(now time.Time, x float64, memory time.Duration) usual {
+	share := 1 - math.Exp(-max(now.Sub(u.at), 0).Seconds()/memory.Seconds())
+	share = max(share, 1/(u.calls+1))
+	return usual{mean: u.mean + share*(x-u.mean), calls: min(u.calls+1, firstCalls), at: now}
+}
+
+// compare takes in how long a call took. One that ended otherwise than well may
+// have ended early: it makes nothing usual, and counts only if it took longer.
 func (u *Upstream) compare(a Answer) {
-	x := u.pace.compare(a.Now, a.Class, a.Run)
-	if a.Verdict == Faulty && x < 0 {
+	x := math.Log(max(a.Run, time.Millisecond).Seconds())
+	own, found := u.pace.held(a.Class)
+	if !found {
+		if own, found = u.service.held(a.Class); found {
+			own = usual{mean: own.mean, calls: startCalls, at: a.Now}
+		}
+	}
+	memory := paceMemory
+	if u.slow() {
+		memory = slowMemory
+	}
+	if a.Verdict == Good {
+		u.pace.take(a, x, own, memory)
+		u.service.take(a, x, usual{}, paceMemory)
+	}
+	if !found || a.Verdict != Good && x < own.mean {
 		return
 	}
-	u.slowness.move(x, slowShare)
+	u.slowness.move(x-own.mean, slowShare)
 	u.slowAt.Store(a.Now.UnixNano())
 }
 
--- a/core/kqroute/pace_test.go
+++ b/core/kqroute/pace_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -16,11 +18,18 @@
 	now   time.Time
 	took  map[string]time.Duration
 	sent  map[string]int
+	// sway is by how much, as a natural logarithm, the time of a call may be
+	// off either way.
+	sway    float64
+	random  *rand.Rand
+	class   string
+	verdict kqroute.Verdict
 }
 
 func newPaceWorld(took map[string]time.Duration) *paceWorld {
 	own := kqmember.Record{NodeID: "entry", Region: "south", FailureDomain: "south-a"}
-	w := &paceWorld{now: time.Unix(1000, 0), took: took, sent: map[string]int{}}
+	w := &paceWorld{now: time.Unix(1000, 0), took: took, sent: map[string]int{}, class: "check", verdict: kqroute.Good}
+	w.random = rand.New(rand.NewPCG(1, 2))
 	records := []kqmember.Record{
 		{NodeID: "near-1", Region: "south", FailureDomain: "south-a"},
 		{NodeID: "near-2", Region: "south", FailureDomain: "south-a"},
@@ -37,15 +46,28 @@
 		w.now = w.now.Add(5 * time.Millisecond)
 		u := w.table.Pick(kqroute.Ask{Now: w.now, Random: uint64(i) * 0x9e3779b97f4a7c15, Far: true, Probe: true})
 		u.Probing(w.now)
-		u.Begin()
-		id := u.Record.NodeID
-		w.sent[id]++
-		u.End(kqroute.Answer{
-			Now: w.now, Verdict: kqroute.Good, Load: &kqroute.Load{InFlight: 1, Limit: 10}, Run: w.took[id], Class: "check",
-		})
+		w.sent[u.Record.NodeID]++
+		w.finish(u)
 	}
 }
 
+// call sends calls to one upstream, whatever the table would choose.
+func (w *paceWorld) call(u *kqroute.Upstream, calls int) {
+	for range calls {
+		w.now = w.now.Add(5 * time.Millisecond)
+		w.finish(u)
+	}
+}
+
+func (w *paceWorld) finish(u *kqroute.Upstream) {
+	u.Begin()
+	factor := math.Exp(w.sway * (2*w.random.Float64() - 1))
+	u.End(kqroute.Answer{
+		Now: w.now, Verdict: w.verdict, Load: &kqroute.Load{InFlight: 1, Limit: 10},
+		Run: time.Duration(factor * float64(w.took[u.Record.NodeID])), Class: w.class,
+	})
+}
+
 func TestSlowUpstreamIsSparedAndTriedOut(t *testing.T) {
 	const quick, slow = 40 * time.Millisecond, 400 * time.Millisecond
 	const calls, second = 2000, 200
@@ -91,3 +113,57 @@
 		t.Errorf("calls to the own region: got %s, want most there", fmt.Sprint(w.sent))
 	}
 }
+
+// TestServerThatIsAlwaysSlowerIsNotSlow has servers of the own domain that
+// always take longer than those of the other region, whose calls are seen too.
+func TestServerThatIsAlwaysSlowerIsNotSlow(t *testing.T) {
+	const calls = 4000
+	w := newPaceWorld(map[string]time.Duration{"near-1": 60 * time.Millisecond, "near-2": 60 * time.Millisecond, "far-1": 20 * time.Millisecond})
+	w.sway = 1.5
+	for _, u := range w.table.Upstreams() {
+		// Each has had calls, also the one that is only called when others are
+		// full.
+		w.call(u, calls)
+	}
+	for range 5 {
+		w.play(calls)
+		if got := w.sent["far-1"]; got > 0 {
+			t.Errorf("calls to another region: got %d of %d, want none", got, calls)
+		}
+	}
+}
+
+// TestQuickFailuresMakeNothingUsual has a service fail at once for a while, and
+// then work as before.
+func TestQuickFailuresMakeNothingUsual(t *testing.T) {
+	const calls = 4000
+	took := map[string]time.Duration{"near-1": 40 * time.Millisecond, "near-2": 40 * time.Millisecond, "far-1": 40 * time.Millisecond}
+	w := newPaceWorld(took)
+	w.play(calls)
+	w.verdict = kqroute.Silent
+	for id := range took {
+		took[id] /= 20
+	}
+	w.play(20 * calls)
+	w.verdict = kqroute.Good
+	for id := range took {
+		took[id] *= 20
+	}
+	w.play(calls)
+	if got := w.sent["far-1"]; got > 0 {
+		t.Errorf("calls to another region after the failures: got %d of %d, want none", got, calls)
+	}
+}
+
+// TestClassesOfAnUpstreamAreBounded has routes come and go.
+func TestClassesOfAnUpstreamAreBounded(t *testing.T) {
+	w := newPaceWorld(map[string]time.Duration{"near-1": time.Second, "near-2": time.Second, "far-1": time.Second})
+	for i := range 1000 {
+		w.class = fmt.Sprint(i)
+		w.play(6)
+	}
+	const want = 128
+	if got := kqroute.KnownClasses(w.table); got != want {
+		t.Errorf("classes: got %d at most, want %d", got, want)
+	}
+}
--- a/core/kqroute/upstream.go
+++ b/core/kqroute/upstream.go
@@ -74,7 +74,8 @@
 type Upstream struct {
 	Record kqmember.Record
 	Ring   Ring
-	pace   *pace
+	// service is the pace of all the service's upstreams.
+	service *pace
 	*learned
 }
 
@@ -92,6 +93,7 @@
 	faultAt     atomic.Int64
 	asideUntil  atomic.Int64
 	probeAt     atomic.Int64
+	pace        *pace
 	// slowness is the logarithm of how many times the usual time calls take,
 	// slowAt when it last changed, and tryAt when a slow upstream was last
 	// tried out.
@@ -100,10 +102,10 @@
 	tryAt    atomic.Int64
 }
 
-func newUpstream(own, r kqmember.Record, known *learned, p *pace, now time.Time) *Upstream {
-	u := &Upstream{Record: r, Ring: RingFar, pace: p, learned: known}
+func newUpstream(own, r kqmember.Record, known *learned, service *pace, now time.Time) *Upstream {
+	u := &Upstream{Record: r, Ring: RingFar, service: service, learned: known}
 	if known == nil {
-		u.learned = &learned{firstSeen: now}
+		u.learned = &learned{firstSeen: now, pace: newPace()}
 	}
 	if r.Region == own.Region {
 		u.Ring = RingRegion
