Heads of calls between failure domains are squeezed

The heads repeat themselves: names, routes, hosts, paths, headers.

Now both ends hold the last 4 KB of heads of a direction, and deflate refers to them. Only to peers in another failure domain that say they know such frames; an answer is squeezed if its call was. Heads above 16 KB and bodies above 64 KB go as before.

--- a/io/kqmesh/kqmesh.go
+++ b/io/kqmesh/kqmesh.go
@@ -198,7 +198,7 @@
 	n.store = kqstore.Guard(store, kqstore.WithObserver(n.observeStore))
 	n.budget = kqbudget.New(settings.bound())
 	n.tunables.Store(&settings.Tunables)
-	n.dialer = kqtrunk.NewDialer(kqtrunk.Handlers{Message: n.handleMessage, Changed: n.peerChanged})
+	n.dialer = kqtrunk.NewDialer(kqtrunk.Handlers{Message: n.handleMessage, Changed: n.peerChanged}, kqtrunk.WithThrift(n.isOutside))
 	n.gate = newGate(n)
 	n.shed = newShedder(n)
 	n.control = newControl(n)
@@ -298,6 +298,17 @@
 	return kqmember.Record{NodeID: n.settings.NodeID, Region: n.settings.Region, FailureDomain: n.settings.FailureDomain}
 }
 
+// isOutside is whether the peer is known to be in another failure domain, to
+// which bytes are paid for.
+func (n *Node) isOutside(peer string) bool {
+	for _, h := range n.State().Hosts {
+		if h.Address == peer {
+			return h.FailureDomain != n.settings.FailureDomain
+		}
+	}
+	return false
+}
+
 // peerChanged logs a connection to a peer that was made or lost.
 func (n *Node) peerChanged(peer string, up bool, err error) {
 	if up {
--- a/io/kqtrunk/dialer.go
+++ b/io/kqtrunk/dialer.go
@@ -19,6 +19,7 @@
 type Dialer struct {
 	handlers Handlers
 	dial     func(ctx context.Context, address string) (net.Conn, error)
+	thrifty  func(address string) bool
 
 	mutex  sync.Mutex
 	routes map[string]*route
@@ -43,10 +44,16 @@
 	return func(d *Dialer) { d.dial = dial }
 }
 
+// WithThrift sets to which peers bytes are dear. Heads to and from them are
+// squeezed, if they know how; that takes processor time at both ends.
+func WithThrift(thrifty func(address string) bool) DialerOption {
+	return func(d *Dialer) { d.thrifty = thrifty }
+}
+
 // NewDialer makes a dialer without connections.
 func NewDialer(handlers Handlers, options ...DialerOption) *Dialer {
 	plain := &net.Dialer{Timeout: dialTimeout}
-	d := &Dialer{handlers: handlers, routes: map[string]*route{}, dial: func(ctx context.Context, address string) (net.Conn, error) {
+	d := &Dialer{handlers: handlers, routes: map[string]*route{}, thrifty: func(string) bool { return false }, dial: func(ctx context.Context, address string) (net.Conn, error) {
 		return plain.DialContext(ctx, "tcp", address)
 	}}
 	for _, o := range options {
@@ -123,6 +130,7 @@
 		}
 		r.breaker.Succeeded()
 		r.trunk = newTrunk(r.address, raw, d.handlers)
+		r.trunk.thrifty.Store(d.thrifty(r.address))
 		go d.watch(r.trunk)
 		d.tell(r.address, true, nil)
 	}()
--- a/io/kqtrunk/frame.go
+++ b/io/kqtrunk/frame.go
@@ -19,6 +19,9 @@
 	frameMessage frameKind = 4
 	framePing    frameKind = 5
 	framePong    frameKind = 6
+	// From versionSqueezed on.
+	frameCallSqueezed   frameKind = 7
+	frameAnswerSqueezed frameKind = 8
 )
 
 // prefixBytes is the length of what stands before a payload: its length, the
@@ -43,26 +46,40 @@
 	if len(data)+len(body)+headLengthBytes > MaxFrameBytes {
 		return nil, errors.Mark(errors.Newf("call of %d bytes, at most %d fit a frame", len(body), MaxFrameBytes), ErrFrame)
 	}
-	payload := make([]byte, headLengthBytes, headLengthBytes+len(data)+len(body))
-	binary.BigEndian.PutUint32(payload, uint32(len(data)))
-	payload = append(payload, data...)
-	return append(payload, body...), nil
+	return join(data, body), nil
 }
 
-// unpack takes a payload apart. The body shares its memory.
-func unpack(payload []byte, head any) ([]byte, error) {
+// join puts the bytes of a head and a body together.
+func join(head, body []byte) []byte {
+	payload := make([]byte, headLengthBytes, headLengthBytes+len(head)+len(body))
+	binary.BigEndian.PutUint32(payload, uint32(len(head)))
+	payload = append(payload, head...)
+	return append(payload, body...)
+}
+
+// split takes the bytes of a head and a body apart.
+func split(payload []byte) (head, body []byte, err error) {
 	if len(payload) < headLengthBytes {
-		return nil, errors.Mark(errors.Newf("payload of %d bytes", len(payload)), ErrFrame)
+		return nil, nil, errors.Mark(errors.Newf("payload of %d bytes", len(payload)), ErrFrame)
 	}
 	length := int(binary.BigEndian.Uint32(payload))
 	rest := payload[headLengthBytes:]
 	if length > len(rest) {
-		return nil, errors.Mark(errors.Newf("head of %d bytes in a payload of %d", length, len(payload)), ErrFrame)
+		return nil, nil, errors.Mark(errors.Newf("head of %d bytes in a payload of %d", length, len(payload)), ErrFrame)
+	}
+	return rest[:length], rest[length:], nil
+}
+
+// unpack takes a payload apart. The body shares its memory.
+func unpack(payload []byte, head any) ([]byte, error) {
+	data, body, err := split(payload)
+	if err != nil {
+		return nil, err
 	}
-	if err := cbor.Unmarshal(rest[:length], head); err != nil {
+	if err := cbor.Unmarshal(data, head); err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "read head"), ErrFrame)
 	}
-	return rest[length:], nil
+	return body, nil
 }
 
 func writeFrame(w *bufio.Writer, f frame) error {
--- a/io/kqtrunk/kqtrunk.go
+++ b/io/kqtrunk/kqtrunk.go
@@ -19,7 +19,8 @@
 // Both ends of a connection say which frames they know, in the number of a
 // pong that nobody asked for: nodes that know nothing of it pass it over. Heads
 // are CBOR arrays, read by their length, so that a field can only be added for
-// peers that have said so; see [ClassCut].
+// peers that have said so; see [ClassCut]. Between peers to whom bytes are dear
+// heads are squeezed with references to those sent before.
 //
 // [kqlink]: kumquatlink/io/kqlink
 package kqtrunk
--- a/io/kqtrunk/trunk.go
+++ b/io/kqtrunk/trunk.go
@@ -28,9 +28,15 @@
 	now      func() time.Time
 	// version is that of the frames which the peer knows, 0 until it says so.
 	version atomic.Uint64
+	// thrifty is whether heads to the peer are to be squeezed.
+	thrifty atomic.Bool
 
 	writing sync.Mutex
 	writer  *bufio.Writer
+	// sent and got hold the last squeezed heads; sent is under writing, got
+	// belongs to the goroutine that reads.
+	sent window
+	got  window
 
 	mutex sync.Mutex
 	// next is the number of the next call from this end.
@@ -61,6 +67,10 @@
 	if err := t.raw.SetWriteDeadline(t.now().Add(writeTimeout)); err != nil {
 		return err
 	}
+	f, err := t.squeezed(f)
+	if err != nil {
+		return err
+	}
 	return writeFrame(t.writer, f)
 }
 
@@ -85,6 +95,10 @@
 }
 
 func (t *trunk) take(f frame) error {
+	f, err := t.expanded(f)
+	if err != nil {
+		return err
+	}
 	switch f.kind {
 	case frameCall:
 		return t.takeCall(f)
--- a/io/kqtrunk/version.go
+++ b/io/kqtrunk/version.go
@@ -12,7 +12,9 @@
 const (
 	// versionCutService is from when a [ClassCut] names its service.
 	versionCutService = 1
-	ownVersion        = versionCutService
+	// versionSqueezed is from when heads may come squeezed.
+	versionSqueezed = 2
+	ownVersion      = versionSqueezed
 )
 
 // ClassCut is the strictest cut behind a gate for a class. On the wire it is
--- a/io/kqtrunk/version_test.go
+++ b/io/kqtrunk/version_test.go
@@ -140,7 +140,7 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	d := kqtrunk.NewDialer(kqtrunk.Handlers{})
+	d := kqtrunk.NewDialer(kqtrunk.Handlers{}, kqtrunk.WithThrift(func(string) bool { return true }))
 	defer d.Close()
 	answered := make(chan *kqtrunk.Answer, 1)
 	go func() {
