A cut opens as soon as slots have stood free for a while

Idle slot time by quarter seconds of the trigger: 0.28 in the one after the server became quicker, with nothing waiting, 0.05 and less in all others. The cut was still closed: a window has to end before it opens, and one whose slots stood free for less than 0.4 then waits 100 ms more. Now a window ends early when nothing waits and 0.2 of its slot time, 10 ms, have stood free.

--- a/core/kqadmit/cut.go
+++ b/core/kqadmit/cut.go
@@ -83,6 +83,9 @@
 		c.begin(now, waiting)
 		return false
 	}
+	if c.standsEmpty(waiting) {
+		c.ends = min(c.ends, now)
+	}
 	if now < c.ends || c.tooFew(now) {
 		return false
 	}
@@ -94,6 +97,15 @@
 	return true
 }
 
+// standsEmpty is whether the slots stood free for so long already that the
+// window should end at once: the server has become quicker, or fewer calls
+// come, and what the cut refuses meanwhile is lost.
+func (c *cut) standsEmpty(waiting int) bool {
+	free := c.lasted.Seconds() - c.used
+	return c.level != Open && waiting == 0 && c.minWaiting == 0 && free >= c.tuning.EarlyFree*c.tuning.Window.Seconds() &&
+		free >= c.tuning.MostlyFree*c.lasted.Seconds()
+}
+
 // tooFew is whether a window in which a queue stands should go on, since too
 // few calls began in it to tell what the slots can run.
 func (c *cut) tooFew(now time.Duration) bool {
--- a/core/kqadmit/sensitivity_test.go
+++ b/core/kqadmit/sensitivity_test.go
@@ -34,6 +34,7 @@
 	{"Headroom above 1", func(a *kqadmit.Tuning, _ *kqlimit.Tuning, by float64) { above(&a.Headroom, by) }},
 	{"RelaxParts", func(a *kqadmit.Tuning, _ *kqlimit.Tuning, by float64) { count(&a.RelaxParts, by) }},
 	{"MostlyFree", func(a *kqadmit.Tuning, _ *kqlimit.Tuning, by float64) { a.MostlyFree *= by }},
+	{"EarlyFree", func(a *kqadmit.Tuning, _ *kqlimit.Tuning, by float64) { a.EarlyFree *= by }},
 	{"ToldDelay", func(a *kqadmit.Tuning, _ *kqlimit.Tuning, by float64) { times(&a.ToldDelay, by) }},
 	{"Doubt", func(a *kqadmit.Tuning, _ *kqlimit.Tuning, by float64) { a.Doubt *= by }},
 	{"MinQueue", func(a *kqadmit.Tuning, _ *kqlimit.Tuning, by float64) { count(&a.MinQueue, by) }},
--- a/core/kqadmit/tuning.go
+++ b/core/kqadmit/tuning.go
@@ -40,6 +40,9 @@
 	// steps, since entries hear of each only by and by.
 	MostlyFree float64
 	ToldDelay  time.Duration
+	// EarlyFree is the part of a window's slot time that must have stood free,
+	// with nothing waiting, for the window to end early.
+	EarlyFree float64
 	// MinQueue is the least number of calls that may wait, and QueuePart the
 	// number as a part of the limit.
 	MinQueue  int
@@ -66,7 +69,7 @@
 // DefaultTuning is what gates use.
 func DefaultTuning() Tuning {
 	return Tuning{
-		Window: 50 * time.Millisecond, MinStarts: 10, Extension: 150 * time.Millisecond, Spans: 4, Headroom: 1.1, Doubt: 1, RelaxParts: 2, MostlyFree: 0.4, ToldDelay: 100 * time.Millisecond,
+		Window: 50 * time.Millisecond, MinStarts: 10, Extension: 150 * time.Millisecond, Spans: 4, Headroom: 1.1, Doubt: 1, RelaxParts: 2, MostlyFree: 0.4, ToldDelay: 100 * time.Millisecond, EarlyFree: 0.2,
 		MinQueue: 8, QueuePart: 1, MinSojourn: 50 * time.Millisecond, SojournHolds: 2, HoldWeight: 0.1,
 		Samples: 32, SampleAge: 500 * time.Millisecond, MinSamples: 4, NeedQuantile: 0.8,
 		TrialPeriod: 50 * time.Millisecond,
