An upstream that is slow when it joins is spared

Cause: since an upstream is compared with itself, one that has just started and is slow for that made its slow calls its usual ones: the first twenty counted as much as all before them. Now an upstream whose usual time began with the service's moves it by time only.

--- a/core/kqroute/pace.go
+++ b/core/kqroute/pace.go
@@ -14,10 +14,8 @@
 	// are slow for a passing cause, so that these do not become usual.
 	paceMemory = time.Minute
 	slowMemory = 10 * time.Minute
-	// firstCalls is how many calls make a usual time, and startCalls how many
-	// of them the service's usual time stands for.
+	// firstCalls is how many calls make a usual time.
 	firstCalls = 20
-	startCalls = 10
 	// maxClasses bounds the classes whose usual time is kept for an upstream. There
 	// are as many as routes, and routes come and go.
 	maxClasses = 128
@@ -56,7 +54,7 @@
 
 // take takes a call into what is usual; start is what stands for a class that
 // had no call yet.
-func (p *pace) take(a Answer, x float64, start usual, memory time.Duration) {
+func (p *pace) take(a Answer, x float64, start usual, slow bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	u, found := p.classes[a.Class]
@@ -64,7 +62,7 @@
 		p.makeRoom()
 		u = start
 	}
-	p.classes[a.Class] = u.move(a.Now, x, memory)
+	p.classes[a.Class] = u.move(a.Now, x, slow)
 }
 
 // makeRoom drops the class that was called least lately.
@@ -91,9 +89,19 @@
 
 // move takes in one more call: each of the first ones as much as those before
 // it, and later ones by how long it took until they came.
-func (u usual) move(now time.Time, x float64, memory time.Duration) usual {
-	share := 1 - math.Exp(-max(now.Sub(u.at), 0).Seconds()/memory.Seconds())
-	share = max(share, 1/(u.calls+1))
+//
+// While the upstream is slow that takes longer, and one whose usual time began
+// with the service's has no first calls: a server that has just started, and is
+// slow for that, does not become usual by them.
+func (u usual) move(now time.Time, x float64, slow bool) usual {
+	memory, share := paceMemory, 0.0
+	if u.calls < firstCalls {
+		share = 1 / (u.calls + 1)
+	}
+	if slow {
+		memory = slowMemory
+	}
+	share = max(share, 1-math.Exp(-max(now.Sub(u.at), 0).Seconds()/memory.Seconds()))
 	return usual{mean: u.mean + share*(x-u.mean), calls: min(u.calls+1, firstCalls), at: now}
 }
 
@@ -104,16 +112,12 @@
 	own, found := u.pace.held(a.Class)
 	if !found {
 		if own, found = u.service.held(a.Class); found {
-			own = usual{mean: own.mean, calls: startCalls, at: a.Now}
+			own = usual{mean: own.mean, calls: firstCalls, at: a.Now}
 		}
 	}
-	memory := paceMemory
-	if u.slow() {
-		memory = slowMemory
-	}
 	if a.Verdict == Good {
-		u.pace.take(a, x, own, memory)
-		u.service.take(a, x, usual{}, paceMemory)
+		u.pace.take(a, x, own, u.slow())
+		u.service.take(a, x, usual{}, false)
 	}
 	if !found || a.Verdict != Good && x < own.mean {
 		return
--- a/core/kqroute/pace_test.go
+++ b/core/kqroute/pace_test.go
@@ -167,3 +167,31 @@
 		t.Errorf("classes: got %d at most, want %d", got, want)
 	}
 }
+
+// TestUpstreamThatIsSlowAtFirstIsSpared has one join that is slow for some
+// seconds, as backend servers are that have just started.
+func TestUpstreamThatIsSlowAtFirstIsSpared(t *testing.T) {
+	const calls = 1000
+	w := newPaceWorld(map[string]time.Duration{
+		"near-1": 40 * time.Millisecond, "near-2": 40 * time.Millisecond, "far-1": 40 * time.Millisecond, "new": 160 * time.Millisecond,
+	})
+	w.play(calls)
+	var records []kqmember.Record
+	for _, u := range w.table.Upstreams() {
+		records = append(records, u.Record)
+	}
+	records = append(records, kqmember.Record{NodeID: "new", Region: "south", FailureDomain: "south-a"})
+	own := kqmember.Record{NodeID: "entry", Region: "south", FailureDomain: "south-a"}
+	w.table = kqroute.NewTable(own, records, w.table, w.now)
+	w.play(calls)
+	// Ten until it is found, then one a second; a fair part is 333.
+	if got, want := w.sent["new"], 10+5; got > want {
+		t.Errorf("calls to an upstream that is slow at first: got %d of %d, want at most %d", got, calls, want)
+	}
+	w.took["new"] = 40 * time.Millisecond
+	w.play(5 * calls)
+	w.play(calls)
+	if got, want := w.sent["new"], calls/4; got < want {
+		t.Errorf("calls to it when it is quick: got %d of %d, want %d", got, calls, want)
+	}
+}
