--- a/io/kqtrunk/squeeze_test.go
+++ b/io/kqtrunk/squeeze_test.go
@@ -41,7 +41,7 @@
 	return []kqtrunk.Header{
 		{Name: "Content-Type", Value: "application/octet-stream"},
 		{Name: "X-Request-Id", Value: id},
-		{Name: "X-Server-Load", Value: "9,0,9"},
+		{Name: "X-Load", Value: "9,0,9"},
 		{Name: "User-Agent", Value: "sdk/1.9.3"},
 	}
 }
