--- a/core/kqlineage/kqlineage.go
+++ b/core/kqlineage/kqlineage.go
@@ -11,7 +11,8 @@
 //	defer runs.End(handle)
 //	...
 //	parent, found := runs.Parent(now, "stock", given)
-//	defer runs.Answered(later, parent)
+//	...
+//	runs.Answered(later, parent) // the call has its answer
 //
 // An onward call expires with its parent, so both end in the same moment, but
 // for the rounding to milliseconds and the way between the two processes. For
--- a/core/kqroute/pace.go
+++ b/core/kqroute/pace.go
@@ -16,8 +16,8 @@
 	slowMemory = 10 * time.Minute
 	// firstCalls is how many calls make a usual time.
 	firstCalls = 20
-	// maxClasses bounds the classes whose usual time is kept for an upstream. There
-	// are as many as routes, and routes come and go.
+	// maxClasses bounds the classes whose usual time is kept for an upstream.
+	// There are as many as routes, and routes come and go.
 	maxClasses = 128
 	// slowShare is the weight of one call in an upstream's slowness: about the
 	// last five calls count.
