--- a/io/kqmesh/kqmesh.go
+++ b/io/kqmesh/kqmesh.go
@@ -299,7 +299,7 @@
 }
 
 // isOutside is whether the peer is known to be in another region, to which bytes
-// cost most. Within a region the processor time of squeezing is worth more.
+// cost most.
 func (n *Node) isOutside(peer string) bool {
 	for _, h := range n.State().Hosts {
 		if h.Address == peer {
--- a/io/kqtrunk/squeeze.go
+++ b/io/kqtrunk/squeeze.go
@@ -46,7 +46,8 @@
 	return out.Bytes(), nil
 }
 
-// inflaters are readers of squeezed heads; each holds some 40 KB.
+// inflaters are readers of squeezed heads; each holds deflate's window of 32 KB
+// (RFC 1951).
 var inflaters = sync.Pool{New: func() any { return flate.NewReader(nil) }}
 
 // expand gives the head that squeeze was given.
