Tests of links and of the mesh write a frame and open a fleet in one place

The three of routes_test that say Ready before they write the routes stay as they are. No check changed: the same assertions, both packages pass under the race detector.

--- a/io/kqmesh/events_test.go
+++ b/io/kqmesh/events_test.go
@@ -31,10 +31,7 @@
 func TestLinesHaveTheFieldsThatThePageTells(t *testing.T) {
 	f := newFleet(t)
 	near, far := f.add("catalog-1", "catalog"), f.add("orders-1", "orders")
-	f.write(1, route("/buy/", "orders", true))
-	near.say(kqserver.Ready)
-	far.say(kqserver.Ready)
-	f.settle(1, 2)
+	f.open(near, far, route("/buy/", "orders", true))
 	for _, path := range []string{"/buy/", "/nowhere/"} {
 		near.request("GET", path, "told"+strings.Trim(path, "/"), "")
 	}
--- a/io/kqmesh/fleet_test.go
+++ b/io/kqmesh/fleet_test.go
@@ -331,6 +331,15 @@
 	f.put(value)
 }
 
+// open writes the first routes and waits until both hosts serve by them.
+func (f *fleet) open(first, second *host, routes ...kqroutes.Route) {
+	f.t.Helper()
+	f.write(1, routes...)
+	first.say(kqserver.Ready)
+	second.say(kqserver.Ready)
+	f.settle(1, 2)
+}
+
 func (f *fleet) put(value []byte) {
 	f.t.Helper()
 	client := kqstore.NewHTTP(f.store.Address())
--- a/io/kqmesh/path_test.go
+++ b/io/kqmesh/path_test.go
@@ -25,10 +25,7 @@
 	if got := catalog.request("GET", "/voices/1", "early", ""); got.status != fasthttp.StatusServiceUnavailable || got.retryAfter == "" {
 		t.Errorf("request without routes: got %+v, want 503 and when to come back", got)
 	}
-	f.write(1, route("/voices/", "catalog", false), route("/orders/", "orders", true))
-	catalog.say(kqserver.Ready)
-	orders.say(kqserver.Ready)
-	f.settle(1, 2)
+	f.open(catalog, orders, route("/voices/", "catalog", false), route("/orders/", "orders", true))
 	if got := catalog.ready(); got != fasthttp.StatusOK {
 		t.Errorf("ready with routes: got %d, want 200", got)
 	}
@@ -152,10 +149,7 @@
 func TestServerThatDrainsGetsNothingMore(t *testing.T) {
 	f := newFleet(t)
 	first, second := f.add("orders-1", "orders"), f.add("orders-2", "orders")
-	f.write(1, route("/buy/", "orders", true))
-	first.say(kqserver.Ready)
-	second.say(kqserver.Ready)
-	f.settle(1, 2)
+	f.open(first, second, route("/buy/", "orders", true))
 	letGo := make(chan struct{})
 	first.hold(letGo)
 	running := make(chan result, 1)
@@ -213,10 +207,7 @@
 func TestCallerThatLeavesStopsTheServer(t *testing.T) {
 	f := newFleet(t)
 	near, far := f.add("catalog-1", "catalog"), f.add("orders-1", "orders")
-	f.write(1, route("/near/", "catalog", false), route("/far/", "orders", false))
-	near.say(kqserver.Ready)
-	far.say(kqserver.Ready)
-	f.settle(1, 2)
+	f.open(near, far, route("/near/", "catalog", false), route("/far/", "orders", false))
 	for path, h := range map[string]*host{"/near/": near, "/far/": far} {
 		h.hold(make(chan struct{}))
 		c, err := net.Dial("tcp", near.settings.CallerAddress)
@@ -282,10 +273,7 @@
 func TestShutdownCutsNothing(t *testing.T) {
 	f := newFleet(t)
 	first, second := f.add("orders-1", "orders"), f.add("orders-2", "orders")
-	f.write(1, route("/buy/", "orders", true))
-	first.say(kqserver.Ready)
-	second.say(kqserver.Ready)
-	f.settle(1, 2)
+	f.open(first, second, route("/buy/", "orders", true))
 	letGo := make(chan struct{})
 	first.hold(letGo)
 	second.hold(letGo)
@@ -321,10 +309,7 @@
 func TestRequestThatRanIsNotCalledNotRun(t *testing.T) {
 	f := newFleet(t)
 	first, second := f.add("orders-1", "orders"), f.add("orders-2", "orders")
-	f.write(1, route("/look/", "orders", false))
-	first.say(kqserver.Ready)
-	second.say(kqserver.Ready)
-	f.settle(1, 2)
+	f.open(first, second, route("/look/", "orders", false))
 	tries := make(chan struct{}, 256)
 	script := func(c net.Conn, q *fasthttp.Request) {
 		status, shed := "500 Error", ""
--- a/io/kqmesh/story_test.go
+++ b/io/kqmesh/story_test.go
@@ -10,7 +10,6 @@
 	"github.com/valyala/fasthttp"
 
 	"kumquatlink/core/kqclass"
-	"kumquatlink/core/kqserver"
 	"kumquatlink/io/kqmesh"
 	"kumquatlink/io/kqstory"
 )
@@ -26,10 +25,7 @@
 	near, far := f.add("catalog-1", "catalog"), f.add("orders-1", "orders")
 	short := route("/buy/", "orders", true)
 	short.Timeout = kqclass.Duration(300 * time.Millisecond)
-	f.write(1, short, route("/hold/", "orders", true))
-	near.say(kqserver.Ready)
-	far.say(kqserver.Ready)
-	f.settle(1, 2)
+	f.open(near, far, short, route("/hold/", "orders", true))
 	letGo := make(chan struct{})
 	far.hold(letGo)
 	results := make(chan result, 4)
--- a/io/kqtrunk/squeeze_test.go
+++ b/io/kqtrunk/squeeze_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/binary"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -18,6 +17,12 @@
 	"kumquatlink/io/kqtrunk"
 )
 
+// Kinds of frames with squeezed heads.
+const (
+	squeezedCall   = 7
+	squeezedAnswer = 8
+)
+
 // counted is a connection whose bytes are counted, both ways.
 type counted struct {
 	net.Conn
@@ -113,7 +118,6 @@
 // TestBrokenSqueezedHeadEndsTheConnection sends heads that refer to nothing, or
 // that would become very large.
 func TestBrokenSqueezedHeadEndsTheConnection(t *testing.T) {
-	const squeezedCall = 7
 	large := deflated(t, bytes.Repeat([]byte{0}, 1<<20))
 	for _, head := range [][]byte{{1, 2, 3}, large, {}} {
 		s := telling(t)
@@ -121,11 +125,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		frame := binary.BigEndian.AppendUint32(nil, uint32(len(head)+4))
-		frame = append(frame, squeezedCall)
-		frame = binary.BigEndian.AppendUint64(frame, 1)
-		frame = binary.BigEndian.AppendUint32(frame, uint32(len(head)))
-		if _, err := c.Write(append(frame, head...)); err != nil {
+		if _, err := c.Write(rawFrame(squeezedCall, 1, head, nil)); err != nil {
 			t.Fatal(err)
 		}
 		// What comes is the server's own greeting and the end.
@@ -157,12 +157,8 @@
 			t.Fatal(err)
 		}
 		defer c.Close()
-		for kind := byte(7); kind <= 8; kind++ {
-			frame := binary.BigEndian.AppendUint32(nil, uint32(len(head)+len(body)+4))
-			frame = append(frame, kind)
-			frame = binary.BigEndian.AppendUint64(frame, 1)
-			frame = binary.BigEndian.AppendUint32(frame, uint32(len(head)))
-			if _, err := c.Write(append(append(frame, head...), body...)); err != nil {
+		for kind := byte(squeezedCall); kind <= squeezedAnswer; kind++ {
+			if _, err := c.Write(rawFrame(kind, 1, head, body)); err != nil {
 				return
 			}
 		}
--- a/io/kqtrunk/version_test.go
+++ b/io/kqtrunk/version_test.go
@@ -53,17 +53,22 @@
 	formerPrefix = 13
 )
 
+// rawFrame is a frame as it stands on the wire.
+func rawFrame(kind byte, number uint64, head, body []byte) []byte {
+	frame := binary.BigEndian.AppendUint32(nil, uint32(len(head)+len(body)+4))
+	frame = append(frame, kind)
+	frame = binary.BigEndian.AppendUint64(frame, number)
+	frame = binary.BigEndian.AppendUint32(frame, uint32(len(head)))
+	return append(append(frame, head...), body...)
+}
+
 func writeFormer(t *testing.T, c net.Conn, kind byte, number uint64, head any) {
 	t.Helper()
 	data, err := cbor.Marshal(head)
 	if err != nil {
 		t.Fatal(err)
 	}
-	frame := binary.BigEndian.AppendUint32(nil, uint32(len(data)+4))
-	frame = append(frame, kind)
-	frame = binary.BigEndian.AppendUint64(frame, number)
-	frame = binary.BigEndian.AppendUint32(frame, uint32(len(data)))
-	if _, err := c.Write(append(frame, data...)); err != nil {
+	if _, err := c.Write(rawFrame(kind, number, data, nil)); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -110,9 +115,9 @@
 
 // TestFormerNodeReadsAnAnswerThatTellsOfACut upgrades the called node first.
 func TestFormerNodeReadsAnAnswerThatTellsOfACut(t *testing.T) {
-	c, _ := net.Dial("tcp", telling(t).Address())
-	if c == nil {
-		t.Fatal("no connection")
+	c, err := net.Dial("tcp", telling(t).Address())
+	if err != nil {
+		t.Fatal(err)
 	}
 	defer c.Close()
 	if err := c.SetDeadline(time.Now().Add(testPatience)); err != nil {
