Memory of a body follows the bytes that came

Cause: an announced length was allocated before a byte of it had come, for answers of backend servers, requests of callers and frames of peers. Hosts have 184 MB.

Bodies are now read piece by piece (io/kqbody). Beyond 64 KiB they share an allowance of 32 MiB; one for which no room is left fails by itself.

--- a/io/kqedge/connection.go
+++ b/io/kqedge/connection.go
@@ -12,6 +12,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"kumquatlink/io/kqbody"
 )
 
 // connection is one caller's connection: one goroutine reads, one writes.
@@ -144,7 +146,31 @@
 			return reader, err
 		}
 	}
-	return reader, e.Request.ContinueReadBody(reader, limits.BodyBytes, false)
+	return reader, c.server.readBody(reader, e.Request, limits.BodyBytes)
+}
+
+// readBody reads the body of a request. Memory for one that is large, or of
+// which the length isn't known, follows the bytes that come.
+func (s *Server) readBody(reader *bufio.Reader, r *fasthttp.Request, most int) error {
+	length := r.Header.ContentLength()
+	if length > most {
+		return fasthttp.ErrBodyTooLarge
+	}
+	if length >= 0 && length <= kqbody.SmallBytes || length < chunkedLength {
+		return r.ContinueReadBody(reader, most, false)
+	}
+	if err := r.ContinueReadBodyStream(reader, most, false); err != nil {
+		return err
+	}
+	body, err := s.bodies.Read(r.BodyStream(), length, most)
+	if err == nil && length > len(body) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return err
+	}
+	r.SetBodyRaw(body)
+	return nil
 }
 
 // begin counts a request in, unless an answer has already said that the
--- a/io/kqedge/kqedge.go
+++ b/io/kqedge/kqedge.go
@@ -28,6 +28,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"kumquatlink/io/kqbody"
 )
 
 // Bounds of a connection.
@@ -39,6 +41,12 @@
 	firstBufferBytes = 4 << 10
 	// writeTimeout bounds an answer to a caller that does not read.
 	writeTimeout = 10 * time.Second
+	// chunkedLength is the length that fasthttp gives a body in chunks; one
+	// without any is lower.
+	chunkedLength = -1
+	// maxBodies bounds the memory of all large requests that are being read: a
+	// sixth of that of the smallest hosts.
+	maxBodies = 32 << 20
 	// lingerTime is how long a caller may take to see that the connection was
 	// closed behind an answer.
 	lingerTime = time.Second
@@ -107,6 +115,8 @@
 	mutex    sync.Mutex
 	closed   bool
 	open     map[*connection]struct{}
+	// bodies bounds what the requests that are being read take together.
+	bodies   *kqbody.Allowance
 	inFlight atomic.Int64
 	lastCame atomic.Int64
 }
@@ -133,7 +143,7 @@
 func New(handle func(ctx context.Context, e *Exchange), options ...Option) *Server {
 	s := &Server{
 		handle: handle, limits: func() Limits { return Limits{} }, open: map[*connection]struct{}{},
-		submit: func(task func()) error { go task(); return nil },
+		submit: func(task func()) error { go task(); return nil }, bodies: kqbody.NewAllowance(maxBodies),
 		refused: func(r *fasthttp.Response, err error) {
 			r.SetStatusCode(StatusOf(err))
 			r.SetBodyString(err.Error() + "\n")
@@ -149,8 +159,10 @@
 func StatusOf(err error) int {
 	var small *fasthttp.ErrSmallBuffer
 	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+	case errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.Is(err, kqbody.ErrTooLarge):
 		return fasthttp.StatusRequestEntityTooLarge
+	case errors.Is(err, kqbody.ErrNoRoom):
+		return fasthttp.StatusServiceUnavailable
 	case errors.As(err, &small):
 		return fasthttp.StatusRequestHeaderFieldsTooLarge
 	default:
--- a/io/kqhttp/kqhttp.go
+++ b/io/kqhttp/kqhttp.go
@@ -23,6 +23,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"kumquatlink/io/kqbody"
 )
 
 // Errors of this package.
@@ -38,8 +40,11 @@
 	defaultMaxIdle = 64
 	defaultMaxAge  = 5 * time.Second
 	defaultMaxBody = 16 << 20
-	dialTimeout    = time.Second
-	bufferSize     = 4 << 10
+	// maxBodies bounds the memory of all large answers that are being read: a
+	// sixth of that of the smallest hosts.
+	maxBodies   = 32 << 20
+	dialTimeout = time.Second
+	bufferSize  = 4 << 10
 	// maxStrayAnswers is how many answers are read for one call before the
 	// connection is given up.
 	maxStrayAnswers = 4
@@ -51,8 +56,10 @@
 	maxIdle int
 	maxAge  time.Duration
 	maxBody int
-	dial    func(ctx context.Context, address string) (net.Conn, error)
-	now     func() time.Time
+	// bodies bounds what the answers that are being read take together.
+	bodies *kqbody.Allowance
+	dial   func(ctx context.Context, address string) (net.Conn, error)
+	now    func() time.Time
 	// matches is whether an answer belongs to the call.
 	matches func(request *fasthttp.Request, response *fasthttp.Response) bool
 
@@ -120,6 +127,7 @@
 		maxIdle: defaultMaxIdle,
 		maxAge:  defaultMaxAge,
 		maxBody: defaultMaxBody,
+		bodies:  kqbody.NewAllowance(maxBodies),
 		now:     time.Now,
 		matches: func(*fasthttp.Request, *fasthttp.Response) bool { return true },
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
@@ -144,7 +152,7 @@
 		return errors.Mark(errors.Wrap(ctx.Err(), "call was cancelled"), ErrNotSent)
 	}
 	c.watch()
-	err = exchange(c, request, response, p.maxBody, p.matches)
+	err = p.exchange(c, request, response)
 	c.unwatch()
 	if err != nil {
 		stop()
@@ -170,17 +178,25 @@
 	return errors.Mark(err, ErrSilent)
 }
 
-func exchange(c *connection, request *fasthttp.Request, response *fasthttp.Response, maxBody int, matches func(*fasthttp.Request, *fasthttp.Response) bool) error {
+// exchange writes the call and reads the answer to it, with its body unless
+// that is to be streamed.
+func (p *Pool) exchange(c *connection, request *fasthttp.Request, response *fasthttp.Response) error {
+	streams := response.StreamBody
 	writeErr := request.Write(c.writer)
 	if writeErr == nil {
 		writeErr = c.writer.Flush()
 	}
 	// A server may answer before it has read the whole call, and close then.
 	for range maxStrayAnswers {
-		if err := response.ReadLimitBody(c.reader, maxBody); err != nil {
+		response.StreamBody = true
+		err := response.ReadLimitBody(c.reader, 0)
+		if err == nil && !streams {
+			err = p.readBody(response)
+		}
+		if err != nil {
 			return errors.CombineErrors(errors.Wrap(writeErr, "write call"), errors.Wrap(err, "read answer"))
 		}
-		if matches(request, response) {
+		if p.matches(request, response) {
 			if writeErr != nil {
 				response.SetConnectionClose()
 			}
@@ -193,6 +209,19 @@
 	return errors.Newf("%d answers belong to other calls", maxStrayAnswers)
 }
 
+// readBody reads the body whose head has been read.
+func (p *Pool) readBody(response *fasthttp.Response) error {
+	response.StreamBody = false
+	stream := response.BodyStream()
+	if stream == nil {
+		return nil
+	}
+	body, err := p.bodies.Read(stream, response.Header.ContentLength(), p.maxBody)
+	err = errors.CombineErrors(err, response.CloseBodyStream())
+	response.SetBodyRaw(body)
+	return err
+}
+
 // take gives the idle connection that was used last, or opens one.
 func (p *Pool) take(ctx context.Context) (*connection, error) {
 	for c := p.takeIdle(); c != nil; c = p.takeIdle() {
--- a/io/kqhttp/stream.go
+++ b/io/kqhttp/stream.go
@@ -21,7 +21,7 @@
 	defer func() { _ = c.Close() }()
 	defer context.AfterFunc(ctx, func() { _ = c.Close() })()
 	response := &fasthttp.Response{StreamBody: true}
-	if err := exchange(c, request, response, 0, p.matches); err != nil {
+	if err := p.exchange(c, request, response); err != nil {
 		return errors.Mark(errors.Wrapf(err, "call %s", p.address), ErrLost)
 	}
 	if body := response.BodyStream(); body != nil {
--- a/io/kqtrunk/frame.go
+++ b/io/kqtrunk/frame.go
@@ -7,6 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
+
+	"kumquatlink/io/kqbody"
 )
 
 // frameKind says what a frame holds.
@@ -22,6 +24,8 @@
 	// From versionSqueezed on.
 	frameCallSqueezed   frameKind = 7
 	frameAnswerSqueezed frameKind = 8
+	// From versionNews on.
+	frameNews frameKind = 9
 )
 
 // prefixBytes is the length of what stands before a payload: its length, the
@@ -106,7 +110,18 @@
 		return frame{}, errors.Mark(errors.Newf("frame of %d bytes, at most %d are read", length, MaxFrameBytes), ErrFrame)
 	}
 	f := frame{kind: frameKind(prefix[4]), number: binary.BigEndian.Uint64(prefix[5:])}
-	if length > 0 {
+	switch {
+	case length > kqbody.SmallBytes:
+		// A peer in trouble may announce more than it ever sends.
+		body, err := kqbody.NewAllowance(2*MaxFrameBytes).Read(io.LimitReader(r, int64(length)), int(length), int(length))
+		if err == nil && len(body) < int(length) {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return frame{}, err
+		}
+		f.payload = body
+	case length > 0:
 		f.payload = make([]byte, length)
 		if _, err := io.ReadFull(r, f.payload); err != nil {
 			return frame{}, err
