Two nodes of a failure domain watch the store for the others

The nodes of a failure domain have one order; each watches while fewer than two of those before it tell news (core/kqwatch, io/kqmesh/news.go).

--- a/core/kqseed/kqseed.go
+++ b/core/kqseed/kqseed.go
@@ -111,9 +111,7 @@
 			live = append(live, r)
 		}
 	}
-	slices.SortFunc(live, func(a, b kqmember.Record) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.NodeID), xxhash.Sum64String(b.NodeID)), cmp.Compare(a.NodeID, b.NodeID))
-	})
+	slices.SortFunc(live, func(a, b kqmember.Record) int { return CompareNames(a.NodeID, b.NodeID) })
 	seeds := make([]Seed, 0, SeedsPerDomain)
 	for _, r := range live[:min(len(live), SeedsPerDomain)] {
 		seeds = append(seeds, Seed{NodeID: r.NodeID, Address: r.Address})
@@ -121,6 +119,12 @@
 	return seeds
 }
 
+// CompareNames orders the names of nodes as all of them do, without regard to
+// how they were given.
+func CompareNames(a, b string) int {
+	return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+}
+
 // Seeder is one node's part in keeping the list.
 type Seeder struct {
 	random   *rand.Rand
--- a/io/kqmesh/control.go
+++ b/io/kqmesh/control.go
@@ -12,6 +12,7 @@
 	"kumquatlink/core/kqroute"
 	"kumquatlink/core/kqroutes"
 	"kumquatlink/core/kqserver"
+	"kumquatlink/core/kqwatch"
 	"kumquatlink/io/kqlog"
 	"kumquatlink/io/kqstore"
 )
@@ -19,6 +20,9 @@
 // eventQueue is how many events may wait for the control goroutine.
 const eventQueue = 256
 
+// staleTime is how old the list of nodes may be that the store gives.
+const staleTime = 10 * time.Second
+
 // event changes the control state; it says whether it did.
 type event interface {
 	apply(c *control) bool
@@ -33,6 +37,14 @@
 	life   *kqserver.Life
 	// coldUntil is when the backend server is warm, on the node's clock.
 	coldUntil time.Duration
+	// watch is the node's part in watching the store, differs since when the
+	// nodes that a watcher knows are not the own ones, and asked when a watcher
+	// was last asked for something.
+	watch   *kqwatch.Watch
+	differs map[string]time.Duration
+	asked   time.Duration
+	// wrote is when the node last heard of its own record in the store.
+	wrote time.Duration
 
 	mutex   sync.Mutex
 	waiters chan struct{}
@@ -46,8 +58,9 @@
 	c := &control{
 		node: n, events: make(chan event, eventQueue), ended: make(chan struct{}), life: kqserver.New(),
 		waiters: make(chan struct{}), missing: map[string]bool{},
+		watch: kqwatch.New(n.clock(), n.settings.NodeID), differs: map[string]time.Duration{}, asked: -askAgain,
 	}
-	c.state = State{Hosts: map[string]HostRecord{}, Upstreams: map[string]*kqroute.Table{}, ServerState: kqserver.Unknown}
+	c.state = State{Hosts: map[string]HostRecord{}, Upstreams: map[string]*kqroute.Table{}, ServerState: kqserver.Unknown, Starting: true}
 	c.publish()
 	return c
 }
@@ -55,6 +68,8 @@
 // run applies events until ctx ends.
 func (c *control) run(ctx context.Context) {
 	defer close(c.ended)
+	tick := time.NewTicker(watchTick)
+	defer tick.Stop()
 	for {
 		var warm <-chan time.Time
 		if c.state.Server.Cold > 0 {
@@ -68,6 +83,10 @@
 			if done, waits := e.(interface{ finish() }); waits {
 				done.finish()
 			}
+		case <-tick.C:
+			if c.advanceWatch(c.node.clock()) {
+				c.publish()
+			}
 		case <-warm:
 			c.state.Server.Cold = 0
 			c.publish()
@@ -102,6 +121,13 @@
 	return c.waiters
 }
 
+// markRemoved notes whether the node's record was removed from the store.
+func (c *control) markRemoved(name string, removed bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.missing[name] = removed
+}
+
 // removed is whether the store said that the node's record was removed.
 func (c *control) removed(name string) bool {
 	c.mutex.Lock()
@@ -130,13 +156,16 @@
 	}
 }
 
-// routesEvent offers routes.
+// routesEvent offers routes. Done is closed when they are in force or refused.
 type routesEvent struct {
 	document kqroutes.Document
 	text     []byte
 	from     string
+	done     chan struct{}
 }
 
+func (e routesEvent) finish() { close(e.done) }
+
 func (e routesEvent) apply(c *control) bool {
 	held := int64(0)
 	if c.state.Routes != nil {
@@ -165,19 +194,22 @@
 	known := c.state.Hosts
 	c.state.Hosts = map[string]HostRecord{}
 	for name, h := range e.all {
-		if held, found := known[name]; found && held.Incarnation > h.Incarnation {
+		if held, found := known[name]; found && !h.replaces(held) {
 			h = held
 		}
 		c.state.Hosts[name] = h
 		c.note(known[name], h)
 	}
-	c.mutex.Lock()
-	for name := range known {
-		if _, listed := e.all[name]; !listed {
-			c.missing[name] = true
+	for name, h := range known {
+		if _, listed := e.all[name]; listed {
+			continue
 		}
+		if name == c.node.settings.NodeID && c.node.clock()-c.wrote < staleTime {
+			c.state.Hosts[name] = h
+			continue
+		}
+		c.markRemoved(name, true)
 	}
-	c.mutex.Unlock()
 	c.state.HostsKnown = true
 	c.rebuild()
 	return true
@@ -193,14 +225,15 @@
 func (e hostEvent) apply(c *control) bool {
 	held, found := c.state.Hosts[e.name]
 	hosts := maps.Clone(c.state.Hosts)
-	c.mutex.Lock()
-	c.missing[e.name] = e.removed
-	c.mutex.Unlock()
+	c.markRemoved(e.name, e.removed)
+	if e.name == c.node.settings.NodeID && !e.removed {
+		c.wrote = c.node.clock()
+	}
 	if e.removed {
 		delete(hosts, e.name)
 		c.node.note(remarkHostRemoved, "record of node "+e.name+" was removed", nil, kqlog.Text(fieldHost, e.name))
 	} else {
-		if found && (held == e.record || held.Incarnation > e.record.Incarnation) {
+		if found && (held == e.record || !e.record.replaces(held)) {
 			return false
 		}
 		hosts[e.name] = e.record
@@ -234,6 +267,8 @@
 		tables[service] = kqroute.NewTable(c.node.own(), records, c.state.Upstreams[service], now)
 	}
 	c.state.Upstreams = tables
+	c.state.HostsDigest = digestOf(c.state.Hosts)
+	c.watch.Domain(c.node.clock(), c.domainNames())
 	addresses := map[string]bool{}
 	for _, h := range c.state.Hosts {
 		addresses[h.Address] = true
--- a/io/kqmesh/events.go
+++ b/io/kqmesh/events.go
@@ -61,6 +61,8 @@
 	remarkPeerUnreadable
 	remarkMessageNotWritten
 	remarkLoadNotAsked
+	remarkWatching
+	remarkWatcherAsked
 	remarkCount
 )
 
@@ -98,6 +100,8 @@
 	remarkPeerTold:          {Name: "PeerTold", Level: zerolog.InfoLevel, Means: "A peer has told the nodes that it knows, before the store did.", Fields: []string{fieldPeer, "Hosts"}},
 	remarkPeerUnreadable:    {Name: "PeerUnreadable", Level: zerolog.WarnLevel, Means: "The message of a peer can't be read.", Fields: []string{fieldPeer}},
 	remarkMessageNotWritten: {Name: "MessageNotWritten", Level: zerolog.ErrorLevel, Means: "A message to a peer can't be written."},
+	remarkWatching:          {Name: "Watching", Level: zerolog.InfoLevel, Means: "The node begins or ceases to watch the store for its failure domain.", Fields: []string{fieldState}},
+	remarkWatcherAsked:      {Name: "WatcherAsked", Level: zerolog.InfoLevel, Means: "The news of a node that watches the store tell of newer routes or of other nodes; it is asked for them.", Fields: []string{fieldHost, fieldRoutes, fieldFormer}},
 	remarkLoadNotAsked:      {Name: "LoadNotAsked", Level: zerolog.DebugLevel, Means: "A gate could not be asked for its load.", Fields: []string{fieldService, fieldHost}},
 }
 
--- a/io/kqmesh/follow.go
+++ b/io/kqmesh/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,30 +20,79 @@
 // listTimeout bounds reading a kind, page by page.
 const listTimeout = 3 * time.Second
 
-// follow lists a kind and watches it from there on, for as long as ctx lasts.
-func (n *Node) follow(ctx context.Context, kind string, list func([]kqstore.Object), take func(kqstore.Object)) {
-	failures := 0
+// followed is a kind of objects that the node follows.
+type followed struct {
+	kind string
+	// list takes all objects of the kind, and take one that changed.
+	list func([]kqstore.Object)
+	take func(kqstore.Object)
+	// needed is whether the node is to follow the store itself, by its state.
+	needed func(*State) bool
+	// stale is whether the node can do with data that are some seconds old.
+	stale func(*State) bool
+	// stands is set while a watch stands.
+	stands *atomic.Bool
+}
+
+// follow lists a kind and watches it from there on while that is needed, for as
+// long as ctx lasts. It is listed once in any case.
+func (n *Node) follow(ctx context.Context, f followed) {
+	failures, listed := 0, false
 	for ctx.Err() == nil {
-		listing, cancel := context.WithTimeout(ctx, listTimeout)
-		objects, version, err := n.store.List(listing, kind)
+		if listed {
+			// The end of ctx is the only way for this to fail.
+			_ = n.WaitFor(ctx, f.needed)
+		}
+		reading := ctx
+		stale := f.stale(n.State())
+		if stale {
+			reading = kqstore.AllowStale(ctx)
+		}
+		listing, cancel := context.WithTimeout(reading, listTimeout)
+		objects, version, err := n.store.List(listing, f.kind)
 		cancel()
 		if err == nil {
-			failures = 0
-			list(objects)
-			err = n.store.Watch(ctx, kind, "", version, func(o kqstore.Object) error {
-				take(o)
-				return nil
-			})
+			failures, listed = 0, true
+			f.list(objects)
+			err = n.watchWhile(reading, f, version, func(s *State) bool { return f.needed(s) && (!stale || f.stale(s)) })
 		}
 		if ctx.Err() != nil {
 			return
 		}
+		if err == nil {
+			continue
+		}
 		failures++
-		n.note(remarkWatchEnded, "watch of "+kind+" ended: listing again", err, kqlog.Text(fieldKind, kind))
+		n.note(remarkWatchEnded, "watch of "+f.kind+" ended: listing again", err, kqlog.Text(fieldKind, f.kind))
 		sleep(ctx, followPause.After(failures, n.fraction()))
 	}
 }
 
+// watchWhile watches a kind while the node's state meets a condition. The error
+// is that of a watch that ended by itself.
+func (n *Node) watchWhile(ctx context.Context, f followed, version string, condition func(*State) bool) error {
+	if !condition(n.State()) {
+		return nil
+	}
+	watching, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		// Its end is that of the watch.
+		_ = n.WaitFor(watching, func(s *State) bool { return !condition(s) })
+		cancel()
+	}()
+	f.stands.Store(true)
+	defer f.stands.Store(false)
+	err := n.store.Watch(watching, f.kind, "", version, func(o kqstore.Object) error {
+		f.take(o)
+		return nil
+	})
+	if watching.Err() != nil {
+		return nil
+	}
+	return err
+}
+
 // followRoutes keeps the routes in force up to date.
 func (n *Node) followRoutes(ctx context.Context) {
 	take := func(o kqstore.Object) {
@@ -50,11 +100,18 @@
 			n.offerRoutes(o.Value, "the store")
 		}
 	}
-	n.follow(ctx, n.settings.RoutesKind, func(objects []kqstore.Object) {
-		for _, o := range objects {
-			take(o)
-		}
-	}, take)
+	n.follow(ctx, followed{
+		kind: n.settings.RoutesKind, take: take, stands: &n.routesFollowed,
+		list: func(objects []kqstore.Object) {
+			for _, o := range objects {
+				take(o)
+			}
+		},
+		needed: func(s *State) bool { return s.Watching || s.Routes == nil },
+		// When the whole fleet starts for the first time no routes are older
+		// than the first ones, and those who watch tell of the next.
+		stale: func(s *State) bool { return n.settings.FirstStart && s.Routes == nil },
+	})
 }
 
 // offerRoutes decodes routes and hands them to control if they have no fault.
@@ -68,12 +125,17 @@
 		n.note(remarkRoutesFaulty, "routes from "+from+" have faults, the first: "+faults[0].String(), nil, kqlog.Text(fieldSource, from), kqlog.Text("Detail", faults[0].String()))
 		return
 	}
-	n.control.send(routesEvent{document: d, text: text, from: from})
+	done := make(chan struct{})
+	n.control.send(routesEvent{document: d, text: text, from: from, done: done})
+	select {
+	case <-done:
+	case <-n.control.ended:
+	}
 }
 
 // followHosts keeps the list of nodes up to date.
 func (n *Node) followHosts(ctx context.Context) {
-	n.follow(ctx, kqstore.KindHosts, func(objects []kqstore.Object) {
+	list := func(objects []kqstore.Object) {
 		all := map[string]HostRecord{}
 		for _, o := range objects {
 			if h, err := readHost(o); err != nil {
@@ -83,7 +145,8 @@
 			}
 		}
 		n.control.send(hostsEvent{all: all})
-	}, func(o kqstore.Object) {
+	}
+	take := func(o kqstore.Object) {
 		if o.Deleted {
 			n.control.send(hostEvent{name: o.Name, removed: true})
 			return
@@ -94,6 +157,12 @@
 			return
 		}
 		n.control.send(hostEvent{name: o.Name, record: h})
+	}
+	n.follow(ctx, followed{
+		kind: kqstore.KindHosts, list: list, take: take, stands: &n.hostsFollowed,
+		needed: func(s *State) bool { return s.Watching || s.Starting || !s.HostsKnown },
+		// The records of nodes are hints, which gates correct.
+		stale: func(*State) bool { return true },
 	})
 }
 
--- a/io/kqmesh/kqmesh.go
+++ b/io/kqmesh/kqmesh.go
@@ -122,6 +122,13 @@
 	ServerState kqserver.State
 	// Leaving is whether the node was told to end.
 	Leaving bool
+	// HostsDigest tells lists of nodes apart.
+	HostsDigest uint64
+	// Watching is whether the node watches the store for its failure domain,
+	// and Starting whether it watches for nodes since it does not know yet who
+	// does.
+	Watching bool
+	Starting bool
 }
 
 // entries is how many nodes share the fleet's bounds.
@@ -161,6 +168,9 @@
 	// peerAddress is where other nodes reach this one.
 	peerAddress string
 	readiness   atomic.Bool
+	// routesFollowed and hostsFollowed are whether a watch of the store stands.
+	routesFollowed atomic.Bool
+	hostsFollowed  atomic.Bool
 	// asking is whether a peer is about to be asked for newer routes.
 	asking   atomic.Bool
 	shutDown atomic.Bool
@@ -211,7 +221,7 @@
 	n.cancel = cancel
 	var err error
 	n.server, err = kqtrunk.Listen(n.settings.PeerAddress, kqtrunk.Handlers{
-		Call: n.handleCall, Message: n.handleMessage, Submit: n.pool.Submit,
+		Call: n.handleCall, Message: n.handleMessage, News: n.handleNews, Submit: n.pool.Submit,
 	})
 	if err != nil {
 		return errors.Mark(err, ErrNode)
@@ -239,6 +249,7 @@
 	n.loop(ctx, n.followRoutes)
 	n.loop(ctx, n.followHosts)
 	n.loop(ctx, n.keepRecord)
+	n.loop(ctx, n.tellNews)
 	n.loop(ctx, n.askServer)
 	n.note(remarkNodeStarted, "node started at "+n.settings.CallerAddress+" for callers and "+n.peerAddress+" for nodes", nil,
 		kqlog.Text(fieldAddress, n.settings.CallerAddress), kqlog.Text("PeerAddress", n.peerAddress))
--- a/io/kqmesh/peer.go
+++ b/io/kqmesh/peer.go
@@ -104,10 +104,18 @@
 	from  string
 }
 
-// apply takes over the list unless the store has told of the nodes meanwhile.
+// apply takes over the list. A node that has read the store only asks nodes
+// that watch it, and takes their list in place of its own.
 func (e toldHostsEvent) apply(c *control) bool {
 	if c.state.HostsKnown {
-		return false
+		if c.state.Watching {
+			return false
+		}
+		all := map[string]HostRecord{}
+		for _, h := range e.hosts {
+			all[h.NodeID] = h
+		}
+		return hostsEvent{all: all}.apply(c)
 	}
 	all := maps.Clone(c.state.Hosts)
 	for _, h := range e.hosts {
--- a/io/kqmesh/record.go
+++ b/io/kqmesh/record.go
@@ -23,6 +23,8 @@
 	// Incarnation orders the starts of a node: the Unix millisecond at which
 	// one began, by its own clock.
 	Incarnation uint64
+	// Change counts the writes of the record since that start.
+	Change uint64
 	// Address is where other nodes reach it.
 	Address       string
 	Region        string
@@ -42,6 +44,15 @@
 	}
 }
 
+// replaces is whether the record is the newer one, or one that can't be told
+// from it.
+func (h HostRecord) replaces(held HostRecord) bool {
+	if h.Incarnation != held.Incarnation {
+		return h.Incarnation > held.Incarnation
+	}
+	return h.Change >= held.Change
+}
+
 // takesWork is whether calls may be sent to the node.
 func (h HostRecord) takesWork() bool {
 	return h.Service != "" && (h.Life == kqmember.LifeServing || h.Life == kqmember.LifeWarming)
@@ -83,6 +94,7 @@
 		changed := n.control.changed()
 		s := n.State()
 		want := n.ownRecord(s)
+		want.Change = w.held.Change
 		if !n.needsWrite(w, s, want) {
 			select {
 			case <-changed:
@@ -115,6 +127,7 @@
 }
 
 func (n *Node) writeRecord(ctx context.Context, w *recordWriter, want HostRecord) error {
+	want.Change++
 	value, err := json.Marshal(want)
 	if err != nil {
 		return errors.Mark(errors.Wrap(err, "write record"), ErrNode)
--- a/io/kqmesh/routes_test.go
+++ b/io/kqmesh/routes_test.go
@@ -18,6 +18,7 @@
 	h.say(kqserver.Ready)
 	f.write(5, route("/a/", "orders", false))
 	f.settle(5, 1)
+	f.until(h, "its watch of the store", watches)
 	f.write(3, route("/b/", "orders", false))
 	f.put([]byte("{\"Version\": 9, \"Routes\": [{}]}"))
 	f.put([]byte("[]"))
--- a/io/kqmesh/story_test.go
+++ b/io/kqmesh/story_test.go
@@ -51,6 +51,8 @@
 	f.keep("lost", "lost-1", "BackendLost")
 
 	far.script(nil)
+	// The story of a request tells what happened around it only.
+	f.until(near, "its watch of the store", watches)
 	if got := near.request("GET", "/new/", "early-1", ""); got.status != fasthttp.StatusNotFound {
 		t.Errorf("request before its route: got %+v, want 404", got)
 	}
--- a/io/kqstore/guard.go
+++ b/io/kqstore/guard.go
@@ -103,7 +103,12 @@
 
 func (g *guard) watch(ctx context.Context, kind, name, version string, take func(Object) error) error {
 	return g.call(CallRecord{Operation: "Watch", Kind: kind, Name: name}, func() error {
-		return g.inner.Watch(ctx, kind, name, version, take)
+		err := g.inner.Watch(ctx, kind, name, version, take)
+		if ctx.Err() != nil {
+			// Its end says nothing of the store.
+			return errors.Wrap(ctx.Err(), "watch was ended")
+		}
+		return err
 	})
 }
 
--- a/io/kqstore/kqstore.go
+++ b/io/kqstore/kqstore.go
@@ -65,6 +65,21 @@
 	Watch func(ctx context.Context, kind, name, version string, take func(Object) error) error
 }
 
+// staleKey is under which a context says that data may be stale.
+type staleKey struct{}
+
+// AllowStale gives a context for reads that may tell data which are some
+// seconds old, where the store answers those at less cost.
+func AllowStale(ctx context.Context) context.Context {
+	return context.WithValue(ctx, staleKey{}, true)
+}
+
+// MayBeStale is whether the context allows data that are some seconds old.
+func MayBeStale(ctx context.Context) bool {
+	stale, _ := ctx.Value(staleKey{}).(bool)
+	return stale
+}
+
 // KindLedger holds one object a service, which says which nodes are the homes
 // of idempotency keys.
 const KindLedger = "kumquatlink.dev/v1/ledgers"
--- a/io/kqtrunk/dialer.go
+++ b/io/kqtrunk/dialer.go
@@ -201,6 +201,19 @@
 	return t.send(frame{kind: frameMessage, payload: payload})
 }
 
+// Announce sends news to the peer, if a connection stands and the peer knows
+// such frames.
+func (d *Dialer) Announce(address string, payload []byte) error {
+	r := d.route(address)
+	r.mutex.Lock()
+	t := r.trunk
+	r.mutex.Unlock()
+	if t == nil || !t.alive() || t.version.Load() < versionNews {
+		return errors.Mark(errors.Newf("no connection for news to %s", address), ErrNotSent)
+	}
+	return t.send(frame{kind: frameNews, payload: payload})
+}
+
 // Peers lists the addresses to which a connection stands.
 func (d *Dialer) Peers() []string {
 	d.mutex.Lock()
--- a/io/kqtrunk/kqtrunk.go
+++ b/io/kqtrunk/kqtrunk.go
@@ -154,6 +154,8 @@
 	Call func(ctx context.Context, peer string, head CallHead, body []byte) (AnswerHead, []byte)
 	// Message takes a message; reply sends one back on the same connection.
 	Message func(peer string, payload []byte, reply func([]byte))
+	// News takes a message of [Dialer.Announce]; reply is as for Message.
+	News func(peer string, payload []byte, reply func([]byte))
 	// Submit runs a task without blocking; nil starts a goroutine.
 	Submit func(task func()) error
 	// Changed is told when a connection to a peer was made or lost.
--- a/io/kqtrunk/trunk.go
+++ b/io/kqtrunk/trunk.go
@@ -113,7 +113,11 @@
 		}
 	case frameMessage:
 		if t.handlers.Message != nil {
-			t.handlers.Message(t.peer, f.payload, func(payload []byte) { _ = t.send(frame{kind: frameMessage, payload: payload}) })
+			t.handlers.Message(t.peer, f.payload, t.reply)
+		}
+	case frameNews:
+		if t.handlers.News != nil {
+			t.handlers.News(t.peer, f.payload, t.reply)
 		}
 	case framePing:
 		// A failed write ends the reading of this connection too.
@@ -129,6 +133,12 @@
 	return nil
 }
 
+// reply sends a message back. A failed write ends the reading of the
+// connection too.
+func (t *trunk) reply(payload []byte) {
+	_ = t.send(frame{kind: frameMessage, payload: payload})
+}
+
 // takeCall runs a call of the peer and answers it.
 func (t *trunk) takeCall(f frame) error {
 	var head CallHead
--- a/io/kqtrunk/version.go
+++ b/io/kqtrunk/version.go
@@ -14,7 +14,9 @@
 	versionCutService = 1
 	// versionSqueezed is from when heads may come squeezed.
 	versionSqueezed = 2
-	ownVersion      = versionSqueezed
+	// versionNews is from when a peer may be sent news.
+	versionNews = 3
+	ownVersion  = versionNews
 )
 
 // ClassCut is the strictest cut behind a gate for a class. On the wire it is
--- a/io/kqtrunk/version_test.go
+++ b/io/kqtrunk/version_test.go
@@ -5,9 +5,11 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
 	"kumquatlink/core/kqcall"
@@ -209,3 +211,43 @@
 		t.Error("cut of two fields: got no error")
 	}
 }
+
+// TestNewsGoOnlyToNodesThatKnowThem announces to a node that never says which
+// frames it knows, and to one that does.
+func TestNewsGoOnlyToNodesThatKnowThem(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		if c, err := l.Accept(); err == nil {
+			accepted <- c
+		}
+	}()
+	heard := make(chan string, 1)
+	s, err := kqtrunk.Listen("127.0.0.1:0", kqtrunk.Handlers{News: func(_ string, payload []byte, _ func([]byte)) { heard <- string(payload) }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	d := kqtrunk.NewDialer(kqtrunk.Handlers{})
+	defer d.Close()
+	d.Warm(l.Addr().String())
+	former := <-accepted
+	defer former.Close()
+	for !d.Connected(l.Addr().String()) {
+		runtime.Gosched()
+	}
+	if err := d.Announce(l.Addr().String(), []byte("news")); !errors.Is(err, kqtrunk.ErrNotSent) {
+		t.Errorf("news to a former node: got %v, want an error marked ErrNotSent", err)
+	}
+	d.Warm(s.Address())
+	for d.Announce(s.Address(), []byte("news")) != nil {
+		runtime.Gosched()
+	}
+	if got := <-heard; got != "news" {
+		t.Errorf("news: got %q, want %q", got, "news")
+	}
+}
