An entry that starts again leaves the slack of the repeats alone for a window

Cause: a restarted entry begins with nothing spent, so that its part of the slack can be spent twice within one window. With all of 24 entries restarted at once and all requests of four depths failing, a window of 10 s had more repeats than the bound (the test fails without the change). The ratio is not touched: its requests are forgotten as well.

--- a/core/kqbudget/kqbudget.go
+++ b/core/kqbudget/kqbudget.go
@@ -65,6 +65,8 @@
 // Budget counts requests and repeats by service and depth.
 type Budget struct {
 	bound Bound
+	// slackFrom is from when the slack may be spent.
+	slackFrom time.Duration
 
 	mutex sync.Mutex
 	calls map[Call]*counts
@@ -78,9 +80,23 @@
 	inherited [slots + 1]int
 }
 
+// Option changes a budget.
+type Option func(*Budget)
+
+// WithRestart makes the budget of an entry that has just been started again.
+// What it spent before is not known, and its part of the slack may have been
+// in that, so nothing of the slack is spent during the first window.
+func WithRestart(now time.Duration) Option {
+	return func(b *Budget) { b.slackFrom = now + b.bound.Window }
+}
+
 // New makes a budget of which nothing is spent.
-func New(b Bound) *Budget {
-	return &Budget{bound: b, calls: map[Call]*counts{}}
+func New(bound Bound, options ...Option) *Budget {
+	b := &Budget{bound: bound, calls: map[Call]*counts{}}
+	for _, o := range options {
+		o(b)
+	}
+	return b
 }
 
 // SetBound changes the bound; what was counted stays.
@@ -120,7 +136,10 @@
 	// The oldest part may lie outside of the window, so its requests do not
 	// count; its repeats do.
 	requests -= c.requests[(c.newest+1)%(slots+1)]
-	bound := b.bound.Ratio*float64(requests) + b.bound.Slack/float64(max(entries, 1))
+	bound := b.bound.Ratio * float64(requests)
+	if now >= b.slackFrom {
+		bound += b.bound.Slack / float64(max(entries, 1))
+	}
 	own := depthParts[call.level()] * bound
 	if !urgent {
 		own *= plainPart
--- a/core/kqbudget/kqbudget_test.go
+++ b/core/kqbudget/kqbudget_test.go
@@ -126,3 +126,36 @@
 		t.Errorf("repeats of 40 requests, 6 of them lost: got %d, want at least %d", got, want)
 	}
 }
+
+// TestRepeatsStayWithinTheBoundWhenAllEntriesStartAgain has few requests of
+// all depths at each of many entries, all of which fail, and restarts all
+// entries at once.
+func TestRepeatsStayWithinTheBoundWhenAllEntriesStartAgain(t *testing.T) {
+	const entries = 24
+	const restart = 15 * time.Second
+	bound := kqbudget.Bound{Ratio: 0.2, Window: 10 * time.Second, Slack: 480}
+	budgets := make([]*kqbudget.Budget, entries)
+	for i := range budgets {
+		budgets[i] = kqbudget.New(bound)
+	}
+	var seen []event
+	random := rand.New(rand.NewPCG(3, 1))
+	for now := time.Duration(0); now < 40*time.Second; now += 10 * time.Millisecond {
+		if now == restart {
+			for i := range budgets {
+				budgets[i] = kqbudget.New(bound, kqbudget.WithRestart(now))
+			}
+		}
+		b := budgets[random.IntN(entries)]
+		call := kqbudget.Call{Service: "orders", Depth: random.IntN(4)}
+		b.Request(now, call, false)
+		seen = append(seen, event{at: now})
+		// Most of what may be spent is spent right before and behind the restart.
+		for range 20 {
+			if now >= restart-time.Second && now < restart+5*time.Second && b.Repeat(now, call, entries, true) {
+				seen = append(seen, event{at: now, repeat: true})
+			}
+		}
+	}
+	check(t, bound, seen)
+}
--- a/io/kqmesh/kqmesh.go
+++ b/io/kqmesh/kqmesh.go
@@ -206,7 +206,11 @@
 	n.begun = n.now()
 	n.incarnation = uint64(n.begun.UnixMilli())
 	n.store = kqstore.Guard(store, kqstore.WithObserver(n.observeStore))
-	n.budget = kqbudget.New(settings.bound())
+	var restarted []kqbudget.Option
+	if !settings.FirstStart {
+		restarted = append(restarted, kqbudget.WithRestart(n.clock()))
+	}
+	n.budget = kqbudget.New(settings.bound(), restarted...)
 	n.tunables.Store(&settings.Tunables)
 	n.dialer = kqtrunk.NewDialer(kqtrunk.Handlers{Message: n.handleMessage, Changed: n.peerChanged}, kqtrunk.WithThrift(n.isOutside))
 	n.gate = newGate(n)
