Test of restarted entries counts requests as the bound does

Counting first arrivals alone, it fails without the change (716 repeats of 1000 requests, at most 680) and passes with it.

--- a/core/kqbudget/kqbudget_test.go
+++ b/core/kqbudget/kqbudget_test.go
@@ -157,5 +157,19 @@
 			}
 		}
 	}
-	check(t, bound, seen)
+	for from := restart - bound.Window; from <= restart; from += 500 * time.Millisecond {
+		firsts, repeats := 0, 0
+		for _, e := range seen {
+			switch {
+			case e.at < from || e.at >= from+bound.Window:
+			case e.repeat:
+				repeats++
+			default:
+				firsts++
+			}
+		}
+		if want := bound.Ratio*float64(firsts) + bound.Slack; float64(repeats) > want {
+			t.Errorf("window from %s: got %d repeats of %d requests, want at most %.0f", from, repeats, firsts, want)
+		}
+	}
 }
