Calls that must not run twice are waited for while their peer is held up

Cause: a connection on which nothing came for 700 ms was closed with all calls on it. The peer, frozen or cut off for a moment, saw the close when it woke and cancelled the runs; their callers had been told 502 long before. What must not run twice can't be begun elsewhere, so that its answer was thrown away for nothing.

Such a connection now takes no more calls and loses those that may run elsewhere; the others wait until their time is over, or until the peer answers on a new connection and not on the old one. The kernel gives up after 6 s without an acknowledgement instead of 1.5 s. The test with a peer held up for 1.5 s failed first; the one with a dead connection passes before and after.

--- a/io/kqtrunk/dialer.go
+++ b/io/kqtrunk/dialer.go
@@ -129,7 +129,12 @@
 			return
 		}
 		r.breaker.Succeeded()
+		former := r.trunk
 		r.trunk = newTrunk(r.address, raw, d.handlers)
+		r.trunk.retired = func() { d.Warm(r.address) }
+		if former != nil {
+			r.trunk.met = former.doubt
+		}
 		r.trunk.thrifty.Store(d.thrifty(r.address))
 		go d.watch(r.trunk)
 		d.tell(r.address, true, nil)
@@ -245,7 +250,7 @@
 		r.mutex.Lock()
 		t, dialing := r.trunk, r.dialing
 		r.mutex.Unlock()
-		if dialing != nil || t != nil && t.alive() && t.busy() > 0 {
+		if dialing != nil || t != nil && t.open() && t.busy() > 0 {
 			continue
 		}
 		if t != nil {
--- a/io/kqtrunk/kqtrunk.go
+++ b/io/kqtrunk/kqtrunk.go
@@ -13,8 +13,10 @@
 // CBOR head, its length before it, and the body. The end of ctx cancels the
 // call at the peer. Errors marked [ErrNotSent] prove that the peer was not
 // sent the whole call; those marked [ErrLost] leave open whether it ran. A
-// connection that passes no bytes while calls wait on it is pinged, and closed
-// when the peer does not answer.
+// connection that passes no bytes while calls wait on it is pinged, and takes no
+// more calls when the peer does not answer. Calls that must not run twice go on
+// waiting on it: the peer may only be held up. They are given up when the peer
+// answers on a new connection and not on the old one.
 //
 // Both ends of a connection say which frames they know, in the number of a
 // pong that nobody asked for: nodes that know nothing of it pass it over. Heads
@@ -59,8 +61,9 @@
 	// writeTimeout bounds a write to a peer that does not read.
 	writeTimeout = 2 * time.Second
 	// unackedTime is how long the kernel waits for an acknowledgement of what
-	// was sent before it gives the connection up.
-	unackedTime   = 1500 * time.Millisecond
+	// was sent before it gives the connection up: longer than a host is
+	// usually held up.
+	unackedTime   = 6 * time.Second
 	probeIdle     = 2 * time.Second
 	probeInterval = time.Second
 	probeCount    = 2
--- a/io/kqtrunk/trunk.go
+++ b/io/kqtrunk/trunk.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"net"
 	"sync"
@@ -20,6 +21,13 @@
 	err     error
 }
 
+// waiter is a call that waits for its answer. A patient one is not given up
+// when the connection falls silent, since it can't be run elsewhere.
+type waiter struct {
+	answered chan reply
+	patient  bool
+}
+
 // trunk is one connection between two nodes, seen from either end.
 type trunk struct {
 	peer     string
@@ -42,7 +50,7 @@
 	// next is the number of the next call from this end.
 	next uint64
 	// waiting are the calls from this end, and running those from the other.
-	waiting map[uint64]chan reply
+	waiting map[uint64]waiter
 	running map[uint64]context.CancelFunc
 	// heard is when bytes last came, pinged when a ping was sent that has not
 	// been answered.
@@ -51,12 +59,19 @@
 	timer  *time.Timer
 	failed error
 	done   chan struct{}
+	// silent is why the connection takes no more calls though patient ones
+	// wait on it, or nil, and retired is called then.
+	silent  error
+	retired func()
+	// met is called when the first frame comes.
+	met func()
 }
 
 func newTrunk(peer string, raw net.Conn, handlers Handlers) *trunk {
 	return &trunk{
 		peer: peer, raw: raw, handlers: handlers, now: time.Now, writer: bufio.NewWriterSize(raw, bufferBytes),
-		waiting: map[uint64]chan reply{}, running: map[uint64]context.CancelFunc{}, done: make(chan struct{}),
+		waiting: map[uint64]waiter{}, running: map[uint64]context.CancelFunc{}, done: make(chan struct{}),
+		retired: func() {}, met: func() {},
 	}
 }
 
@@ -87,7 +102,10 @@
 		}
 		t.mutex.Lock()
 		t.heard, t.pinged = t.now(), time.Time{}
+		met := t.met
+		t.met = func() {}
 		t.mutex.Unlock()
+		met()
 		if err := t.take(f); err != nil {
 			return t.fail(errors.Mark(err, ErrLost))
 		}
@@ -185,7 +203,7 @@
 		return nil, errors.Mark(err, ErrNotSent)
 	}
 	answered := make(chan reply, 1)
-	number, err := t.expect(answered)
+	number, err := t.expect(waiter{answered, head.RunOnce})
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
@@ -218,14 +236,14 @@
 }
 
 // expect registers a call and begins to look after the connection.
-func (t *trunk) expect(answered chan reply) (uint64, error) {
+func (t *trunk) expect(w waiter) (uint64, error) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if t.failed != nil {
-		return 0, t.failed
+	if err := cmp.Or(t.failed, t.silent); err != nil {
+		return 0, err
 	}
 	t.next++
-	t.waiting[t.next] = answered
+	t.waiting[t.next] = w
 	if len(t.waiting) == 1 {
 		t.heard = t.now()
 		t.pinged = time.Time{}
@@ -239,18 +257,29 @@
 }
 
 func (t *trunk) forget(number uint64) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	delete(t.waiting, number)
+	_, _ = t.takeOut(number)
 }
 
-func (t *trunk) settle(number uint64, r reply) {
+// takeOut takes a call out of those that wait, and says whether it was one of
+// them. A connection that was kept for it only ends.
+func (t *trunk) takeOut(number uint64) (waiter, bool) {
 	t.mutex.Lock()
-	answered := t.waiting[number]
+	w, found := t.waiting[number]
 	delete(t.waiting, number)
+	over := t.silent
+	if len(t.waiting) > 0 {
+		over = nil
+	}
 	t.mutex.Unlock()
-	if answered != nil {
-		answered <- r
+	if over != nil {
+		_ = t.fail(over)
+	}
+	return w, found
+}
+
+func (t *trunk) settle(number uint64, r reply) {
+	if w, found := t.takeOut(number); found {
+		w.answered <- r
 	}
 }
 
@@ -261,14 +290,14 @@
 	now := t.now()
 	quiet := now.Sub(t.heard)
 	pinged := t.pinged
-	if t.failed != nil || (len(t.waiting) == 0 && pinged.IsZero()) {
+	if t.failed != nil || t.silent != nil || (len(t.waiting) == 0 && pinged.IsZero()) {
 		t.mutex.Unlock()
 		return
 	}
 	switch {
 	case !pinged.IsZero() && now.Sub(pinged) >= pingTime:
 		t.mutex.Unlock()
-		_ = t.fail(errors.Mark(errors.Mark(errors.Newf("no byte for %s", quiet), ErrLost), ErrSilent))
+		t.retire(errors.Mark(errors.Mark(errors.Newf("no byte for %s", quiet), ErrLost), ErrSilent))
 		return
 	case pinged.IsZero() && quiet >= quietTime:
 		t.pinged = now
@@ -286,6 +315,56 @@
 	t.mutex.Unlock()
 }
 
+// retire takes a connection that fell silent out of use. Calls that may run
+// elsewhere fail; the others go on waiting, since the peer may only be held up,
+// until their time is over or the connection is found to be dead.
+func (t *trunk) retire(err error) {
+	t.mutex.Lock()
+	t.silent = err
+	var given []uint64
+	for number, w := range t.waiting {
+		if !w.patient {
+			given = append(given, number)
+			delete(t.waiting, number)
+			w.answered <- reply{err: err}
+		}
+	}
+	dead := len(t.waiting) == 0
+	t.mutex.Unlock()
+	if dead {
+		_ = t.fail(err)
+		return
+	}
+	t.retired()
+	for _, number := range given {
+		_ = t.send(frame{kind: frameCancel, number: number})
+	}
+}
+
+// doubt ends a retired connection unless the peer, which has been reached by
+// another one, answers on it too.
+func (t *trunk) doubt() {
+	t.mutex.Lock()
+	before, err := t.heard, t.silent
+	t.mutex.Unlock()
+	if err == nil || !t.open() {
+		return
+	}
+	// A failed write ends the connection as well.
+	if sendErr := t.send(frame{kind: framePing}); sendErr != nil {
+		_ = t.fail(errors.CombineErrors(err, sendErr))
+		return
+	}
+	time.AfterFunc(pingTime, func() {
+		t.mutex.Lock()
+		still := t.heard.Equal(before)
+		t.mutex.Unlock()
+		if still {
+			_ = t.fail(err)
+		}
+	})
+}
+
 // fail ends the connection, with all calls on it, and gives the first reason.
 func (t *trunk) fail(err error) error {
 	t.mutex.Lock()
@@ -295,14 +374,14 @@
 	}
 	t.failed = err
 	waiting, running := t.waiting, t.running
-	t.waiting, t.running = map[uint64]chan reply{}, map[uint64]context.CancelFunc{}
+	t.waiting, t.running = map[uint64]waiter{}, map[uint64]context.CancelFunc{}
 	if t.timer != nil {
 		t.timer.Stop()
 	}
 	t.mutex.Unlock()
 	_ = t.raw.Close()
 	for _, w := range waiting {
-		w <- reply{err: err}
+		w.answered <- reply{err: err}
 	}
 	for _, cancel := range running {
 		cancel()
@@ -318,7 +397,15 @@
 	return len(t.waiting) + len(t.running)
 }
 
+// alive is whether the connection takes calls.
 func (t *trunk) alive() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.failed == nil && t.silent == nil
+}
+
+// open is whether the connection has not ended.
+func (t *trunk) open() bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	return t.failed == nil
