Requests that cross a planned stop are refused, not cut off

Cause: when a node that was told to end took no more requests, it closed idle connections and its listener at once. A request whose head was half read, that lay in the socket's buffer, or whose connection waited in the listener's queue was cut off without an answer; one that was read in that moment was dropped silently.

Connections in the queue are taken first, idle ones stay open for 100 ms, and a request that comes in meanwhile gets 503 with when to come back, which is true: it has not been begun. A head that trickles is waited for 500 ms.

--- a/io/kqedge/connection.go
+++ b/io/kqedge/connection.go
@@ -26,15 +26,25 @@
 	active  map[*Exchange]struct{}
 	gone    bool
 	closing atomic.Bool
-	// finishing is whether nothing more may be read, though answers are due.
+	// finishing is whether no more requests may be begun, though answers are
+	// due, and reading whether a request has begun to come in.
 	finishing bool
+	reading   bool
 }
 
-// finish has the connection read no more requests.
+// finish has the connection begin no more requests. One that comes in within
+// LateTime, or has begun to, is refused when it has come.
 func (c *connection) finish() {
 	c.mutex.Lock()
-	idle := len(c.active) == 0
 	c.finishing = true
+	c.mutex.Unlock()
+	time.AfterFunc(LateTime, c.finishIdle)
+}
+
+// finishIdle ends a connection on which nothing is under way.
+func (c *connection) finishIdle() {
+	c.mutex.Lock()
+	idle := len(c.active) == 0 && !c.reading
 	if idle {
 		c.closing.Store(true)
 	}
@@ -47,11 +57,12 @@
 // read reads requests until the caller is gone, and cancels what runs then.
 func (c *connection) read() {
 	defer close(c.answers)
+	defer c.endReading()
 	limits := c.server.limits().WithDefaults()
 	reader := bufio.NewReaderSize(c.raw, firstBufferBytes)
 	var last *Exchange
 	for !c.closing.Load() {
-		if !c.await(reader, limits.IdleTime) {
+		if !c.await(reader, limits.IdleTime) || !c.beginReading() {
 			break
 		}
 		limits = c.server.limits().WithDefaults()
@@ -66,11 +77,16 @@
 			return
 		}
 		_ = c.raw.SetReadDeadline(time.Time{})
+		if c.refusesLate() {
+			c.refuse(e, ErrFinishing)
+			return
+		}
 		if !c.begin(e) {
 			// What was read before goes on until it is answered.
 			c.watchEnd()
 			return
 		}
+		c.endReading()
 		if last != nil && !mayOverlap(e) {
 			<-last.done
 		}
@@ -173,12 +189,43 @@
 	return nil
 }
 
+// beginReading notes that a request comes in, and says whether it may.
+func (c *connection) beginReading() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.closing.Load() {
+		return false
+	}
+	c.reading = true
+	c.server.reading.Add(1)
+	return true
+}
+
+// endReading notes that a request has come in, or will not.
+func (c *connection) endReading() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.reading {
+		c.reading = false
+		c.server.reading.Add(-1)
+	}
+}
+
+// refusesLate is whether a request that has come in is to be refused since the
+// server finishes. Behind others it is not read, as the last answer tells.
+func (c *connection) refusesLate() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.finishing && !c.closing.Load() && len(c.active) == 0
+}
+
 // begin counts a request in, unless an answer has already said that the
-// connection closes.
+// connection closes. While the server finishes, only requests that are refused
+// are counted in.
 func (c *connection) begin(e *Exchange) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.closing.Load() || c.finishing {
+	if c.closing.Load() || c.finishing && !e.refused {
 		return false
 	}
 	c.server.inFlight.Add(1)
@@ -242,6 +289,7 @@
 		_ = c.raw.Close()
 		return
 	}
+	e.refused = true
 	if !c.begin(e) {
 		c.watchEnd()
 		return
--- a/io/kqedge/kqedge.go
+++ b/io/kqedge/kqedge.go
@@ -47,11 +47,18 @@
 	// maxBodies bounds the memory of all large requests that are being read: a
 	// sixth of that of the smallest hosts.
 	maxBodies = 32 << 20
+	// acceptTime is how long a server that finishes takes the connections that
+	// wait to be accepted.
+	acceptTime = 20 * time.Millisecond
 	// lingerTime is how long a caller may take to see that the connection was
 	// closed behind an answer.
 	lingerTime = time.Second
 )
 
+// LateTime is how long requests that were on their way when the server finished
+// are still read, to be refused.
+const LateTime = 100 * time.Millisecond
+
 // Defaults of the limits.
 const (
 	defaultHeaderBytes = 16 << 10
@@ -96,6 +103,8 @@
 	// Break is set by the handler to close the connection in place of an
 	// answer.
 	Break bool
+	// refused is whether no handler gets the request.
+	refused bool
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -111,6 +120,8 @@
 	refused func(response *fasthttp.Response, err error)
 
 	listener net.Listener
+	// accepted is closed when no more connections are taken.
+	accepted chan struct{}
 	draining atomic.Bool
 	mutex    sync.Mutex
 	closed   bool
@@ -118,6 +129,8 @@
 	// bodies bounds what the requests that are being read take together.
 	bodies   *kqbody.Allowance
 	inFlight atomic.Int64
+	// reading is how many requests are coming in.
+	reading  atomic.Int64
 	lastCame atomic.Int64
 }
 
@@ -155,13 +168,16 @@
 	return s
 }
 
-// StatusOf gives the status for a request that can't be read.
+// ErrFinishing marks requests that came in whole when no more are begun.
+var ErrFinishing = errors.New("server takes no more requests")
+
+// StatusOf gives the status for a request that can't be read, or is not taken.
 func StatusOf(err error) int {
 	var small *fasthttp.ErrSmallBuffer
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.Is(err, kqbody.ErrTooLarge):
 		return fasthttp.StatusRequestEntityTooLarge
-	case errors.Is(err, kqbody.ErrNoRoom):
+	case errors.Is(err, kqbody.ErrNoRoom) || errors.Is(err, ErrFinishing):
 		return fasthttp.StatusServiceUnavailable
 	case errors.As(err, &small):
 		return fasthttp.StatusRequestHeaderFieldsTooLarge
@@ -176,12 +192,13 @@
 	if err != nil {
 		return "", errors.Wrapf(err, "listen at %s", address)
 	}
-	s.listener = l
+	s.listener, s.accepted = l, make(chan struct{})
 	go s.accept(l)
 	return l.Addr().String(), nil
 }
 
 func (s *Server) accept(l net.Listener) {
+	defer close(s.accepted)
 	for {
 		raw, err := l.Accept()
 		if err != nil {
@@ -209,11 +226,14 @@
 	s.draining.Store(true)
 }
 
-// Finish takes no more connections and reads no more requests; idle
-// connections are closed, and the others behind their last answer.
+// Finish takes no more connections and begins no more requests; idle
+// connections are closed, and the others behind their last answer. What waits
+// in the listener's queue is taken, and what comes in within [LateTime] is
+// refused rather than cut off.
 func (s *Server) Finish() {
 	s.Drain()
 	if s.listener != nil {
+		s.acceptRest()
 		_ = s.listener.Close()
 	}
 	s.mutex.Lock()
@@ -227,6 +247,19 @@
 	}
 }
 
+// acceptRest takes the connections that the kernel has accepted already.
+func (s *Server) acceptRest() {
+	limited, ok := s.listener.(interface{ SetDeadline(t time.Time) error })
+	if ok && limited.SetDeadline(time.Now().Add(acceptTime)) == nil {
+		<-s.accepted
+	}
+}
+
+// Reading is how many requests are coming in.
+func (s *Server) Reading() int {
+	return int(s.reading.Load())
+}
+
 // InFlight is how many requests were read and not answered.
 func (s *Server) InFlight() int {
 	return int(s.inFlight.Load())
--- a/io/kqmesh/entry.go
+++ b/io/kqmesh/entry.go
@@ -220,5 +220,8 @@
 // refuseUnread answers a request that can't be read.
 func (n *Node) refuseUnread(response *fasthttp.Response, err error) {
 	response.SetStatusCode(kqedge.StatusOf(err))
+	if response.StatusCode() == fasthttp.StatusServiceUnavailable {
+		response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(defaultRetryAfter.Seconds(), 'f', 3, 64))
+	}
 	n.decide(kqlog.Decision{Decision: decisionAnswer, Cause: string(kqcall.CauseBadRequest), Outcome: string(kqcall.OutcomeNotRun), Status: response.StatusCode(), Detail: err.Error()})
 }
--- a/io/kqmesh/shutdown.go
+++ b/io/kqmesh/shutdown.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"kumquatlink/io/kqedge"
 	"kumquatlink/io/kqlog"
 )
 
@@ -19,6 +20,9 @@
 	takeTime = 3 * time.Second
 	// calmTime is how long no request must have come before the node ends.
 	calmTime = 300 * time.Millisecond
+	// lateTime is how long a request that comes in slowly may take when no more
+	// are begun; then its connection is closed.
+	lateTime = 500 * time.Millisecond
 	// shutdownMargin is what is kept of the time of a shutdown for closing.
 	shutdownMargin = 400 * time.Millisecond
 	shutdownPoll   = 20 * time.Millisecond
@@ -48,7 +52,12 @@
 	// From here on no request is begun, so that none can slip in between the
 	// look at those in flight and the end.
 	n.callers.Finish()
-	for ctx.Err() == nil && n.now().Sub(begun) < bound && n.isBusy() {
+	finished := n.now()
+	late := func() bool {
+		since := n.now().Sub(finished)
+		return since < kqedge.LateTime || since < lateTime && n.callers.Reading() > 0
+	}
+	for ctx.Err() == nil && n.now().Sub(begun) < bound && (n.isBusy() || late()) {
 		sleep(ctx, shutdownPoll)
 	}
 	left := n.callers.InFlight() + n.gate.busy()
