A server that had said that it leaves stays out after its node's restart

Cause: what a backend server says lives in the node's memory. A node that was restarted took the next heartbeat that said Ready, also one from before the server began to drain, or its good health, and handed it new work.

The node's record in the store now also holds the server's state and start; a node that starts reads its former record and holds on to what it says, until a later start of the server. A node whose server goes on is not kept from it: the record of a node that ends says Draining for the node, not for the server. Without the store nothing is known of before, as it was.

--- a/io/kqmesh/control.go
+++ b/io/kqmesh/control.go
@@ -192,6 +192,7 @@
 
 func (e hostsEvent) apply(c *control) bool {
 	known := c.state.Hosts
+	c.remember(e.all[c.node.settings.NodeID])
 	c.state.Hosts = map[string]HostRecord{}
 	for name, h := range e.all {
 		if held, found := known[name]; found && !h.replaces(held) {
@@ -244,6 +245,27 @@
 	return true
 }
 
+// remember takes up what the node's former start knew: a server that had said
+// that it leaves takes no new work, though a notice from before comes late or
+// its health is good.
+func (c *control) remember(former HostRecord) {
+	left := former.ServerState == kqserver.Draining || former.ServerState == kqserver.Gone
+	if !left || former.Incarnation == c.node.incarnation || former.Service != c.node.settings.Service {
+		return
+	}
+	held := c.life.Notice()
+	if held.ServerID != "" && (held.ServerID != former.ServerID || held.Born != 0 && held.Born != former.Born) {
+		return
+	}
+	e := &noticeEvent{notice: kqserver.Notice{
+		ServerID: former.ServerID, Service: former.Service, Address: c.node.settings.BackendAddress, Slots: former.Slots,
+		State: former.ServerState, Born: former.Born,
+	}}
+	e.apply(c)
+	c.node.note(remarkServerRemembered, fmt.Sprintf("server %s, started %d, had said that it leaves: %s", former.ServerID, former.Born, e.verdict), nil,
+		kqlog.Text(fieldServer, former.ServerID), kqlog.Text(fieldState, string(former.ServerState)), kqlog.Text(fieldVerdict, string(e.verdict)))
+}
+
 // note logs a belief about a node that changed.
 func (c *control) note(held, h HostRecord) {
 	if held != h {
--- a/io/kqmesh/events.go
+++ b/io/kqmesh/events.go
@@ -63,6 +63,7 @@
 	remarkLoadNotAsked
 	remarkWatching
 	remarkWatcherAsked
+	remarkServerRemembered
 	remarkCount
 )
 
@@ -102,6 +103,7 @@
 	remarkMessageNotWritten: {Name: "MessageNotWritten", Level: zerolog.ErrorLevel, Means: "A message to a peer can't be written."},
 	remarkWatching:          {Name: "Watching", Level: zerolog.InfoLevel, Means: "The node begins or ceases to watch the store for its failure domain.", Fields: []string{fieldState}},
 	remarkWatcherAsked:      {Name: "WatcherAsked", Level: zerolog.InfoLevel, Means: "The news of a node that watches the store tell of newer routes or of other nodes; it is asked for them.", Fields: []string{fieldHost, fieldRoutes, fieldFormer}},
+	remarkServerRemembered:  {Name: "ServerRemembered", Level: zerolog.InfoLevel, Means: "The node's own record, from before its start, says that the backend server leaves.", Fields: []string{fieldServer, fieldState, fieldVerdict}},
 	remarkLoadNotAsked:      {Name: "LoadNotAsked", Level: zerolog.DebugLevel, Means: "A gate could not be asked for its load.", Fields: []string{fieldService, fieldHost}},
 }
 
--- a/io/kqmesh/record.go
+++ b/io/kqmesh/record.go
@@ -32,8 +32,12 @@
 	Service       string
 	// ServerID is the backend server beside it, or empty.
 	ServerID string
-	Slots    int
-	Life     kqmember.Life
+	// ServerState is the state of that server, and Born when it started, for
+	// the next start of the node.
+	ServerState kqserver.State
+	Born        int64
+	Slots       int
+	Life        kqmember.Life
 }
 
 // member gives the record as routing reads it.
@@ -63,7 +67,8 @@
 	h := HostRecord{
 		NodeID: n.settings.NodeID, Incarnation: n.incarnation, Address: n.peerAddress,
 		Region: n.settings.Region, FailureDomain: n.settings.FailureDomain,
-		Service: n.settings.Service, ServerID: s.Server.ServerID, Slots: s.Server.Slots, Life: kqmember.LifeJoining,
+		Service: n.settings.Service, ServerID: s.Server.ServerID, ServerState: s.ServerState, Born: s.Server.Born,
+		Slots: s.Server.Slots, Life: kqmember.LifeJoining,
 	}
 	switch {
 	case s.Leaving || s.ServerState == kqserver.Draining:
@@ -119,7 +124,12 @@
 	if want.Life == kqmember.LifeJoining {
 		return false
 	}
-	if !w.written || w.held != want {
+	held := w.held
+	if held.ServerState == want.ServerState {
+		// When the server started is only read once it leaves.
+		held.Born = want.Born
+	}
+	if !w.written || held != want {
 		return true
 	}
 	_, listed := s.Hosts[want.NodeID]
