--- /dev/null
+++ b/io/kqmesh/copies_test.go
@@ -0,0 +1,85 @@
+package kqmesh_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// lateCopy is how long behind an answer its copy is sent on a connection that
+// waits for its next call meanwhile.
+const lateCopy = 5 * time.Millisecond
+
+// copies is a server that sends answers twice; each connection has one.
+type copies struct {
+	mutex sync.Mutex
+	// last is the latest answer on each connection.
+	last map[net.Conn]string
+	when string
+}
+
+func (s *copies) answer(c net.Conn, q *fasthttp.Request) {
+	body := fmt.Sprintf("%s %s %s", q.Header.Method(), q.Header.RequestURI(), q.Body())
+	own := fmt.Sprintf("HTTP/1.1 200 OK\r\nKumquatlink-Request-Id: %s\r\nContent-Length: %d\r\n\r\n%s", q.Header.Peek("Kumquatlink-Request-Id"), len(body), body)
+	s.mutex.Lock()
+	former := s.last[c]
+	s.last[c] = own
+	s.mutex.Unlock()
+	switch s.when {
+	case "with the answer":
+		own += own
+	case "while the connection rests":
+		time.AfterFunc(lateCopy, func() { _, _ = io.WriteString(c, own) })
+	case "before the next answer":
+		own = former + own
+	case "half before the next answer":
+		own = former[:len(former)/2] + own
+	case "half while the connection rests":
+		time.AfterFunc(lateCopy, func() { _, _ = io.WriteString(c, own[:len(own)/2]) })
+	}
+	_, _ = io.WriteString(c, own)
+}
+
+// TestLateCopiesOfAnswersReachNobodyElse has a server send every answer a
+// second time, at several moments, while callers send one request after the
+// other through another node.
+func TestLateCopiesOfAnswersReachNobodyElse(t *testing.T) {
+	for _, when := range []string{"with the answer", "while the connection rests", "before the next answer", "half before the next answer", "half while the connection rests"} {
+		t.Run(when, func(t *testing.T) {
+			f := newFleet(t)
+			entry, server := f.add("packs-1", "packs"), f.add("orders-1", "orders")
+			f.open(entry, server, route("/buy/", "orders", true), route("/look/", "orders", false))
+			s := &copies{last: map[net.Conn]string{}, when: when}
+			server.script(s.answer)
+			var callers sync.WaitGroup
+			for _, caller := range ids("c", 4) {
+				callers.Add(1)
+				go func() {
+					defer callers.Done()
+					for i := range 20 {
+						path := []string{"/buy/", "/look/"}[i%2]
+						id := fmt.Sprintf("%s-%d", caller, i)
+						got := entry.request("POST", path, id, "body of "+id)
+						want := fmt.Sprintf("POST %s body of %s", path, id)
+						if got.status == fasthttp.StatusOK && got.body != want {
+							t.Errorf("request %s: got %q, want %q or a failure", id, got.body, want)
+						}
+						if path == "/buy/" && server.ran(id) > 1 {
+							t.Errorf("request %s, which must not run twice: begun %d times", id, server.ran(id))
+						}
+						if got.status == fasthttp.StatusServiceUnavailable && server.ran(id) > 0 {
+							t.Errorf("request %s: got %q, but it has run", id, strings.TrimSpace(got.body))
+						}
+					}
+				}()
+			}
+			callers.Wait()
+		})
+	}
+}
