A log whose reader has stalled keeps no process from ending

Cause: Close waited for the writer for as long as the output took nothing, so that a node that was told to end, and had served all, stayed until it was killed. It now waits 300 ms. The test failed first (10 s). Found when looking for processes that are still there at the end of the grace time; whether it is the cause of those is not shown.

--- a/io/kqlog/kqlog.go
+++ b/io/kqlog/kqlog.go
@@ -206,6 +206,10 @@
 	return l.dropped.Load()
 }
 
+// closeTime is how long the lines that are queued may take to be written at the
+// end of a process. A reader that has stalled takes none.
+const closeTime = 300 * time.Millisecond
+
 // Close writes what is queued and stops.
 func (l *Log) Close() {
 	l.closing.Lock()
@@ -215,7 +219,12 @@
 	}
 	l.closed = true
 	close(l.queue)
-	<-l.done
+	written := time.NewTimer(closeTime)
+	defer written.Stop()
+	select {
+	case <-l.done:
+	case <-written.C:
+	}
 }
 
 // Decide logs a decision.
--- a/io/kqlog/kqlog_test.go
+++ b/io/kqlog/kqlog_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
@@ -83,3 +84,22 @@
 		t.Errorf("dropped after close: got %d, want %d", got, want)
 	}
 }
+
+// TestLogThatCantBeWrittenKeepsNobodyFromEnding closes a log whose reader has
+// stalled.
+func TestLogThatCantBeWrittenKeepsNobodyFromEnding(t *testing.T) {
+	output := &valve{open: make(chan struct{})}
+	defer close(output.open)
+	log := kqlog.New(output)
+	log.Event(zerolog.InfoLevel, "a line", nil)
+	ended := make(chan struct{})
+	go func() {
+		log.Close()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Error("log whose reader has stalled: got no end of Close within 10 s, want one")
+	}
+}
