A watcher that the store turns away learns from the others' news

Cause: news of nodes that come later in the order were not read at all, so that one of the first, when the store turned it away, learned of new routes only from calls, though the nodes that had taken over told them. The order decides who watches, not what is believed: who has no contact of its own takes all news. The test failed first.

--- a/core/kqwatch/kqwatch.go
+++ b/core/kqwatch/kqwatch.go
@@ -101,14 +101,12 @@
 	w.before = before
 }
 
-// Heard notes news that a node of the failure domain sent. It says whether the
-// node is one whose news count, which are those before the own one.
-func (w *Watch) Heard(now time.Duration, from string) bool {
-	if kqseed.CompareNames(from, w.own) >= 0 {
-		return false
+// Heard notes news that a node of the failure domain sent. Those of nodes behind
+// the own one don't keep it from watching.
+func (w *Watch) Heard(now time.Duration, from string) {
+	if kqseed.CompareNames(from, w.own) < 0 {
+		w.heard[from] = now
 	}
-	w.heard[from] = now
-	return true
 }
 
 // Advance says whether the node is to watch the store from now on.
--- a/io/kqmesh/fleet_test.go
+++ b/io/kqmesh/fleet_test.go
@@ -173,6 +173,8 @@
 	store *kqobject.Store
 	hosts map[string]*host
 	log   *lockedBuffer
+	// wrap stands between the hosts that are added and the store, or is nil.
+	wrap func(name string, c *kqstore.Client) *kqstore.Client
 }
 
 // lockedBuffer takes the log of all nodes.
@@ -238,6 +240,9 @@
 func (f *fleet) addIn(region, name, service string) *host {
 	f.t.Helper()
 	h := &host{backend: newBackend(f.t, "i-"+name), store: kqstore.NewHTTP(f.store.Address())}
+	if f.wrap != nil {
+		h.store = f.wrap(name, h.store)
+	}
 	// Another program may take an address between its reservation and its use.
 	for tries := 0; ; tries++ {
 		h.settings = f.settingsOf(h, region, name, service)
--- a/io/kqmesh/news.go
+++ b/io/kqmesh/news.go
@@ -149,7 +149,9 @@
 
 func (e newsEvent) apply(c *control) bool {
 	now := c.node.clock()
-	if !c.watch.Heard(now, e.news.NodeID) {
+	c.watch.Heard(now, e.news.NodeID)
+	if c.node.contact() {
+		// It learns as much from the store itself.
 		return c.advanceWatch(now)
 	}
 	changed := c.merge(e.news)
--- a/io/kqmesh/peer.go
+++ b/io/kqmesh/peer.go
@@ -104,11 +104,12 @@
 	from  string
 }
 
-// apply takes over the list. A node that has read the store only asks nodes
-// that watch it, and takes their list in place of its own.
+// apply takes over the list. A node that has read the store, and does not watch
+// it at the moment, has asked one that does and takes its list in place of its
+// own.
 func (e toldHostsEvent) apply(c *control) bool {
 	if c.state.HostsKnown {
-		if c.state.Watching {
+		if c.node.contact() {
 			return false
 		}
 		all := map[string]HostRecord{}
