--- a/io/kqmesh/kqmesh.go
+++ b/io/kqmesh/kqmesh.go
@@ -313,12 +313,12 @@
 	return kqmember.Record{NodeID: n.settings.NodeID, Region: n.settings.Region, FailureDomain: n.settings.FailureDomain}
 }
 
-// isOutside is whether the peer is known to be in another failure domain, to
-// which bytes cost.
+// isOutside is whether the peer is known to be in another region, to which bytes
+// cost most.
 func (n *Node) isOutside(peer string) bool {
 	for _, h := range n.State().Hosts {
 		if h.Address == peer {
-			return h.FailureDomain != n.settings.FailureDomain
+			return h.Region != n.settings.Region
 		}
 	}
 	return false
