Log and meter what a backend server states in its answers

The gate, through which all answers of the server come, decodes both headers and logs each change of them (ServerLimit, ServerLeaves, StatementUnreadable); server_rate_limit shows the limit. Nothing is decided by them yet.

--- a/io/kqmesh/dialect.go
+++ b/io/kqmesh/dialect.go
@@ -34,6 +34,11 @@
 	// probe: the numbers of running and waiting requests and of slots, separated
 	// by commas.
 	Load string
+	// RateLimit is set on the answers of a backend server that takes no more than
+	// that many requests a second, a decimal number, from all nodes together.
+	RateLimit string
+	// Leaving is set to "1" on the answers of a backend server that drains.
+	Leaving string
 }
 
 // Dialect holds the header names, paths and codecs of a platform.
@@ -90,6 +95,7 @@
 		Headers: Headers{
 			RequestID: kqwire.HeaderRequestID, Deadline: kqwire.HeaderBudget, ExpectServer: HeaderExpectServer,
 			NotRun: kqwire.HeaderShed, CallerService: HeaderCallerService, ServerID: HeaderServerID, Load: HeaderLoad,
+			RateLimit: kqwire.HeaderRateLimit, Leaving: kqwire.HeaderLeaving,
 		},
 		ReadyPath:  NativeReadyPath,
 		ReadRoutes: readOwnRoutes,
--- a/io/kqmesh/gate.go
+++ b/io/kqmesh/gate.go
@@ -51,6 +51,10 @@
 	waiting map[uint64]chan kqadmit.Verdict
 	ticking bool
 	slots   int
+	// said is what the backend server's latest answer says about the server;
+	// unreadable reports that a later answer could not be decoded.
+	said       kqserver.Statement
+	unreadable bool
 	// refuseWaitingAt is when the calls that still wait are refused because the
 	// server drains, on the node's clock, or 0.
 	refuseWaitingAt time.Duration
@@ -141,7 +145,7 @@
 		o.head.Queue = queued
 		return o
 	}
-	o := g.execute(ctx, head, body, s.Server.ServerID)
+	o := g.execute(ctx, head, body, s.Server)
 	took := g.node.clock() - begun - queued
 	o.head.Queue, o.head.Run = queued, took
 	g.node.metrics.Time(kqmetric.RunTime, took)
@@ -331,7 +335,7 @@
 }
 
 // execute runs an admitted call on the backend server.
-func (g *gate) execute(ctx context.Context, head kqtrunk.CallHead, body []byte, serverID string) *callAnswer {
+func (g *gate) execute(ctx context.Context, head kqtrunk.CallHead, body []byte, server kqserver.Notice) *callAnswer {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
@@ -340,11 +344,14 @@
 		Root: head.Root, Class: head.Class, Rank: head.Rank, Depth: head.Depth, Route: head.Route, Repeat: head.Repeat, Deadline: g.deadlineOf(ctx),
 	})
 	g.node.shedder.recordRun(head.Class)
-	g.fillRequest(request, head, body, serverID, ends-begun)
+	g.fillRequest(request, head, body, server.ServerID, ends-begun)
 	response.SkipBody = request.Header.IsHead()
 	err := g.pool.Do(ctx, request, response)
 	o := g.readAnswer(ctx, response, err)
-	o.head.ServerID, o.head.Onward = serverID, g.runs.End(g.node.clock(), run)
+	if err == nil && o.head.End.Cause != kqcall.CauseMoved && o.head.End.Cause != kqcall.CauseBackendLost {
+		g.observeStatement(&response.Header, server)
+	}
+	o.head.ServerID, o.head.Onward = server.ServerID, g.runs.End(g.node.clock(), run)
 	return o
 }
 
--- a/io/kqmesh/observe.go
+++ b/io/kqmesh/observe.go
@@ -102,6 +102,7 @@
 	s := n.State()
 	n.metrics.Set(kqmetric.ConfigurationVersion, float64(n.routesVersion()))
 	n.metrics.Set(kqmetric.LogDropped, float64(n.log.Dropped()))
+	n.metrics.Set(kqmetric.ServerRateLimit, n.gate.namedLimit())
 	l := n.gate.load()
 	n.metrics.Set(kqmetric.GateSlots, float64(l.Limit), "all")
 	n.metrics.Set(kqmetric.GateSlots, float64(l.InFlight), "running")
--- /dev/null
+++ b/io/kqmesh/statement.go
@@ -0,0 +1,62 @@
+package kqmesh
+
+import (
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"kumquatlink/core/kqserver"
+	"kumquatlink/io/kqlog"
+)
+
+// parseStatement decodes what an answer of a backend server says about the
+// server.
+func (n *Node) parseStatement(h *fasthttp.ResponseHeader) (kqserver.Statement, error) {
+	return kqserver.ParseStatement(string(h.Peek(n.dialect.Headers.RateLimit)), string(h.Peek(n.dialect.Headers.Leaving)))
+}
+
+// observeStatement applies what an answer of the backend server says about the
+// server. An answer whose statement can't be decoded changes nothing.
+func (g *gate) observeStatement(h *fasthttp.ResponseHeader, server kqserver.Notice) {
+	said, err := g.node.parseStatement(h)
+	g.mutex.Lock()
+	former, wasUnreadable := g.said, g.unreadable
+	g.unreadable = err != nil
+	if err == nil {
+		g.said = said
+	}
+	g.mutex.Unlock()
+	if err != nil {
+		if !wasUnreadable {
+			g.node.logEvent(eventStatementUnreadable, "statement of server "+server.ServerID+" is ignored", err, kqlog.Text(fieldServer, server.ServerID))
+		}
+		return
+	}
+	if said.Limited != former.Limited || said.Limit != former.Limit {
+		g.node.logEvent(eventServerLimit, "server "+server.ServerID+" names the limit "+formatLimit(said)+" in requests a second, before: "+formatLimit(former), nil,
+			kqlog.Text(fieldServer, server.ServerID), kqlog.Text("Limit", formatLimit(said)), kqlog.Text("FormerLimit", formatLimit(former)))
+	}
+	if said.Leaving && !former.Leaving {
+		g.node.logEvent(eventServerLeaves, "server "+server.ServerID+" leaves, says its answer", nil,
+			kqlog.Text(fieldServer, server.ServerID), kqlog.Text(fieldState, string(server.State)))
+	}
+}
+
+// formatLimit returns the limit of a statement for the log.
+func formatLimit(s kqserver.Statement) string {
+	if !s.Limited {
+		return "none"
+	}
+	return strconv.FormatFloat(s.Limit, 'g', -1, 64)
+}
+
+// namedLimit returns the limit that the backend server names, in requests a
+// second, or -1 if it names none.
+func (g *gate) namedLimit() float64 {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if !g.said.Limited {
+		return -1
+	}
+	return g.said.Limit
+}
--- a/io/kqmetric/kqmetric.go
+++ b/io/kqmetric/kqmetric.go
@@ -88,6 +88,7 @@
 	Repeats              = Definition{"repeats", KindCounter, []string{"service"}, unitCalls, "Calls that this entry repeated at a further backend server."}
 	RepeatsRefused       = Definition{"repeats_refused", KindCounter, []string{"service"}, unitCalls, "Calls that were not repeated because the repeat budget was spent."}
 	ServerState          = Definition{"server_state", KindGauge, []string{"state"}, "0 or 1", "State of the backend server beside this node."}
+	ServerRateLimit      = Definition{"server_rate_limit", KindGauge, nil, "calls per second", "Limit that the backend server beside this node names in its answers; -1 if it names none."}
 	LogDropped           = Definition{"log_dropped", KindGauge, nil, "lines", "Log lines that were not written since the start, because the queue was full or the line budget was spent."}
 )
 
@@ -96,7 +97,7 @@
 	return []Definition{
 		Answers, AnswerTime, Routes, Admissions, StoreCalls, StoreTime,
 		ConfigurationVersion, ConfigurationRefused, Members, Suspected, Confirmed, Pauses, Exchanges,
-		QueueTime, RunTime, GateSlots, Upstreams, Repeats, RepeatsRefused, ServerState, LogDropped,
+		QueueTime, RunTime, GateSlots, Upstreams, Repeats, RepeatsRefused, ServerState, ServerRateLimit, LogDropped,
 	}
 }
 
--- a/io/kqwire/kqwire.go
+++ b/io/kqwire/kqwire.go
@@ -39,6 +39,11 @@
 	// HeaderShed is set to "1" by a backend server that refused a call
 	// without running it.
 	HeaderShed = "Kumquatlink-Shed"
+	// HeaderRateLimit is set on the answers of a backend server that takes no
+	// more than that many requests a second from all nodes together.
+	HeaderRateLimit = "Kumquatlink-Rate-Limit"
+	// HeaderLeaving is set to "1" on the answers of a backend server that drains.
+	HeaderLeaving = "Kumquatlink-Leaving"
 )
 
 // Paths that a node serves to its backend server, at an address that is meant
