--- a/io/kqmesh/fleet_test.go
+++ b/io/kqmesh/fleet_test.go
@@ -369,6 +369,16 @@
 	f.awaitConvergence(1, 2)
 }
 
+// serveAll reports all backend servers as ready, and waits until every node has
+// the first routes and all hosts.
+func (f *fleet) serveAll(hosts ...*host) {
+	f.t.Helper()
+	for _, h := range hosts {
+		h.reportState(kqserver.Ready)
+	}
+	f.awaitConvergence(1, len(hosts))
+}
+
 // putRoutes writes an encoded document of routes to the store.
 func (f *fleet) putRoutes(value []byte) {
 	f.t.Helper()
