Hold the calls of a backend server within the limit that it names

Cause: what a server states in its answers was read nowhere (the class: only notices were taken as the server's word, answers were passed on unread). The evidence is the ServerLimit lines at 6.0 s and 25.0 s between which the calls do not change.

All calls of a server go through the gate beside it, so a token bucket there (core/kqrate) holds the sum over all machines, depths, repeats and restarts of entries without a message. The bucket is part of the admission queue: without a token a call waits and is refused as if no slot were free, the most important first, the threshold follows, and the reported capacity falls to what the rate carries, so that entries place calls elsewhere. A call that waits until its deadline is refused once the rate would hold it for over 250 ms.

Ruled out: a share of the limit for each entry. It needs the number of entries, wastes what an entry does not use (with 196 entries a share is below one request in 40 s), and a sum of shares of at least one is over the limit.

--- a/core/kqadmit/kqadmit.go
+++ b/core/kqadmit/kqadmit.go
@@ -10,7 +10,9 @@
 //     important one is admitted or holds a slot, unless it would miss its
 //     deadline anyway.
 //
-// The number of calls in flight is bounded by a limit that the gate sets.
+// The number of calls in flight is bounded by a limit that the gate sets. A rate
+// bounds the calls that begin each second while the backend server names one;
+// calls beyond it wait and are refused as if no slot were free.
 //
 // # Usage
 //
@@ -29,10 +31,12 @@
 package kqadmit
 
 import (
+	"math"
 	"slices"
 	"time"
 
 	"kumquatlink/core/kqcall"
+	"kumquatlink/core/kqrate"
 )
 
 // Item is a call at the gate.
@@ -76,9 +80,11 @@
 
 // Queue is the admission control of one gate.
 type Queue struct {
-	tuning    Tuning
-	limit     int
-	inFlight  int
+	tuning   Tuning
+	limit    int
+	inFlight int
+	// bucket holds the rate at which calls begin, or is nil without a rate.
+	bucket    *kqrate.Bucket
 	waiting   []Item
 	guard     guard
 	threshold threshold
@@ -115,6 +121,31 @@
 	return q.admitWaiting(now, nil)
 }
 
+// SetRate sets how many calls may begin each second. The calls before the first
+// rate may have used it up, so the first call waits.
+func (q *Queue) SetRate(now time.Duration, rate float64) []Verdict {
+	if q.bucket == nil {
+		q.bucket = kqrate.NewBucket(now, rate)
+	}
+	q.bucket.SetRate(now, rate)
+	return q.admitWaiting(now, nil)
+}
+
+// RemoveRate lets any number of calls begin each second, within the limit.
+func (q *Queue) RemoveRate(now time.Duration) []Verdict {
+	q.bucket = nil
+	return q.admitWaiting(now, nil)
+}
+
+// Capacity returns how many calls are in flight when the backend server runs as
+// many as the limit and the rate admit, at least one.
+func (q *Queue) Capacity() int {
+	if q.bucket == nil || q.meanHold == 0 {
+		return q.limit
+	}
+	return min(q.limit, max(1, int(math.Ceil(q.bucket.Rate()*q.meanHold.Seconds()))))
+}
+
 // Offer records an arrival and admits, queues or refuses it.
 func (q *Queue) Offer(now time.Duration, i Item) []Verdict {
 	verdicts := q.advance(now, nil)
@@ -148,7 +179,7 @@
 func (q *Queue) Cancel(id uint64) bool {
 	before := len(q.waiting)
 	q.waiting = slices.DeleteFunc(q.waiting, func(i Item) bool { return i.ID == id })
-	q.threshold.observe(len(q.waiting), q.inFlight < q.limit)
+	q.threshold.observe(len(q.waiting), q.bucket == nil && q.inFlight < q.limit)
 	return len(q.waiting) < before
 }
 
@@ -160,7 +191,7 @@
 // MaxWaiting returns how many calls may wait: about as many as the slots can run
 // in the time of one call.
 func (q *Queue) MaxWaiting() int {
-	return max(q.tuning.MinQueue, int(q.tuning.QueueFactor*float64(q.limit)))
+	return max(q.tuning.MinQueue, int(q.tuning.QueueFactor*float64(q.Capacity())))
 }
 
 // MaxSojourn returns how long a call may wait before it is refused. Items with
@@ -182,11 +213,23 @@
 }
 
 // cannotRunInTime reports whether the more important calls in the queue are
-// expected to leave the call too little time to run before its deadline.
+// expected to leave the call too little time to run before its deadline, or the
+// rate would make it wait for longer than maxRateWait. Another server may have
+// room for it meanwhile.
 func (q *Queue) cannotRunInTime(now time.Duration, i Item) bool {
 	ahead, _ := slices.BinarySearchFunc(q.waiting, i, compareItems)
 	wait := time.Duration(float64(q.meanHold) * float64(ahead) / float64(q.limit))
-	return ahead > 0 && now+wait+q.need(i.Class) > i.Deadline
+	rateWait := q.rateWait(now, ahead+1)
+	wait = max(wait, rateWait)
+	return rateWait > maxRateWait || (ahead > 0 || rateWait > 0) && now+wait+q.need(i.Class) > i.Deadline
+}
+
+// rateWait returns how long it takes until the rate has let so many calls begin.
+func (q *Queue) rateWait(now time.Duration, calls int) time.Duration {
+	if q.bucket == nil {
+		return 0
+	}
+	return q.bucket.Wait(now, calls)
 }
 
 func (q *Queue) insert(i Item) {
@@ -212,11 +255,24 @@
 	return 0
 }
 
-// admitWaiting admits waiting calls, the most important first, while fewer calls
-// than the limit are in flight. It refuses those that would miss their
+// hasRoom reports whether a call may begin now.
+func (q *Queue) hasRoom(now time.Duration) bool {
+	return q.inFlight < q.limit && (q.bucket == nil || q.bucket.Ready(now))
+}
+
+// use returns the share of the backend server's capacity that is in use.
+func (q *Queue) use(now time.Duration) float64 {
+	if !q.hasRoom(now) {
+		return 1
+	}
+	return min(1, float64(q.inFlight)/float64(q.Capacity()))
+}
+
+// admitWaiting admits waiting calls, the most important first, while there is
+// room for them. It refuses those that would miss their
 // deadline and those that the guard blocks.
 func (q *Queue) admitWaiting(now time.Duration, verdicts []Verdict) []Verdict {
-	for q.inFlight < q.limit && len(q.waiting) > 0 {
+	for q.hasRoom(now) && len(q.waiting) > 0 {
 		i := q.waiting[0]
 		q.waiting = slices.Delete(q.waiting, 0, 1)
 		switch {
@@ -227,13 +283,16 @@
 		case i.ArrivedAt < now && q.wouldMiss(now, i) && q.guard.mayRefuse(now, i.Level.Rank()):
 			verdicts = append(verdicts, q.refuse(now, i, kqcall.CauseWouldMiss))
 		default:
+			if q.bucket != nil {
+				q.bucket.Take(now)
+			}
 			q.inFlight++
 			q.guard.recordAdmission(now, i.Level.Rank())
 			q.threshold.recordStart()
 			verdicts = append(verdicts, Verdict{ID: i.ID, Run: true, InFlight: q.inFlight})
 		}
 	}
-	q.threshold.observe(len(q.waiting), q.inFlight < q.limit)
+	q.threshold.observe(len(q.waiting), q.hasRoom(now))
 	return verdicts
 }
 
@@ -263,12 +322,16 @@
 }
 
 // advance ends the windows that are over and refuses the waiting calls that lie
-// above the threshold or have waited for MaxSojourn.
+// above the threshold, or have waited for MaxSojourn, or for maxRateWait because
+// of the rate.
 func (q *Queue) advance(now time.Duration, verdicts []Verdict) []Verdict {
-	if !q.threshold.advance(now, len(q.waiting), min(1, float64(q.inFlight)/float64(q.limit))) && now < q.nextSweep {
+	if !q.threshold.advance(now, len(q.waiting), q.use(now)) && now < q.nextSweep {
 		return verdicts
 	}
 	q.nextSweep = now + sweepPeriod
+	if q.bucket != nil && !q.bucket.Ready(now) {
+		verdicts = q.refuseMatching(now, verdicts, func(i Item) bool { return i.WaitUntilDeadline && now-i.ArrivedAt >= maxRateWait })
+	}
 	verdicts = q.refuseMatching(now, verdicts, func(i Item) bool { return !i.WaitUntilDeadline && i.Level > q.threshold.level })
 	return q.refuseMatching(now, verdicts, func(i Item) bool { return !i.WaitUntilDeadline && now-i.ArrivedAt >= q.MaxSojourn() })
 }
@@ -289,5 +352,6 @@
 
 func (q *Queue) refuse(now time.Duration, i Item, cause kqcall.Cause) Verdict {
 	q.guard.recordRefusal(now, i.Level.Rank())
-	return Verdict{ID: i.ID, Cause: cause, RetryAfter: q.threshold.retryAfter(i.Level)}
+	after := max(q.threshold.retryAfter(i.Level), q.rateWait(now, len(q.waiting)+1))
+	return Verdict{ID: i.ID, Cause: cause, RetryAfter: after}
 }
--- a/core/kqadmit/tuning.go
+++ b/core/kqadmit/tuning.go
@@ -13,6 +13,9 @@
 	maxQueue = 4096
 	// maxArrivals bounds the arrivals that one window records.
 	maxArrivals = 8192
+	// maxRateWait is how long a call that waits until its deadline may wait for
+	// the rate; with a rate above 4 calls a second the most important one does.
+	maxRateWait = 250 * time.Millisecond
 	// sweepPeriod is the least time between two searches of the queue for calls
 	// to refuse, unless a window ends.
 	sweepPeriod = 5 * time.Millisecond
--- a/io/kqmesh/gate.go
+++ b/io/kqmesh/gate.go
@@ -323,7 +323,7 @@
 	defer g.mutex.Unlock()
 	g.deliver(g.queue.Tick(g.node.clock()))
 	return kqtrunk.Load{
-		InFlight: g.queue.InFlight(), Queued: g.queue.Waiting(), Limit: g.slots, Withheld: g.queue.Threshold().Withheld(), Deep: downstream,
+		InFlight: g.queue.InFlight(), Queued: g.queue.Waiting(), Limit: g.queue.Capacity(), Withheld: g.queue.Threshold().Withheld(), Deep: downstream,
 	}
 }
 
--- a/io/kqmesh/statement.go
+++ b/io/kqmesh/statement.go
@@ -24,6 +24,7 @@
 	g.unreadable = err != nil
 	if err == nil {
 		g.said = said
+		g.applyLimit(said, former)
 	}
 	g.mutex.Unlock()
 	if err != nil {
@@ -42,6 +43,18 @@
 	}
 }
 
+// applyLimit lets no more calls begin each second than the server's answer says.
+// The mutex is held.
+func (g *gate) applyLimit(said, former kqserver.Statement) {
+	now := g.node.clock()
+	switch {
+	case said.Limited && (!former.Limited || said.Limit != former.Limit):
+		g.deliver(g.queue.SetRate(now, said.Limit))
+	case !said.Limited && former.Limited:
+		g.deliver(g.queue.RemoveRate(now))
+	}
+}
+
 // formatLimit returns the limit of a statement for the log.
 func formatLimit(s kqserver.Statement) string {
 	if !s.Limited {
