Give no new calls to a server whose answer says that it leaves

What callers saw: nothing by themselves; a server that leaves and whose notice is late, lost or never sent went on getting calls, which it then cut off or that reached it after the drain time (DRAIN).

Only notices moved the server's state; the statement in its answers was passed on unread. The test got 20 further requests at the server, and gets none now.

The gate applies the statement as a notice of the start that the call was handed to, before the answer is passed on, so no machine can have passed it on while the gate still lets calls in. A later Ready of that start is ignored, the record says Draining, and a restarted node reads that. What a start has stated ends with it: a restarted server is not held to its former limit (own test).

--- a/io/kqmesh/events.go
+++ b/io/kqmesh/events.go
@@ -109,7 +109,7 @@
 	eventWatcherAsked:        {Name: "WatcherAsked", Level: zerolog.InfoLevel, Description: "A node that watches the store has announced newer routes or a different list of nodes; the node requests them from it.", Fields: []string{fieldHost, fieldRoutes, fieldFormer}},
 	eventServerRemembered:    {Name: "ServerRemembered", Level: zerolog.InfoLevel, Description: "The record that the node wrote before its restart says that the backend server drains or is gone.", Fields: []string{fieldServer, fieldState, fieldVerdict}},
 	eventServerLimit:         {Name: "ServerLimit", Level: zerolog.InfoLevel, Description: "An answer of the backend server beside the node names another limit on requests a second than the answer before it.", Fields: []string{fieldServer, "Limit", "FormerLimit"}},
-	eventServerLeaves:        {Name: "ServerLeaves", Level: zerolog.InfoLevel, Description: "An answer of the backend server beside the node says that the server leaves.", Fields: []string{fieldServer, fieldState}},
+	eventServerLeaves:        {Name: "ServerLeaves", Level: zerolog.InfoLevel, Description: "An answer of the backend server beside the node says that the server leaves; it gets no new calls.", Fields: []string{fieldServer, fieldVerdict}},
 	eventStatementUnreadable: {Name: "StatementUnreadable", Level: zerolog.WarnLevel, Description: "What an answer of the backend server says about the server can't be decoded and is ignored. Logged at the first such answer after a readable one.", Fields: []string{fieldServer}},
 	eventLoadNotAsked:        {Name: "LoadNotAsked", Level: zerolog.DebugLevel, Description: "The load of a gate could not be requested.", Fields: []string{fieldService, fieldHost}},
 }
--- a/io/kqmesh/gate.go
+++ b/io/kqmesh/gate.go
@@ -51,9 +51,11 @@
 	waiting map[uint64]chan kqadmit.Verdict
 	ticking bool
 	slots   int
-	// said is what the backend server's latest answer says about the server;
-	// unreadable reports that a later answer could not be decoded.
+	// said is what the latest answer of the server with the notice saidBy says
+	// about the server; unreadable reports that a later answer could not be
+	// decoded.
 	said       kqserver.Statement
+	saidBy     kqserver.Notice
 	unreadable bool
 	// refuseWaitingAt is when the calls that still wait are refused because the
 	// server drains, on the node's clock, or 0.
@@ -138,7 +140,7 @@
 		return o
 	}
 	begun := g.node.clock()
-	end, admitted := g.admit(ctx, head, s.Server.Slots)
+	end, admitted := g.admit(ctx, head, s.Server)
 	queued := g.node.clock() - begun
 	if !admitted {
 		o := endOnly(end)
@@ -169,14 +171,15 @@
 
 // admit waits for a slot of the backend server. Without a slot it returns the
 // end of the call and false.
-func (g *gate) admit(ctx context.Context, head kqtrunk.CallHead, slots int) (kqcall.End, bool) {
+func (g *gate) admit(ctx context.Context, head kqtrunk.CallHead, server kqserver.Notice) (kqcall.End, bool) {
 	now := g.node.clock()
 	item := kqadmit.Item{
 		Level: levelOf(head), Class: head.Route, WaitUntilDeadline: head.RunOnce, Deadline: now + head.Budget,
 	}
 	answer := make(chan kqadmit.Verdict, 1)
 	g.mutex.Lock()
-	g.setSlots(now, slots)
+	g.setSlots(now, server.Slots)
+	g.forgetFormer(now, server)
 	g.nextID++
 	item.ID = g.nextID
 	g.waiting[item.ID] = answer
--- a/io/kqmesh/limit_test.go
+++ b/io/kqmesh/limit_test.go
@@ -8,6 +8,9 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"kumquatlink/core/kqserver"
+	"kumquatlink/io/kqmesh"
 )
 
 // The users' bound on the requests that reach a server which names a limit: the
@@ -91,4 +94,30 @@
 	if got, want := leaving.totalRuns(), 1; got != want {
 		t.Errorf("requests that the leaving server got: got %d, want %d", got, want)
 	}
+	if got, want := leaving.reportState(kqserver.Ready), kqserver.Over; got != want {
+		t.Errorf("notice of the leaving server that it is ready: got %s, want %s", got, want)
+	}
+	f.awaitState(entry, "the record of the server that leaves", func(s *kqmesh.State) bool { return s.Hosts["orders-1"].ServerState == kqserver.Draining })
+}
+
+// TestRestartedServerIsHeldToItsFormerLimit restarts a server under its former ID
+// and has it name no limit.
+func TestRestartedServerIsHeldToItsFormerLimit(t *testing.T) {
+	f := newFleet(t)
+	entry, server := f.add("catalog-1", "catalog"), f.add("orders-1", "orders")
+	f.startServing(entry, server, route("/look/", "orders", false))
+	server.nameLimit(0)
+	if got := entry.request("GET", "/look/", "named", ""); got.status != fasthttp.StatusOK {
+		t.Fatalf("request at which the limit is named: got %+v, want 200", got)
+	}
+	if got := entry.request("GET", "/look/", "over", ""); got.status != fasthttp.StatusServiceUnavailable || got.retryAfter == "" || server.runCount("over") != 0 {
+		t.Errorf("request over the limit: got %+v, run %d times, want 503 with Retry-After and none", got, server.runCount("over"))
+	}
+	server.setAnswer(nil)
+	server.node.ApplyNotice(kqserver.Notice{ServerID: server.id, Service: "orders", Address: server.address(), Slots: 4, State: kqserver.Ready, Sequence: 1, Born: 2})
+	for _, id := range requestIDs("after-", 20) {
+		if got := entry.request("GET", "/look/", id, ""); got.status != fasthttp.StatusOK {
+			t.Errorf("request %s after the server's restart: got %+v, want 200", id, got)
+		}
+	}
 }
--- a/io/kqmesh/statement.go
+++ b/io/kqmesh/statement.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -16,10 +17,16 @@
 }
 
 // observeStatement applies what an answer of the backend server says about the
-// server. An answer whose statement can't be decoded changes nothing.
+// server, before the answer is passed on. An answer whose statement can't be
+// decoded changes nothing.
 func (g *gate) observeStatement(h *fasthttp.ResponseHeader, server kqserver.Notice) {
 	said, err := g.node.parseStatement(h)
 	g.mutex.Lock()
+	if !sameStart(g.saidBy, server) {
+		// The answer is of a former start.
+		g.mutex.Unlock()
+		return
+	}
 	former, wasUnreadable := g.said, g.unreadable
 	g.unreadable = err != nil
 	if err == nil {
@@ -37,10 +44,29 @@
 		g.node.logEvent(eventServerLimit, "server "+server.ServerID+" names the limit "+formatLimit(said)+" in requests a second, before: "+formatLimit(former), nil,
 			kqlog.Text(fieldServer, server.ServerID), kqlog.Text("Limit", formatLimit(said)), kqlog.Text("FormerLimit", formatLimit(former)))
 	}
-	if said.Leaving && !former.Leaving {
-		g.node.logEvent(eventServerLeaves, "server "+server.ServerID+" leaves, says its answer", nil,
-			kqlog.Text(fieldServer, server.ServerID), kqlog.Text(fieldState, string(server.State)))
+	if current := g.node.State(); said.Leaving && current.ServerState == kqserver.Ready && sameStart(current.Server, server) {
+		server.State = kqserver.Draining
+		verdict := g.node.ApplyNotice(server)
+		g.node.logEvent(eventServerLeaves, "server "+server.ServerID+" leaves, says its answer: "+string(verdict), nil,
+			kqlog.Text(fieldServer, server.ServerID), kqlog.Text(fieldVerdict, string(verdict)))
+	}
+}
+
+// sameStart reports whether two notices may be of the same start of a server. A
+// health probe does not tell when the server started.
+func sameStart(a, b kqserver.Notice) bool {
+	return a.ServerID == b.ServerID && (a.Born == b.Born || a.Born == 0 || b.Born == 0)
+}
+
+// forgetFormer drops what a former start of the backend server has said. The
+// mutex is held.
+func (g *gate) forgetFormer(now time.Duration, server kqserver.Notice) {
+	if sameStart(g.saidBy, server) {
+		g.saidBy.Born = max(g.saidBy.Born, server.Born)
+		return
 	}
+	g.saidBy, g.said = server, kqserver.Statement{}
+	g.deliver(g.queue.RemoveRate(now))
 }
 
 // applyLimit lets no more calls begin each second than the server's answer says.
