Take the threshold of a server's own limit for that server's only

What callers would see: calls refused at the entry, and runs refused for what they would call, although other servers of the service have room.

Cause: a gate's admission threshold is read as that of its service, from two reports, or for services further down from the latest one. Gates of a service used to be loaded alike; a limit lowers the threshold of one gate alone. The test on core/kqshed refuses such a call on the code before.

The gate reports the threshold separately while its server names a limit (Load.LimitWithheld, an element of Deep for peers that advertise version 4, not sent to earlier ones, which would mistake it). It counts for the service once four upstreams, as many as a call tries, or all of fewer, report one.

--- a/core/kqshed/kqshed.go
+++ b/core/kqshed/kqshed.go
@@ -46,6 +46,9 @@
 	// minReports is how many upstreams of a service, if it has that many, must
 	// have reported a threshold before calls are refused by their thresholds.
 	minReports = 2
+	// minOwnReports is the same while any of these thresholds comes from a limit
+	// of its upstream alone: a call is sent to that many upstreams at most.
+	minOwnReports = 4
 	// callsDecay is the time constant of the counts of runs and onward calls. A
 	// class counts as calling a service for this long after its last call to it.
 	callsDecay = time.Minute
@@ -83,6 +86,11 @@
 	// services downstream of it.
 	Cut  kqadmit.Level
 	Deep []ClassThreshold
+	// OwnCut reports whether Cut comes from a limit of this upstream alone, so
+	// that it says nothing about the other upstreams.
+	OwnCut bool
+	// Upstreams is how many upstreams the service has, if any OwnCut is set.
+	Upstreams int
 }
 
 // Reason identifies the threshold for which a call is refused.
@@ -148,6 +156,8 @@
 	downstream map[string]report
 	// asked is when an answer last arrived or was last asked for.
 	asked time.Duration
+	// upstreams is how many upstreams the service had at the last answer.
+	upstreams int
 }
 
 // report is a threshold and when its gate reported it.
@@ -156,6 +166,8 @@
 	at    time.Duration
 	// service is the service whose gate set the threshold.
 	service string
+	// own reports whether the threshold comes from a limit of one upstream.
+	own bool
 }
 
 func (r report) reason(now time.Duration) Reason {
@@ -178,11 +190,12 @@
 		s = &service{thresholds: map[string]report{}, downstream: map[string]report{}}
 		t.services[a.Service] = s
 	}
-	s.last = report{a.Cut, now, a.Service}
+	s.last = report{a.Cut, now, a.Service, a.OwnCut}
+	s.upstreams = a.Upstreams
 	s.thresholds[a.Upstream] = s.last
 	s.asked = now
 	for _, d := range a.Deep[:min(len(a.Deep), MaxClasses)] {
-		s.downstream[d.Class] = report{d.Level, now - max(0, d.Age), d.Service}
+		s.downstream[d.Class] = report{d.Level, now - max(0, d.Age), d.Service, false}
 	}
 	prune(s.thresholds, now)
 	prune(s.downstream, now)
@@ -261,15 +274,21 @@
 }
 
 // highest returns the highest fresh threshold of the service's upstreams, or
-// AdmitAll when fewer than needed have a fresh one.
+// AdmitAll when fewer than needed have a fresh one. If one comes from a limit of
+// its upstream alone, minOwnReports are needed, or all upstreams if there are
+// fewer.
 func (s *service) highest(now time.Duration, needed int) kqadmit.Level {
-	reported, threshold := 0, kqadmit.Level(0)
+	reported, threshold, own := 0, kqadmit.Level(0), false
 	for _, r := range s.thresholds {
 		if r.fresh(now) {
 			reported++
 			threshold = max(threshold, r.level)
+			own = own || r.own
 		}
 	}
+	if own {
+		needed = max(needed, min(minOwnReports, s.upstreams))
+	}
 	if reported < needed {
 		return kqadmit.AdmitAll
 	}
@@ -324,15 +343,20 @@
 }
 
 // strictest returns the lower of the service's latest threshold and the latest one
-// downstream of it for a class.
+// downstream of it for a class. A threshold from a limit of one upstream counts as
+// far as the other upstreams have one too.
 func (s *service) strictest(now time.Duration, class string) (report, bool) {
 	if !s.last.fresh(now) {
 		return report{}, false
 	}
-	if downstream, found := s.downstream[class]; found && downstream.fresh(now) && downstream.level < s.last.level {
+	latest := s.last
+	if latest.own {
+		latest.level = s.highest(now, minReports)
+	}
+	if downstream, found := s.downstream[class]; found && downstream.fresh(now) && downstream.level < latest.level {
 		return downstream, true
 	}
-	return s.last, true
+	return latest, true
 }
 
 // StaleServices returns the names of the services that have a threshold below
--- a/core/kqshed/kqshed_test.go
+++ b/core/kqshed/kqshed_test.go
@@ -197,3 +197,41 @@
 		t.Errorf("downstream thresholds: got %v, want one of buy", deep)
 	}
 }
+
+// TestLimitOfOneUpstreamShedsTheWholeService has two upstreams report thresholds
+// that come from limits of their own, while others have room.
+func TestLimitOfOneUpstreamShedsTheWholeService(t *testing.T) {
+	const upstreams = 6
+	call := kqshed.Call{Service: "orders", Class: "browse", Level: 5, OnwardLevel: 5, Upstreams: upstreams}
+	table := kqshed.New()
+	limited := func(upstream string) kqshed.Answer {
+		return kqshed.Answer{Service: "orders", Upstream: upstream, Upstreams: upstreams, Cut: 1, OwnCut: true}
+	}
+	table.RecordRun(0, "browse")
+	table.RecordCall(0, "browse", "orders")
+	for _, upstream := range []string{"1", "2"} {
+		table.RecordAnswer(0, limited(upstream))
+	}
+	if _, got := table.Refuses(0, call); got {
+		t.Error("call while four upstreams have not reported: got refused, want sent")
+	}
+	if _, got := table.RefusesDownstream(0, "browse", 5); got {
+		t.Error("run whose calls four other upstreams may take: got refused, want run")
+	}
+	if got := table.DownstreamThresholds(0); len(got) != 0 {
+		t.Errorf("thresholds reported to callers: got %+v, want none", got)
+	}
+	for _, upstream := range []string{"3", "4"} {
+		table.RecordAnswer(0, limited(upstream))
+	}
+	if _, got := table.Refuses(0, call); !got {
+		t.Error("call that as many upstreams as it would try refuse: got sent, want refused")
+	}
+	if _, got := table.RefusesDownstream(0, "browse", 5); !got {
+		t.Error("run whose calls would be refused: got run, want refused")
+	}
+	table.RecordAnswer(0, kqshed.Answer{Service: "orders", Upstream: "5", Upstreams: upstreams, Cut: kqadmit.AdmitAll})
+	if _, got := table.Refuses(0, call); got {
+		t.Error("call that an upstream without a limit takes: got refused, want sent")
+	}
+}
--- a/io/kqmesh/gate.go
+++ b/io/kqmesh/gate.go
@@ -325,9 +325,13 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.deliver(g.queue.Tick(g.node.clock()))
-	return kqtrunk.Load{
-		InFlight: g.queue.InFlight(), Queued: g.queue.Waiting(), Limit: g.queue.Capacity(), Withheld: g.queue.Threshold().Withheld(), Deep: downstream,
+	l := kqtrunk.Load{InFlight: g.queue.InFlight(), Queued: g.queue.Waiting(), Limit: g.queue.Capacity(), Deep: downstream}
+	if g.said.Limited {
+		l.LimitWithheld = g.queue.Threshold().Withheld()
+	} else {
+		l.Withheld = g.queue.Threshold().Withheld()
 	}
+	return l
 }
 
 // activeCalls returns the number of calls that wait or run.
--- a/io/kqmesh/shed.go
+++ b/io/kqmesh/shed.go
@@ -117,15 +117,18 @@
 	if !o.fromGate {
 		return
 	}
-	a := shedAnswer(q.head.Service, upstream, o.head.Load)
+	a := s.shedAnswer(q.head.Service, upstream, o.head.Load)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.table.RecordAnswer(s.node.clock(), a)
 }
 
 // shedAnswer converts the load report of an upstream to its thresholds.
-func shedAnswer(service, upstream string, l kqtrunk.Load) kqshed.Answer {
-	a := kqshed.Answer{Service: service, Upstream: upstream, Cut: kqadmit.ThresholdOf(l.Withheld)}
+func (s *shedder) shedAnswer(service, upstream string, l kqtrunk.Load) kqshed.Answer {
+	a := kqshed.Answer{
+		Service: service, Upstream: upstream, Upstreams: len(upstreamsOf(s.node.State(), service)),
+		Cut: kqadmit.ThresholdOf(max(l.Withheld, l.LimitWithheld)), OwnCut: l.LimitWithheld > 0,
+	}
 	for _, d := range l.Deep {
 		a.Deep = append(a.Deep, kqshed.ClassThreshold{Class: d.Class, Level: kqadmit.ThresholdOf(d.Withheld), Service: d.Service, Age: d.Age})
 	}
@@ -181,7 +184,7 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.table.RecordAnswer(s.node.clock(), shedAnswer(service, u.NodeID, l))
+	s.table.RecordAnswer(s.node.clock(), s.shedAnswer(service, u.NodeID, l))
 }
 
 // fetchLoad returns the load report of a gate, which may be this node's own.
--- a/io/kqtrunk/dialer.go
+++ b/io/kqtrunk/dialer.go
@@ -100,6 +100,15 @@
 	return r.trunk != nil && r.trunk.acceptsCalls()
 }
 
+// HoldsRateLimits reports whether the peer is known to be a node whose gate holds
+// the limit on requests a second that its backend server names.
+func (d *Dialer) HoldsRateLimits(address string) bool {
+	r := d.route(address)
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.trunk != nil && r.trunk.acceptsCalls() && r.trunk.version.Load() >= versionRateLimit
+}
+
 // Warm starts to connect to the peer in the background, unless it is connected,
 // is being dialed, or the pause after a failed attempt is not over.
 func (d *Dialer) Warm(address string) {
--- a/io/kqtrunk/kqtrunk.go
+++ b/io/kqtrunk/kqtrunk.go
@@ -144,6 +144,11 @@
 	// Deep lists the downstream thresholds: for each class the strictest
 	// admission threshold of the services further down the call chain.
 	Deep []ClassThreshold
+	// LimitWithheld is the gate's admission threshold, encoded like Withheld,
+	// while its backend server names a limit on requests a second. It then takes
+	// the place of Withheld: it speaks for this server, not for the service. On
+	// the wire it is an element of Deep.
+	LimitWithheld uint64 `cbor:"-"`
 }
 
 // AnswerHead holds all of an answer but its body.
--- a/io/kqtrunk/trunk.go
+++ b/io/kqtrunk/trunk.go
@@ -243,7 +243,7 @@
 	if err != nil {
 		return nil, errors.Mark(err, ErrLost)
 	}
-	a.Body = body
+	a.Head, a.Body = a.Head.decoded(), body
 	return a, nil
 }
 
--- a/io/kqtrunk/version.go
+++ b/io/kqtrunk/version.go
@@ -16,9 +16,17 @@
 	versionCompression = 2
 	// versionUpdate is the first in which a peer accepts updates.
 	versionUpdate = 3
-	ownVersion    = versionUpdate
+	// versionRateLimit is the first of nodes whose gate holds the limit on
+	// requests a second that its backend server names, and that report
+	// [Load.LimitWithheld].
+	versionRateLimit = 4
+	ownVersion       = versionRateLimit
 )
 
+// limitClass is the class of the element of Load.Deep that carries
+// Load.LimitWithheld. No class of work has an empty name.
+const limitClass = ""
+
 // ClassThreshold is the strictest admission threshold for a class among the
 // services further down the call chain than a gate. On the wire it is an array of
 // three elements, or of four with a service. Readers ignore further elements, so
@@ -79,8 +87,12 @@
 	return nil
 }
 
-// forVersion returns the answer without what a peer of the version can't decode.
+// forVersion returns the answer as it is encoded for a peer of the version,
+// without what such a peer can't decode.
 func (a AnswerHead) forVersion(version uint64) AnswerHead {
+	if version >= versionRateLimit && a.Load.LimitWithheld > 0 {
+		a.Load.Deep = append(slices.Clone(a.Load.Deep), ClassThreshold{Class: limitClass, Withheld: a.Load.LimitWithheld})
+	}
 	if version >= versionThresholdService {
 		return a
 	}
@@ -90,3 +102,14 @@
 	}
 	return a
 }
+
+// decoded reverses forVersion.
+func (a AnswerHead) decoded() AnswerHead {
+	i := slices.IndexFunc(a.Load.Deep, func(c ClassThreshold) bool { return c.Class == limitClass })
+	if i < 0 {
+		return a
+	}
+	a.Load.LimitWithheld = a.Load.Deep[i].Withheld
+	a.Load.Deep = slices.Delete(a.Load.Deep, i, i+1)
+	return a
+}
--- a/io/kqtrunk/version_test.go
+++ b/io/kqtrunk/version_test.go
@@ -257,3 +257,38 @@
 		t.Errorf("update: got %q, want %q", got, "news")
 	}
 }
+
+// TestThresholdOfALimitReachesPeersThatKnowIt checks that the threshold of a
+// server's limit is reported to a node of this version as such, and not at all to
+// one before it, which would take it for the service's.
+func TestThresholdOfALimitReachesPeersThatKnowIt(t *testing.T) {
+	const withheld = 7
+	sent := kqtrunk.Load{Deep: []kqtrunk.ClassThreshold{sentThreshold}, LimitWithheld: withheld}
+	s, err := kqtrunk.Listen("127.0.0.1:0", kqtrunk.Handlers{
+		Call: func(context.Context, string, kqtrunk.CallHead, []byte) (kqtrunk.AnswerHead, []byte) {
+			return kqtrunk.AnswerHead{End: kqcall.Ran(), Status: 200, Load: sent}, nil
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	d := kqtrunk.NewDialer(kqtrunk.Handlers{})
+	defer d.Close()
+	ctx := testContext(t)
+	for {
+		a, err := d.Call(ctx, s.Address(), kqtrunk.CallHead{RequestID: "a"}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, want := len(a.Head.Load.Deep), 1; got != want {
+			t.Fatalf("thresholds of services further down: got %d, want %d", got, want)
+		}
+		if a.Head.Load.LimitWithheld == withheld {
+			break
+		}
+	}
+	if !d.HoldsRateLimits(s.Address()) {
+		t.Error("peer of this version: got that it holds no limits, want that it does")
+	}
+}
