Run few calls on a restarted node until its server has answered

What could happen: a node restarts (planned, or killed) beside a server that has named a limit. The new process knows of none until the first answer, and hands the server as many calls at once as it has slots. The machines that the calls come from have passed on such answers, so only the node's own are excused.

Cause: the limit is knowledge of the process. Weighed: the store (a write for each change of a limit, and not there in an outage), a hint in each call (a change on the wire that entries of the build before don't send). Chosen: three calls at once until the first answer, which comes within one run. A system that starts for the first time is not held up.

--- a/io/kqmesh/gate.go
+++ b/io/kqmesh/gate.go
@@ -33,6 +33,9 @@
 	// It is below the usual idle timeouts of servers, so that no call is written
 	// to a connection that the server is closing.
 	maxIdleTime = 4 * time.Second
+	// unheardSlots is the concurrency limit of a restarted node until its server
+	// has answered: the server may have named a limit to the former process.
+	unheardSlots = 3
 	// drainQueueShare is the share of the drain time during which calls that
 	// wait may still be sent to a draining backend server.
 	drainQueueShare = 0.5
@@ -57,6 +60,8 @@
 	said       kqserver.Statement
 	saidBy     kqserver.Notice
 	unreadable bool
+	// heard reports whether the server has answered since the node was started.
+	heard bool
 	// refuseWaitingAt is when the calls that still wait are refused because the
 	// server drains, on the node's clock, or 0.
 	refuseWaitingAt time.Duration
@@ -219,11 +224,15 @@
 }
 
 // setSlots sets the queue's limit to the number of slots that the backend server
-// reports. The mutex is held.
+// reports, or to fewer until it is known whether it names a limit. The mutex is
+// held.
 func (g *gate) setSlots(now time.Duration, slots int) {
 	if slots <= 0 {
 		slots = defaultSlots
 	}
+	if !g.heard && !g.node.settings.FirstStart {
+		slots = min(slots, unheardSlots)
+	}
 	if slots == g.slots {
 		return
 	}
--- a/io/kqmesh/limit_test.go
+++ b/io/kqmesh/limit_test.go
@@ -121,3 +121,46 @@
 		}
 	}
 }
+
+// TestRestartedNodeForgetsTheLimitOfItsServer restarts the node of a limited
+// server while many calls for it come in at once.
+func TestRestartedNodeForgetsTheLimitOfItsServer(t *testing.T) {
+	const limit, burst = 0.5, 40
+	f := newFleet(t)
+	entry, limited := f.add("catalog-1", "catalog"), f.add("orders-1", "orders")
+	f.startServing(entry, limited, route("/look/", "orders", false))
+	limited.nameLimit(limit)
+	begun := time.Now()
+	if got := entry.request("GET", "/look/", "named", ""); got.status != fasthttp.StatusOK {
+		t.Fatalf("request at which the limit is named: got %+v, want 200", got)
+	}
+	<-limited.begun
+	former := limited.node.State().Hosts["orders-1"].Incarnation
+	limited.node.Stop()
+	limited.settings.FirstStart = false
+	release := make(chan struct{})
+	limited.holdAnswers(release)
+	f.start(limited)
+	f.awaitState(limited, "routes", func(s *kqmesh.State) bool { return s.Routes != nil })
+	limited.node.ApplyNotice(kqserver.Notice{ServerID: limited.id, Service: "orders", Address: limited.address(), Slots: burst, State: kqserver.Ready, Sequence: 9, Born: 1})
+	f.awaitState(entry, "the record of the new process", func(s *kqmesh.State) bool {
+		return s.Hosts["orders-1"].Incarnation > former && s.Hosts["orders-1"].ServerState == kqserver.Ready
+	})
+	answered := make(chan result, burst)
+	for _, id := range requestIDs("burst-", burst) {
+		go func() { answered <- entry.request("GET", "/look/", id, "") }()
+	}
+	for range burst {
+		select {
+		case <-limited.begun:
+		case r := <-answered:
+			if r.status != fasthttp.StatusServiceUnavailable {
+				t.Errorf("request that the server did not get: got %+v, want 503", r)
+			}
+		}
+	}
+	if got, want := limited.totalRuns(), mayGet(limit, begun); got > want {
+		t.Errorf("requests that the limited server got around the restart: got %d, want at most %d", got, want)
+	}
+	close(release)
+}
--- a/io/kqmesh/statement.go
+++ b/io/kqmesh/statement.go
@@ -33,6 +33,8 @@
 		g.said = said
 		g.applyLimit(said, former)
 	}
+	g.heard = true
+	g.setSlots(g.node.clock(), server.Slots)
 	g.mutex.Unlock()
 	if err != nil {
 		if !wasUnreadable {
