Hold the limits of servers whose gate is of the build before

What could happen: beside nodes of the build before, a new entry passes on an answer that names a limit and goes on sending as before, since the gate beside that server holds nothing. The same for a server that leaves.

An entry keeps what servers have stated in the answers that it passed on. A server that said it leaves is passed over, whatever its gate.

A call that a limit kept from one server prefers others that name none. Without it, with most servers limited, four tries find only limited ones.

--- a/core/kqroute/kqroute.go
+++ b/core/kqroute/kqroute.go
@@ -88,12 +88,15 @@
 	// Usable reports whether the upstream can be reached now; nil means that
 	// all can.
 	Usable func(u *Upstream) bool
+	// Avoid reports whether the upstream is chosen only when no other one has
+	// capacity; nil means that none is.
+	Avoid func(u *Upstream) bool
 	// Bandwidth limits the traffic to other regions; nil means no limit.
 	Bandwidth *BandwidthLimiter
 	// ignoreWarmup treats warming upstreams like any other.
 	ignoreWarmup bool
-	// avoidSlow excludes slow upstreams.
-	avoidSlow bool
+	// strict excludes slow upstreams and those to avoid.
+	strict bool
 }
 
 // Table holds the upstreams of one service, nearest first.
@@ -158,12 +161,12 @@
 }
 
 // Pick chooses an upstream, or returns nil when none is eligible for this call.
-// A slow upstream is avoided only while another one has capacity, and a warming
-// one only while another one is eligible.
+// A slow upstream, or one to avoid, is passed over only while another one has
+// capacity, and a warming one only while another one is eligible.
 func (t *Table) Pick(info PickInfo) *Upstream {
-	if t.anyAvoided(info.Now) {
+	if info.Avoid != nil || t.anyAvoided(info.Now) {
 		strict := info
-		strict.avoidSlow = true
+		strict.strict = true
 		if u := t.pick(strict); u != nil && u.utilization(info.Now) < fullUtilization {
 			return u
 		}
--- a/core/kqroute/kqroute_test.go
+++ b/core/kqroute/kqroute_test.go
@@ -432,3 +432,24 @@
 		}
 	}
 }
+
+// TestAvoidedUpstreamIsPickedOnlyWithoutRoomElsewhere avoids the upstream in the
+// own failure domain, as for a call that a limit has kept from another server.
+func TestAvoidedUpstreamIsPickedOnlyWithoutRoomElsewhere(t *testing.T) {
+	now := time.Unix(0, 0)
+	near, far := record(0, "lothian", "lothian-a", kqmember.LifeServing), record(1, "clyde", "clyde-a", kqmember.LifeServing)
+	avoid := func(u *kqroute.Upstream) bool { return u.Record.NodeID == near.NodeID }
+	table := kqroute.NewTable(own, []kqmember.Record{near, far}, nil, now)
+	pick := func(tried kqroute.Tried) *kqroute.Upstream {
+		return table.Pick(kqroute.PickInfo{Now: now, Random: 1, Tried: tried, AllowOtherRegion: true, Avoid: avoid})
+	}
+	u := pick(kqroute.Tried{})
+	if got, want := u.Record.NodeID, far.NodeID; got != want {
+		t.Errorf("pick while another upstream has room: got %s, want %s", got, want)
+	}
+	var tried kqroute.Tried
+	tried.Add(u)
+	if u = pick(tried); u == nil || u.Record.NodeID != near.NodeID {
+		t.Errorf("pick without another upstream: got %+v, want %s", u, near.NodeID)
+	}
+}
--- a/core/kqroute/upstream.go
+++ b/core/kqroute/upstream.go
@@ -256,7 +256,7 @@
 	if info.Usable != nil && !info.Usable(u) {
 		return false
 	}
-	if info.avoidSlow && u.isAvoided(info.Now) {
+	if info.strict && (u.isAvoided(info.Now) || info.Avoid != nil && info.Avoid(u)) {
 		return false
 	}
 	return ignoreEjection || !u.isEjected(info.Now) || u.probeDue(info)
--- a/io/kqmesh/events.go
+++ b/io/kqmesh/events.go
@@ -68,6 +68,7 @@
 	eventServerLimit
 	eventServerLeaves
 	eventStatementUnreadable
+	eventServerStated
 	eventKindCount
 )
 
@@ -111,6 +112,7 @@
 	eventServerLimit:         {Name: "ServerLimit", Level: zerolog.InfoLevel, Description: "An answer of the backend server beside the node names another limit on requests a second than the answer before it.", Fields: []string{fieldServer, "Limit", "FormerLimit"}},
 	eventServerLeaves:        {Name: "ServerLeaves", Level: zerolog.InfoLevel, Description: "An answer of the backend server beside the node says that the server leaves; it gets no new calls.", Fields: []string{fieldServer, fieldVerdict}},
 	eventStatementUnreadable: {Name: "StatementUnreadable", Level: zerolog.WarnLevel, Description: "What an answer of the backend server says about the server can't be decoded and is ignored. Logged at the first such answer after a readable one.", Fields: []string{fieldServer}},
+	eventServerStated:        {Name: "ServerStated", Level: zerolog.InfoLevel, Description: "An answer that the entry passed on states another limit than the one before, or that the server of another node leaves.", Fields: []string{fieldServer, fieldHost, "Limit", "Leaving"}},
 	eventLoadNotAsked:        {Name: "LoadNotAsked", Level: zerolog.DebugLevel, Description: "The load of a gate could not be requested.", Fields: []string{fieldService, fieldHost}},
 }
 
--- a/io/kqmesh/kqmesh.go
+++ b/io/kqmesh/kqmesh.go
@@ -179,6 +179,7 @@
 	gate     *gate
 	shedder  *shedder
 	budget   *kqbudget.Budget
+	stated   *statedServers
 
 	incarnation uint64
 	// peerAddress is the address that other nodes use to reach this one.
@@ -234,6 +235,7 @@
 	n.dialer = kqtrunk.NewDialer(kqtrunk.Handlers{Message: n.handleMessage, ConnectionChanged: n.logPeerChange}, kqtrunk.WithCompression(n.isInOtherRegion))
 	n.gate = newGate(n)
 	n.shedder = newShedder(n)
+	n.stated = &statedServers{node: n}
 	n.control = newControl(n)
 	return n, nil
 }
--- a/io/kqmesh/place.go
+++ b/io/kqmesh/place.go
@@ -35,6 +35,8 @@
 	// lastBegun is the answer of the latest try that a backend server may have
 	// begun.
 	var lastBegun *callAnswer
+	// avoid is set once a server's limit has kept the call from it.
+	var avoid func(*kqroute.Upstream) bool
 	for range maxTries {
 		now := n.now()
 		q.head.Budget = q.deadline.Sub(now)
@@ -46,12 +48,15 @@
 			break
 		}
 		u := table.Pick(kqroute.PickInfo{
-			Now: now, Random: n.random(), Tried: tried, AllowOtherRegion: true, AllowProbe: !q.head.RunOnce, Usable: n.isReachable,
+			Now: now, Random: n.random(), Tried: tried, AllowOtherRegion: true, AllowProbe: !q.head.RunOnce, Usable: n.isUsable, Avoid: avoid,
 		})
 		if u == nil {
 			break
 		}
 		tried.Add(u)
+		if !n.stated.take(u) {
+			continue
+		}
 		q.tries = append(q.tries, u.Record.NodeID)
 		u.MarkProbe(now)
 		u.Begin()
@@ -60,6 +65,10 @@
 		a.Class, a.Run = q.head.Route, ownRunTime(o)
 		u.End(a)
 		n.shedder.recordLoad(q, u.Record.NodeID, o)
+		n.stated.record(u.Record.NodeID, o)
+		if o.head.End.Outcome == kqcall.OutcomeNotRun && n.stated.isLimited(u) {
+			avoid = n.stated.isLimited
+		}
 		n.recordDecision(kqlog.Decision{
 			RequestID: q.head.RequestID, Root: q.head.Root, Class: q.head.Class, Service: q.head.Service, Decision: decisionRoute,
 			Cause: string(o.head.End.Cause), Outcome: string(o.head.End.Outcome), Chosen: u.Record.NodeID,
@@ -90,9 +99,12 @@
 	return &latest
 }
 
-// isReachable reports whether the upstream is this node or its connection can be
-// used.
-func (n *Node) isReachable(u *kqroute.Upstream) bool {
+// isUsable reports whether the upstream is this node or its connection can be
+// used, and what its server has stated does not exclude it.
+func (n *Node) isUsable(u *kqroute.Upstream) bool {
+	if n.stated.excludes(u) {
+		return false
+	}
 	return u.Record.NodeID == n.settings.NodeID || n.dialer.Usable(u.Record.Address)
 }
 
