Pick an upstream also when one becomes unusable meanwhile

What callers saw: now and then, beside load and most often while nodes are replaced, a call got no answer until its deadline (unknown Deadline, LinkSilent), and the shutdown of the node that ran it waited for the rest of its time and cut off "1 calls with an idempotency key".

Cause: kqroute counts the eligible upstreams and then takes the n-th; a link that fails or an ejection in between leaves fewer, the n-th is nil, and comparing it panics. The goroutine pool recovers the panic and prints it to standard error: the call ends without an answer, and its run stays registered for good.

The class: two looks at a state that other goroutines change, and a panic that only a pool sees. The pick takes the last eligible one it saw, or none. Panics in a pool are logged as a line (event Panic) with the stack. The new test panics on the code before.

Left: a call whose handler panics still gets no answer before its deadline.

--- a/core/kqroute/kqroute.go
+++ b/core/kqroute/kqroute.go
@@ -274,25 +274,33 @@
 	}
 	i := int(info.Random>>32) % count
 	first := nthEligible(candidates, i, info, ignoreEjection)
-	if count == 1 {
+	if count == 1 || first == nil {
 		return first
 	}
 	j := (i + 1 + int(info.Random&0xffffffff)%(count-1)) % count
 	second := nthEligible(candidates, j, info, ignoreEjection)
+	if second == nil {
+		return first
+	}
 	return lessLoaded(first, second, medianUtilization(candidates, info), info.Now)
 }
 
+// nthEligible returns the n-th eligible candidate, the last one if there are
+// fewer, or nil if there is none. Calls and links that end in other goroutines may
+// change what is eligible after it was counted.
 func nthEligible(candidates []*Upstream, n int, info *PickInfo, ignoreEjection bool) *Upstream {
+	var last *Upstream
 	for _, u := range candidates {
 		if !u.isEligible(info, ignoreEjection) {
 			continue
 		}
+		last = u
 		if n == 0 {
-			return u
+			break
 		}
 		n--
 	}
-	return nil
+	return last
 }
 
 // Tried is the set of upstreams that one call was sent to. The zero value is
--- a/core/kqroute/kqroute_test.go
+++ b/core/kqroute/kqroute_test.go
@@ -453,3 +453,23 @@
 		t.Errorf("pick without another upstream: got %+v, want %s", u, near.NodeID)
 	}
 }
+
+// TestPickPanicsWhenAnUpstreamBecomesUnusableMeanwhile makes upstreams unusable
+// while one is being picked, as a link that fails in another goroutine does.
+func TestPickPanicsWhenAnUpstreamBecomesUnusableMeanwhile(t *testing.T) {
+	const upstreams = 3
+	table := newLocalTable(upstreams)
+	for usableChecks := range 3 * upstreams {
+		for random := range uint64(64) {
+			checks := 0
+			usable := func(*kqroute.Upstream) bool {
+				checks++
+				return checks <= usableChecks
+			}
+			u := table.Pick(kqroute.PickInfo{Now: startTime, Random: random<<32 | random, Usable: usable})
+			if usableChecks == 0 && u != nil {
+				t.Errorf("pick without a usable upstream: got %+v, want none", u.Record)
+			}
+		}
+	}
+}
--- a/io/kqmesh/events.go
+++ b/io/kqmesh/events.go
@@ -69,6 +69,7 @@
 	eventServerLeaves
 	eventStatementUnreadable
 	eventServerStated
+	eventPanic
 	eventKindCount
 )
 
@@ -113,6 +114,7 @@
 	eventServerLeaves:        {Name: "ServerLeaves", Level: zerolog.InfoLevel, Description: "An answer of the backend server beside the node says that the server leaves; it gets no new calls.", Fields: []string{fieldServer, fieldVerdict}},
 	eventStatementUnreadable: {Name: "StatementUnreadable", Level: zerolog.WarnLevel, Description: "What an answer of the backend server says about the server can't be decoded and is ignored. Logged at the first such answer after a readable one.", Fields: []string{fieldServer}},
 	eventServerStated:        {Name: "ServerStated", Level: zerolog.InfoLevel, Description: "An answer that the entry passed on states another limit than the one before, or that the server of another node leaves.", Fields: []string{fieldServer, fieldHost, "Limit", "Leaving"}},
+	eventPanic:               {Name: "Panic", Level: zerolog.ErrorLevel, Description: "A call or task ended by a panic, a fault of the node: its caller gets no answer. The message holds the stack."},
 	eventLoadNotAsked:        {Name: "LoadNotAsked", Level: zerolog.DebugLevel, Description: "The load of a gate could not be requested.", Fields: []string{fieldService, fieldHost}},
 }
 
--- a/io/kqmesh/kqmesh.go
+++ b/io/kqmesh/kqmesh.go
@@ -208,14 +208,15 @@
 // New creates a node that is not started yet. The settings must have been
 // checked. Errors are marked with ErrNode.
 func New(settings Settings, dialect Dialect, store *kqstore.Client, options ...Option) (*Node, error) {
-	pool, err := ants.NewPool(maxConcurrentCalls, ants.WithNonblocking(true))
-	if err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "create goroutine pool"), ErrNode)
-	}
-	n := &Node{settings: settings, dialect: dialect, now: time.Now, random: rand.Uint64, pool: pool}
+	n := &Node{settings: settings, dialect: dialect, now: time.Now, random: rand.Uint64}
 	for _, o := range options {
 		o(n)
 	}
+	var err error
+	n.pool, err = ants.NewPool(maxConcurrentCalls, ants.WithNonblocking(true), ants.WithPanicHandler(n.logPanic))
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "create goroutine pool"), ErrNode)
+	}
 	if n.log == nil {
 		n.log = kqlog.Discard()
 		n.ownsLog = true
--- a/io/kqmesh/observe.go
+++ b/io/kqmesh/observe.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -63,6 +65,11 @@
 	n.control.observeStore(r)
 }
 
+// logPanic logs a panic in a goroutine of the pool, whose call gets no answer.
+func (n *Node) logPanic(reason any) {
+	n.logEvent(eventPanic, fmt.Sprintf("call ended by a panic: %v\n%s", reason, debug.Stack()), nil)
+}
+
 // serveMetrics serves the metrics until the node ends. It does nothing if no
 // address is set.
 func (n *Node) serveMetrics() error {
--- a/io/kqnode/kqnode.go
+++ b/io/kqnode/kqnode.go
@@ -31,6 +31,7 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -155,18 +156,25 @@
 	return func(n *Node) { n.now = now }
 }
 
+// logPanic logs a panic in a goroutine of a pool, whose call gets no answer.
+func (n *Node) logPanic(reason any) {
+	n.log.Event(zerolog.ErrorLevel, fmt.Sprintf("call ended by a panic: %v\n%s", reason, debug.Stack()), nil)
+}
+
 // New returns a node that is not started. The settings must be valid. Errors
 // are marked with [ErrNode].
 func New(settings kqsettings.Node, identity *kqtrust.Identity, store *kqstore.Client, options ...Option) (*Node, error) {
-	pool, err := ants.NewPool(defaultPoolSize, ants.WithNonblocking(true))
+	var n *Node
+	onPanic := ants.WithPanicHandler(func(reason any) { n.logPanic(reason) })
+	pool, err := ants.NewPool(defaultPoolSize, ants.WithNonblocking(true), onPanic)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "create goroutine pool for calls"), ErrNode)
 	}
-	exchanges, err := ants.NewPool(exchangePoolSize, ants.WithNonblocking(true))
+	exchanges, err := ants.NewPool(exchangePoolSize, ants.WithNonblocking(true), onPanic)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "create goroutine pool for exchanges with peers"), ErrNode)
 	}
-	n := &Node{settings: settings, identity: identity, now: time.Now, pool: pool, exchanges: exchanges, work: newWork(), history: newHistory()}
+	n = &Node{settings: settings, identity: identity, now: time.Now, pool: pool, exchanges: exchanges, work: newWork(), history: newHistory()}
 	for _, o := range options {
 		o(n)
 	}
