Have the soak's servers name limits and say that they leave

A soak names limits of 0 to 12 requests a second at two servers at a time, with a random source of its own, changes and ends them whatever else happens to their hosts, and checks the users' bound on what each server got in every window of 4 s from a second after the naming. Servers that drain say so in their answers.

--- a/io/kqsoak/faults.go
+++ b/io/kqsoak/faults.go
@@ -160,6 +160,9 @@
 	for _, h := range s.hosts {
 		hostLocks[h] = &sync.Mutex{}
 	}
+	for i := range limitSeries {
+		running.Go(func() { s.nameLimits(ctx, rand.New(rand.NewPCG(s.options.Seed, uint64(2+i)))) })
+	}
 	running.Go(func() {
 		addedRandom := rand.New(rand.NewPCG(s.options.Seed, 1))
 		s.injectFrom(ctx, &running, hostLocks, addedFaultKinds, addedRandom, meanAddedFaultPause)
--- a/io/kqsoak/host.go
+++ b/io/kqsoak/host.go
@@ -121,6 +121,9 @@
 	id := fmt.Sprintf("i-%d", h.soak.lastServer)
 	h.soak.mutex.Unlock()
 	v := &server{host: h, id: id, born: time.Now().UnixMilli(), state: kqserver.Ready, stop: make(chan struct{}), slots: make(chan struct{}, serverSlots)}
+	h.soak.mutex.Lock()
+	h.soak.servers = append(h.soak.servers, v)
+	h.soak.mutex.Unlock()
 	h.mutex.Lock()
 	previous := h.server
 	h.server = v
@@ -153,7 +156,8 @@
 	// closedAt is when it may no longer receive requests, or zero.
 	closedAt time.Time
 	// fault is applied to its answers.
-	fault serverFault
+	fault  serverFault
+	limits limits
 }
 
 // serverFault holds the shares of answers that a backend server loses, sends
@@ -266,10 +270,11 @@
 // run runs one request and reports whether the connection stays open.
 func (v *server) run(c net.Conn, q *fasthttp.Request, id string) bool {
 	repeat := v.host.soak.ledger.recordArrival(id, v.host.settings.Service)
+	v.limits.recordArrival()
 	select {
 	case v.slots <- struct{}{}:
 	default:
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Full\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", kqwire.HeaderRequestID, id, kqwire.HeaderShed)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Full\r\n%s: %s\r\n%s: 1\r\n%sContent-Length: 0\r\n\r\n", kqwire.HeaderRequestID, id, kqwire.HeaderShed, v.statement())
 		return true
 	}
 	defer func() { <-v.slots }()
@@ -284,7 +289,7 @@
 	body := expectedBody(id, q)
 	if v.host.settings.Service == services[0] && !v.makeOnwardCall(q, repeat) {
 		body = "onward call failed"
-		_, err := fmt.Fprintf(c, "HTTP/1.1 500 Error\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", kqwire.HeaderRequestID, id, len(body), body)
+		_, err := fmt.Fprintf(c, "HTTP/1.1 500 Error\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s", kqwire.HeaderRequestID, id, v.statement(), len(body), body)
 		return err == nil
 	}
 	return v.writeAnswer(c, id, body, t)
@@ -293,7 +298,7 @@
 // writeAnswer writes the answer, or loses, truncates or duplicates it as t says.
 // It reports whether the connection stays open.
 func (v *server) writeAnswer(c net.Conn, id, body string, t serverFault) bool {
-	text := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", kqwire.HeaderRequestID, id, len(body), body)
+	text := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s", kqwire.HeaderRequestID, id, v.statement(), len(body), body)
 	switch draw := uniformShare(id); {
 	case draw < t.loseShare:
 		return false
--- a/io/kqsoak/kqsoak.go
+++ b/io/kqsoak/kqsoak.go
@@ -15,6 +15,8 @@
 //   - the store is down, slow or paused, loses answers or ends its watches;
 //   - backend servers drain, leave without draining, crash, are replaced, are
 //     slow, and lose, truncate or duplicate answers;
+//   - backend servers name limits on requests a second in their answers, change
+//     and end them, while other faults affect their hosts;
 //   - the routes change.
 //
 // Faults overlap and follow each other. Timing differs between runs, so a seed
@@ -30,6 +32,7 @@
 //     requests after its drain time;
 //   - a planned shutdown of a node interrupts no request;
 //   - the repeats of all nodes together stay within the bound;
+//   - a backend server that names a limit gets no more requests than that allows;
 //   - once the faults are over, every node serves the newest routes.
 package kqsoak
 
@@ -110,8 +113,10 @@
 	events []string
 	// routes is the version of the routes last written.
 	routes int64
-	// lastServer is the number of the last backend server that was started.
+	// lastServer is the number of the last backend server that was started, and
+	// servers are all of them.
 	lastServer int
+	servers    []*server
 }
 
 // Run runs a soak and returns its results. A violated guarantee is no error; it
@@ -135,6 +140,9 @@
 	}
 	s.runLoad(ctx)
 	s.ledger.checkRepeats(repeatRatio, repeatSlack, repeatWindow)
+	for _, v := range s.servers {
+		v.limits.check(v.id, s.ledger)
+	}
 	r := s.report()
 	if temporary && len(r.Broken) == 0 {
 		if err := os.RemoveAll(o.Directory); err != nil {
