Hold the limit that a server names on the own interface too

The same fault on the own interface: what a server states in its answers was not read there either. The gate of io/kqnode applies both statements as that of io/kqmesh does; a statement of leaving counts as the announcement of it. The stand-in backend server names limits and says that it leaves (Faults).

--- a/core/kqserver/statement.go
+++ b/core/kqserver/statement.go
@@ -40,3 +40,20 @@
 	s.Limited, s.Limit = true, value
 	return s, nil
 }
+
+// String returns the statement for the log.
+func (s Statement) String() string {
+	text := "limit " + s.FormatLimit()
+	if s.Leaving {
+		text += ", leaves"
+	}
+	return text
+}
+
+// FormatLimit returns the limit in requests a second for the log.
+func (s Statement) FormatLimit() string {
+	if !s.Limited {
+		return "none"
+	}
+	return strconv.FormatFloat(s.Limit, 'g', -1, 64)
+}
--- a/io/kqbackend/faults.go
+++ b/io/kqbackend/faults.go
@@ -18,8 +18,12 @@
 	// Silent makes the stand-in take calls without answering them while it is
 	// set.
 	Silent bool
-	// Leaving is set once the stand-in has announced that it is leaving.
+	// Leaving is set once the stand-in has announced that it is leaving. Its
+	// answers say so too.
 	Leaving bool
+	// RateLimit is the limit in calls a second, from all nodes together, that
+	// the answers name. 0 means none.
+	RateLimit float64
 }
 
 // faultState holds the current faults. Its channel is closed at the next change.
--- a/io/kqbackend/work.go
+++ b/io/kqbackend/work.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -38,6 +39,7 @@
 // handle admits or sheds a call, waits for a slot, and runs the call in it.
 func (b *Backend) handle(c *fasthttp.RequestCtx) {
 	w := newWork(c)
+	b.state(&c.Response.Header)
 	if !b.admit(w) {
 		c.Response.Header.Set(kqwire.HeaderShed, "1")
 		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
@@ -66,6 +68,18 @@
 	b.writeAnswer(c, w, b.perform(w))
 }
 
+// state sets the header fields by which an answer names the limit of the stand-in
+// and says that it leaves.
+func (b *Backend) state(h *fasthttp.ResponseHeader) {
+	f := b.faults.get()
+	if f.RateLimit > 0 {
+		h.Set(kqwire.HeaderRateLimit, strconv.FormatFloat(f.RateLimit, 'f', -1, 64))
+	}
+	if f.Leaving {
+		h.Set(kqwire.HeaderLeaving, "1")
+	}
+}
+
 // admit reports whether the call may run or wait for a slot. A refused call is
 // recorded as shed.
 func (b *Backend) admit(w *work) bool {
--- a/io/kqmesh/stated.go
+++ b/io/kqmesh/stated.go
@@ -72,8 +72,8 @@
 		servers[nodeID] = s
 	}
 	if !found || former.said != said {
-		k.node.logEvent(eventServerStated, "server "+o.head.ServerID+" at "+nodeID+" names the limit "+formatLimit(said)+" in an answer that was passed on", nil,
-			kqlog.Text(fieldServer, o.head.ServerID), kqlog.Text(fieldHost, nodeID), kqlog.Text("Limit", formatLimit(said)), kqlog.Text("Leaving", strconv.FormatBool(said.Leaving)))
+		k.node.logEvent(eventServerStated, "server "+o.head.ServerID+" at "+nodeID+" names the limit "+said.FormatLimit()+" in an answer that was passed on", nil,
+			kqlog.Text(fieldServer, o.head.ServerID), kqlog.Text(fieldHost, nodeID), kqlog.Text("Limit", said.FormatLimit()), kqlog.Text("Leaving", strconv.FormatBool(said.Leaving)))
 	}
 	hosts := k.node.State().Hosts
 	maps.DeleteFunc(servers, func(id string, _ *statedServer) bool { _, known := hosts[id]; return !known })
--- a/io/kqmesh/statement.go
+++ b/io/kqmesh/statement.go
@@ -1,7 +1,6 @@
 package kqmesh
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -43,8 +42,8 @@
 		return
 	}
 	if said.Limited != former.Limited || said.Limit != former.Limit {
-		g.node.logEvent(eventServerLimit, "server "+server.ServerID+" names the limit "+formatLimit(said)+" in requests a second, before: "+formatLimit(former), nil,
-			kqlog.Text(fieldServer, server.ServerID), kqlog.Text("Limit", formatLimit(said)), kqlog.Text("FormerLimit", formatLimit(former)))
+		g.node.logEvent(eventServerLimit, "server "+server.ServerID+" names the limit "+said.FormatLimit()+" in requests a second, before: "+former.FormatLimit(), nil,
+			kqlog.Text(fieldServer, server.ServerID), kqlog.Text("Limit", said.FormatLimit()), kqlog.Text("FormerLimit", former.FormatLimit()))
 	}
 	if current := g.node.State(); said.Leaving && current.ServerState == kqserver.Ready && sameStart(current.Server, server) {
 		server.State = kqserver.Draining
@@ -83,14 +82,6 @@
 	}
 }
 
-// formatLimit returns the limit of a statement for the log.
-func formatLimit(s kqserver.Statement) string {
-	if !s.Limited {
-		return "none"
-	}
-	return strconv.FormatFloat(s.Limit, 'g', -1, 64)
-}
-
 // namedLimit returns the limit that the backend server names, in requests a
 // second, or -1 if it names none.
 func (g *gate) namedLimit() float64 {
--- a/io/kqnode/admission.go
+++ b/io/kqnode/admission.go
@@ -9,6 +9,7 @@
 	"kumquatlink/core/kqadmit"
 	"kumquatlink/core/kqcall"
 	"kumquatlink/core/kqlimit"
+	"kumquatlink/core/kqserver"
 )
 
 // queueTickInterval is how often each waiting call makes the queue check its
@@ -65,7 +66,9 @@
 	}
 	g.address = b.Announcement.Address
 	g.limit = kqlimit.New(b.Announcement.Slots)
-	g.deliver(g.queue.SetLimit(now, g.limit.Value()))
+	g.said, g.heard = kqserver.Statement{}, false
+	g.deliver(g.queue.RemoveRate(now))
+	g.deliver(g.queue.SetLimit(now, g.slots()))
 }
 
 // await waits for the queue's verdict on a call. A call whose context ends first
@@ -148,7 +151,7 @@
 		})
 	}
 	g.deliver(g.queue.Done(now, kqadmit.Completion{Level: a.level, Class: a.class, Took: took, IsSample: sample}))
-	g.deliver(g.queue.SetLimit(now, g.limit.Value()))
+	g.deliver(g.queue.SetLimit(now, g.slots()))
 }
 
 // isSample reports whether the duration of a call is a sample of the backend
--- a/io/kqnode/backend.go
+++ b/io/kqnode/backend.go
@@ -120,6 +120,9 @@
 	fillRequest(request, q, b, token)
 	err := b.pool.Do(ctx, request, response)
 	r := &callAnswer{retriesLeft: run.retries.Close()}
+	if err == nil {
+		g.observeStatement(&response.Header, b)
+	}
 	readResponse(ctx, r, response, err)
 	if r.end.Cause == kqcall.CauseBackendShed && run.onward.mayHaveRun() {
 		// A backend server that made onward calls has begun to run the call, even
--- a/io/kqnode/gate.go
+++ b/io/kqnode/gate.go
@@ -9,6 +9,7 @@
 	"kumquatlink/core/kqcall"
 	"kumquatlink/core/kqlimit"
 	"kumquatlink/core/kqmember"
+	"kumquatlink/core/kqserver"
 	"kumquatlink/io/kqlink"
 	"kumquatlink/io/kqlog"
 )
@@ -24,6 +25,10 @@
 	queue   *kqadmit.Queue
 	limit   *kqlimit.Limit
 	address string
+	// said is what the server at that address says about itself in its latest
+	// answer, if heard reports that there is one.
+	said    kqserver.Statement
+	heard   bool
 	nextID  uint64
 	waiting map[uint64]chan kqadmit.Verdict
 	counts  map[string]*ClassCounts
@@ -101,8 +106,10 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.deliver(g.queue.Tick(g.clock()))
-	return kqlink.Load{
-		InFlight: g.queue.InFlight(), Queued: g.queue.Waiting(), Limit: g.limit.Value(),
-		Withheld: g.queue.Threshold().Withheld(), Deep: downstream,
+	l := kqlink.Load{InFlight: g.queue.InFlight(), Queued: g.queue.Waiting(), Limit: min(g.limit.Value(), g.queue.Capacity()), Deep: downstream}
+	// A threshold speaks for the service, a limit for one server.
+	if !g.said.Limited {
+		l.Withheld = g.queue.Threshold().Withheld()
 	}
+	return l
 }
