Tell a refusal from a lost link also when it comes early

Cause: the refusal was read from the answer only; if it stops the writing, the stream's cause holds it.

--- a/io/kqlink/dialer.go
+++ b/io/kqlink/dialer.go
@@ -139,6 +139,10 @@
 	}
 	defer context.AfterFunc(ctx, func() { resetStream(stream, codeCancelled) })()
 	if err := send(stream, frame, body); err != nil {
+		// The peer may refuse a request before it has read all of it.
+		if isRefusal(context.Cause(stream.Context())) {
+			err = errors.Mark(err, ErrRefused)
+		}
 		return errors.Mark(err, ErrNotSent)
 	}
 	if err := read(stream); err != nil {
