Attribute limited requests in the soak to nodes that hold limits

The users' rule is about the machine where a request began; the check counts the requests that began at nodes which advertise the version that holds limits. With one build these are all but those of a process that has just been started.

--- a/io/kqsoak/call.go
+++ b/io/kqsoak/call.go
@@ -42,6 +42,8 @@
 	fromRepeat bool
 	// budgetMillis is the time budget header, in milliseconds; empty sends none.
 	budgetMillis string
+	// origin is the host whose node it is sent to.
+	origin *host
 }
 
 // answer is what a caller received. A status of 0 means no answer.
@@ -58,6 +60,7 @@
 
 func (h *host) sendOver(ctx context.Context, pool *kqhttp.Pool, c call) answer {
 	ledger := h.soak.ledger
+	c.origin = h
 	ledger.recordSent(c)
 	startedAt := time.Now()
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
--- a/io/kqsoak/faults.go
+++ b/io/kqsoak/faults.go
@@ -198,6 +198,7 @@
 	if err := h.start(); err != nil {
 		s.ledger.recordViolation("%s did not start again: %v", h.name, err)
 	}
+	go h.learnVersion(context.Background())
 }
 
 // rewriteSettings makes the node reload invalid settings, and later valid ones
--- a/io/kqsoak/host.go
+++ b/io/kqsoak/host.go
@@ -9,6 +9,7 @@
 	"net"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -52,6 +53,10 @@
 	peerProxy    *proxy
 	backendProxy *proxy
 
+	// holdsLimits reports whether the node is of a build that holds the limits
+	// which servers name.
+	holdsLimits atomic.Bool
+
 	mutex  sync.Mutex
 	server *server
 }
@@ -91,6 +96,7 @@
 	if err := h.start(); err != nil {
 		return nil, err
 	}
+	h.learnVersion(context.Background())
 	go h.accept(listener)
 	h.replace()
 	return h, nil
@@ -270,7 +276,9 @@
 // run runs one request and reports whether the connection stays open.
 func (v *server) run(c net.Conn, q *fasthttp.Request, id string) bool {
 	repeat := v.host.soak.ledger.recordArrival(id, v.host.settings.Service)
-	v.limits.recordArrival()
+	if from := v.host.soak.ledger.originOf(id); from != nil && from.holdsLimits.Load() {
+		v.limits.recordArrival()
+	}
 	select {
 	case v.slots <- struct{}{}:
 	default:
--- a/io/kqsoak/ledger.go
+++ b/io/kqsoak/ledger.go
@@ -21,6 +21,8 @@
 	// arrived whether a backend server has received it.
 	fromRepeat bool
 	arrived    bool
+	// origin is the host whose node its caller sent it to.
+	origin *host
 }
 
 // arrival is a request that was sent to a service, or that one of its backend
@@ -79,7 +81,7 @@
 	defer l.mutex.Unlock()
 	l.requests++
 	r := l.recordOf(c.id)
-	r.runOnce, r.fromRepeat = c.runOnce, c.fromRepeat
+	r.runOnce, r.fromRepeat, r.origin = c.runOnce, c.fromRepeat, c.origin
 	l.sends = append(l.sends, arrival{at: time.Now(), service: c.service})
 }
 
@@ -95,6 +97,13 @@
 	return repeat
 }
 
+// originOf returns the host whose node a request was sent to, or nil.
+func (l *ledger) originOf(id string) *host {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.recordOf(id).origin
+}
+
 // checkRepeats records a violation for each service whose repeats exceed slack
 // plus ratio times the requests sent, in any window that ends with a repeat.
 func (l *ledger) checkRepeats(ratio, slack float64, window time.Duration) {
--- a/io/kqsoak/limits.go
+++ b/io/kqsoak/limits.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
@@ -29,6 +32,14 @@
 	limitSeries = 2
 )
 
+// The frame in which a node advertises its version, and the first version of nodes
+// that hold limits (package kqtrunk).
+const (
+	versionFrameBytes = 13
+	versionOffset     = 5
+	versionRateLimit  = 4
+)
+
 // noLimit stands for the time in which a server names none.
 const noLimit = -1
 
@@ -51,6 +62,7 @@
 	l.named = append(l.named, namedLimit{time.Now(), value})
 }
 
+// recordArrival records that the server received a request.
 func (l *limits) recordArrival() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -122,6 +134,29 @@
 	}
 }
 
+// learnVersion finds out whether the process that was started holds limits, which
+// those of an earlier build don't. Every node advertises its version in the first
+// frame on a connection.
+func (h *host) learnVersion(ctx context.Context) {
+	h.holdsLimits.Store(false)
+	for until := time.Now().Add(startTimeout); time.Now().Before(until) && ctx.Err() == nil; sleep(ctx, openPollPeriod) {
+		c, err := net.DialTimeout("tcp", h.settings.PeerAddress, openPollPeriod)
+		if err != nil {
+			continue
+		}
+		var frame [versionFrameBytes]byte
+		err = c.SetReadDeadline(time.Now().Add(noticeTimeout))
+		if err == nil {
+			_, err = io.ReadFull(c, frame[:])
+		}
+		_ = c.Close()
+		if err == nil {
+			h.holdsLimits.Store(binary.BigEndian.Uint64(frame[versionOffset:]) >= versionRateLimit)
+			return
+		}
+	}
+}
+
 // nameLimits has servers name, change and end limits for the length of the soak,
 // whatever else happens to their hosts.
 func (s *soak) nameLimits(ctx context.Context, random *rand.Rand) {
