--- a/io/kqsoak/host.go
+++ b/io/kqsoak/host.go
@@ -96,9 +96,9 @@
 	if err := h.start(); err != nil {
 		return nil, err
 	}
-	h.learnVersion(context.Background())
-	go h.accept(listener)
+	go h.learnVersion(context.Background())
 	h.replace()
+	go h.accept(listener)
 	return h, nil
 }
 
--- a/io/kqsoak/kqsoak.go
+++ b/io/kqsoak/kqsoak.go
@@ -140,9 +140,7 @@
 	}
 	s.runLoad(ctx)
 	s.ledger.checkRepeats(repeatRatio, repeatSlack, repeatWindow)
-	for _, v := range s.servers {
-		v.limits.check(v.id, s.ledger)
-	}
+	s.checkLimits()
 	r := s.report()
 	if temporary && len(r.Broken) == 0 {
 		if err := os.RemoveAll(o.Directory); err != nil {
--- a/io/kqsoak/limits.go
+++ b/io/kqsoak/limits.go
@@ -134,6 +134,15 @@
 	}
 }
 
+// checkLimits checks all servers of the soak.
+func (s *soak) checkLimits() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, v := range s.servers {
+		v.limits.check(v.id, s.ledger)
+	}
+}
+
 // learnVersion finds out whether the process that was started holds limits, which
 // those of an earlier build don't. Every node advertises its version in the first
 // frame on a connection.
