--- a/io/kqnode/limit_test.go
+++ b/io/kqnode/limit_test.go
@@ -17,7 +17,7 @@
 
 // startEntryAndTwoServers starts an entry and two nodes with a backend server of
 // the service catalog each.
-func startEntryAndTwoServers(t *testing.T) (entry, first, second *kqfleet.Member) {
+func startEntryAndTwoServers(t *testing.T) (entry, first *kqfleet.Member) {
 	t.Helper()
 	ctx := testContext(t)
 	fleet := newFleet(ctx, t)
@@ -43,14 +43,14 @@
 		call(t, entry.Node.CallerAddress(), browse)
 		return received(servers[0].Backend) > 0 && received(servers[1].Backend) > 0
 	})
-	return entry, servers[0], servers[1]
+	return entry, servers[0]
 }
 
 // TestServerGetsMoreCallsThanItsLimit sends calls to two servers, one of which
 // names a limit. The other has room for all of them.
 func TestServerGetsMoreCallsThanItsLimit(t *testing.T) {
 	const limit, calls = 2.0, 200
-	entry, limited, _ := startEntryAndTwoServers(t)
+	entry, limited := startEntryAndTwoServers(t)
 	before := received(limited.Backend)
 	limited.Backend.SetFaults(kqbackend.Faults{RateLimit: limit})
 	begun := time.Now()
@@ -69,7 +69,7 @@
 // TestLeavingStatedInAnAnswerIsIgnored has a server say in its answers that it
 // leaves, but not to its node.
 func TestLeavingStatedInAnAnswerIsIgnored(t *testing.T) {
-	entry, leaving, _ := startEntryAndTwoServers(t)
+	entry, leaving := startEntryAndTwoServers(t)
 	leaving.Backend.SetFaults(kqbackend.Faults{Leaving: true})
 	ctx := testContext(t)
 	eventually(ctx, t, "the nodes to pass over the server", func() bool {
