Stand-in store: play a restore from a copy and late writes

It now keeps copies of the last half minute (Faults.RestoreAge), names its era in every answer, answers 410 to a watch from a lost version, and makes writes seconds late (Faults.LateWrites). No product code is changed.

--- a/io/kqobject/kqobject.go
+++ b/io/kqobject/kqobject.go
@@ -11,14 +11,16 @@
 // Paths follow the Kubernetes conventions: GET, PUT and DELETE of
 // /apis/GROUP/VERSION/KIND[/NAME]. A GET with ?watch=1&resourceVersion=N returns
 // a stream of JSON events, one a line. A write with a stale version is answered
-// with 409, and a watch from a version that is too old with 410. A PUT of
-// /faults with the JSON form of [Faults] injects faults from another process,
-// and a GET of it returns [Counts].
+// with 409, and a watch from a version that the store does not have with 410.
+// Every answer names in its Store-Era header how often the store was restored
+// from a copy. A PUT of /faults with the JSON form of [Faults] injects faults from
+// another process, and a GET of it returns [Counts].
 package kqobject
 
 import (
 	"encoding/json"
 	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -34,6 +36,9 @@
 // historyLength is the number of past events from which a watch can resume.
 const historyLength = 1024
 
+// copyTime is how long ago a copy for RestoreAge may have been taken.
+const copyTime = 30 * time.Second
+
 // Metadata identifies an object and its version.
 type Metadata struct {
 	Name            string `json:"name"`
@@ -67,6 +72,13 @@
 	// SilentWatches keeps every watch open but sends no events, only the blank
 	// lines of an idle watch.
 	SilentWatches bool
+	// LateWrites is the number of puts that are not answered. Each is processed
+	// only after LateBy, if its version still matches then.
+	LateWrites int
+	LateBy     time.Duration
+	// RestoreAge restores the store once, when the faults are set, from a copy
+	// that was taken that long ago, up to half a minute.
+	RestoreAge time.Duration
 }
 
 // Counts are the numbers of calls since the start. Calls that fail because of
@@ -89,26 +101,33 @@
 	mutex sync.Mutex
 	// changed is closed and replaced when objects or faults change.
 	changed chan struct{}
-	// epoch is the number of restores. Watches from an earlier epoch end.
-	epoch   int
+	// era is one more than the number of restores. Watches of an earlier era end.
+	era     int64
 	version int64
 	objects map[string]Object
 	history []historyEntry
-	faults  Faults
-	counts  Counts
+	// copies are snapshots after each change of the last copyTime, and the last
+	// one before.
+	copies []timedCopy
+	faults Faults
+	counts Counts
 	server  *fasthttp.Server
 	address string
 }
 
 // New returns an empty store. It serves no calls before [Store.Listen].
 func New() *Store {
-	return &Store{changed: make(chan struct{}), objects: map[string]Object{}}
+	return &Store{changed: make(chan struct{}), objects: map[string]Object{}, era: 1}
 }
 
 // SetFaults replaces the faults that the store injects.
 func (s *Store) SetFaults(f Faults) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if f.RestoreAge > 0 {
+		s.restore(s.copyAt(time.Now().Add(-f.RestoreAge)))
+		f.RestoreAge = 0
+	}
 	s.faults = f
 	s.notifyWatches()
 }
@@ -117,28 +136,67 @@
 type Snapshot struct {
 	version int64
 	objects map[string]Object
+	history []historyEntry
+}
+
+// timedCopy is a snapshot with the time at which it was taken.
+type timedCopy struct {
+	at       time.Time
+	snapshot Snapshot
 }
 
 // Backup returns a snapshot of all objects.
 func (s *Store) Backup() Snapshot {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return Snapshot{version: s.version, objects: maps.Clone(s.objects)}
+	return s.snapshot()
+}
+
+func (s *Store) snapshot() Snapshot {
+	return Snapshot{version: s.version, objects: maps.Clone(s.objects), history: slices.Clone(s.history)}
 }
 
 // Restore replaces all objects and the version of the store by those of a
 // snapshot, and ends all watches. It stands for a restore from a backup after a
-// loss of data.
+// loss of data: later changes get versions that were given out before.
 func (s *Store) Restore(c Snapshot) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.version = c.version
-	s.objects = maps.Clone(c.objects)
-	s.history = nil
-	s.epoch++
+	s.restore(c)
 	s.notifyWatches()
 }
 
+func (s *Store) restore(c Snapshot) {
+	s.version, s.objects, s.history = c.version, maps.Clone(c.objects), slices.Clone(c.history)
+	if s.objects == nil {
+		s.objects = map[string]Object{}
+	}
+	s.copies = []timedCopy{{at: time.Now(), snapshot: c}}
+	s.era++
+}
+
+// copyAt returns the newest copy that was taken at that time or before, or the
+// oldest one.
+func (s *Store) copyAt(at time.Time) Snapshot {
+	var found Snapshot
+	for i, c := range s.copies {
+		if i == 0 || !c.at.After(at) {
+			found = c.snapshot
+		}
+	}
+	return found
+}
+
+// recordCopy keeps a copy of the changed objects, and drops those that are too
+// old for a restore.
+func (s *Store) recordCopy() {
+	now := time.Now()
+	for len(s.copies) > 1 && now.Sub(s.copies[1].at) > copyTime {
+		s.copies = s.copies[1:]
+	}
+	s.copies = append(s.copies, timedCopy{at: now, snapshot: s.snapshot()})
+}
+
 // Counts returns the numbers of calls so far.
 func (s *Store) Counts() Counts {
 	s.mutex.Lock()
@@ -216,6 +274,7 @@
 	stored.Metadata.ResourceVersion = strconv.FormatInt(s.version, 10)
 	delete(s.objects, p.key())
 	s.history = append(s.history, historyEntry{kind: p.kind, version: s.version, event: Event{Type: "DELETED", Object: stored}})
+	s.recordCopy()
 	s.notifyWatches()
 	return nil
 }
@@ -244,6 +303,7 @@
 	if len(s.history) > historyLength {
 		s.history = s.history[len(s.history)-historyLength:]
 	}
+	s.recordCopy()
 	s.notifyWatches()
 	return o, nil
 }
--- a/io/kqobject/server.go
+++ b/io/kqobject/server.go
@@ -15,6 +15,10 @@
 // that a client can distinguish an idle watch from a broken connection.
 const heartbeatInterval = time.Second
 
+// headerEra names the header with the era of the store: one more than the number
+// of its restores from a copy.
+const headerEra = "Store-Era"
+
 // errorBody is the JSON body of an error answer.
 type errorBody struct {
 	Reason  string `json:"reason"`
@@ -51,10 +55,27 @@
 	if faults.Delay > 0 {
 		time.Sleep(faults.Delay)
 	}
+	era := s.currentEra()
+	c.Response.Header.Set(headerEra, strconv.FormatInt(era, 10))
 	if faults.Down {
 		writeJSON(c, fasthttp.StatusServiceUnavailable, errorBody{"Unavailable", "the store is down"})
 		return
 	}
+	s.handleObject(c)
+	if s.currentEra() != era {
+		writeJSON(c, fasthttp.StatusServiceUnavailable, errorBody{"Unavailable", "the store was restored meanwhile"})
+	}
+}
+
+// currentEra returns the era of the store.
+func (s *Store) currentEra() int64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.era
+}
+
+// handleObject answers a call for one object or for a kind of objects.
+func (s *Store) handleObject(c *fasthttp.RequestCtx) {
 	p, ok := parsePath(string(c.Path()))
 	if !ok {
 		writeJSON(c, fasthttp.StatusNotFound, errorBody{"NotFound", "no such path"})
@@ -113,10 +134,17 @@
 		writeJSON(c, fasthttp.StatusBadRequest, errorBody{"BadRequest", err.Error()})
 		return
 	}
+	if delay, late := s.consumeLateWrite(); late {
+		time.AfterFunc(delay, func() {
+			// A stale version means that the condition no longer holds.
+			_, _ = s.put(p, o)
+		})
+		dropAnswer(c)
+		return
+	}
 	written, err := s.put(p, o)
 	if s.consumeLostAnswer() {
-		c.HijackSetNoResponse(true)
-		c.Hijack(func(net.Conn) {})
+		dropAnswer(c)
 		return
 	}
 	if err != nil {
@@ -126,6 +154,24 @@
 	writeJSON(c, fasthttp.StatusOK, written)
 }
 
+// dropAnswer closes the connection without an answer.
+func dropAnswer(c *fasthttp.RequestCtx) {
+	c.HijackSetNoResponse(true)
+	c.Hijack(func(net.Conn) {})
+}
+
+// consumeLateWrite reports whether this write must be processed late, and by how
+// much, and decrements the number of writes still to delay.
+func (s *Store) consumeLateWrite() (time.Duration, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.faults.LateWrites == 0 {
+		return 0, false
+	}
+	s.faults.LateWrites--
+	return s.faults.LateBy, true
+}
+
 // consumeLostAnswer reports whether the answer to this write must be dropped, and
 // decrements the number of answers still to drop.
 func (s *Store) consumeLostAnswer() bool {
@@ -145,28 +191,28 @@
 	}
 	s.mutex.Lock()
 	s.counts.Watches++
-	tooOld := len(s.history) > 0 && from < s.history[0].version-1
+	unknown := from > s.version || len(s.history) > 0 && from < s.history[0].version-1
 	refused := s.faults.CutWatches
-	epoch := s.epoch
+	era := s.era
 	s.mutex.Unlock()
-	if tooOld {
-		writeJSON(c, fasthttp.StatusGone, errorBody{"Expired", "the version is too old"})
+	if unknown {
+		writeJSON(c, fasthttp.StatusGone, errorBody{"Expired", "the store does not have the version"})
 		return
 	}
 	if refused {
 		writeJSON(c, fasthttp.StatusServiceUnavailable, errorBody{"Unavailable", "watches are cut"})
 		return
 	}
-	c.SetBodyStreamWriter(func(w *bufio.Writer) { s.stream(w, p, from, epoch) })
+	c.SetBodyStreamWriter(func(w *bufio.Writer) { s.stream(w, p, from, era) })
 }
 
 // stream writes events until a write to the client fails or the store ends the
 // watch.
-func (s *Store) stream(w *bufio.Writer, p path, from int64, epoch int) {
+func (s *Store) stream(w *bufio.Writer, p path, from, era int64) {
 	heartbeat := time.NewTicker(heartbeatInterval)
 	defer heartbeat.Stop()
 	for {
-		events, changed, ended := s.eventsAfter(p, from, epoch)
+		events, changed, ended := s.eventsAfter(p, from, era)
 		if ended {
 			return
 		}
@@ -201,7 +247,7 @@
 
 // eventsAfter returns the events after a version that match the path, a channel
 // that is closed at the next change, and whether the watch must end.
-func (s *Store) eventsAfter(p path, from int64, epoch int) ([]historyEntry, chan struct{}, bool) {
+func (s *Store) eventsAfter(p path, from, era int64) ([]historyEntry, chan struct{}, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.faults.SilentWatches {
@@ -213,7 +259,7 @@
 			events = append(events, e)
 		}
 	}
-	return events, s.changed, s.faults.CutWatches || s.faults.Down || epoch != s.epoch
+	return events, s.changed, s.faults.CutWatches || s.faults.Down || era != s.era
 }
 
 // writeJSON answers a request with a status and a JSON body.
