Log and meter that the store was restored from a copy

Both clients of the store now read its Store-Era header; a change of it is logged (StoreRestored) and counted (store_restores) on both nodes. Nothing is decided by it yet.

--- a/io/kqhttp/stream.go
+++ b/io/kqhttp/stream.go
@@ -10,10 +10,10 @@
 )
 
 // Stream sends the call over a new connection outside the pool and passes the
-// status and the body of the answer to handle while the body arrives. When ctx
+// header and the body of the answer to handle while the body arrives. When ctx
 // ends, the connection is closed and reading the body fails. Stream returns the
 // error of handle, or one marked with [ErrNotSent] or [ErrLost].
-func (p *Pool) Stream(ctx context.Context, request *fasthttp.Request, handle func(status int, body io.Reader) error) error {
+func (p *Pool) Stream(ctx context.Context, request *fasthttp.Request, handle func(header *fasthttp.ResponseHeader, body io.Reader) error) error {
 	raw, err := p.dial(ctx, p.address)
 	if err != nil {
 		return errors.Mark(errors.Wrapf(err, "connect to %s", p.address), ErrNotSent)
@@ -26,7 +26,7 @@
 		return errors.Mark(errors.Wrapf(err, "call %s", p.address), ErrLost)
 	}
 	if body := response.BodyStream(); body != nil {
-		return handle(response.StatusCode(), body)
+		return handle(&response.Header, body)
 	}
-	return handle(response.StatusCode(), bytes.NewReader(response.Body()))
+	return handle(&response.Header, bytes.NewReader(response.Body()))
 }
--- a/io/kqmesh/control.go
+++ b/io/kqmesh/control.go
@@ -14,6 +14,7 @@
 	"kumquatlink/core/kqserver"
 	"kumquatlink/core/kqwatch"
 	"kumquatlink/io/kqlog"
+	"kumquatlink/io/kqmetric"
 	"kumquatlink/io/kqstore"
 )
 
@@ -147,8 +148,12 @@
 }
 
 // observeStore logs the first failed call of the store, and the first call
-// after it that does not fail.
+// after it that does not fail. It also logs that the store was restored.
 func (c *control) observeStore(r kqstore.CallRecord) {
+	if r.Restored() {
+		c.node.metrics.Count(kqmetric.StoreRestores)
+		c.node.logEvent(eventStoreRestored, fmt.Sprintf("store was restored from a copy: it is in era %d after %d", r.Era, r.FormerEra), nil, kqlog.Number(fieldEra, r.Era), kqlog.Number("FormerEra", r.FormerEra))
+	}
 	failed := kqstore.IsUnavailable(r.Err)
 	c.mutex.Lock()
 	downSince := c.storeDownSince
--- a/io/kqmesh/events.go
+++ b/io/kqmesh/events.go
@@ -22,6 +22,7 @@
 	fieldIncarnation = "Incarnation"
 	fieldVerdict     = "Verdict"
 	fieldKind        = "Kind"
+	fieldEra         = "StoreEra"
 )
 
 // eventKind identifies a kind of event that a node logs. It is the index of the
@@ -38,6 +39,7 @@
 	eventReadiness
 	eventStoreLost
 	eventStoreBack
+	eventStoreRestored
 	eventWatchEnded
 	eventRoutesTaken
 	eventRoutesRefused
@@ -84,6 +86,7 @@
 	eventReadiness:           {Name: "Readiness", Level: zerolog.InfoLevel, Description: "The node's answer to readiness probes has changed.", Fields: []string{fieldState}},
 	eventStoreLost:           {Name: "StoreLost", Level: zerolog.WarnLevel, Description: "A call of the store failed. Further failures are not logged until a call does not fail.", Fields: []string{"Operation", fieldKind}},
 	eventStoreBack:           {Name: "StoreBack", Level: zerolog.InfoLevel, Description: "A call of the store did not fail, the first after one or more that did.", Fields: []string{fieldTook}},
+	eventStoreRestored:       {Name: "StoreRestored", Level: zerolog.WarnLevel, Description: "The store was restored from a copy and has lost what was written since that was taken. The events that follow say what this node writes or lists again.", Fields: []string{fieldEra, "FormerEra"}},
 	eventWatchEnded:          {Name: "WatchEnded", Level: zerolog.InfoLevel, Description: "A watch of the store ended; the objects are listed again.", Fields: []string{fieldKind}},
 	eventRoutesTaken:         {Name: "RoutesTaken", Level: zerolog.InfoLevel, Description: "Routes have come into force.", Fields: []string{fieldRoutes, fieldFormer, fieldSource}},
 	eventRoutesRefused:       {Name: "RoutesRefused", Level: zerolog.WarnLevel, Description: "Routes that are older than those in force were offered.", Fields: []string{fieldRoutes, fieldFormer, fieldSource}},
--- a/io/kqmetric/kqmetric.go
+++ b/io/kqmetric/kqmetric.go
@@ -74,6 +74,7 @@
 	Admissions           = Definition{"admissions", KindCounter, []string{"outcome", "cause"}, unitCalls, "Calls that this node's gate decided on."}
 	StoreCalls           = Definition{"store_calls", KindCounter, []string{"operation", "result"}, unitCalls, "Calls of the object API, and calls that were suppressed while it failed."}
 	StoreTime            = Definition{"store_time", KindTimer, []string{"operation"}, "seconds", "Time of a call of the object API."}
+	StoreRestores        = Definition{"store_restores", KindCounter, nil, "restores", "Restores of the store from a copy that this node has noticed."}
 	ConfigurationVersion = Definition{"configuration_version", KindGauge, nil, "version", "Version of the configuration in force."}
 	ConfigurationRefused = Definition{"configuration_refused", KindGauge, []string{"verdict"}, "offers", "Offered configurations that were refused since the start."}
 	Members              = Definition{"members", KindGauge, []string{"life"}, "nodes", "Nodes in this node's view, by life state."}
@@ -95,7 +96,7 @@
 // Definitions lists every metric, in the order of the reference page.
 func Definitions() []Definition {
 	return []Definition{
-		Answers, AnswerTime, Routes, Admissions, StoreCalls, StoreTime,
+		Answers, AnswerTime, Routes, Admissions, StoreCalls, StoreTime, StoreRestores,
 		ConfigurationVersion, ConfigurationRefused, Members, Suspected, Confirmed, Pauses, Exchanges,
 		QueueTime, RunTime, GateSlots, Upstreams, Repeats, RepeatsRefused, ServerState, ServerRateLimit, LogDropped,
 	}
--- a/io/kqnode/operator.go
+++ b/io/kqnode/operator.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
@@ -202,10 +204,15 @@
 	}
 }
 
-// observeStore counts a call to the store and records how long it took.
+// observeStore counts a call to the store and records how long it took. It also
+// logs that the store was restored.
 func (n *Node) observeStore(r kqstore.CallRecord) {
 	n.metrics.Count(kqmetric.StoreCalls, r.Operation, storeResult(r.Err))
 	n.metrics.Time(kqmetric.StoreTime, r.Took, r.Operation)
+	if r.Restored() {
+		n.metrics.Count(kqmetric.StoreRestores)
+		n.log.Event(zerolog.WarnLevel, fmt.Sprintf("store was restored from a copy: it is in era %d after %d", r.Era, r.FormerEra), nil)
+	}
 }
 
 // storeResult returns the metric label for the result of a call to the store.
--- a/io/kqobject/kqobject.go
+++ b/io/kqobject/kqobject.go
@@ -108,9 +108,9 @@
 	history []historyEntry
 	// copies are snapshots after each change of the last copyTime, and the last
 	// one before.
-	copies []timedCopy
-	faults Faults
-	counts Counts
+	copies  []timedCopy
+	faults  Faults
+	counts  Counts
 	server  *fasthttp.Server
 	address string
 }
--- a/io/kqstore/guard.go
+++ b/io/kqstore/guard.go
@@ -30,10 +30,20 @@
 	Name string
 	// Took is the duration of the call.
 	Took time.Duration
+	// Era is the era of the store after the call, and FormerEra the one after the
+	// call before. If they differ, the store was restored from a copy, unless
+	// FormerEra is [UnknownEra].
+	Era       int64
+	FormerEra int64
 	// Err is nil if the call succeeded.
 	Err error
 }
 
+// Restored reports whether the store was restored since the call before.
+func (r CallRecord) Restored() bool {
+	return r.FormerEra != UnknownEra && r.Era != r.FormerEra
+}
+
 // guard is a circuit breaker around a client.
 type guard struct {
 	inner   *Client
@@ -43,6 +53,7 @@
 
 	mutex   sync.Mutex
 	breaker *kqbackoff.Breaker
+	era     int64
 }
 
 // BreakerOption configures a client made by [NewBreakerClient].
@@ -66,13 +77,13 @@
 // reaching the store. The client never repeats a write.
 func NewBreakerClient(inner *Client, options ...BreakerOption) *Client {
 	g := &guard{
-		inner: inner, now: time.Now, random: rand.Float64, observe: func(CallRecord) {},
+		inner: inner, now: time.Now, random: rand.Float64, observe: func(CallRecord) {}, era: UnknownEra,
 		breaker: kqbackoff.NewBreaker(kqbackoff.Pause{First: firstPause, Max: maxPause}),
 	}
 	for _, o := range options {
 		o(g)
 	}
-	return &Client{Get: g.get, Put: g.put, Watch: g.watch, List: g.list, Delete: g.delete}
+	return &Client{Get: g.get, Put: g.put, Watch: g.watch, List: g.list, Delete: g.delete, Era: inner.Era}
 }
 
 func (g *guard) get(ctx context.Context, kind, name string) (Object, error) {
@@ -128,10 +139,20 @@
 		g.recordResult(record.Err)
 	}
 	record.Took = g.now().Sub(started)
+	record.FormerEra, record.Era = g.updateEra()
 	g.observe(record)
 	return record.Err
 }
 
+// updateEra returns the era after the call before and the one after this call.
+func (g *guard) updateEra() (int64, int64) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	former := g.era
+	g.era = g.inner.CurrentEra()
+	return former, g.era
+}
+
 // admit returns an error if the circuit breaker refuses a call at this time.
 func (g *guard) admit(now time.Time) error {
 	g.mutex.Lock()
--- a/io/kqstore/http.go
+++ b/io/kqstore/http.go
@@ -58,12 +58,13 @@
 type httpClient struct {
 	address string
 	pool    *kqhttp.Pool
+	eras    *Eras
 }
 
 // NewHTTP returns a client of the object API at a TCP address.
 func NewHTTP(address string) *Client {
-	h := &httpClient{address: address, pool: kqhttp.NewPool(address, kqhttp.WithMaxIdle(2))}
-	return &Client{Get: h.get, Put: h.put, Watch: h.watch, List: h.list, Delete: h.delete}
+	h := &httpClient{address: address, pool: kqhttp.NewPool(address, kqhttp.WithMaxIdle(2)), eras: NewEras(time.Now)}
+	return &Client{Get: h.get, Put: h.put, Watch: h.watch, List: h.list, Delete: h.delete, Era: h.eras.Newest}
 }
 
 // do makes a call and decodes its JSON answer into result, unless that is nil.
@@ -79,6 +80,7 @@
 	if err := h.pool.Do(ctx, request, response); err != nil {
 		return errors.Mark(err, ErrUnavailable)
 	}
+	_, _ = h.eras.Record(response.Header.Peek(HeaderEra))
 	if err := statusError(response.StatusCode(), response.Body()); err != nil {
 		return err
 	}
@@ -160,7 +162,9 @@
 	defer cancel()
 	idleTimer := time.AfterFunc(watchIdleTimeout, cancel)
 	defer idleTimer.Stop()
-	err := h.pool.Stream(watchCtx, request, func(status int, body io.Reader) error {
+	err := h.pool.Stream(watchCtx, request, func(header *fasthttp.ResponseHeader, body io.Reader) error {
+		_, _ = h.eras.Record(header.Peek(HeaderEra))
+		status := header.StatusCode()
 		if status == fasthttp.StatusOK {
 			return readEvents(body, func() { idleTimer.Reset(watchIdleTimeout) }, handle)
 		}
--- a/io/kqstore/kqstore.go
+++ b/io/kqstore/kqstore.go
@@ -72,6 +72,17 @@
 	// with an empty name, of the whole kind. It returns when ctx ends, the watch
 	// fails, or handle returns an error.
 	Watch func(ctx context.Context, kind, name, version string, handle func(Object) error) error
+	// Era returns the era of the store that its answers have stated so far, or
+	// [UnknownEra]. It may be nil.
+	Era func() int64
+}
+
+// CurrentEra returns the era of the store, or [UnknownEra] if Era is nil.
+func (c *Client) CurrentEra() int64 {
+	if c.Era == nil {
+		return UnknownEra
+	}
+	return c.Era()
 }
 
 // staleKey is the context key that allows stale reads.
