Refuse answers of the store from before a restore

What operators saw: a change that the store had confirmed after it was restored from a copy did not come into force on a node that went on from a revision of before. Callers got 404 for an added route, or its former service, until the next change.

Cause: the client took each revision for a place in one history. A restored store gives revisions out again, so a watch that continues after its last one skips every change up to that number; pages of one list may be of both times; and a late answer, or one of a replica that is not restored yet, passes as current. (Class: a position that is compared without the history it is in.)

--- a/io/kqstore/era.go
+++ b/io/kqstore/era.go
@@ -63,6 +63,27 @@
 	return era, nil
 }
 
+// RecordAnswer records the value of an answer's era header and returns the era of
+// the answer, and an error if it must not be used: the one that its status stands
+// for, or that it is from before a restore. A store that is not available has not
+// answered, whatever its era.
+func (e *Eras) RecordAnswer(header []byte, status error) (int64, error) {
+	era, err := e.Record(header)
+	if err != nil && !IsUnavailable(status) {
+		return era, err
+	}
+	return era, status
+}
+
+// CheckEra returns an error marked [ErrExpired] if an answer to a call that goes on
+// from one era is of another one. An unknown era matches every other.
+func CheckEra(from, answered int64) error {
+	if from == UnknownEra || answered == UnknownEra || from == answered {
+		return nil
+	}
+	return errors.Mark(errors.Newf("the store was restored: its answer is of era %d and continues one of era %d", answered, from), ErrExpired)
+}
+
 // FormatVersion returns the version of an object or of a whole store with that
 // revision in an era.
 func FormatVersion(era int64, revision string) string {
--- a/io/kqstore/http.go
+++ b/io/kqstore/http.go
@@ -33,8 +33,9 @@
 	Spec json.RawMessage `json:"spec"`
 }
 
-func (w wireObject) object() Object {
-	return Object{Name: w.Metadata.Name, Version: w.Metadata.ResourceVersion, Value: w.Spec}
+// object returns the object, which an answer of that era contained.
+func (w wireObject) object(era int64) Object {
+	return Object{Name: w.Metadata.Name, Version: FormatVersion(era, w.Metadata.ResourceVersion), Value: w.Spec}
 }
 
 // wireList is the JSON answer to a request for all objects of a kind.
@@ -67,8 +68,9 @@
 	return &Client{Get: h.get, Put: h.put, Watch: h.watch, List: h.list, Delete: h.delete, Era: h.eras.Newest}
 }
 
-// do makes a call and decodes its JSON answer into result, unless that is nil.
-func (h *httpClient) do(ctx context.Context, method, path string, body []byte, result any) error {
+// do makes a call and decodes its JSON answer into result, unless that is nil. It
+// returns the era that the answer states.
+func (h *httpClient) do(ctx context.Context, method, path string, body []byte, result any) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	request := fasthttp.AcquireRequest()
@@ -78,35 +80,35 @@
 	h.prepare(request, method, path)
 	request.SetBody(body)
 	if err := h.pool.Do(ctx, request, response); err != nil {
-		return errors.Mark(err, ErrUnavailable)
-	}
-	_, _ = h.eras.Record(response.Header.Peek(HeaderEra))
-	if err := statusError(response.StatusCode(), response.Body()); err != nil {
-		return err
+		return UnknownEra, errors.Mark(err, ErrUnavailable)
 	}
-	if result == nil {
-		return nil
+	era, err := h.eras.RecordAnswer(response.Header.Peek(HeaderEra), statusError(response.StatusCode(), response.Body()))
+	if err != nil || result == nil {
+		return era, err
 	}
 	if err := json.Unmarshal(response.Body(), result); err != nil {
-		return errors.Mark(errors.Wrap(err, "decode object"), ErrMalformed)
+		return era, errors.Mark(errors.Wrap(err, "decode object"), ErrMalformed)
 	}
-	return nil
+	return era, nil
 }
 
 func (h *httpClient) list(ctx context.Context, kind string) ([]Object, string, error) {
 	var l wireList
-	if err := h.do(ctx, fasthttp.MethodGet, "/apis/"+kind, nil, &l); err != nil {
+	era, err := h.do(ctx, fasthttp.MethodGet, "/apis/"+kind, nil, &l)
+	if err != nil {
 		return nil, "", err
 	}
 	objects := make([]Object, 0, len(l.Items))
 	for _, w := range l.Items {
-		objects = append(objects, w.object())
+		objects = append(objects, w.object(era))
 	}
-	return objects, l.Metadata.ResourceVersion, nil
+	return objects, FormatVersion(era, l.Metadata.ResourceVersion), nil
 }
 
 func (h *httpClient) delete(ctx context.Context, kind string, o Object) error {
-	return h.do(ctx, fasthttp.MethodDelete, "/apis/"+kind+"/"+o.Name+"?resourceVersion="+o.Version, nil, nil)
+	_, revision := ParseVersion(o.Version)
+	_, err := h.do(ctx, fasthttp.MethodDelete, "/apis/"+kind+"/"+o.Name+"?resourceVersion="+revision, nil, nil)
+	return err
 }
 
 // prepare sets the method, path and headers of a request.
@@ -136,40 +138,47 @@
 
 func (h *httpClient) get(ctx context.Context, kind, name string) (Object, error) {
 	var w wireObject
-	err := h.do(ctx, fasthttp.MethodGet, "/apis/"+kind+"/"+name, nil, &w)
-	return w.object(), err
+	era, err := h.do(ctx, fasthttp.MethodGet, "/apis/"+kind+"/"+name, nil, &w)
+	return w.object(era), err
 }
 
 func (h *httpClient) put(ctx context.Context, kind string, o Object) (Object, error) {
 	var w wireObject
 	w.Metadata.Name = o.Name
-	w.Metadata.ResourceVersion = o.Version
+	_, w.Metadata.ResourceVersion = ParseVersion(o.Version)
 	w.Spec = o.Value
 	body, err := json.Marshal(w)
 	if err != nil {
 		return Object{}, errors.Mark(errors.Wrap(err, "encode object"), ErrMalformed)
 	}
 	var written wireObject
-	err = h.do(ctx, fasthttp.MethodPut, "/apis/"+kind+"/"+o.Name, body, &written)
-	return written.object(), err
+	era, err := h.do(ctx, fasthttp.MethodPut, "/apis/"+kind+"/"+o.Name, body, &written)
+	return written.object(era), err
 }
 
 func (h *httpClient) watch(ctx context.Context, kind, name, version string, handle func(Object) error) error {
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
-	h.prepare(request, fasthttp.MethodGet, "/apis/"+kind+"/"+name+"?watch=1&resourceVersion="+version)
+	watchedEra, revision := ParseVersion(version)
+	h.prepare(request, fasthttp.MethodGet, "/apis/"+kind+"/"+name+"?watch=1&resourceVersion="+revision)
 	watchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	idleTimer := time.AfterFunc(watchIdleTimeout, cancel)
 	defer idleTimer.Stop()
 	err := h.pool.Stream(watchCtx, request, func(header *fasthttp.ResponseHeader, body io.Reader) error {
-		_, _ = h.eras.Record(header.Peek(HeaderEra))
-		status := header.StatusCode()
-		if status == fasthttp.StatusOK {
-			return readEvents(body, func() { idleTimer.Reset(watchIdleTimeout) }, handle)
+		if status := header.StatusCode(); status != fasthttp.StatusOK {
+			text, err := io.ReadAll(io.LimitReader(body, maxErrorBodyBytes))
+			_, statusErr := h.eras.RecordAnswer(header.Peek(HeaderEra), statusError(status, text))
+			return errors.CombineErrors(statusErr, err)
+		}
+		era, err := h.eras.Record(header.Peek(HeaderEra))
+		if err == nil {
+			err = CheckEra(watchedEra, era)
+		}
+		if err != nil {
+			return err
 		}
-		text, err := io.ReadAll(io.LimitReader(body, maxErrorBodyBytes))
-		return errors.CombineErrors(statusError(status, text), err)
+		return readEvents(body, era, func() { idleTimer.Reset(watchIdleTimeout) }, handle)
 	})
 	if ctx.Err() == nil && watchCtx.Err() != nil {
 		return errors.Mark(errors.Newf("watch received nothing for %s", watchIdleTimeout), ErrUnavailable)
@@ -180,9 +189,9 @@
 	return err
 }
 
-// readEvents calls handle for each event. It calls received for each line,
+// readEvents calls handle for each event of a watch in that era. It calls received for each line,
 // including the blank ones.
-func readEvents(r io.Reader, received func(), handle func(Object) error) error {
+func readEvents(r io.Reader, era int64, received func(), handle func(Object) error) error {
 	lines := bufio.NewScanner(r)
 	lines.Buffer(nil, 2<<20)
 	for lines.Scan() {
@@ -194,7 +203,7 @@
 		if err := json.Unmarshal(lines.Bytes(), &e); err != nil {
 			return errors.Mark(errors.Wrap(err, "decode event"), ErrMalformed)
 		}
-		o := e.Object.object()
+		o := e.Object.object(era)
 		o.Deleted = e.Type == eventDeleted
 		if err := handle(o); err != nil {
 			return err
--- a/io/kqstore/kqstore.go
+++ b/io/kqstore/kqstore.go
@@ -33,9 +33,10 @@
 	// ErrUnavailable marks calls that the store did not answer, or answered with
 	// an unexpected status.
 	ErrUnavailable = errors.New("store is not available")
-	// ErrExpired marks watches that start at a version older than the history
-	// that the store keeps.
-	ErrExpired = errors.New("version is too old for a watch")
+	// ErrExpired marks watches that start at a version that the store no longer
+	// has, since it keeps a shorter history or was restored from a copy, and
+	// answers from before a restore.
+	ErrExpired = errors.New("version is too old for a watch, or an answer from before a restore")
 	// ErrMalformed marks objects that can't be decoded or encoded.
 	ErrMalformed = errors.New("object or answer of the store is malformed")
 )
