Do not let a write match a revision that a restored store gave out again

What operators saw: after a restore, a node that wrote on condition of the revision that it had read before could overwrite another object of that revision, such as a table of key homes to which a member had been added since.

Cause: as for reads, a revision was taken for a place in one history (class: a condition that is compared without the history it is in).

A conditional write or removal whose version is of another era than the newest known is refused as a conflict without a call. If only the answer shows the restore, the write may have matched by chance: it is reported as a conflict too, so that the caller reads and decides again.

--- a/io/kqstore/era.go
+++ b/io/kqstore/era.go
@@ -84,6 +84,29 @@
 	return errors.Mark(errors.Newf("the store was restored: its answer is of era %d and continues one of era %d", answered, from), ErrExpired)
 }
 
+// CheckWrite returns an error marked [ErrConflict] if a write on condition of that
+// version must not be sent: its version is from before a restore, after which
+// another change may have got the same revision.
+func (e *Eras) CheckWrite(version string) error {
+	era, _ := ParseVersion(version)
+	return conflictOf(CheckEra(era, e.Newest()))
+}
+
+// CheckWritten returns an error marked [ErrConflict] if the answer to a write on
+// condition of that version shows that the store was restored in between. The
+// condition may then have matched another change.
+func CheckWritten(version string, answered int64) error {
+	era, _ := ParseVersion(version)
+	return conflictOf(CheckEra(era, answered))
+}
+
+func conflictOf(err error) error {
+	if err == nil {
+		return nil
+	}
+	return errors.Mark(errors.Newf("write on condition of a version from before a restore: %v", err), ErrConflict)
+}
+
 // FormatVersion returns the version of an object or of a whole store with that
 // revision in an era.
 func FormatVersion(era int64, revision string) string {
--- a/io/kqstore/http.go
+++ b/io/kqstore/http.go
@@ -92,6 +92,19 @@
 	return era, nil
 }
 
+// write makes a call that changes the object of that version. It fails with a
+// conflict if the store was restored since, as far as that is known.
+func (h *httpClient) write(ctx context.Context, method, path, version string, body []byte, result any) (int64, error) {
+	if err := h.eras.CheckWrite(version); err != nil {
+		return UnknownEra, err
+	}
+	era, err := h.do(ctx, method, path, body, result)
+	if err == nil {
+		err = CheckWritten(version, era)
+	}
+	return era, err
+}
+
 func (h *httpClient) list(ctx context.Context, kind string) ([]Object, string, error) {
 	var l wireList
 	era, err := h.do(ctx, fasthttp.MethodGet, "/apis/"+kind, nil, &l)
@@ -107,7 +120,7 @@
 
 func (h *httpClient) delete(ctx context.Context, kind string, o Object) error {
 	_, revision := ParseVersion(o.Version)
-	_, err := h.do(ctx, fasthttp.MethodDelete, "/apis/"+kind+"/"+o.Name+"?resourceVersion="+revision, nil, nil)
+	_, err := h.write(ctx, fasthttp.MethodDelete, "/apis/"+kind+"/"+o.Name+"?resourceVersion="+revision, o.Version, nil, nil)
 	return err
 }
 
@@ -152,7 +165,7 @@
 		return Object{}, errors.Mark(errors.Wrap(err, "encode object"), ErrMalformed)
 	}
 	var written wireObject
-	era, err := h.do(ctx, fasthttp.MethodPut, "/apis/"+kind+"/"+o.Name, body, &written)
+	era, err := h.write(ctx, fasthttp.MethodPut, "/apis/"+kind+"/"+o.Name, o.Version, body, &written)
 	return written.object(era), err
 }
 
--- a/io/kqstore/restore_test.go
+++ b/io/kqstore/restore_test.go
@@ -49,3 +49,34 @@
 		t.Errorf("watch from a version of before the restore: got %v, want ErrExpired", err)
 	}
 }
+
+// TestWriteMatchesAReissuedRevision writes with a version of before the restore
+// while the restored object has that version again.
+func TestWriteMatchesAReissuedRevision(t *testing.T) {
+	for name, noticed := range map[string]bool{"restore noticed before the write": true, "restore noticed by its answer": false} {
+		t.Run(name, func(t *testing.T) {
+			store, client, ctx := startStore(t)
+			putObject(ctx, t, store, "object", "1")
+			backup := store.Backup()
+			putObject(ctx, t, store, "object", "2")
+			held, err := client.Get(ctx, testKind, "object")
+			if err != nil {
+				t.Fatal(err)
+			}
+			store.Restore(backup)
+			putObject(ctx, t, store, "object", "3")
+			if noticed {
+				if _, _, err := client.List(ctx, testKind); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if _, err := client.Put(ctx, testKind, held); !errors.Is(err, kqstore.ErrConflict) {
+				t.Errorf("write with a version of before the restore: got %v, want ErrConflict", err)
+			}
+			got, err := client.Get(ctx, testKind, "object")
+			if want := "3"; err != nil || noticed && string(got.Value) != want {
+				t.Errorf("object: got %s, %v, want %s", got.Value, err, want)
+			}
+		})
+	}
+}
