Let a change end that a restore of the store interrupts

What operators saw: "class set" on the own interface never ended, and called the store without a pause until its deadline, if the store was restored between its read and its write. Once that is mended alone, the change could overwrite one that another operator had made in the restored store.

Cause: a write that conflicted while the store held a lower version was sent again on the same condition, which a restored store never meets again; and a lower version was taken for an ancestor of the change (class: a number compared without the history it is in). Evidence, failing before: TestChangeNeverEndsWhenTheStoreIsRestoredMeanwhile (ended by its deadline of 60 s), TestChangeOverwritesOneThatARestoredStoreAccepted, and TestResolveWriteMatchesTheStore, whose reference store is restored now.

The write is repeated on condition of what was read, and only if the change's own history contains that configuration. Otherwise the change is superseded, and the operator sees what won.

--- a/core/kqconfig/edit.go
+++ b/core/kqconfig/edit.go
@@ -92,14 +92,14 @@
 const (
 	// WriteAccepted means that the store accepted the change.
 	WriteAccepted WriteResult = "Accepted"
-	// WriteSuperseded means that another change has the version that was
-	// written, so the conditional write can no longer take effect.
+	// WriteSuperseded means that another change was accepted which the one that
+	// was written does not contain.
 	WriteSuperseded WriteResult = "Beaten"
-	// WriteRetryable means that the store still holds an older version than the
-	// one that was written: the same conditional write may be sent again.
+	// WriteRetryable means that the store still holds a configuration on which
+	// the one that was written is based: it may be written over that.
 	WriteRetryable WriteResult = "Open"
-	// WriteUnknown means that the history no longer reaches back to the version
-	// that was written.
+	// WriteUnknown means that neither history reaches back to the version of the
+	// other configuration.
 	WriteUnknown WriteResult = "Lost"
 )
 
@@ -109,12 +109,16 @@
 	if slices.Contains(stored.History, kqclass.Change{Version: written.Version, ChangeID: written.ChangeID}) {
 		return WriteAccepted
 	}
-	if stored.Version < written.Version {
+	if stored.Version == 0 || slices.Contains(written.History, kqclass.Change{Version: stored.Version, ChangeID: stored.ChangeID}) {
 		return WriteRetryable
 	}
-	covered := slices.ContainsFunc(stored.History, func(c kqclass.Change) bool { return c.Version == written.Version })
-	if covered {
+	if covers(stored, written.Version) || covers(written, stored.Version) {
 		return WriteSuperseded
 	}
 	return WriteUnknown
 }
+
+// covers reports whether the history of a configuration reaches back to a version.
+func covers(c kqclass.Configuration, version int64) bool {
+	return slices.ContainsFunc(c.History, func(h kqclass.Change) bool { return h.Version == version })
+}
--- a/core/kqconfig/kqconfig_test.go
+++ b/core/kqconfig/kqconfig_test.go
@@ -88,8 +88,9 @@
 func ptr[T any](value T) *T { return &value }
 
 // TestResolveWriteMatchesTheStore guards against a write that is wrongly taken as
-// accepted or as failed. Writers race, answers are lost, and a reference store
-// remembers all changes that it accepted; each result is compared with that.
+// accepted or as failed. Writers race, answers are lost, the store is restored from
+// copies, and a reference store remembers all changes that it accepted; each result
+// is compared with that.
 func TestResolveWriteMatchesTheStore(t *testing.T) {
 	lostAnswers := 0
 	rapid.Check(t, func(r *rapid.T) {
@@ -97,6 +98,7 @@
 		accepted := map[string]bool{}
 		type write struct{ next, base kqclass.Configuration }
 		var writes []write
+		copies := []kqclass.Configuration{stored}
 		for i := range rapid.IntRange(5, 50).Draw(r, "steps") {
 			next, err := kqconfig.Apply(stored, kqconfig.Edit{Set: ptr(class(fmt.Sprintf("class-%d", i%4)))}, fmt.Sprintf("change-%d", i))
 			if err != nil {
@@ -110,6 +112,14 @@
 			if stored.ChangeID == w.base.ChangeID && rapid.Bool().Draw(r, "arrives") {
 				stored, accepted[next.ChangeID] = next, true
 			}
+			if rapid.IntRange(0, 9).Draw(r, "restored") == 0 {
+				stored = rapid.SampledFrom(copies).Draw(r, "copy")
+				accepted = map[string]bool{}
+				for _, c := range stored.History {
+					accepted[c.ChangeID] = true
+				}
+			}
+			copies = append(copies, stored)
 			lostAnswers++
 			writes = append(writes, w)
 			for _, u := range writes {
@@ -132,6 +142,11 @@
 	case got == kqconfig.WriteRetryable && stored.Version >= written.Version:
 		r.Fatalf("result: got %s although the store holds version %d or later", got, written.Version)
 	}
+	for _, c := range stored.History {
+		if got == kqconfig.WriteRetryable && !slices.Contains(written.History, c) {
+			r.Fatalf("result: got %s although that would lose the accepted change %s", got, c.ChangeID)
+		}
+	}
 }
 
 func TestNodesAgreeOnTheWatchersOfADomain(t *testing.T) {
--- a/io/kqstore/change.go
+++ b/io/kqstore/change.go
@@ -59,7 +59,9 @@
 // Change applies an edit to the configuration with a conditional write and
 // returns the accepted configuration. If the write conflicts or its answer is
 // lost, Change reads the store until it answers, to determine whether the write
-// took effect, and writes again only after a read has shown that it did not.
+// took effect, and writes again only after a read has shown that it did not. That
+// write is on condition of what was read, since the store may have been restored
+// from a copy and never hold the former version again.
 //
 // It returns a [SupersededError] if another change was accepted first or
 // IfVersion does not match, an error marked [ErrUnknownResult] if ctx ends
@@ -88,7 +90,9 @@
 		if !errors.Is(err, ErrUnavailable) && !errors.Is(err, ErrConflict) {
 			return kqclass.Configuration{}, err
 		}
-		stored, result, err := awaitWriteResult(ctx, c, next)
+		var stored kqclass.Configuration
+		var result kqconfig.WriteResult
+		stored, version, result, err = awaitWriteResult(ctx, c, next)
 		if err != nil {
 			return kqclass.Configuration{}, err
 		}
@@ -98,7 +102,7 @@
 		case kqconfig.WriteSuperseded:
 			return kqclass.Configuration{}, &SupersededError{Winner: stored}
 		case kqconfig.WriteUnknown:
-			return kqclass.Configuration{}, errors.Mark(errors.Newf("stored version %d is too new: its history no longer covers this change", stored.Version), ErrUnknownResult)
+			return kqclass.Configuration{}, errors.Mark(errors.Newf("stored version %d is too far from version %d of this change: no history covers both", stored.Version, next.Version), ErrUnknownResult)
 		}
 	}
 }
@@ -114,17 +118,17 @@
 }
 
 // awaitWriteResult reads the configuration until the store answers, and returns
-// it with the result of the write.
-func awaitWriteResult(ctx context.Context, c *Client, written kqclass.Configuration) (kqclass.Configuration, kqconfig.WriteResult, error) {
+// it and its version in the store with the result of the write.
+func awaitWriteResult(ctx context.Context, c *Client, written kqclass.Configuration) (kqclass.Configuration, string, kqconfig.WriteResult, error) {
 	for {
-		stored, _, err := readOrEmpty(ctx, c)
+		stored, version, err := readOrEmpty(ctx, c)
 		if err == nil {
-			return stored, kqconfig.ResolveWrite(written, stored), nil
+			return stored, version, kqconfig.ResolveWrite(written, stored), nil
 		}
 		select {
 		case <-time.After(resolveRetryDelay):
 		case <-ctx.Done():
-			return kqclass.Configuration{}, "", errors.Mark(errors.Wrap(err, "read the result of the change"), ErrUnknownResult)
+			return kqclass.Configuration{}, "", "", errors.Mark(errors.Wrap(err, "read the result of the change"), ErrUnknownResult)
 		}
 	}
 }
--- a/io/kqstore/kqstore_test.go
+++ b/io/kqstore/kqstore_test.go
@@ -125,6 +125,80 @@
 	}
 }
 
+// TestChangeNeverEndsWhenTheStoreIsRestoredMeanwhile restores the store between the
+// read and the write of a change.
+func TestChangeNeverEndsWhenTheStoreIsRestoredMeanwhile(t *testing.T) {
+	store, client, ctx := startStore(t)
+	first, err := kqstore.Change(ctx, client, request("browse", "one"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	backup := store.Backup()
+	if _, err := kqstore.Change(ctx, client, request("purchase", "two")); err != nil {
+		t.Fatal(err)
+	}
+	got, err := kqstore.Change(ctx, restoreBeforePut(store, client, backup), request("lookup", "three"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	stored, _, err := kqstore.ReadConfiguration(ctx, client)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := stored.ChangeID, got.ChangeID; got != want {
+		t.Errorf("stored change: got %s, want %s", got, want)
+	}
+	if got, want := len(stored.Classes), len(first.Classes)+2; got != want {
+		t.Errorf("classes: got %d, want %d", got, want)
+	}
+}
+
+// TestChangeOverwritesOneThatARestoredStoreAccepted accepts another change after
+// the restore, on the base of an older configuration.
+func TestChangeOverwritesOneThatARestoredStoreAccepted(t *testing.T) {
+	store, client, ctx := startStore(t)
+	if _, err := kqstore.Change(ctx, client, request("browse", "one")); err != nil {
+		t.Fatal(err)
+	}
+	backup := store.Backup()
+	if _, err := kqstore.Change(ctx, client, request("purchase", "two")); err != nil {
+		t.Fatal(err)
+	}
+	interrupted := restoreBeforePut(store, client, backup)
+	restore := interrupted.Put
+	interrupted.Put = func(ctx context.Context, kind string, o kqstore.Object) (kqstore.Object, error) {
+		if _, err := restore(ctx, kind, o); !errors.Is(err, kqstore.ErrConflict) {
+			t.Errorf("write over the restored configuration: got %v, want ErrConflict", err)
+		}
+		if _, err := kqstore.Change(ctx, client, request("refund", "rival")); err != nil {
+			t.Fatal(err)
+		}
+		interrupted.Put = client.Put
+		return kqstore.Object{}, errors.Mark(errors.New("lost answer"), kqstore.ErrUnavailable)
+	}
+	_, err := kqstore.Change(ctx, interrupted, request("lookup", "three"))
+	var superseded *kqstore.SupersededError
+	if !errors.As(err, &superseded) || superseded.Winner.ChangeID != "rival" {
+		t.Errorf("change after another one was accepted: got %v, want a SupersededError that names it", err)
+	}
+	stored, _, err := kqstore.ReadConfiguration(ctx, client)
+	if err != nil || stored.ChangeID != "rival" {
+		t.Errorf("stored change: got %s, %v, want rival", stored.ChangeID, err)
+	}
+}
+
+// restoreBeforePut returns a client that restores the store before its first
+// write.
+func restoreBeforePut(store *kqobject.Store, c *kqstore.Client, backup kqobject.Snapshot) *kqstore.Client {
+	interrupted := *c
+	var once sync.Once
+	interrupted.Put = func(ctx context.Context, kind string, o kqstore.Object) (kqstore.Object, error) {
+		once.Do(func() { store.Restore(backup) })
+		return c.Put(ctx, kind, o)
+	}
+	return &interrupted
+}
+
 func TestWatchReportsChangesAndEndsWithItsContext(t *testing.T) {
 	_, client, ctx := startStore(t)
 	if _, err := kqstore.Change(ctx, client, request("browse", "one")); err != nil {
