Write node records back that the store has lost

What callers and operators saw: after a restore of the store, or a write that it made late, the record of a node stayed older or away. A node that started then took a server that had left, or had acknowledged its draining, for one that serves; hosts that had joined in the lost time vanished from every node's list for 10 s and more.

Cause: each node took its last successful write for what the store holds, and nobody compared the two (class: a belief that is updated by one's own action alone, never by what is observed). A record that came back older was ignored, since the node knew a newer one. Evidence, failing before: TestRecordThatARestoreMadeOlderIsNotWrittenAgain, TestRecordThatALateWriteMadeOlderIsNotWrittenAgain (each for a node that watches the store and for one that does not), TestRecordThatARestoreRemovedIsNotWrittenAgain, TestServerThatLeftIsUsedAgainAfterARestore.

Each node that watches the store now keeps which objects are behind the records that it knows (State.Behind). Its own it writes again at once. The watchers of a failure domain write the others of that domain back, on condition of the version that they saw, so that a newer write of the node itself always wins: the node may have ended, or not know, as only watchers read the store. The first list after a restore no longer removes nodes. A node that restarts also takes its server's leaving from a record that is written back.

Ruled out: telling the owner. It needs a new message, and does not help where the owner has ended.

--- a/io/kqmesh/control.go
+++ b/io/kqmesh/control.go
@@ -53,6 +53,11 @@
 	lastRequest   time.Duration
 	// ownRecordSeen is when the node last wrote or received its own record.
 	ownRecordSeen time.Duration
+	// listedEra is the era of the store in which the nodes were last listed.
+	listedEra int64
+	// seenVersions holds the newest version of each record that the store has
+	// reported, by node ID, apart from versions that made a record older.
+	seenVersions map[string]string
 
 	mutex        sync.Mutex
 	stateChanged chan struct{}
@@ -67,9 +72,9 @@
 	c := &control{
 		node: n, events: make(chan controlEvent, eventQueueLength), stopped: make(chan struct{}), life: kqserver.New(),
 		stateChanged: make(chan struct{}), removedRecords: map[string]bool{},
-		watch: kqwatch.New(n.clock(), n.settings.NodeID), divergedSince: map[string]time.Duration{}, lastRequest: -requestInterval,
+		watch: kqwatch.New(n.clock(), n.settings.NodeID), divergedSince: map[string]time.Duration{}, lastRequest: -requestInterval, listedEra: kqstore.UnknownEra, seenVersions: map[string]string{},
 	}
-	c.state = State{Hosts: map[string]HostRecord{}, Upstreams: map[string]*kqroute.Table{}, ServerState: kqserver.Unknown, Starting: true}
+	c.state = State{Hosts: map[string]HostRecord{}, Behind: map[string]string{}, Upstreams: map[string]*kqroute.Table{}, ServerState: kqserver.Unknown, Starting: true}
 	c.publish()
 	return c
 }
@@ -205,60 +210,108 @@
 
 // hostsEvent replaces the list of nodes by a complete one. Records that are
 // newer than those of the list stay, and so does the node's own record if it
-// was seen within maxListAge.
+// was seen within maxListAge. The version is that of the store, or empty if a peer
+// sent the list.
 type hostsEvent struct {
-	all map[string]HostRecord
+	all     map[string]storedRecord
+	version string
 }
 
 func (e hostsEvent) apply(c *control) bool {
 	known := c.state.Hosts
-	c.restoreServerState(e.all[c.node.settings.NodeID])
-	c.state.Hosts = map[string]HostRecord{}
+	c.restoreServerState(e.all[c.node.settings.NodeID].HostRecord)
+	hosts, behind := map[string]HostRecord{}, map[string]string{}
 	for name, h := range e.all {
-		if held, found := known[name]; found && !h.replaces(held) {
-			h = held
+		held, found := known[name]
+		older := found && !h.replaces(held)
+		if e.version != "" {
+			_, replace := c.observeStored(name, h)
+			if replace {
+				behind[name] = h.version
+			}
+		} else if older {
+			c.checkOwnRecord(name)
+		}
+		if older {
+			h.HostRecord = held
 		}
-		c.state.Hosts[name] = h
-		c.logHost(known[name], h)
+		if h.Address == "" {
+			continue
+		}
+		hosts[name] = h.HostRecord
+		c.logHost(held, h.HostRecord)
 	}
+	restored := c.listRestored(e.version)
 	for name, h := range known {
 		if _, listed := e.all[name]; listed {
 			continue
 		}
-		if name == c.node.settings.NodeID && c.node.clock()-c.ownRecordSeen < maxListAge {
-			c.state.Hosts[name] = h
-			continue
+		_, lost := c.state.Behind[name]
+		lost = lost || restored && h.Life != kqmember.LifeGone
+		switch {
+		case e.version != "" && lost:
+			hosts[name], behind[name] = h, ""
+		case name == c.node.settings.NodeID && c.node.clock()-c.ownRecordSeen < maxListAge:
+			hosts[name] = h
+		default:
+			c.markRemoved(name, true)
 		}
-		c.markRemoved(name, true)
 	}
-	c.state.HostsKnown = true
+	c.state.Hosts, c.state.Behind, c.state.HostsKnown = hosts, behind, true
 	c.rebuildUpstreams()
 	return true
 }
 
-// hostEvent is a change or the removal of one node's record.
+// listRestored reports whether a list of that version is the first one since the
+// store was restored from a copy. Such a list lacks what was written after the
+// copy was taken.
+func (c *control) listRestored(version string) bool {
+	if version == "" {
+		return false
+	}
+	era, _ := kqstore.ParseVersion(version)
+	former := c.listedEra
+	c.listedEra = era
+	return former != kqstore.UnknownEra && era != former
+}
+
+// checkOwnRecord has the own record written again if a watcher of the store lists
+// an older one although the own write is long over.
+func (c *control) checkOwnRecord(name string) {
+	if name == c.node.settings.NodeID && c.node.clock()-c.ownRecordSeen >= maxListAge {
+		c.markRemoved(name, true)
+	}
+}
+
+// hostEvent is a change or the removal of one node's record in the store.
 type hostEvent struct {
 	name    string
-	record  HostRecord
+	record  storedRecord
 	removed bool
 }
 
 func (e hostEvent) apply(c *control) bool {
 	held, found := c.state.Hosts[e.name]
-	hosts := maps.Clone(c.state.Hosts)
 	c.markRemoved(e.name, e.removed)
 	if e.name == c.node.settings.NodeID && !e.removed {
 		c.ownRecordSeen = c.node.clock()
+		c.restoreServerState(e.record.HostRecord)
 	}
+	older, behind := false, false
+	if !e.removed {
+		older, behind = c.observeStored(e.name, e.record)
+	}
+	changed := c.setBehind(e.name, e.record.version, behind)
+	if older || !e.removed && (e.record.Address == "" || found && held == e.record.HostRecord) {
+		return changed
+	}
+	hosts := maps.Clone(c.state.Hosts)
 	if e.removed {
 		delete(hosts, e.name)
 		c.node.logEvent(eventHostRemoved, "record of node "+e.name+" was removed", nil, kqlog.Text(fieldHost, e.name))
 	} else {
-		if found && (held == e.record || !e.record.replaces(held)) {
-			return false
-		}
-		hosts[e.name] = e.record
-		c.logHost(held, e.record)
+		hosts[e.name] = e.record.HostRecord
+		c.logHost(held, e.record.HostRecord)
 	}
 	c.state.Hosts = hosts
 	c.rebuildUpstreams()
@@ -302,7 +355,7 @@
 func (c *control) rebuildUpstreams() {
 	services := map[string][]kqmember.Record{}
 	for _, name := range slices.Sorted(maps.Keys(c.state.Hosts)) {
-		if h := c.state.Hosts[name]; h.takesWork() {
+		if h := c.state.Hosts[name]; h.TakesWork() {
 			services[h.Service] = append(services[h.Service], h.memberRecord())
 		}
 	}
@@ -317,7 +370,7 @@
 	addresses := map[string]bool{}
 	for _, h := range c.state.Hosts {
 		addresses[h.Address] = true
-		if h.takesWork() && h.Region == c.node.settings.Region && h.NodeID != c.node.settings.NodeID {
+		if h.TakesWork() && h.Region == c.node.settings.Region && h.NodeID != c.node.settings.NodeID {
 			c.node.dialer.Warm(h.Address)
 		}
 	}
--- a/io/kqmesh/events.go
+++ b/io/kqmesh/events.go
@@ -8,21 +8,22 @@
 
 // Names of log fields that several kinds of events share.
 const (
-	fieldPeer        = "Peer"
-	fieldServer      = "Server"
-	fieldHost        = "Host"
-	fieldService     = "Service"
-	fieldSource      = "Source"
-	fieldState       = "State"
-	fieldRoutes      = "RoutesVersion"
-	fieldFormer      = "FormerVersion"
-	fieldTook        = "TookMicros"
-	fieldAddress     = "Address"
-	fieldSequence    = "Sequence"
-	fieldIncarnation = "Incarnation"
-	fieldVerdict     = "Verdict"
-	fieldKind        = "Kind"
-	fieldEra         = "StoreEra"
+	fieldPeer         = "Peer"
+	fieldServer       = "Server"
+	fieldHost         = "Host"
+	fieldService      = "Service"
+	fieldSource       = "Source"
+	fieldState        = "State"
+	fieldRoutes       = "RoutesVersion"
+	fieldFormer       = "FormerVersion"
+	fieldTook         = "TookMicros"
+	fieldAddress      = "Address"
+	fieldSequence     = "Sequence"
+	fieldIncarnation  = "Incarnation"
+	fieldVerdict      = "Verdict"
+	fieldKind         = "Kind"
+	fieldEra          = "StoreEra"
+	fieldStoreVersion = "StoreVersion"
 )
 
 // eventKind identifies a kind of event that a node logs. It is the index of the
@@ -50,6 +51,8 @@
 	eventHostIgnored
 	eventRecordWritten
 	eventRecordNotWritten
+	eventRecordRepaired
+	eventRecordNotRepaired
 	eventServerState
 	eventServerHealthy
 	eventServerUnhealthy
@@ -95,8 +98,10 @@
 	eventHostSeen:            {Name: "HostSeen", Level: zerolog.InfoLevel, Description: "The record of a node is new or has changed.", Fields: []string{fieldHost, fieldAddress, fieldState, fieldService, fieldServer, fieldIncarnation}},
 	eventHostRemoved:         {Name: "HostRemoved", Level: zerolog.InfoLevel, Description: "The record of a node was removed.", Fields: []string{fieldHost}},
 	eventHostIgnored:         {Name: "HostIgnored", Level: zerolog.WarnLevel, Description: "The record of a node can't be used.", Fields: []string{fieldHost}},
-	eventRecordWritten:       {Name: "RecordWritten", Level: zerolog.InfoLevel, Description: "The node has written its own record.", Fields: []string{fieldState, "StoreVersion"}},
+	eventRecordWritten:       {Name: "RecordWritten", Level: zerolog.InfoLevel, Description: "The node has written its own record.", Fields: []string{fieldState, fieldStoreVersion}},
 	eventRecordNotWritten:    {Name: "RecordNotWritten", Level: zerolog.WarnLevel, Description: "The node could not write its own record and tries again."},
+	eventRecordRepaired:      {Name: "RecordRepaired", Level: zerolog.WarnLevel, Description: "The store held an older record of another node than this one knows, or none, as after a restore from a copy; this node wrote the newer one back.", Fields: []string{fieldHost, fieldState, fieldStoreVersion}},
+	eventRecordNotRepaired:   {Name: "RecordNotRepaired", Level: zerolog.WarnLevel, Description: "A record of another node can't be written back to the store.", Fields: []string{fieldHost}},
 	eventServerState:         {Name: "ServerState", Level: zerolog.InfoLevel, Description: "The state of the backend server beside the node has changed.", Fields: []string{fieldServer, fieldState, "FormerState", fieldSequence}},
 	eventServerHealthy:       {Name: "ServerHealthy", Level: zerolog.InfoLevel, Description: "A health probe found the backend server healthy, before the server had sent a notice.", Fields: []string{fieldServer, fieldVerdict}},
 	eventServerUnhealthy:     {Name: "ServerUnhealthy", Level: zerolog.InfoLevel, Description: "A health probe found the backend server not healthy.", Fields: []string{"Status"}},
--- a/io/kqmesh/follow.go
+++ b/io/kqmesh/follow.go
@@ -24,9 +24,9 @@
 // followedKind describes a kind of objects that the node lists and watches.
 type followedKind struct {
 	kind string
-	// onList is called with all objects of the kind, and onChange with one that
+	// onList is called with all objects of the kind and their version, and onChange with one that
 	// changed or was deleted.
-	onList   func([]kqstore.Object)
+	onList   func(objects []kqstore.Object, version string)
 	onChange func(kqstore.Object)
 	// needed reports whether the node has to watch the store itself. If not, it
 	// learns of changes from the watchers of its failure domain.
@@ -57,7 +57,7 @@
 		cancel()
 		if err == nil {
 			failures, listed = 0, true
-			f.onList(objects)
+			f.onList(objects, version)
 			err = n.watchWhile(listCtx, f, version, func(s *State) bool { return f.needed(s) && (!stale || f.stale(s)) })
 		}
 		if ctx.Err() != nil {
@@ -106,7 +106,7 @@
 	}
 	n.followKind(ctx, followedKind{
 		kind: n.settings.RoutesKind, onChange: onChange, watched: &n.routesWatched,
-		onList: func(objects []kqstore.Object) {
+		onList: func(objects []kqstore.Object, _ string) {
 			for _, o := range objects {
 				onChange(o)
 			}
@@ -140,28 +140,28 @@
 
 // followHosts keeps the list of nodes up to date with the store.
 func (n *Node) followHosts(ctx context.Context) {
-	onList := func(objects []kqstore.Object) {
-		all := map[string]HostRecord{}
+	// A record that can't be read is as good as none, and is replaced like one.
+	decode := func(o kqstore.Object) storedRecord {
+		record, err := decodeHost(o)
+		if err != nil {
+			n.logEvent(eventHostIgnored, "record of node "+o.Name+" is ignored", err, kqlog.Text(fieldHost, o.Name))
+			record = HostRecord{}
+		}
+		return storedRecord{HostRecord: record, version: o.Version}
+	}
+	onList := func(objects []kqstore.Object, version string) {
+		all := map[string]storedRecord{}
 		for _, o := range objects {
-			if record, err := decodeHost(o); err != nil {
-				n.logEvent(eventHostIgnored, "record of node "+o.Name+" is ignored", err, kqlog.Text(fieldHost, o.Name))
-			} else {
-				all[record.NodeID] = record
-			}
+			all[o.Name] = decode(o)
 		}
-		n.control.send(hostsEvent{all: all})
+		n.control.send(hostsEvent{all: all, version: version})
 	}
 	onChange := func(o kqstore.Object) {
 		if o.Deleted {
 			n.control.send(hostEvent{name: o.Name, removed: true})
 			return
 		}
-		record, err := decodeHost(o)
-		if err != nil {
-			n.logEvent(eventHostIgnored, "record of node "+o.Name+" is ignored", err, kqlog.Text(fieldHost, o.Name))
-			return
-		}
-		n.control.send(hostEvent{name: o.Name, record: record})
+		n.control.send(hostEvent{name: o.Name, record: decode(o)})
 	}
 	n.followKind(ctx, followedKind{
 		kind: kqstore.KindHosts, onList: onList, onChange: onChange, watched: &n.hostsWatched,
--- a/io/kqmesh/kqmesh.go
+++ b/io/kqmesh/kqmesh.go
@@ -126,6 +126,9 @@
 	RoutesText []byte
 	// Hosts are the records of the known nodes, by node ID.
 	Hosts map[string]HostRecord
+	// Behind holds the IDs of the nodes of which the store holds an older record
+	// than Hosts, or none, with the version of that object or an empty one.
+	Behind map[string]string
 	// Upstreams are the tables of upstreams, by service.
 	Upstreams map[string]*kqroute.Table
 	// HostsKnown reports whether the list of nodes was received since the
@@ -277,6 +280,7 @@
 	n.startLoop(ctx, n.followRoutes)
 	n.startLoop(ctx, n.followHosts)
 	n.startLoop(ctx, n.maintainRecord)
+	n.startLoop(ctx, n.repairRecords)
 	n.startLoop(ctx, n.publishUpdates)
 	n.startLoop(ctx, n.probeServer)
 	n.logEvent(eventNodeStarted, "node started at "+n.settings.CallerAddress+" for callers and "+n.peerAddress+" for nodes", nil,
--- a/io/kqmesh/peer.go
+++ b/io/kqmesh/peer.go
@@ -117,9 +117,9 @@
 		if c.node.storeWatched() {
 			return false
 		}
-		all := map[string]HostRecord{}
+		all := map[string]storedRecord{}
 		for _, h := range e.hosts {
-			all[h.NodeID] = h
+			all[h.NodeID] = storedRecord{HostRecord: h}
 		}
 		return hostsEvent{all: all}.apply(c)
 	}
--- a/io/kqmesh/record.go
+++ b/io/kqmesh/record.go
@@ -18,7 +18,8 @@
 // record.
 var writeBackoff = kqbackoff.Pause{First: 300 * time.Millisecond, Max: 2 * time.Second}
 
-// HostRecord is the record of one node in the store. Only that node writes it.
+// HostRecord is the record of one node in the store. Only that node changes it;
+// watchers of the store write it back when the store has lost it.
 type HostRecord struct {
 	NodeID string
 	// Incarnation orders the starts of a node. It is the start time in
@@ -59,8 +60,8 @@
 	return h.Change >= current.Change
 }
 
-// takesWork reports whether calls may be sent to the node.
-func (h HostRecord) takesWork() bool {
+// TakesWork reports whether calls may be sent to the node.
+func (h HostRecord) TakesWork() bool {
 	return h.Service != "" && (h.Life == kqmember.LifeServing || h.Life == kqmember.LifeWarming)
 }
 
@@ -94,7 +95,7 @@
 }
 
 // maintainRecord writes the node's record to the store whenever it changes, and
-// again when it was removed there.
+// again when it was removed there or is older there.
 func (n *Node) maintainRecord(ctx context.Context) {
 	w := &recordWriter{}
 	failures := 0
@@ -133,7 +134,7 @@
 		// to drain, so it alone is no reason to write.
 		current.Born = record.Born
 	}
-	if !w.written || current != record {
+	if _, behind := s.Behind[record.NodeID]; behind || !w.written || current != record {
 		return true
 	}
 	_, listed := s.Hosts[record.NodeID]
@@ -187,8 +188,8 @@
 // markWritten keeps the written record and applies it to the own state.
 func (n *Node) markWritten(w *recordWriter, record HostRecord, written kqstore.Object) {
 	w.current, w.version, w.written = record, written.Version, true
-	n.control.send(hostEvent{name: record.NodeID, record: record})
-	n.logEvent(eventRecordWritten, "own record says "+string(record.Life)+" at version "+written.Version, nil, kqlog.Text(fieldState, string(record.Life)), kqlog.Text("StoreVersion", written.Version))
+	n.control.send(hostEvent{name: record.NodeID, record: storedRecord{HostRecord: record, version: written.Version}})
+	n.logEvent(eventRecordWritten, "own record says "+string(record.Life)+" at version "+written.Version, nil, kqlog.Text(fieldState, string(record.Life)), kqlog.Text(fieldStoreVersion, written.Version))
 }
 
 // sleep waits for d, or until ctx ends.
