Write a removed record again also where the store is not watched

What operators saw: if the record of a node was removed from the store and the node did not watch the store, it was never written again, and no other node sent it calls any more.

Cause: two conditions that hold only on a watcher. A watcher sends no update to a node that it no longer lists, so that node takes over and lists the store itself, but kept its own record for 10 s as if the list were a stale one, and never listed again; and a node was to write only if it had dropped itself from its own list. Evidence: TestRemovedRecordIsNotWrittenAgain/other failed before with no record for a minute; the former test has one node, which watches.

A list whose version is later than that of the own record is not stale, so a record that it lacks is written at once; a removal that a watcher reports is enough to write.

--- a/io/kqmesh/control.go
+++ b/io/kqmesh/control.go
@@ -248,6 +248,8 @@
 		}
 		_, lost := c.state.Behind[name]
 		lost = lost || restored && h.Life != kqmember.LifeGone
+		// An earlier list lacks the own record because it is a stale read.
+		lost = lost || name == c.node.settings.NodeID && kqstore.LaterVersion(e.version, c.seenVersions[name])
 		switch {
 		case e.version != "" && lost:
 			hosts[name], behind[name] = h, ""
--- a/io/kqmesh/record.go
+++ b/io/kqmesh/record.go
@@ -134,11 +134,8 @@
 		// to drain, so it alone is no reason to write.
 		current.Born = record.Born
 	}
-	if _, behind := s.Behind[record.NodeID]; behind || !w.written || current != record {
-		return true
-	}
-	_, listed := s.Hosts[record.NodeID]
-	return s.HostsKnown && !listed && n.control.isRemoved(record.NodeID)
+	_, behind := s.Behind[record.NodeID]
+	return !w.written || current != record || behind || n.control.isRemoved(record.NodeID)
 }
 
 // writeRecord writes the record with the next change count.
--- a/io/kqmesh/restored_test.go
+++ b/io/kqmesh/restored_test.go
@@ -121,6 +121,18 @@
 	})
 }
 
+// TestRemovedRecordIsNotWrittenAgain removes the record of a node that may not be
+// told so by the store itself.
+func TestRemovedRecordIsNotWrittenAgain(t *testing.T) {
+	eachRole(t, func(_ *testing.T, f *fleet, h *host) {
+		name := h.settings.NodeID
+		f.awaitStored(name, "a record", kqmesh.HostRecord.TakesWork)
+		f.removeRecord(name)
+		f.awaitStored(name, "a record again", kqmesh.HostRecord.TakesWork)
+		f.awaitConvergence(1, len(f.hosts))
+	})
+}
+
 // TestLateReportsOfTheStoreDoNotRepeatWrites lets every report of the store reach
 // the nodes late. A node must not take its own earlier record for a lost write.
 func TestLateReportsOfTheStoreDoNotRepeatWrites(t *testing.T) {
