--- a/io/kqstore/kqstore.go
+++ b/io/kqstore/kqstore.go
@@ -78,9 +78,10 @@
 	Era func() int64
 }
 
-// CurrentEra returns the era of the store, or [UnknownEra] if Era is nil.
+// CurrentEra returns the era of the store, or [UnknownEra] if there is no client or
+// Era is nil.
 func (c *Client) CurrentEra() int64 {
-	if c.Era == nil {
+	if c == nil || c.Era == nil {
 		return UnknownEra
 	}
 	return c.Era()
