Keep the members and the table of key homes that a restored store has lost

What callers and operators saw (own interface): after a restore of the store a member of key homes that had registered in the lost time was never in the stored table again. A claim left its gate out, so that a home which the claim had replaced could still run keys there. If the table itself was lost, the next node to register created a second one and held all buckets, with no memory: purchases with a key that had run ran again.

Cause: what the store holds was taken for all that there is, once read; nodes neither compared it with what they know nor read it again (class: as for the records of nodes).

A table names the era of the store (new field Era, ignored by the build before), which goes before its version. Members that are away after a restore are kept as lost, and a claim asks them too. A table of a later era begins with higher generations, so that one of two wins.

What remains: a table whose homes have all ended or are out of reach.

--- a/core/kqhome/claim.go
+++ b/core/kqhome/claim.go
@@ -14,7 +14,8 @@
 	// Held are the claimed buckets of which the member was the home. It has
 	// stopped serving them and hands out their ledgers.
 	Held []HeldBucket
-	// Known are the newest incarnations that have asked the member to sync.
+	// Known are the newest incarnations that have asked the member to sync, and
+	// the members that a restore of the store has removed from the table.
 	Known []Node
 	// Refused is set when the member knows a different claim of the same or a
 	// higher generation. This happens when the store was restored from a copy.
@@ -62,6 +63,9 @@
 	for id, i := range h.known {
 		r.Known = append(r.Known, Node{NodeID: id, Incarnation: i})
 	}
+	for _, m := range h.lost {
+		r.Known = append(r.Known, m)
+	}
 	return r
 }
 
--- a/core/kqhome/claim_test.go
+++ b/core/kqhome/claim_test.go
@@ -19,7 +19,7 @@
 func newService() *service {
 	s := &service{}
 	self := func(i int) kqhome.Node { return kqhome.Node{NodeID: fmt.Sprintf("n%d", i), Incarnation: 1} }
-	s.table = kqhome.NewTable("orders", self(0))
+	s.table = kqhome.NewTable("orders", self(0), 0)
 	for i := 1; i < 4; i++ {
 		s.table = s.table.Register(self(i))
 	}
@@ -36,6 +36,14 @@
 	return s
 }
 
+// setEra makes all members know that the store held their table in that era.
+func (s *service) setEra(era uint64) {
+	s.table.Era = era
+	for _, h := range s.homes {
+		h.MergeTable(s.table)
+	}
+}
+
 // restart replaces a member by its next incarnation, which knows only the table
 // that all members knew before the claim.
 func (s *service) restart(i int) {
@@ -195,3 +203,44 @@
 		}
 	}
 }
+
+// TestClaimLeavesOutAMemberThatARestoreRemoved restores the store from a copy that
+// was taken before n2 registered. The claimant has read the restored table; the
+// former holder and n2 are out of its reach, and still know each other.
+func TestClaimLeavesOutAMemberThatARestoreRemoved(t *testing.T) {
+	s := newService()
+	s.setEra(1)
+	restored := s.table.Remove([]string{"n2"})
+	restored.Version, restored.Era = s.table.Version-1, 2
+	s.homes[3].Adopt(restored)
+	c, ok := kqhome.NewClaim(s.homes[3].Table(), s.homes[3].Self(), s.homes[0].Self(), kqhome.AllBuckets())
+	if !ok {
+		t.Fatal("claim: got nothing to claim, want buckets")
+	}
+	c.RecordReply(s.homes[3].Fence(0, c.Table(), c.Buckets()))
+	for range 4 {
+		s.confirm(c, 1)
+		if c.Advance() {
+			break
+		}
+	}
+	if got, want := c.Pending(), []string{"n0", "n2"}; !slices.Equal(got, want) {
+		t.Errorf("members whose reply the claim needs: got %v, want %v", got, want)
+	}
+	if got, want := s.homes[2].Admit(0, 1), true; got != want {
+		t.Fatalf("gate of n2 before it replies: got %t, want %t, or the claim need not wait for it", got, want)
+	}
+	for range 4 {
+		s.confirm(c, 1)
+		s.confirm(c, 2)
+		if c.Advance() {
+			break
+		}
+	}
+	if got, want := c.LeftOut(), []string{"n0"}; !slices.Equal(got, want) {
+		t.Errorf("members that the claim left out: got %v, want %v", got, want)
+	}
+	if got, want := s.homes[2].Admit(0, 1), false; got != want {
+		t.Errorf("gate of n2 after it replied: got %t, want %t", got, want)
+	}
+}
--- a/core/kqhome/home.go
+++ b/core/kqhome/home.go
@@ -27,6 +27,9 @@
 	// known are the newest incarnations that have asked this node to sync, by
 	// node.
 	known map[string]uint64
+	// lost are the members that the table lacks since the store was restored, by
+	// node ID. Their gates may still run calls.
+	lost map[string]Node
 	// fences are the generations below which this node runs nothing.
 	fences [Buckets]uint64
 	// declined are the newest epochs whose handovers this node refuses.
@@ -79,7 +82,7 @@
 // New returns the state of a node that has just started: it knows nothing of the
 // service and holds no bucket.
 func New(service string, self Node, limits kqledger.Limits) *Home {
-	return &Home{service: service, self: self, limits: limits, table: Table{Service: service}, syncReplies: map[string]bool{}, known: map[string]uint64{}, taken: map[handoverID]bool{}}
+	return &Home{service: service, self: self, limits: limits, table: Table{Service: service}, syncReplies: map[string]bool{}, known: map[string]uint64{}, lost: map[string]Node{}, taken: map[handoverID]bool{}}
 }
 
 // Self returns the node and incarnation whose state this is.
@@ -101,14 +104,29 @@
 // MergeTable merges a table of another node or of the store into this node's
 // view, raises the fences accordingly, and reports whether the view changed.
 func (h *Home) MergeTable(t Table) bool {
+	former := h.table
 	next, changed := h.table.Merge(t)
 	h.table = next
+	h.recordLost(former)
 	for b := range h.table.Tokens {
 		h.fences[b] = max(h.fences[b], h.table.Tokens[b].Epoch.Generation)
 	}
 	return changed
 }
 
+// recordLost keeps the members that a restore of the store has removed from the
+// former table, until they are members again.
+func (h *Home) recordLost(former Table) {
+	if former.restored(h.table) {
+		for _, m := range former.Members {
+			h.lost[m.NodeID] = m
+		}
+	}
+	for _, m := range h.table.Members {
+		delete(h.lost, m.NodeID)
+	}
+}
+
 // Adopt merges the table that this node has just written to the store with
 // itself as a member. From then on the node is synced.
 func (h *Home) Adopt(t Table) {
@@ -148,7 +166,7 @@
 func (h *Home) AdoptCreated(t Table) {
 	h.Adopt(t)
 	for b, k := range t.Tokens {
-		if k.Holder != h.self || k.Epoch != (Epoch{Generation: 1}) || h.table.Tokens[b] != k || h.owned[b] != nil {
+		if k.Holder != h.self || !k.Epoch.first() || h.table.Tokens[b] != k || h.owned[b] != nil {
 			continue
 		}
 		h.owned[b] = &OwnedBucket{Token: t.Tokens[b], ledger: kqledger.New(h.limits)}
--- a/core/kqhome/kqhome.go
+++ b/core/kqhome/kqhome.go
@@ -85,8 +85,12 @@
 // Table holds the members of a service and the tokens of its buckets.
 type Table struct {
 	Service string
-	// Version counts the writes to the store.
+	// Version counts the writes to the store. It goes back when the store is
+	// restored from a copy.
 	Version uint64
+	// Era counts the eras of the store up to the one in which it held this
+	// version, or is 0 if that is unknown. It rises when the store is restored.
+	Era uint64 `json:",omitempty" cbor:",omitempty"`
 	// Members are the nodes whose gates may run keyed calls.
 	Members []Node
 	// Leaving are the IDs of members that a claim may have completed without.
@@ -96,16 +100,27 @@
 	Tokens  [Buckets]Token
 }
 
+// generationsPerEra is how far apart the first generations of two eras are, more
+// than claims are made in one. If the store has lost a table, the one that is
+// created in its place has higher generations.
+const generationsPerEra = 1 << 16
+
 // NewTable returns the first table of a service, in which the creator is the
-// only member and holds all buckets.
-func NewTable(service string, creator Node) Table {
-	t := Table{Service: service, Version: 1, Members: []Node{creator}}
+// only member and holds all buckets. The era is that of the store, counted like
+// [Table.Era].
+func NewTable(service string, creator Node, era uint64) Table {
+	t := Table{Service: service, Version: 1, Era: era, Members: []Node{creator}}
 	for b := range t.Tokens {
-		t.Tokens[b] = Token{Holder: creator, Epoch: Epoch{Generation: 1}}
+		t.Tokens[b] = Token{Holder: creator, Epoch: Epoch{Generation: 1 + era*generationsPerEra}}
 	}
 	return t
 }
 
+// first reports whether e is the epoch of a bucket whose table was just created.
+func (e Epoch) first() bool {
+	return e.Count == 0 && e.Generation%generationsPerEra == 1
+}
+
 // Clone returns a copy that shares no memory with t.
 func (t Table) Clone() Table {
 	t.Members = slices.Clone(t.Members)
@@ -148,28 +163,41 @@
 	return next
 }
 
-// generationWeight is the weight of a claim, as a number of handovers.
-const generationWeight = 1 << 24
+// Weights of a claim and of an era, as a number of handovers.
+const (
+	generationWeight = 1 << 24
+	eraWeight        = 1 << 48
+)
 
 // Weight returns a number that grows with every merge that changes the table. If
 // one of two tables contains everything that the other does, it has the higher
 // weight.
 func (t Table) Weight() uint64 {
-	w := t.Version
+	w := t.Version + t.Era*eraWeight
 	for _, k := range t.Tokens {
 		w += k.Epoch.Generation*generationWeight + k.Epoch.Count
 	}
 	return w
 }
 
+// restored reports whether the store was restored after it held t and before it
+// held other, as far as both eras are known.
+func (t Table) restored(other Table) bool {
+	return t.Era != 0 && other.Era > t.Era
+}
+
 // Merge returns a table with the newer parts of both, and reports whether it
-// differs from t.
+// differs from t. The members of a later era are the newer ones, whatever the
+// versions.
 func (t Table) Merge(other Table) (Table, bool) {
 	next, changed := t, false
-	if other.Version > t.Version {
+	if t.restored(other) || !other.restored(t) && other.Version > t.Version {
 		next.Version, next.Members, changed = other.Version, slices.Clone(other.Members), true
 		next.Leaving = slices.Clone(other.Leaving)
 	}
+	if other.Era > t.Era {
+		next.Era, changed = other.Era, true
+	}
 	for b, o := range other.Tokens {
 		if o.Epoch.Newer(next.Tokens[b].Epoch) {
 			next.Tokens[b], changed = o, true
--- a/core/kqhome/world_test.go
+++ b/core/kqhome/world_test.go
@@ -16,6 +16,7 @@
 	callerWindow = 10 * time.Second
 	copyLife     = 5 * time.Second
 	maxKeys      = 2000
+	copyPeriod   = 9 * time.Second
 )
 
 func simulationLimits() kqledger.Limits {
@@ -71,6 +72,12 @@
 	stored    kqhome.Table
 	written   bool
 	storeDown bool
+	// restores is set if the store may come back from a copy that was taken when
+	// the simulation was last at a multiple of copyPeriod.
+	restores bool
+	era      uint64
+	backup   kqhome.Table
+	backupAt time.Duration
 	// firstSent is when the first copy of a key was sent, and ran how often the
 	// backend server ran it.
 	firstSent map[int]time.Duration
@@ -87,7 +94,7 @@
 func newSimulation(seed uint64, nodes int) *simulation {
 	s := &simulation{
 		random: rand.New(rand.NewPCG(seed, 1)), firstSent: map[int]time.Duration{}, ran: map[int]int{}, counts: map[string]int{},
-		entries: make([]kqhome.Table, 2),
+		entries: make([]kqhome.Table, 2), era: 1,
 	}
 	for i := range nodes {
 		p := &process{self: kqhome.Node{NodeID: fmt.Sprintf("n%d", i)}}
@@ -127,6 +134,9 @@
 // step lets one random event happen.
 func (s *simulation) step() {
 	s.now += time.Duration(s.random.IntN(60)) * time.Millisecond
+	if s.now-s.backupAt >= copyPeriod {
+		s.backup, s.backupAt = s.stored.Clone(), s.now
+	}
 	p := s.randomNode()
 	switch n := s.random.IntN(100); {
 	case n < 22:
@@ -216,6 +226,13 @@
 		for _, q := range s.nodes {
 			q.side = 0
 		}
+	case 11:
+		if s.restores && s.backup.Version > 0 {
+			s.stored = s.backup.Clone()
+			s.era++
+			s.stored.Era = s.era
+			s.counts["restores"]++
+		}
 	case 12:
 		s.storeDown = true
 		s.counts["store outages"]++
@@ -414,7 +431,7 @@
 	}
 	switch {
 	case !s.written:
-		s.stored, s.written = kqhome.NewTable("orders", p.self), true
+		s.stored, s.written = kqhome.NewTable("orders", p.self, s.era), true
 	default:
 		if m, found := s.stored.Member(p.self.NodeID); !found || m != p.self || !s.stored.Usable(p.self.NodeID) {
 			s.stored = s.stored.Register(p.self)
@@ -586,6 +603,6 @@
 		s.counts["store answers lost"]++
 		return
 	}
-	p.home.Fence(s.now, c.Table(), c.Buckets())
+	c.RecordReply(p.home.Fence(s.now, c.Table(), c.Buckets()))
 	p.claim = c
 }
--- a/io/kqnode/keyclaim.go
+++ b/io/kqnode/keyclaim.go
@@ -46,7 +46,7 @@
 	}
 	k.loop.joinBackoff = minJoinBackoff
 	k.mutex.Lock()
-	k.home.Fence(k.now(), c.Table(), c.Buckets())
+	c.RecordReply(k.home.Fence(k.now(), c.Table(), c.Buckets()))
 	k.publish()
 	k.mutex.Unlock()
 	k.node.log.Event(zerolog.InfoLevel, "wrote a claim of the key buckets of node "+holder.NodeID, nil)
--- a/io/kqnode/keyed.go
+++ b/io/kqnode/keyed.go
@@ -57,6 +57,10 @@
 	// runs holds the calls that run with this node as their home, by key.
 	runs map[string]*keyRun
 
+	// storeEra is the newest era of the store that gossip has named, counted like
+	// [kqhome.Table.Era].
+	storeEra atomic.Uint64
+
 	// leaving is set once all buckets are to be handed over, and closed once
 	// this node may run no further key as a home.
 	leaving atomic.Bool
@@ -365,6 +369,21 @@
 	})
 }
 
+// itemEra is the name of the gossip item whose version is the newest era of the
+// store that a node has seen. Few nodes read the store often enough to notice a
+// restore.
+const itemEra = "store-era"
+
+// advertiseEra publishes the era of the store that this node has seen, if it is newer
+// than the item that the overlay holds.
+func (k *keyManager) advertiseEra(spread *kqspread.Machine) {
+	era := eraNumber(k.node.store.CurrentEra())
+	if current, found := spread.Item(itemEra); era == 0 || found && current.Version >= era {
+		return
+	}
+	spread.Publish(kqspread.Item{Name: itemEra, Version: era})
+}
+
 // ledgerItemPrefix precedes the service in the name of the gossip item that holds
 // the service's table.
 const ledgerItemPrefix = "ledger/"
@@ -390,9 +409,13 @@
 	spread.Publish(kqspread.Item{Name: name, Version: t.Weight(), Tie: xxhash.Sum64(payload), Payload: payload})
 }
 
-// receiveItem merges a gossip item that holds a table, and reports whether the
-// item is of that kind. An item that can't be decoded is ignored.
+// receiveItem merges a gossip item that holds a table or the era of the store, and
+// reports whether the item is of that kind. An item that can't be decoded is ignored.
 func (k *keyManager) receiveItem(i kqspread.Item) bool {
+	if i.Name == itemEra {
+		k.storeEra.Store(max(k.storeEra.Load(), i.Version))
+		return true
+	}
 	if !strings.HasPrefix(i.Name, ledgerItemPrefix) {
 		return false
 	}
--- a/io/kqnode/keyed_test.go
+++ b/io/kqnode/keyed_test.go
@@ -18,6 +18,8 @@
 	*kqfleet.Fleet
 	entries []*kqfleet.Member
 	orders  []*kqfleet.Member
+	// backend holds the settings of the service's backend servers.
+	backend kqbackend.Settings
 }
 
 // startKeyFleet starts the fleet, and waits until its buckets are balanced over the
@@ -37,13 +39,11 @@
 	if backend.Slots == 0 {
 		backend.Slots = 64
 	}
-	for i := range nodes {
-		m, err := fleet.AddBackend(kqfleet.Place{NodeID: fmt.Sprintf("orders-%d", i), Region: "lothian", FailureDomain: "lothian-b"}, backend)
-		if err != nil {
-			t.Fatal(err)
-		}
-		f.orders = append(f.orders, m)
+	f.backend = backend
+	if nodes == 0 {
+		return f
 	}
+	f.addOrders(t, nodes)
 	if err := fleet.AwaitServices(ctx, "orders"); err != nil {
 		t.Fatal(err)
 	}
@@ -51,6 +51,18 @@
 	return f
 }
 
+// addOrders adds nodes of the service.
+func (f *keyFleet) addOrders(t testing.TB, nodes int) {
+	t.Helper()
+	for range nodes {
+		m, err := f.AddBackend(kqfleet.Place{NodeID: fmt.Sprintf("orders-%d", len(f.orders)), Region: "lothian", FailureDomain: "lothian-b"}, f.backend)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.orders = append(f.orders, m)
+	}
+}
+
 // awaitKeyHomes waits until the tables of both entries spread the buckets evenly
 // over the given number of nodes.
 func (f *keyFleet) awaitKeyHomes(ctx context.Context, t testing.TB, nodes int) {
--- a/io/kqnode/member.go
+++ b/io/kqnode/member.go
@@ -93,6 +93,7 @@
 func (tickEvent) apply(c *control) bool {
 	now := c.member.advance(c.node.now())
 	c.publishConfiguration()
+	c.node.keys.advertiseEra(c.member.spread)
 	c.node.keys.advertise(c.member.spread)
 	c.dispatch(c.member.spread.Tick(now))
 	changed := c.updateLife(now)
