Play restores of the store in the soak

The soak played no store that comes back from a copy. At the end every serving host must have a serving record in the store, since nodes that start later find it by that only.

--- a/io/kqsoak/faults.go
+++ b/io/kqsoak/faults.go
@@ -163,6 +163,8 @@
 	for i := range limitSeries {
 		running.Go(func() { s.nameLimits(ctx, rand.New(rand.NewPCG(s.options.Seed, uint64(2+i)))) })
 	}
+	// Random sources 2 and up to 2+limitSeries are those of the limits.
+	running.Go(func() { s.restoreStore(ctx, rand.New(rand.NewPCG(s.options.Seed, 2+limitSeries))) })
 	running.Go(func() {
 		addedRandom := rand.New(rand.NewPCG(s.options.Seed, 1))
 		s.injectFrom(ctx, &running, hostLocks, addedFaultKinds, addedRandom, meanAddedFaultPause)
@@ -275,18 +277,12 @@
 // changeRoutes writes the next version of the routes. It keeps the paths of the
 // version before, so that callers need not know which one a node uses.
 func (s *soak) changeRoutes(ctx context.Context) error {
+	s.operator.Lock()
+	defer s.operator.Unlock()
 	s.mutex.Lock()
 	version := s.routes + 1
 	s.mutex.Unlock()
-	d := kqroutes.Document{Version: version}
-	for _, service := range services {
-		d.Services = append(d.Services, kqroutes.Service{Name: service, HealthPath: healthPath})
-		d.Routes = append(d.Routes, soakRoute(oncePath(service), service, true))
-		for v := max(1, version-1); v <= version; v++ {
-			d.Routes = append(d.Routes, soakRoute(fmt.Sprintf("/%s/v%d/", service, v), service, false))
-		}
-	}
-	value, err := json.Marshal(d)
+	value, err := json.Marshal(routesOf(version))
 	if err != nil {
 		return errors.Wrap(err, "write routes")
 	}
@@ -299,6 +295,19 @@
 	return nil
 }
 
+// routesOf returns the version of the routes.
+func routesOf(version int64) kqroutes.Document {
+	d := kqroutes.Document{Version: version}
+	for _, service := range services {
+		d.Services = append(d.Services, kqroutes.Service{Name: service, HealthPath: healthPath})
+		d.Routes = append(d.Routes, soakRoute(oncePath(service), service, true))
+		for v := max(1, version-1); v <= version; v++ {
+			d.Routes = append(d.Routes, soakRoute(fmt.Sprintf("/%s/v%d/", service, v), service, false))
+		}
+	}
+	return d
+}
+
 func soakRoute(prefix, service string, runOnce bool) kqroutes.Route {
 	return kqroutes.Route{
 		Name: prefix, Host: hostName, Prefix: prefix, RunOnce: runOnce, MaxAttempts: 2, Rank: 1,
--- a/io/kqsoak/kqsoak.go
+++ b/io/kqsoak/kqsoak.go
@@ -17,7 +17,8 @@
 //     slow, and lose, truncate or duplicate answers;
 //   - backend servers name limits on requests a second in their answers, change
 //     and end them, while other faults affect their hosts;
-//   - the routes change.
+//   - the routes change;
+//   - the store is restored from a copy, and makes writes late.
 //
 // Faults overlap and follow each other. Timing differs between runs, so a seed
 // fixes the schedule of faults but is not an exact replay.
@@ -109,6 +110,9 @@
 	hosts     []*host
 	ledger    *ledger
 
+	// operator is held while routes are written.
+	operator sync.Mutex
+
 	mutex  sync.Mutex
 	events []string
 	// routes is the version of the routes last written.
@@ -186,6 +190,7 @@
 			callers.Go(func() { s.runCaller(calling, h, rand.New(rand.NewPCG(s.options.Seed, uint64(len(h.name)*100+i)))) })
 		}
 	}
+	callers.Go(func() { s.runOperator(calling) })
 	sleep(ctx, warmupTime)
 	s.inject(ctx)
 	if missing := s.awaitService(ctx, recoveryTimeout); missing != "" && ctx.Err() == nil {
@@ -210,6 +215,9 @@
 				}
 			}
 		}
+		if missing == "" {
+			missing = s.missingRecord(ctx)
+		}
 		if missing == "" {
 			return ""
 		}
