--- a/io/kqmeasure/inject.go
+++ b/io/kqmeasure/inject.go
@@ -75,6 +75,8 @@
 	case FaultStoreOut:
 		j.schedule(from, j.failStore)
 		j.schedule(to, func(context.Context) { j.testbed.store.SetFaults(kqobject.Faults{}) })
+	case FaultRestore:
+		j.schedule(to, func(context.Context) { j.restoreStore(to - from) })
 	case FaultLeave:
 		j.schedule(from, func(ctx context.Context) { j.leave(ctx, candidates[index]) })
 	case FaultReplace:
@@ -149,6 +151,20 @@
 	})
 }
 
+// restoreStore restores the store from a copy. Nodes whose configuration or keys
+// depend on what it lost read it again.
+func (j *injector) restoreStore(age time.Duration) {
+	store := j.testbed.store
+	store.SetFaults(kqobject.Faults{RestoreAge: age})
+	before := store.Counts().Reads
+	j.effects = append(j.effects, func() int64 {
+		if j.testbed.naive != nil {
+			return 1
+		}
+		return store.Counts().Reads - before
+	})
+}
+
 // leave makes a backend server announce that it leaves. Under the naive policy
 // the list of upstreams drops it after naiveRegistryDelay.
 func (j *injector) leave(ctx context.Context, h *host) {
--- a/io/kqmeasure/scenario.go
+++ b/io/kqmeasure/scenario.go
@@ -14,6 +14,9 @@
 	FaultSlow FaultKind = "Slow"
 	// FaultStoreOut makes the configuration store unavailable.
 	FaultStoreOut FaultKind = "StoreOut"
+	// FaultRestore restores the store at the end of the fault from a copy that was
+	// taken at its start.
+	FaultRestore FaultKind = "Restore"
 	// FaultLeave makes a backend server announce that it leaves.
 	FaultLeave FaultKind = "Leave"
 	// FaultReplace drains and stops a host and starts another in its place.
@@ -100,6 +103,12 @@
 		s.Faults = []Fault{slowdown(0, duringPhase, 2)}
 	}),
 	newScenario("storeout", func(s *Scenario) { s.Faults = []Fault{entireTrigger(FaultStoreOut)} }),
+	newScenario("restored", func(s *Scenario) {
+		s.Faults = []Fault{
+			{Kind: FaultReplace, From: 500 * time.Millisecond, To: duringPhase},
+			{Kind: FaultRestore, From: 0, To: 3 * time.Second},
+		}
+	}),
 	newScenario("leaving", func(s *Scenario) {
 		s.Faults = []Fault{entireTrigger(FaultLeave), {Kind: FaultReplace, From: time.Second, To: duringPhase}}
 	}),
--- a/io/kqmeasure/smoke_test.go
+++ b/io/kqmeasure/smoke_test.go
@@ -18,7 +18,7 @@
 )
 
 func TestEachKindOfFaultIsInjected(t *testing.T) {
-	for _, name := range []string{"deepslow", "storeout", "leaving", "silent", "paused"} {
+	for _, name := range []string{"deepslow", "storeout", "restored", "leaving", "silent", "paused"} {
 		t.Run(name, func(t *testing.T) {
 			ctx, cancel := context.WithTimeout(context.Background(), smokeTimeout)
 			defer cancel()
