Fetch a missing key ledger when its former home answers again

What callers saw: on a busy machine, or after a home of keys had been silent for some seconds, every purchase with a new key was answered "unknown KeyInDoubt" for 15 minutes, though the home was back a second later with its whole ledger.

Cause: a claim that completes without its former holder puts the buckets in doubt for the whole resend window, and nobody asks the holder again, though it keeps the ledger for just that time (class: silence taken for an end).

The claimant remembers the token from which it claimed, fences the former holder once a second while that is a member in the same incarnation, and adds the ledger that it hands out, as a claim from a living holder does. Safety: the former holder was the last one of its generation, its own fence stops it before the ledger leaves, and all gates are fenced by then.

A bucket number that was not asked for is ignored in the replies to a fence; it would have been used as an index.

--- a/core/kqhome/claim.go
+++ b/core/kqhome/claim.go
@@ -98,8 +98,8 @@
 	self    Node
 	table   Table
 	buckets []int
-	// previous are the generations of the claimed buckets before the claim.
-	previous [Buckets]uint64
+	// previous are the tokens of the claimed buckets before the claim.
+	previous [Buckets]Token
 	// optional is the former holder, if the claim can complete without its
 	// reply, or empty.
 	optional string
@@ -132,7 +132,7 @@
 			continue
 		}
 		c.buckets = append(c.buckets, b)
-		c.previous[b] = k.Epoch.Generation
+		c.previous[b] = k
 		allRemote = allRemote && k.Remote
 		c.table.Tokens[b] = Token{Holder: self, Epoch: Epoch{Generation: k.Epoch.Generation + 1}, Remote: k.Remote}
 	}
@@ -234,7 +234,7 @@
 // AddLedger records the ledger of a bucket that its living holder has handed
 // out. A ledger of another generation than the one before the claim is ignored.
 func (c *Claim) AddLedger(b HeldBucket, x kqledger.Export) {
-	if b.Bucket >= 0 && b.Bucket < Buckets && b.Token.Epoch.Generation == c.previous[b.Bucket] {
+	if b.Bucket >= 0 && b.Bucket < Buckets && b.Token.Epoch.Generation == c.previous[b.Bucket].Epoch.Generation {
 		c.ledgers[b.Bucket] = x
 	}
 }
@@ -281,6 +281,42 @@
 		h.takeBucket(now, b, token, x)
 		if !found {
 			h.owned[b].ledger.MarkInDoubt(now)
+			h.owned[b].former = c.previous[b]
 		}
 	}
 }
+
+// MissingLedgers lists the buckets that this node has claimed without their
+// ledgers, by the former holder. That may only have been out of reach.
+func (h *Home) MissingLedgers(now time.Duration) map[Node][]int {
+	missing := map[Node][]int{}
+	for b, owned := range h.owned {
+		if h.missesLedger(b) && owned.ledger.InDoubt(now) {
+			missing[owned.former.Holder] = append(missing[owned.former.Holder], b)
+		}
+	}
+	return missing
+}
+
+// missesLedger reports whether this node is the home of a bucket, and claimed it
+// without its ledger.
+func (h *Home) missesLedger(b int) bool {
+	owned := h.owned[b]
+	return owned != nil && owned.frozen == nil && owned.former.Holder.NodeID != "" && h.table.Tokens[b] == owned.Token
+}
+
+// AddMissingLedger adds a ledger that the former holder of a claimed bucket handed
+// out after the claim, which ends the doubt. It reports whether it was added: not
+// if the former holder was not the last one of its generation.
+func (h *Home) AddMissingLedger(now time.Duration, b HeldBucket, x kqledger.Export) bool {
+	if b.Bucket < 0 || b.Bucket >= Buckets || !h.missesLedger(b.Bucket) {
+		return false
+	}
+	owned := h.owned[b.Bucket]
+	if b.Token.Epoch.Generation != owned.former.Epoch.Generation {
+		return false
+	}
+	owned.ledger.Absorb(now, x)
+	owned.former = Token{}
+	return true
+}
--- a/core/kqhome/home.go
+++ b/core/kqhome/home.go
@@ -56,6 +56,9 @@
 	settlements []Settlement
 	// fencedAt is when a claim of the bucket was first noticed, or 0.
 	fencedAt time.Duration
+	// former is the token from which the bucket was claimed without its ledger, or
+	// empty.
+	former Token
 }
 
 // handoverID identifies a handover.
--- a/core/kqhome/kqhome_test.go
+++ b/core/kqhome/kqhome_test.go
@@ -13,7 +13,7 @@
 	for _, name := range []string{
 		"runs", "resends", "doubled", "replayed", "doubted", "moved", "fenced", "answers lost", "settled", "crashes", "restarts",
 		"pauses", "splits", "leavings", "store outages", "store answers lost", "hand-overs", "hand-over answers lost",
-		"claims", "claims from living holders", "left out", "repeated offers", "presumed taken", "enforced", "synced with peers",
+		"claims", "claims from living holders", "left out", "repeated offers", "presumed taken", "enforced", "missing ledgers", "synced with peers",
 	} {
 		if counts[name] == 0 {
 			t.Errorf("%s: got 0, want some, or the test does not cover it", name)
--- a/core/kqhome/world_test.go
+++ b/core/kqhome/world_test.go
@@ -151,6 +151,7 @@
 		s.handOver(p, s.randomNode())
 	case n < 79:
 		s.claim(p)
+		s.fetchMissingLedgers(p)
 	case n < 94:
 		s.gossip(p, s.randomNode())
 	case n < 96 && p.active():
@@ -579,6 +580,31 @@
 	c.RecordReply(r)
 }
 
+// fetchMissingLedgers fetches ledgers from the former holders of buckets that p has
+// claimed without them.
+func (s *simulation) fetchMissingLedgers(p *process) {
+	if !p.active() {
+		return
+	}
+	for holder, buckets := range p.home.MissingLedgers(s.now) {
+		q := s.find(holder.NodeID)
+		if q == nil || q.self != holder || !s.reachable(p, q) {
+			continue
+		}
+		t := p.home.Table()
+		for _, b := range q.home.Fence(s.now, t, buckets).Held {
+			x, found := s.pull(q, b.Bucket, b.Parts, t.Tokens[b.Bucket])
+			if !found || !p.home.AddMissingLedger(s.now, b, x) {
+				continue
+			}
+			s.counts["missing ledgers"]++
+			if s.random.IntN(2) == 0 {
+				s.sendSettlements(q, q.home.CompleteHandover(b.Bucket, t.Tokens[b.Bucket]))
+			}
+		}
+	}
+}
+
 // beginClaim claims from any holder, since a claim from a living one must be
 // safe too.
 func (s *simulation) beginClaim(p *process) {
--- a/core/kqledger/export.go
+++ b/core/kqledger/export.go
@@ -67,6 +67,25 @@
 	return l
 }
 
+// Absorb adds the ledger of the former home to one that was in doubt without it.
+// What the former home knows of a key goes before a mere doubt, and the doubt ends
+// unless the former home has one of its own.
+func (l *Ledger) Absorb(now time.Duration, x Export) {
+	for _, e := range x.Entries {
+		if known, found := l.records[e.Key]; found && known.state != StateUnknown {
+			continue
+		}
+		l.addRecord(now-e.Age, e.Key, record{fingerprint: e.Print, begunAt: now - e.Age, state: e.State})
+		if e.State == StateDone {
+			l.keepAnswer(now-e.Age, e.Key, e.Answer)
+		}
+	}
+	l.doubtUntil = 0
+	if x.DoubtLeft > 0 {
+		l.doubtUntil = now + x.DoubtLeft
+	}
+}
+
 // Abandon moves keys whose run began at least olderThan ago from running to
 // unknown. It is for a home that will not learn how these runs ended.
 func (l *Ledger) Abandon(now time.Duration, olderThan time.Duration) {
--- a/io/kqnode/keyclaim.go
+++ b/io/kqnode/keyclaim.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"github.com/rs/zerolog"
 
 	"kumquatlink/core/kqhome"
+	"kumquatlink/core/kqmember"
 	"kumquatlink/io/kqstore"
 )
 
@@ -124,6 +126,9 @@
 	k.home.MergeTable(reply.Fence.Table)
 	k.mutex.Unlock()
 	for _, b := range reply.Fence.Held {
+		if !slices.Contains(p.claim.Buckets(), b.Bucket) {
+			continue
+		}
 		x, err := k.fetchLedger(ctx, nodeID, b.Bucket, b.Parts, p.claim.Table().Tokens[b.Bucket])
 		if err != nil {
 			return
@@ -134,6 +139,50 @@
 	p.claim.RecordReply(*reply.Fence)
 }
 
+// fetchMissingLedgers requests the ledgers of buckets that this node has claimed
+// without them from the former holders, which may only have been silent for a
+// while. Until it has a ledger, this node answers unknown for the keys of a bucket.
+func (k *keyManager) fetchMissingLedgers(ctx context.Context, s *State) {
+	if k.now()-k.loop.fetchedAt < keyProbePeriod {
+		return
+	}
+	k.loop.fetchedAt = k.now()
+	k.mutex.Lock()
+	missing, table := k.home.MissingLedgers(k.now()), k.home.Table()
+	k.mutex.Unlock()
+	for holder, buckets := range missing {
+		record, found := recordOfIncarnation(s, holder)
+		if !found {
+			continue
+		}
+		reply, err := k.request(ctx, record, keyMessage{Fence: &keyFence{Table: table, Buckets: buckets}})
+		if err != nil || reply.Fence == nil {
+			continue
+		}
+		for _, b := range reply.Fence.Held {
+			if slices.Contains(buckets, b.Bucket) {
+				k.addMissingLedger(ctx, record, b, table.Tokens[b.Bucket])
+			}
+		}
+	}
+}
+
+// addMissingLedger fetches the ledger of a bucket from its former holder.
+func (k *keyManager) addMissingLedger(ctx context.Context, former kqmember.Record, b kqhome.HeldBucket, token kqhome.Token) {
+	x, err := k.fetchLedger(ctx, former.NodeID, b.Bucket, b.Parts, token)
+	if err != nil {
+		return
+	}
+	k.mutex.Lock()
+	added := k.home.AddMissingLedger(k.now(), b, x)
+	k.mutex.Unlock()
+	if !added {
+		return
+	}
+	k.node.log.Event(zerolog.InfoLevel, fmt.Sprintf("node %s handed out the ledger of key bucket %d after the claim: its keys are no longer in doubt", former.NodeID, b.Bucket), nil)
+	_, _ = k.request(ctx, former, keyMessage{Taken: &keyTaken{Bucket: b.Bucket, Token: token}})
+}
+
 // completeClaim makes this node the home of the buckets that it claimed, informs
 // the former homes that handed out ledgers, and records the members that the
 // claim did without.
--- a/io/kqnode/keyfault_test.go
+++ b/io/kqnode/keyfault_test.go
@@ -106,6 +106,14 @@
 		call(t, f.entries[0].Node.CallerAddress(), purchase(fmt.Sprintf("key-%d", i), ""))
 	}
 	f.checkRunCounts(t)
+	eventually(ctx, t, "the answers that the paused home has kept are replayed", func() bool {
+		for i := range faultTestKeys {
+			if outcomeAndCause(call(t, f.entries[1].Node.CallerAddress(), purchase(fmt.Sprintf("key-%d", i), ""))) != "ran KeyReplayed" {
+				return false
+			}
+		}
+		return true
+	})
 }
 
 func TestKeyedCallsRunWhileStoreIsDown(t *testing.T) {
--- a/io/kqnode/keysteps.go
+++ b/io/kqnode/keysteps.go
@@ -56,6 +56,8 @@
 	// noRecordSince is when a holder was first found without a membership record.
 	noRecordSince map[kqhome.Node]time.Duration
 	probedAt      time.Duration
+	// fetchedAt is when missing ledgers were last requested.
+	fetchedAt time.Duration
 	// joinAt is the earliest time of the next access to the table in the store.
 	joinAt      time.Duration
 	joinBackoff time.Duration
@@ -133,6 +135,7 @@
 		return
 	}
 	k.watchHolders(ctx, s)
+	k.fetchMissingLedgers(ctx, s)
 	k.removeMembers(ctx, s)
 	for holder := range k.loop.claims {
 		k.advanceClaim(ctx, holder)
