Keep a key bucket until its missing ledger has arrived

What callers saw: keys that a silent home had run stayed in doubt for 15 minutes in some runs, although it was back: TestKeysOfPausedHomeAreClaimedAndNeverRunTwice failed once in a run of the whole package, with "timed out waiting for: the answers that the paused home has kept are replayed".

Cause: a bucket that was claimed without its ledger could be handed on for balance before the ledger arrived, and the next home knows nothing of the former holder. A bucket whose ledger is still expected from a node in view is now handed on only at a shutdown. After it, 4 runs of that test at once passed.

--- a/io/kqnode/keysteps.go
+++ b/io/kqnode/keysteps.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -420,7 +421,25 @@
 	if len(owned) <= share || count >= share {
 		return
 	}
-	k.handOver(ctx, owned[0], nodeOf(least))
+	if settled := k.withLedger(s, owned); len(settled) > 0 {
+		k.handOver(ctx, settled[0], nodeOf(least))
+	}
+}
+
+// withLedger returns those of the buckets whose ledger this node does not still
+// expect from a former holder, which would not find the next holder.
+func (k *keyManager) withLedger(s *State, buckets []int) []int {
+	k.mutex.Lock()
+	missing := k.home.MissingLedgers(k.now())
+	k.mutex.Unlock()
+	return slices.DeleteFunc(slices.Clone(buckets), func(b int) bool {
+		for holder, expected := range missing {
+			if _, found := recordOfIncarnation(s, holder); found && slices.Contains(expected, b) {
+				return true
+			}
+		}
+		return false
+	})
 }
 
 // nodeOf returns the node and incarnation that a membership record describes.
