--- a/io/kqmesh/follow.go
+++ b/io/kqmesh/follow.go
@@ -24,8 +24,8 @@
 // followedKind describes a kind of objects that the node lists and watches.
 type followedKind struct {
 	kind string
-	// onList is called with all objects of the kind and their version, and onChange with one that
-	// changed or was deleted.
+	// onList is called with all objects of the kind and the version of the list,
+	// and onChange with one that changed or was deleted.
 	onList   func(objects []kqstore.Object, version string)
 	onChange func(kqstore.Object)
 	// needed reports whether the node has to watch the store itself. If not, it
