Read the configuration before a test takes the store away

Cause: the test's own race. It took the store down before any node had to have read the configuration, so that none could pass it on.

--- a/io/kqnode/outcomes_test.go
+++ b/io/kqnode/outcomes_test.go
@@ -188,6 +188,10 @@
 	ctx := testContext(t)
 	entry, gate, fleet := startTwoNodes(ctx, t)
 	backend := newScriptedBackend(t, gate.Node.BackendAddress(), "catalog")
+	// Only a node that has read the configuration can pass it on.
+	if err := fleet.AwaitServices(ctx); err != nil {
+		t.Fatal(err)
+	}
 	// Without the store, no node can claim the keys of a new service, so the keys
 	// of the service homeless have no home.
 	fleet.Store.SetFaults(kqobject.Faults{Down: true})
