Log routes of the version in force that have another text

Routes with the version in force and another text were ignored without a line, so a log could not tell them from routes that never arrived.

TestRoutesOfTheSameVersionWithAnotherTextAreLogged failed before (no line within its minute) and passes.

--- a/io/kqmesh/control.go
+++ b/io/kqmesh/control.go
@@ -1,6 +1,7 @@
 package kqmesh
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"maps"
@@ -195,7 +196,7 @@
 		heldVersion = c.state.Routes.Document().Version
 	}
 	if !e.document.Newer(heldVersion) {
-		if e.document.Version < heldVersion {
+		if e.document.Version < heldVersion || !bytes.Equal(e.text, c.state.RoutesText) {
 			c.node.logEvent(eventRoutesRefused, fmt.Sprintf("routes of version %d from %s are refused: version %d is in force", e.document.Version, e.source, heldVersion), nil,
 				kqlog.Number(fieldRoutes, e.document.Version), kqlog.Number(fieldFormer, heldVersion), kqlog.Text(fieldSource, e.source))
 		}
--- a/io/kqmesh/events.go
+++ b/io/kqmesh/events.go
@@ -92,7 +92,7 @@
 	eventStoreRestored:       {Name: "StoreRestored", Level: zerolog.WarnLevel, Description: "The store was restored from a copy and has lost what was written since that was taken. The events that follow say what this node writes or lists again.", Fields: []string{fieldEra, "FormerEra"}},
 	eventWatchEnded:          {Name: "WatchEnded", Level: zerolog.InfoLevel, Description: "A watch of the store ended; the objects are listed again.", Fields: []string{fieldKind}},
 	eventRoutesTaken:         {Name: "RoutesTaken", Level: zerolog.InfoLevel, Description: "Routes have come into force.", Fields: []string{fieldRoutes, fieldFormer, fieldSource}},
-	eventRoutesRefused:       {Name: "RoutesRefused", Level: zerolog.WarnLevel, Description: "Routes that are older than those in force were offered.", Fields: []string{fieldRoutes, fieldFormer, fieldSource}},
+	eventRoutesRefused:       {Name: "RoutesRefused", Level: zerolog.WarnLevel, Description: "Routes were offered that are older than those in force, or have the same version and another text.", Fields: []string{fieldRoutes, fieldFormer, fieldSource}},
 	eventRoutesUnreadable:    {Name: "RoutesUnreadable", Level: zerolog.ErrorLevel, Description: "Routes that were offered can't be decoded.", Fields: []string{fieldSource}},
 	eventRoutesFaulty:        {Name: "RoutesFaulty", Level: zerolog.ErrorLevel, Description: "Routes that were offered are invalid; Detail holds the first fault.", Fields: []string{fieldSource, "Detail"}},
 	eventHostSeen:            {Name: "HostSeen", Level: zerolog.InfoLevel, Description: "The record of a node is new or has changed.", Fields: []string{fieldHost, fieldAddress, fieldState, fieldService, fieldServer, fieldIncarnation}},
--- a/io/kqmesh/routes_test.go
+++ b/io/kqmesh/routes_test.go
@@ -37,6 +37,15 @@
 	}
 }
 
+func TestRoutesOfTheSameVersionWithAnotherTextAreLogged(t *testing.T) {
+	f := newFleet(t)
+	h := f.add("orders-1", "orders")
+	f.writeRoutes(5, route("/a/", "orders", false))
+	f.awaitState(h, "its watch of the store", func(s *kqmesh.State) bool { return s.Watching && s.Routes != nil })
+	f.writeRoutes(5, route("/b/", "orders", false))
+	f.awaitLogged("routes of version 5 from the store are refused: version 5 is in force")
+}
+
 // TestNodeWithoutStoreLearnsRoutesFromPeers gives newer routes to one node while
 // the store is down. The other node must learn of them through its calls to the
 // first.
