Read the store's objects one by one, so that an odd one hides no other

The cause is that answers were decoded in one piece, while their entries come from many writers; encoding/json refuses the whole text for its depth before any type is looked at.

A read of one object failed in the same way, so that its owner could not write over it. Ruled out: configuration/main itself (the store accepts only valid ones) and notices (400, nothing else is kept from being read).

--- a/io/kqstore/http.go
+++ b/io/kqstore/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -11,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"kumquatlink/io/kqhttp"
+	"kumquatlink/io/kqjson"
 )
 
 // Limits of a call.
@@ -38,6 +40,27 @@
 	return Object{Name: w.Metadata.Name, Version: FormatVersion(era, w.Metadata.ResourceVersion), Value: w.Spec}
 }
 
+// decodeObject decodes an object. Its spec stays as it is, so that what other
+// writers put there does not matter to its name and version.
+func decodeObject(text []byte) (wireObject, error) {
+	var w wireObject
+	fields, err := kqjson.Fields(text)
+	if err != nil {
+		return w, err
+	}
+	w.Spec = fields["spec"]
+	return w, decodeField(fields, "metadata", &w.Metadata)
+}
+
+// decodeField decodes a field if it is there.
+func decodeField(fields map[string][]byte, name string, value any) error {
+	text, found := fields[name]
+	if !found {
+		return nil
+	}
+	return errors.Wrapf(json.Unmarshal(text, value), "field %s", name)
+}
+
 // wireList is the JSON answer to a request for all objects of a kind.
 type wireList struct {
 	Metadata struct {
@@ -46,6 +69,26 @@
 	Items []wireObject `json:"items"`
 }
 
+// decodeList decodes a list. It leaves out an item without a readable name and
+// version, which nobody could use or replace.
+func decodeList(text []byte) (wireList, error) {
+	var l wireList
+	fields, err := kqjson.Fields(text)
+	if err != nil {
+		return l, err
+	}
+	items, err := kqjson.Elements(fields["items"])
+	if err != nil {
+		return l, err
+	}
+	for _, i := range items {
+		if w, err := decodeObject(i); err == nil && w.Metadata.Name != "" {
+			l.Items = append(l.Items, w)
+		}
+	}
+	return l, decodeField(fields, "metadata", &l.Metadata)
+}
+
 // eventDeleted is the type of the event that reports a removed object.
 const eventDeleted = "DELETED"
 
@@ -55,6 +98,18 @@
 	Object wireObject `json:"object"`
 }
 
+func decodeEvent(text []byte) (wireEvent, error) {
+	var e wireEvent
+	fields, err := kqjson.Fields(text)
+	if err != nil {
+		return e, err
+	}
+	if e.Object, err = decodeObject(fields["object"]); err != nil {
+		return e, err
+	}
+	return e, decodeField(fields, "type", &e.Type)
+}
+
 // httpClient implements the calls of the object API over HTTP/1.1.
 type httpClient struct {
 	address string
@@ -68,9 +123,8 @@
 	return &Client{Get: h.get, Put: h.put, Watch: h.watch, List: h.list, Delete: h.delete, Era: h.eras.Newest}
 }
 
-// do makes a call and decodes its JSON answer into result, unless that is nil. It
-// returns the era that the answer states.
-func (h *httpClient) do(ctx context.Context, method, path string, body []byte, result any) (int64, error) {
+// do makes a call and returns its JSON answer and the era that the answer states.
+func (h *httpClient) do(ctx context.Context, method, path string, body []byte) ([]byte, int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	request := fasthttp.AcquireRequest()
@@ -80,37 +134,43 @@
 	h.prepare(request, method, path)
 	request.SetBody(body)
 	if err := h.pool.Do(ctx, request, response); err != nil {
-		return UnknownEra, errors.Mark(err, ErrUnavailable)
+		return nil, UnknownEra, errors.Mark(err, ErrUnavailable)
 	}
 	era, err := h.eras.RecordAnswer(response.Header.Peek(HeaderEra), statusError(response.StatusCode(), response.Body()))
-	if err != nil || result == nil {
-		return era, err
-	}
-	if err := json.Unmarshal(response.Body(), result); err != nil {
-		return era, errors.Mark(errors.Wrap(err, "decode object"), ErrMalformed)
+	if err != nil {
+		return nil, era, err
 	}
-	return era, nil
+	return bytes.Clone(response.Body()), era, nil
+}
+
+// readObject decodes the object that is the answer to a call.
+func readObject(text []byte, era int64) (Object, error) {
+	w, err := decodeObject(text)
+	return w.object(era), errors.Mark(errors.Wrap(err, "decode object"), ErrMalformed)
 }
 
 // write makes a call that changes the object of that version. It fails with a
 // conflict if the store was restored since, as far as that is known.
-func (h *httpClient) write(ctx context.Context, method, path, version string, body []byte, result any) (int64, error) {
+func (h *httpClient) write(ctx context.Context, method, path, version string, body []byte) ([]byte, int64, error) {
 	if err := h.eras.CheckWrite(version); err != nil {
-		return UnknownEra, err
+		return nil, UnknownEra, err
 	}
-	era, err := h.do(ctx, method, path, body, result)
+	answer, era, err := h.do(ctx, method, path, body)
 	if err == nil {
 		err = CheckWritten(version, era)
 	}
-	return era, err
+	return answer, era, err
 }
 
 func (h *httpClient) list(ctx context.Context, kind string) ([]Object, string, error) {
-	var l wireList
-	era, err := h.do(ctx, fasthttp.MethodGet, "/apis/"+kind, nil, &l)
+	text, era, err := h.do(ctx, fasthttp.MethodGet, "/apis/"+kind, nil)
 	if err != nil {
 		return nil, "", err
 	}
+	l, err := decodeList(text)
+	if err != nil {
+		return nil, "", errors.Mark(errors.Wrap(err, "decode list"), ErrMalformed)
+	}
 	objects := make([]Object, 0, len(l.Items))
 	for _, w := range l.Items {
 		objects = append(objects, w.object(era))
@@ -120,7 +180,7 @@
 
 func (h *httpClient) delete(ctx context.Context, kind string, o Object) error {
 	_, revision := ParseVersion(o.Version)
-	_, err := h.write(ctx, fasthttp.MethodDelete, "/apis/"+kind+"/"+o.Name+"?resourceVersion="+revision, o.Version, nil, nil)
+	_, _, err := h.write(ctx, fasthttp.MethodDelete, "/apis/"+kind+"/"+o.Name+"?resourceVersion="+revision, o.Version, nil)
 	return err
 }
 
@@ -150,9 +210,11 @@
 }
 
 func (h *httpClient) get(ctx context.Context, kind, name string) (Object, error) {
-	var w wireObject
-	era, err := h.do(ctx, fasthttp.MethodGet, "/apis/"+kind+"/"+name, nil, &w)
-	return w.object(era), err
+	text, era, err := h.do(ctx, fasthttp.MethodGet, "/apis/"+kind+"/"+name, nil)
+	if err != nil {
+		return Object{}, err
+	}
+	return readObject(text, era)
 }
 
 func (h *httpClient) put(ctx context.Context, kind string, o Object) (Object, error) {
@@ -164,9 +226,11 @@
 	if err != nil {
 		return Object{}, errors.Mark(errors.Wrap(err, "encode object"), ErrMalformed)
 	}
-	var written wireObject
-	era, err := h.write(ctx, fasthttp.MethodPut, "/apis/"+kind+"/"+o.Name, o.Version, body, &written)
-	return written.object(era), err
+	text, era, err := h.write(ctx, fasthttp.MethodPut, "/apis/"+kind+"/"+o.Name, o.Version, body)
+	if err != nil {
+		return Object{}, err
+	}
+	return readObject(text, era)
 }
 
 func (h *httpClient) watch(ctx context.Context, kind, name, version string, handle func(Object) error) error {
@@ -212,9 +276,10 @@
 		if len(lines.Bytes()) == 0 {
 			continue
 		}
-		var e wireEvent
-		if err := json.Unmarshal(lines.Bytes(), &e); err != nil {
-			return errors.Mark(errors.Wrap(err, "decode event"), ErrMalformed)
+		e, err := decodeEvent(bytes.Clone(lines.Bytes()))
+		if err != nil || e.Object.Metadata.Name == "" {
+			// Nobody could use or replace an object without a readable name and version.
+			continue
 		}
 		o := e.Object.object(era)
 		o.Deleted = e.Type == eventDeleted
