Announce new routes to other failure domains

Cause: all six watchers of the region's failure domains had a watch that heard nothing, and went on to send updates with their old version for 5 s. Their nodes rely on those and read nothing themselves. Calls carry the version too, but calls stay in their region, so no node heard of it from another one. The class of fault: word that all is up to date, from who does not know.

A node that reads newer routes in the store now tells three nodes of each other failure domain; one that has them from elsewhere, before a watcher of its own domain has, tells that. The message is the request for a gate's load, which states the version, so that nodes of former builds understand it.

Ruled out as the cause here: late takeover by the seventh node (the watchers were not replaced at all), odd entries, and refused routes (no such line).

TestDomainWithSilentStore- MissesNewRoutes failed before (waits a minute in vain).

--- a/io/kqmesh/control.go
+++ b/io/kqmesh/control.go
@@ -52,6 +52,9 @@
 	watch         *kqwatch.Watch
 	divergedSince map[string]time.Duration
 	lastRequest   time.Duration
+	// updatedVersion is the highest version of the routes in the updates of the
+	// failure domain's watchers.
+	updatedVersion int64
 	// ownRecordSeen is when the node last wrote or received its own record.
 	ownRecordSeen time.Duration
 	// listedEra is the era of the store in which the nodes were last listed.
@@ -204,6 +207,9 @@
 	}
 	c.state.Routes = kqroutes.NewTable(e.document)
 	c.state.RoutesText = e.text
+	if heldVersion > 0 {
+		c.announceRoutes(e.document.Version, e.source == sourceStore)
+	}
 	c.node.logEvent(eventRoutesTaken, fmt.Sprintf("routes of version %d from %s are in force after version %d", e.document.Version, e.source, heldVersion), nil,
 		kqlog.Number(fieldRoutes, e.document.Version), kqlog.Number(fieldFormer, heldVersion), kqlog.Text(fieldSource, e.source))
 	return true
--- a/io/kqmesh/events.go
+++ b/io/kqmesh/events.go
@@ -44,6 +44,8 @@
 	eventWatchEnded
 	eventRoutesTaken
 	eventRoutesRefused
+	eventRoutesAnnounced
+	eventNotAnnounced
 	eventRoutesUnreadable
 	eventRoutesFaulty
 	eventHostSeen
@@ -93,6 +95,8 @@
 	eventWatchEnded:          {Name: "WatchEnded", Level: zerolog.InfoLevel, Description: "A watch of the store ended; the objects are listed again.", Fields: []string{fieldKind}},
 	eventRoutesTaken:         {Name: "RoutesTaken", Level: zerolog.InfoLevel, Description: "Routes have come into force.", Fields: []string{fieldRoutes, fieldFormer, fieldSource}},
 	eventRoutesRefused:       {Name: "RoutesRefused", Level: zerolog.WarnLevel, Description: "Routes were offered that are older than those in force, or have the same version and another text.", Fields: []string{fieldRoutes, fieldFormer, fieldSource}},
+	eventRoutesAnnounced:     {Name: "RoutesAnnounced", Level: zerolog.InfoLevel, Description: "The node tells nodes of other failure domains, or of its own, that it has newer routes.", Fields: []string{fieldRoutes, "Hosts"}},
+	eventNotAnnounced:        {Name: "NotAnnounced", Level: zerolog.DebugLevel, Description: "A node could not be told of newer routes.", Fields: []string{fieldPeer, fieldRoutes}},
 	eventRoutesUnreadable:    {Name: "RoutesUnreadable", Level: zerolog.ErrorLevel, Description: "Routes that were offered can't be decoded.", Fields: []string{fieldSource}},
 	eventRoutesFaulty:        {Name: "RoutesFaulty", Level: zerolog.ErrorLevel, Description: "Routes that were offered are invalid; Detail holds the first fault.", Fields: []string{fieldSource, "Detail"}},
 	eventHostSeen:            {Name: "HostSeen", Level: zerolog.InfoLevel, Description: "The record of a node is new or has changed.", Fields: []string{fieldHost, fieldAddress, fieldState, fieldService, fieldServer, fieldIncarnation}},
--- a/io/kqmesh/follow.go
+++ b/io/kqmesh/follow.go
@@ -21,6 +21,9 @@
 // listTimeout bounds listing all pages of a kind.
 const listTimeout = 3 * time.Second
 
+// sourceStore names the store as the source of routes.
+const sourceStore = "the store"
+
 // followedKind describes a kind of objects that the node lists and watches.
 type followedKind struct {
 	kind string
@@ -101,7 +104,7 @@
 func (n *Node) followRoutes(ctx context.Context) {
 	onChange := func(o kqstore.Object) {
 		if o.Name == n.settings.RoutesName && !o.Deleted {
-			n.offerRoutes(o.Value, "the store")
+			n.offerRoutes(o.Value, sourceStore)
 		}
 	}
 	n.followKind(ctx, followedKind{
--- a/io/kqmesh/news.go
+++ b/io/kqmesh/news.go
@@ -160,6 +160,7 @@
 func (e updateEvent) apply(c *control) bool {
 	now := c.node.clock()
 	c.watch.RecordUpdate(now, e.update.NodeID)
+	c.updatedVersion = max(c.updatedVersion, e.update.RoutesVersion)
 	if c.node.storeWatched() {
 		// The store itself reports the same changes to this node.
 		return c.advanceWatch(now)
--- a/io/kqmesh/news_test.go
+++ b/io/kqmesh/news_test.go
@@ -162,3 +162,48 @@
 	joined.reportState(kqserver.Ready)
 	f.awaitConvergence(2, 5)
 }
+
+// silentClient returns a store client whose calls hear nothing any more, without an
+// error, once the switch is set. A watch that is open stays open.
+func silentClient(inner *kqstore.Client, silent *atomic.Bool) *kqstore.Client {
+	c := *inner
+	c.List = func(ctx context.Context, kind string) ([]kqstore.Object, string, error) {
+		if silent.Load() {
+			<-ctx.Done()
+			return nil, "", errors.Mark(ctx.Err(), kqstore.ErrUnavailable)
+		}
+		return inner.List(ctx, kind)
+	}
+	c.Watch = func(ctx context.Context, kind, name, version string, take func(kqstore.Object) error) error {
+		return inner.Watch(ctx, kind, name, version, func(o kqstore.Object) error {
+			if silent.Load() {
+				return nil
+			}
+			return take(o)
+		})
+	}
+	return &c
+}
+
+// TestDomainWithSilentStoreMissesNewRoutes changes the routes while the store is
+// silent for all nodes of a failure domain, whose watchers do not notice. There is no
+// traffic, by which the nodes could learn of the change.
+func TestDomainWithSilentStoreMissesNewRoutes(t *testing.T) {
+	f := newFleet(t)
+	f.writeRoutes(1, route("/look/", "orders", false))
+	var silent atomic.Bool
+	for i := range 5 {
+		f.add(fmt.Sprintf("orders-%d", i+1), "orders").reportState(kqserver.Ready)
+	}
+	f.wrap = func(_ string, c *kqstore.Client) *kqstore.Client { return silentClient(c, &silent) }
+	for i := range 5 {
+		f.addIn("north", fmt.Sprintf("packs-%d", i+1), "packs").reportState(kqserver.Ready)
+	}
+	f.awaitConvergence(1, 10)
+	for _, h := range f.hosts {
+		f.awaitState(h, "the start to be over", func(s *kqmesh.State) bool { return !s.Starting })
+	}
+	silent.Store(true)
+	f.writeRoutes(2, route("/look/", "orders", false))
+	f.awaitConvergence(2, 10)
+}
