Let a watcher that has lost the store say so

Its last update now says that it watches no more. A node of a former build takes that for one more update, as before.

--- a/core/kqwatch/kqwatch.go
+++ b/core/kqwatch/kqwatch.go
@@ -18,7 +18,7 @@
 // the nodes that precede it send updates. A watcher that cannot reach the store
 // sends no updates. So the next node replaces a watcher that was killed, is
 // frozen, is cut off or is refused by the store, [UpdateTimeout] after its last
-// update. If nodes disagree about which nodes exist, there are only more
+// update, or as soon as it says that it has lost the store. If nodes disagree about which nodes exist, there are only more
 // watchers than needed.
 //
 // Times are durations on the node's own clock. A Watch is not safe for
@@ -121,6 +121,12 @@
 	}
 }
 
+// RecordEnd records that a node no longer watches the store, so that it is replaced
+// without waiting for [UpdateTimeout].
+func (w *Watch) RecordEnd(from string) {
+	delete(w.updatedAt, from)
+}
+
 // Advance advances the time to now and reports whether the node is to watch the
 // store.
 func (w *Watch) Advance(now time.Duration) bool {
--- a/core/kqwatch/kqwatch_test.go
+++ b/core/kqwatch/kqwatch_test.go
@@ -276,6 +276,28 @@
 	}
 }
 
+// TestDomainWaitsForWatchersThatHaveLostTheStore has all watchers say so. The next
+// node must not wait until their updates time out.
+func TestDomainWaitsForWatchersThatHaveLostTheStore(t *testing.T) {
+	s := newSimulation(8, 1)
+	s.runUntil(5 * time.Second)
+	lost := s.watchers(0)
+	for _, from := range lost {
+		from.refused = true
+		for _, m := range s.members {
+			m.watch.RecordEnd(from.name)
+		}
+	}
+	begun := s.now
+	s.advance()
+	for len(s.watchers(0)) == 0 && s.now-begun < kqwatch.UpdateTimeout {
+		s.advance()
+	}
+	if got := s.now - begun; got >= kqwatch.UpdateTimeout {
+		t.Errorf("time until another node watches the store: got %s, want less than the %s after which updates time out", got, kqwatch.UpdateTimeout)
+	}
+}
+
 func golden(t *testing.T, name, got string) {
 	t.Helper()
 	path := "testdata/" + name
--- a/io/kqmesh/news.go
+++ b/io/kqmesh/news.go
@@ -28,12 +28,17 @@
 	digestGrace = 2 * kqwatch.UpdatePeriod
 )
 
+// endOfUpdates takes the place of a version in the last update of a node that no
+// longer watches the store. It is older than any version.
+const endOfUpdates = -1
+
 // storeUpdate is the message with which a node that watches the store (a
 // watcher) reports changes to the other nodes of its failure domain. It is also
 // sent once per period if nothing has changed, as a heartbeat.
 type storeUpdate struct {
-	_             struct{} `cbor:",toarray"`
-	NodeID        string
+	_      struct{} `cbor:",toarray"`
+	NodeID string
+	// RoutesVersion is the version of the watcher's routes, or endOfUpdates.
 	RoutesVersion int64
 	// HostsDigest is the digest of all records that the watcher knows.
 	HostsDigest uint64
@@ -66,6 +71,9 @@
 		changed := n.control.changed()
 		s := n.State()
 		if !s.Watching || !n.storeWatched() {
+			if sent != nil {
+				n.sendUpdateToDomain(s, storeUpdate{NodeID: n.settings.NodeID, RoutesVersion: endOfUpdates, HostsDigest: s.HostsDigest})
+			}
 			sent = nil
 			waitForChange(ctx, changed, watchTick)
 			continue
@@ -118,6 +126,12 @@
 			}
 		}
 	}
+	return n.sendUpdateToDomain(s, m)
+}
+
+// sendUpdateToDomain sends an update to the other nodes of the failure domain, and
+// reports whether it was handed to the pool for every one.
+func (n *Node) sendUpdateToDomain(s *State, m storeUpdate) bool {
 	payload, err := cbor.Marshal(m)
 	if err != nil {
 		n.logEvent(eventMessageNotWritten, "update for the failure domain can't be encoded: it is not sent", err)
@@ -159,6 +173,10 @@
 // has differed for digestGrace or this node has no list of nodes yet.
 func (e updateEvent) apply(c *control) bool {
 	now := c.node.clock()
+	if e.update.RoutesVersion == endOfUpdates {
+		c.watch.RecordEnd(e.update.NodeID)
+		return c.advanceWatch(now)
+	}
 	c.watch.RecordUpdate(now, e.update.NodeID)
 	c.updatedVersion = max(c.updatedVersion, e.update.RoutesVersion)
 	if c.node.storeWatched() {
