Order the starts of a backend server also without times or with a clock set back

Three sequences of notices made a leaving server ready again, or kept its leaving out of force: - Ready with a start time, Draining without one, a late Ready with it: the time of the start was forgotten with the Draining, so the late notice seemed a new start. - a node that starts, Leave without a start time, a late Ready: the same. - a server that starts again after its clock was set back, or that once stated a time far ahead: everything it says later seemed to be of a start that is over. A notice without a time now belongs to the latest start, and to no later one than its receipt. A start that seems earlier replaces one that has been silent for 5 s, if its notices go on; single late notices of a start that has ended do not.

--- a/core/kqserver/kqserver.go
+++ b/core/kqserver/kqserver.go
@@ -10,10 +10,12 @@
 //	if tracker.State() == kqserver.Ready { ... }
 //
 // Starts are ordered by the start time that the server states, and the notices of
-// one start by their sequence number. A start that has announced that it drains or
-// leaves never becomes ready again; only a later start does. The states and their
-// events are defined in charts/server.json. A Tracker is not safe for concurrent
-// use.
+// one start by their sequence number. A notice without a start time is of the
+// latest start. A start that has announced that it drains or leaves never becomes
+// ready again; only a later start does. Since a clock may have been set back, a
+// start that seems earlier replaces one that has fallen silent. The states and
+// their events are defined in charts/server.json. A Tracker is not safe for
+// concurrent use.
 package kqserver
 
 import (
@@ -43,6 +45,10 @@
 	eventRestarted = "Reborn"
 )
 
+// silentAfter is how long the latest start has to be silent before one that seems
+// earlier replaces it. It is several times the interval of notices.
+const silentAfter = 5 * time.Second
+
 //go:embed charts/server.json
 var chartText []byte
 
@@ -67,6 +73,8 @@
 	// Born is when the server started, in Unix milliseconds by its own clock,
 	// or 0 when it does not say.
 	Born int64
+	// ReceivedAt is when the node received the notice, by the host's clock.
+	ReceivedAt time.Time
 }
 
 // Verdict says how a notice was handled.
@@ -89,6 +97,10 @@
 	machine   *kqchart.Machine
 	notice    Notice
 	hasNotice bool
+	// heardAt is when a notice of the latest start was last received.
+	heardAt time.Time
+	// earlier is the last notice of a start that seems earlier than the latest.
+	earlier Notice
 }
 
 // New returns a Tracker that has no notice yet.
@@ -109,7 +121,7 @@
 // Observe applies a notice and returns how it was handled.
 func (t *Tracker) Observe(n Notice) Verdict {
 	if t.hasNotice && !t.sameStart(n) {
-		if n.Born != 0 && n.Born < t.notice.Born {
+		if n.Born != 0 && n.Born < t.notice.Born && !t.outlives(n) {
 			return Late
 		}
 		if n.State == Gone && (n.Born == 0 || n.Born == t.notice.Born) {
@@ -120,6 +132,7 @@
 		t.fire(eventRestarted)
 		t.hasNotice = false
 	}
+	t.heardAt = n.ReceivedAt
 	if t.hasNotice && n.Sequence != 0 && n.Sequence <= t.notice.Sequence && n.State == Ready {
 		return Late
 	}
@@ -129,6 +142,9 @@
 	if n.State == Gone && t.hasNotice {
 		n = t.mergeGone(n)
 	}
+	if t.hasNotice && n.Born == 0 {
+		n.Born = t.notice.Born
+	}
 	t.hasNotice = true
 	t.notice = n
 	return Taken
@@ -140,16 +156,33 @@
 	merged := t.notice
 	merged.State = n.State
 	merged.Sequence = max(merged.Sequence, n.Sequence)
+	merged.Born = max(merged.Born, n.Born)
+	merged.ReceivedAt = n.ReceivedAt
 	return merged
 }
 
 // sameStart reports whether the notice is of the start of the last accepted
-// one. A notice of leaving may not state when its server started.
+// one. If one of them does not state when its server started, it is, unless the
+// server was started after the other was received.
 func (t *Tracker) sameStart(n Notice) bool {
-	if n.ServerID != t.notice.ServerID {
+	switch {
+	case n.ServerID != t.notice.ServerID:
 		return false
+	case t.notice.Born == 0 && n.Born != 0 && t.State() != Ready:
+		return n.Born <= t.notice.ReceivedAt.UnixMilli()
+	}
+	return n.Born == t.notice.Born || n.Born == 0 || t.notice.Born == 0
+}
+
+// outlives reports whether a start that seems earlier goes on to send notices while
+// the latest one is silent. Single late notices of a start that has ended don't.
+func (t *Tracker) outlives(n Notice) bool {
+	former := t.earlier
+	if n.ServerID != former.ServerID || n.Born != former.Born || n.Sequence > former.Sequence {
+		t.earlier = n
 	}
-	return n.Born == t.notice.Born || n.Born == 0
+	return n.ServerID == former.ServerID && n.Born == former.Born && n.Sequence > former.Sequence &&
+		former.ReceivedAt.Sub(t.heardAt) >= silentAfter
 }
 
 func (t *Tracker) fire(event string) bool {
--- a/io/kqmesh/control.go
+++ b/io/kqmesh/control.go
@@ -400,6 +400,9 @@
 func (e *noticeEvent) apply(c *control) bool {
 	formerState := c.life.State()
 	former := c.life.Notice()
+	if e.notice.ReceivedAt.IsZero() {
+		e.notice.ReceivedAt = c.node.now()
+	}
 	verdict := c.life.Observe(e.notice)
 	e.verdict = verdict
 	if verdict != kqserver.Taken {
