Do not acknowledge a notice of leaving that is ignored

The server counted on getting no more requests and got them. Such a notice is answered with 409 now; one of another ID is not, since no call names that server.

TestIgnoredNoticeOfLeavingIsAcknowledged failed before: 200 with the state Ready.

--- a/io/kqmesh/notice.go
+++ b/io/kqmesh/notice.go
@@ -33,8 +33,8 @@
 }
 
 // handleNotice handles a notice that the backend server sends about its own
-// state. The answer is sent after the notice is in force, so that a server which
-// got an answer to its notice of draining gets no further calls.
+// state. A success is sent after the notice is in force, so that a server which
+// got one to its notice of draining gets no further calls.
 func (n *Node) handleNotice(_ context.Context, e *kqedge.Exchange) {
 	notice, found, err := n.dialect.ReadNotice(string(e.Request.Header.Method()), string(e.Request.Header.RequestURI()), e.Request.Body())
 	if !found {
@@ -52,7 +52,12 @@
 		e.Response.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
-	n.ApplyNotice(notice)
+	verdict := n.ApplyNotice(notice)
+	if verdict == kqserver.Late && notice.State != kqserver.Ready && notice.ServerID == n.State().Server.ServerID {
+		// Calls still name a server of that ID, so it may get some.
+		e.Response.SetStatusCode(fasthttp.StatusConflict)
+		return
+	}
 	e.Response.Header.SetContentType("application/json")
 	e.Response.SetBodyRaw(n.dialect.Acknowledgement)
 }
