Remember over a restart that a backend server leaves

Three holes: - the list of the store may be seconds old. The node that starts took a late Ready notice and wrote Serving over its record that said Draining.

--- a/io/kqmesh/control.go
+++ b/io/kqmesh/control.go
@@ -328,24 +328,26 @@
 }
 
 // restoreServerState takes over from the record of the node's former process
-// that the backend server drains or is gone. Such a server gets no new work,
-// even if an older notice arrives late or a health probe succeeds.
-func (c *control) restoreServerState(former HostRecord) {
+// that the backend server drains or is gone, and reports whether that changed the
+// state. Such a server gets no new work, even if an older notice arrives late or a
+// health probe succeeds.
+func (c *control) restoreServerState(former HostRecord) bool {
 	wasLeaving := former.ServerState == kqserver.Draining || former.ServerState == kqserver.Gone
 	if !wasLeaving || former.Incarnation == c.node.incarnation || former.Service != c.node.settings.Service {
-		return
+		return false
 	}
 	held := c.life.Notice()
 	if held.ServerID != "" && (held.ServerID != former.ServerID || held.Born != 0 && held.Born != former.Born) {
-		return
+		return false
 	}
 	e := &noticeEvent{notice: kqserver.Notice{
 		ServerID: former.ServerID, Service: former.Service, Address: c.node.settings.BackendAddress, Slots: former.Slots,
 		State: former.ServerState, Born: former.Born,
 	}}
-	e.apply(c)
+	changed := e.apply(c)
 	c.node.logEvent(eventServerRemembered, fmt.Sprintf("server %s, started %d, was draining or gone before this node started: %s", former.ServerID, former.Born, e.verdict), nil,
 		kqlog.Text(fieldServer, former.ServerID), kqlog.Text(fieldState, string(former.ServerState)), kqlog.Text(fieldVerdict, string(e.verdict)))
+	return changed
 }
 
 // logHost logs the record of a node if it differs from the former one.
--- /dev/null
+++ b/io/kqmesh/former_test.go
@@ -0,0 +1,26 @@
+package kqmesh
+
+import (
+	"testing"
+
+	"kumquatlink/core/kqmember"
+	"kumquatlink/core/kqserver"
+	"kumquatlink/io/kqstore"
+)
+
+// TestServerThatLeavesIsUsedAfterARestartWithoutTheStore gives a node that has not
+// read the store the list of a peer, with the record of its own former process.
+func TestServerThatLeavesIsUsedAfterARestartWithoutTheStore(t *testing.T) {
+	settings := Settings{NodeID: "orders-1", Service: "orders", BackendAddress: "10.0.0.1:80"}
+	n, err := New(settings, NativeDialect(), &kqstore.Client{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	former := HostRecord{NodeID: "orders-1", Incarnation: 1, Address: "10.0.0.1:90", Service: "orders", ServerID: "i-1", ServerState: kqserver.Draining, Born: 7, Life: kqmember.LifeDraining}
+	peerHostsEvent{hosts: []HostRecord{former}, from: "10.0.0.2:90"}.apply(n.control)
+	late := &noticeEvent{notice: kqserver.Notice{ServerID: "i-1", Service: "orders", Address: "10.0.0.1:80", State: kqserver.Ready, Born: 7, Sequence: 4}}
+	late.apply(n.control)
+	if got := n.control.state.ServerState; got != kqserver.Draining {
+		t.Errorf("server after a late notice that it is ready: got %s, want Draining as in the peer's list", got)
+	}
+}
--- a/io/kqmesh/record.go
+++ b/io/kqmesh/record.go
@@ -159,7 +159,8 @@
 
 // overwriteRecord writes the record over the one in the store after a conflict.
 // The other one is of an earlier start of the node, or of a write whose answer
-// was lost.
+// was lost. If it says that the backend server leaves, which the list of the store
+// may have been too old to say, nothing is written before the state says so too.
 func (n *Node) overwriteRecord(ctx context.Context, w *recordWriter, o kqstore.Object, cause error) error {
 	current, err := n.store.Get(ctx, kqstore.KindHosts, o.Name)
 	switch {
@@ -169,6 +170,9 @@
 		return errors.CombineErrors(cause, err)
 	default:
 		o.Version = current.Version
+		if n.restoreFormer(current) {
+			return nil
+		}
 	}
 	written, err := n.store.Put(ctx, kqstore.KindHosts, o)
 	if err != nil {
@@ -182,6 +186,37 @@
 	return nil
 }
 
+// restoreFormer takes over from the node's record in the store that the backend
+// server leaves, and reports whether that changed the server's state.
+func (n *Node) restoreFormer(current kqstore.Object) bool {
+	former, err := decodeHost(current)
+	if err != nil {
+		n.logEvent(eventHostIgnored, "record of the own node in the store is replaced", err, kqlog.Text(fieldHost, current.Name))
+		return false
+	}
+	before := n.State().ServerState
+	e := formerRecordEvent{former: former, done: make(chan struct{})}
+	n.control.send(e)
+	select {
+	case <-e.done:
+	case <-n.control.stopped:
+	}
+	return n.State().ServerState != before
+}
+
+// formerRecordEvent is the event that the record of an earlier start of the node was
+// read. done is closed after the resulting state was published.
+type formerRecordEvent struct {
+	former HostRecord
+	done   chan struct{}
+}
+
+func (e formerRecordEvent) finish() { close(e.done) }
+
+func (e formerRecordEvent) apply(c *control) bool {
+	return c.restoreServerState(e.former)
+}
+
 // markWritten keeps the written record and applies it to the own state.
 func (n *Node) markWritten(w *recordWriter, record HostRecord, written kqstore.Object) {
 	w.current, w.version, w.written = record, written.Version, true
--- a/io/kqmesh/restart_test.go
+++ b/io/kqmesh/restart_test.go
@@ -1,10 +1,14 @@
 package kqmesh_test
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"kumquatlink/core/kqserver"
 	"kumquatlink/io/kqmesh"
+	"kumquatlink/io/kqobject"
+	"kumquatlink/io/kqstore"
 )
 
 // TestDrainingServerIsNotUsedAfterNodeRestart restarts the node of a server that
@@ -49,3 +53,52 @@
 		t.Errorf("notice after the node's restart: got %s, want it taken", got)
 	}
 }
+
+// TestServerThatLeavesIsUsedAfterARestartWithAStaleList restarts the node of a server
+// that drains, while the store lists the records as they were before.
+func TestServerThatLeavesIsUsedAfterARestartWithAStaleList(t *testing.T) {
+	f := newFleet(t)
+	entry, draining := f.add("packs-1", "packs"), f.add("orders-1", "orders")
+	f.startServing(entry, draining, route("/buy/", "orders", true))
+	objects, version, err := draining.store.List(t.Context(), kqstore.KindHosts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	draining.reportState(kqserver.Draining)
+	f.awaitStored("orders-1", "Draining", drains)
+	draining.node.Stop()
+	stale := *draining.store
+	stale.List = func(ctx context.Context, kind string) ([]kqstore.Object, string, error) {
+		if kind == kqstore.KindHosts {
+			return objects, version, nil
+		}
+		return draining.store.List(ctx, kind)
+	}
+	stale.Watch = func(ctx context.Context, _, _, _ string, _ func(kqstore.Object) error) error {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	restarted := &host{backend: draining.backend, settings: draining.settings, store: &stale, sequence: draining.sequence}
+	restarted.settings.FirstStart = false
+	f.start(restarted)
+	f.awaitState(restarted, "the stale list", func(s *kqmesh.State) bool { return s.HostsKnown && s.Routes != nil })
+	restarted.reportState(kqserver.Ready)
+	f.awaitState(restarted, "the state from before the restart", func(s *kqmesh.State) bool { return s.ServerState == kqserver.Draining })
+}
+
+// TestLeavingIsAcknowledgedBeforeItIsStored has a server leave while writes of the
+// store take a moment. The node's next process learns of it from the store alone.
+func TestLeavingIsAcknowledgedBeforeItIsStored(t *testing.T) {
+	f := newFleet(t)
+	h := f.add("orders-1", "orders")
+	f.writeRoutes(1, route("/buy/", "orders", true))
+	h.reportState(kqserver.Ready)
+	f.awaitConvergence(1, 1)
+	f.store.SetFaults(kqobject.Faults{Delay: 100 * time.Millisecond})
+	if got := h.sendNotice(h.id, 1, 2, kqserver.Draining); got != 200 {
+		t.Fatalf("notice of draining: got status %d, want 200", got)
+	}
+	if stored, _ := f.storedRecord("orders-1"); !drains(stored) {
+		t.Errorf("record in the store when the notice is acknowledged: got %+v, want Draining", stored)
+	}
+}
