Number a node's start after its earlier ones when the clock was set back

A node that starts after its clock was set back wrote a record that all others took for an older one, and kept the former one, which says that the node drains: no calls, and its later leaving is not seen either. A node that reads a record of its own with a higher number now takes the next one.

TestNodeIsIgnoredAfterItsClockWasSetBack failed before (waits for the node in vain).

--- a/io/kqmesh/events.go
+++ b/io/kqmesh/events.go
@@ -55,6 +55,7 @@
 	eventRecordNotWritten
 	eventRecordRepaired
 	eventRecordNotRepaired
+	eventClockSetBack
 	eventServerState
 	eventServerHealthy
 	eventServerUnhealthy
@@ -106,6 +107,7 @@
 	eventRecordNotWritten:    {Name: "RecordNotWritten", Level: zerolog.WarnLevel, Description: "The node could not write its own record and tries again."},
 	eventRecordRepaired:      {Name: "RecordRepaired", Level: zerolog.WarnLevel, Description: "The store held an older record of another node than this one knows, or none, as after a restore from a copy; this node wrote the newer one back.", Fields: []string{fieldHost, fieldState, fieldStoreVersion}},
 	eventRecordNotRepaired:   {Name: "RecordNotRepaired", Level: zerolog.WarnLevel, Description: "A record of another node can't be written back to the store.", Fields: []string{fieldHost}},
+	eventClockSetBack:        {Name: "ClockSetBack", Level: zerolog.WarnLevel, Description: "The record of an earlier start of the node seems to be of a later one. The node numbers its own start after it.", Fields: []string{fieldIncarnation}},
 	eventServerState:         {Name: "ServerState", Level: zerolog.InfoLevel, Description: "The state of the backend server beside the node has changed.", Fields: []string{fieldServer, fieldState, "FormerState", fieldSequence}},
 	eventServerHealthy:       {Name: "ServerHealthy", Level: zerolog.InfoLevel, Description: "A health probe found the backend server healthy, before the server had sent a notice.", Fields: []string{fieldServer, fieldVerdict}},
 	eventServerUnhealthy:     {Name: "ServerUnhealthy", Level: zerolog.InfoLevel, Description: "A health probe found the backend server not healthy.", Fields: []string{"Status"}},
--- a/io/kqmesh/kqmesh.go
+++ b/io/kqmesh/kqmesh.go
@@ -184,7 +184,7 @@
 	budget   *kqbudget.Budget
 	stated   *statedServers
 
-	incarnation uint64
+	incarnation atomic.Uint64
 	// peerAddress is the address that other nodes use to reach this one.
 	peerAddress string
 	readiness   atomic.Bool
@@ -228,7 +228,7 @@
 		return nil, errors.Mark(err, ErrNode)
 	}
 	n.started = n.now()
-	n.incarnation = uint64(n.started.UnixMilli())
+	n.incarnation.Store(uint64(n.started.UnixMilli()))
 	n.store = kqstore.NewBreakerClient(store, kqstore.WithObserver(n.observeStore))
 	var budgetOptions []kqbudget.Option
 	if !settings.FirstStart {
--- a/io/kqmesh/record.go
+++ b/io/kqmesh/record.go
@@ -23,7 +23,8 @@
 type HostRecord struct {
 	NodeID string
 	// Incarnation orders the starts of a node. It is the start time in
-	// milliseconds since the Unix epoch, by the node's own clock.
+	// milliseconds since the Unix epoch, by the node's own clock, or more if the
+	// clock was set back since an earlier start.
 	Incarnation uint64
 	// Change counts the writes of the record since that start.
 	Change uint64
@@ -68,7 +69,7 @@
 // ownRecord returns the record of this node in the given state.
 func (n *Node) ownRecord(s *State) HostRecord {
 	h := HostRecord{
-		NodeID: n.settings.NodeID, Incarnation: n.incarnation, Address: n.peerAddress,
+		NodeID: n.settings.NodeID, Incarnation: n.incarnation.Load(), Address: n.peerAddress,
 		Region: n.settings.Region, FailureDomain: n.settings.FailureDomain,
 		Service: n.settings.Service, ServerID: s.Server.ServerID, ServerState: s.ServerState, Born: s.Server.Born,
 		Slots: s.Server.Slots, Life: kqmember.LifeJoining,
@@ -186,22 +187,22 @@
 	return nil
 }
 
-// restoreFormer takes over from the node's record in the store that the backend
-// server leaves, and reports whether that changed the server's state.
+// restoreFormer takes over from the node's record in the store what an earlier start
+// of the node has written, and reports whether that changes the node's record.
 func (n *Node) restoreFormer(current kqstore.Object) bool {
 	former, err := decodeHost(current)
 	if err != nil {
 		n.logEvent(eventHostIgnored, "record of the own node in the store is replaced", err, kqlog.Text(fieldHost, current.Name))
 		return false
 	}
-	before := n.State().ServerState
+	before, incarnation := n.State().ServerState, n.incarnation.Load()
 	e := formerRecordEvent{former: former, done: make(chan struct{})}
 	n.control.send(e)
 	select {
 	case <-e.done:
 	case <-n.control.stopped:
 	}
-	return n.State().ServerState != before
+	return n.State().ServerState != before || n.incarnation.Load() != incarnation
 }
 
 // formerRecordEvent is the event that the record of an earlier start of the node was
@@ -214,7 +215,8 @@
 func (e formerRecordEvent) finish() { close(e.done) }
 
 func (e formerRecordEvent) apply(c *control) bool {
-	return c.restoreServerState(e.former)
+	followed := c.followFormer(e.former)
+	return c.restoreServerState(e.former) || followed
 }
 
 // markWritten keeps the written record and applies it to the own state.
--- a/io/kqmesh/restart_test.go
+++ b/io/kqmesh/restart_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"time"
 
+	"kumquatlink/core/kqmember"
 	"kumquatlink/core/kqserver"
 	"kumquatlink/io/kqmesh"
 	"kumquatlink/io/kqobject"
@@ -102,3 +104,27 @@
 		t.Errorf("record in the store when the notice is acknowledged: got %+v, want Draining", stored)
 	}
 }
+
+// TestNodeIsIgnoredAfterItsClockWasSetBack starts a node whose earlier start has
+// written its last record by a clock that was an hour ahead.
+func TestNodeIsIgnoredAfterItsClockWasSetBack(t *testing.T) {
+	f := newFleet(t)
+	entry := f.add("packs-1", "packs")
+	former := kqmesh.HostRecord{
+		NodeID: "orders-1", Incarnation: uint64(time.Now().Add(time.Hour).UnixMilli()), Change: 4, Address: "127.0.0.1:9", Region: "south", FailureDomain: "south-a",
+		Service: "orders", ServerID: "i-former", ServerState: kqserver.Ready, Born: 1, Slots: 4, Life: kqmember.LifeDraining,
+	}
+	value, err := json.Marshal(former)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := kqstore.NewHTTP(f.store.Address()).Put(t.Context(), kqstore.KindHosts, kqstore.Object{Name: "orders-1", Value: value}); err != nil {
+		t.Fatal(err)
+	}
+	f.awaitState(entry, "the former record", func(s *kqmesh.State) bool { return s.Hosts["orders-1"].Life == kqmember.LifeDraining })
+	restarted := f.add("orders-1", "orders")
+	f.startServing(entry, restarted, route("/buy/", "orders", true))
+	if got := entry.request("GET", "/buy/", "a", ""); got.status != 200 {
+		t.Errorf("request to the node: got %+v, want 200", got)
+	}
+}
