Ignore a record whose address has no port in range

Reported by other operators, and by reading: the address in a record was only checked for being there. A port out of range fails at each dial, so the node of the record took a share of the tries and gave nothing. The record is ignored with a line now, and its node writes over it.

TestOddRecordIsUsed failed before for four addresses. An address of another node is still used: that node's gate refuses calls of another service as not run.

--- a/io/kqmesh/follow.go
+++ b/io/kqmesh/follow.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +23,9 @@
 // listTimeout bounds listing all pages of a kind.
 const listTimeout = 3 * time.Second
 
+// portBits is the size of a TCP port.
+const portBits = 16
+
 // sourceStore names the store as the source of routes.
 const sourceStore = "the store"
 
@@ -176,16 +181,21 @@
 }
 
 // decodeHost decodes a node's record and checks that it names the node of its
-// object, since the store does not keep other writers from changing it.
+// object and an address that can be dialed, since the store does not keep other
+// writers from changing it.
 func decodeHost(o kqstore.Object) (HostRecord, error) {
 	var record HostRecord
 	if err := json.Unmarshal(o.Value, &record); err != nil {
 		return record, errors.Mark(errors.Wrap(err, "decode record"), ErrNode)
 	}
-	if record.NodeID != o.Name || record.Address == "" {
-		return record, errors.Mark(errors.Newf("record names node %q at address %q, want the name of its object and an address", record.NodeID, record.Address), ErrNode)
+	if record.NodeID != o.Name {
+		return record, errors.Mark(errors.Newf("record names node %q, want the name of its object", record.NodeID), ErrNode)
+	}
+	_, port, err := net.SplitHostPort(record.Address)
+	if err == nil {
+		_, err = strconv.ParseUint(port, 10, portBits)
 	}
-	return record, nil
+	return record, errors.Mark(errors.Wrap(err, "record names an address, want a host and a port"), ErrNode)
 }
 
 // randomFraction returns a random number in [0, 1).
