Log and meter that a backend server has crashed, and what it ran

The gate now tries to connect when a call is lost: a refused connection means that the server has ended, without notice since its state is still Ready. One examination serves all calls that are lost together, and one start crashes once.

Not a crash: a cut answer, a server that drains, a node that shuts down.

--- a/io/kqmesh/events.go
+++ b/io/kqmesh/events.go
@@ -57,6 +57,7 @@
 	eventRecordNotRepaired
 	eventClockSetBack
 	eventServerState
+	eventServerCrashed
 	eventServerHealthy
 	eventServerUnhealthy
 	eventHealthNotTold
@@ -109,6 +110,7 @@
 	eventRecordNotRepaired:   {Name: "RecordNotRepaired", Level: zerolog.WarnLevel, Description: "A record of another node can't be written back to the store.", Fields: []string{fieldHost}},
 	eventClockSetBack:        {Name: "ClockSetBack", Level: zerolog.WarnLevel, Description: "The record of an earlier start of the node seems to be of a later one. The node numbers its own start after it.", Fields: []string{fieldIncarnation}},
 	eventServerState:         {Name: "ServerState", Level: zerolog.InfoLevel, Description: "The state of the backend server beside the node has changed.", Fields: []string{fieldServer, fieldState, "FormerState", fieldSequence}},
+	eventServerCrashed:       {Name: "ServerCrashed", Level: zerolog.WarnLevel, Description: "The backend server beside the node has ended without notice while it ran requests.", Fields: []string{fieldServer, "Runs"}},
 	eventServerHealthy:       {Name: "ServerHealthy", Level: zerolog.InfoLevel, Description: "A health probe found the backend server healthy, before the server had sent a notice.", Fields: []string{fieldServer, fieldVerdict}},
 	eventServerUnhealthy:     {Name: "ServerUnhealthy", Level: zerolog.InfoLevel, Description: "A health probe found the backend server not healthy.", Fields: []string{"Status"}},
 	eventHealthNotTold:       {Name: "HealthNotTold", Level: zerolog.InfoLevel, Description: "The backend server did not answer a health probe."},
--- a/io/kqmesh/gate.go
+++ b/io/kqmesh/gate.go
@@ -47,6 +47,8 @@
 	node *Node
 	pool *kqhttp.Pool
 	runs *kqlineage.Runs
+	// suspects finds out which calls the server ran when it crashed.
+	suspects *suspects
 
 	mutex   sync.Mutex
 	queue   *kqadmit.Queue
@@ -69,7 +71,7 @@
 
 func newGate(n *Node) *gate {
 	return &gate{
-		node: n, queue: kqadmit.New(), waiting: map[uint64]chan kqadmit.Verdict{}, runs: kqlineage.New(),
+		node: n, queue: kqadmit.New(), waiting: map[uint64]chan kqadmit.Verdict{}, runs: kqlineage.New(), suspects: newSuspects(n),
 		pool: kqhttp.NewPool(n.settings.BackendAddress, kqhttp.WithMaxAge(maxIdleTime), kqhttp.WithAnswerMatcher(n.answerMatches)),
 	}
 }
@@ -362,8 +364,10 @@
 	g.node.shedder.recordRun(head.Class)
 	g.fillRequest(request, head, body, server.ServerID, ends-begun)
 	response.SkipBody = request.Header.IsHead()
+	handedOver := g.suspects.begin(head, server)
 	err := g.pool.Do(ctx, request, response)
 	o := g.readAnswer(ctx, response, err)
+	g.suspects.end(handedOver, o.head.End)
 	if err == nil && o.head.End.Cause != kqcall.CauseMoved && o.head.End.Cause != kqcall.CauseBackendLost {
 		g.observeStatement(&response.Header, server)
 	}
