Refuse a request under which three backend servers have crashed

Callers saw a service lose server after server: a request that crashes those that run it came again under other IDs and at other nodes, and nothing linked the end of a server to what it ran. Repeats by the entries spread it: all that was lost with one server went to the next together, the deadly request among it.

What a server ran when it crashed is suspect, by content and not by ID; gates tell each other before they answer the lost calls. A gate runs one suspect at a time, so that what was lost together is told apart, and an answer clears it at all gates. Three crashes one after the other convict: gates then refuse the request as not run.

Ruled out: blaming the run that began last (servers end 10 to 120 ms after its begin), and conviction by two crashes (docs/design/deadly-requests.md has the ways weighed).

In the test of the load (20 minutes of six servers, two deadly requests a second among a hundred others, other crashes beside) no other request is convicted.

--- a/core/kqcall/kqcall.go
+++ b/core/kqcall/kqcall.go
@@ -89,6 +89,9 @@
 	// CauseBackendLost means that the connection to the backend server was
 	// lost.
 	CauseBackendLost Cause = "BackendLost"
+	// CauseCrashesServers means that several backend servers have crashed while they
+	// ran the same request.
+	CauseCrashesServers Cause = "CrashesServers"
 	// CauseBackendSilent means that the backend server stopped answering.
 	CauseBackendSilent Cause = "BackendSilent"
 	CauseKeyMissing    Cause = "KeyMissing"
--- /dev/null
+++ b/core/kqsuspect/kqsuspect_test.go
@@ -0,0 +1,271 @@
+package kqsuspect_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"kumquatlink/core/kqsuspect"
+)
+
+func fingerprint(name string) kqsuspect.Fingerprint {
+	return kqsuspect.FingerprintOf([]byte(name))
+}
+
+// runs returns runs of requests of these names, each of which took d.
+func runs(d time.Duration, names ...string) []kqsuspect.Run {
+	var list []kqsuspect.Run
+	for _, n := range names {
+		list = append(list, kqsuspect.Run{Fingerprint: fingerprint(n), Ran: d})
+	}
+	return list
+}
+
+func TestFingerprintsTellPartsApart(t *testing.T) {
+	seen := map[kqsuspect.Fingerprint]string{}
+	for _, parts := range [][]string{{"a", "b"}, {"ab"}, {"ab", ""}, {"", "ab"}, {"b", "a"}, {}} {
+		var list [][]byte
+		for _, p := range parts {
+			list = append(list, []byte(p))
+		}
+		f := kqsuspect.FingerprintOf(list...)
+		if former, found := seen[f]; found {
+			t.Errorf("fingerprint of %q: got that of %s, want another one", parts, former)
+		}
+		seen[f] = fmt.Sprintf("%q", parts)
+	}
+}
+
+func TestRequestIsConvictedAfterThreeCrashes(t *testing.T) {
+	table := kqsuspect.New()
+	for i := range kqsuspect.ConvictingCrashes {
+		if got := table.Judge(at(i), fingerprint("deadly")).Verdict; got == kqsuspect.Convicted {
+			t.Fatalf("verdict after %d crashes: got %s, want no conviction", i, got)
+		}
+		table.RecordCrash(at(i)+time.Second, runs(100*time.Millisecond, "deadly", fmt.Sprintf("other-%d", i)))
+	}
+	if got := table.Judge(at(9), fingerprint("deadly")); got.Verdict != kqsuspect.Convicted || got.Crashes != 3 {
+		t.Errorf("judgement after three crashes: got %+v, want Convicted", got)
+	}
+	if got := table.Judge(at(9), fingerprint("other-1")).Verdict; got != kqsuspect.Suspected {
+		t.Errorf("verdict on a request that was lost once: got %s, want Suspected", got)
+	}
+}
+
+func at(seconds int) time.Duration { return time.Duration(seconds) * 10 * time.Second }
+
+func TestAnsweredRequestIsCleared(t *testing.T) {
+	table := kqsuspect.New()
+	for i := range 10 {
+		table.RecordCrash(at(i), runs(0, "popular"))
+		if !table.RecordAnswer(fingerprint("popular")) {
+			t.Errorf("answer after crash %d: got no suspect cleared, want one", i)
+		}
+	}
+	if got := table.Judge(at(20), fingerprint("popular")).Verdict; got != kqsuspect.Cleared || !table.Empty() {
+		t.Errorf("verdict on a request that is answered between crashes: got %s, want Cleared and an empty table", got)
+	}
+}
+
+// TestServersThatEndTogetherConvictNoRequest has a request run on many servers that
+// lose power in the same moment.
+func TestServersThatEndTogetherConvictNoRequest(t *testing.T) {
+	table := kqsuspect.New()
+	for i := range 10 {
+		table.RecordCrash(at(1)+time.Duration(i)*time.Millisecond, runs(100*time.Millisecond, "popular", "popular"))
+	}
+	if got := table.Judge(at(2), fingerprint("popular")); got.Verdict != kqsuspect.Suspected || got.Crashes != 1 {
+		t.Errorf("judgement after ten crashes in a moment: got %+v, want Suspected after 1", got)
+	}
+	// A repeat is sent after the server before has crashed, whenever this gate hears
+	// of that.
+	table.RecordCrash(at(1)+20*time.Millisecond, []kqsuspect.Run{{Fingerprint: fingerprint("popular"), Ran: 100 * time.Millisecond, Repeat: true}})
+	if got := table.Judge(at(2), fingerprint("popular")).Crashes; got != 2 {
+		t.Errorf("crashes after one under a repeat: got %d, want 2", got)
+	}
+}
+
+func TestConvictionLastsWhileTheRequestComes(t *testing.T) {
+	table := kqsuspect.New()
+	now := time.Duration(0)
+	for range kqsuspect.ConvictingCrashes {
+		now += time.Second
+		table.RecordCrash(now, runs(0, "deadly"))
+	}
+	for range 5 {
+		now += kqsuspect.ConvictionTime - 1
+		if got := table.Judge(now, fingerprint("deadly")).Verdict; got != kqsuspect.Convicted {
+			t.Fatalf("verdict at %s while the request comes: got %s, want Convicted", now, got)
+		}
+	}
+	now += kqsuspect.ConvictionTime
+	if got := table.Judge(now, fingerprint("deadly")).Verdict; got != kqsuspect.Suspected {
+		t.Errorf("verdict after the request has not come for long: got %s, want Suspected", got)
+	}
+	table.RecordCrash(now+time.Second, runs(0, "deadly"))
+	if got := table.Judge(now+2*time.Second, fingerprint("deadly")).Verdict; got != kqsuspect.Convicted {
+		t.Errorf("verdict after one more crash: got %s, want Convicted", got)
+	}
+}
+
+func TestTableIsBounded(t *testing.T) {
+	table := kqsuspect.New()
+	for i := range kqsuspect.ConvictingCrashes {
+		table.RecordCrash(at(i), runs(0, "deadly"))
+	}
+	for i := range 3 * kqsuspect.MaxRequests {
+		table.RecordCrash(at(5)+time.Duration(i), runs(0, fmt.Sprint(i)))
+	}
+	if got := len(table.Records(at(6))); got > kqsuspect.MaxRequests {
+		t.Errorf("requests in the table: got %d, want at most %d", got, kqsuspect.MaxRequests)
+	}
+	if got := table.Judge(at(6), fingerprint("deadly")).Verdict; got != kqsuspect.Convicted {
+		t.Errorf("verdict on a convicted request in a full table: got %s, want Convicted", got)
+	}
+}
+
+func TestMergedTableKnowsTheSame(t *testing.T) {
+	table, other := kqsuspect.New(), kqsuspect.New()
+	for i := range kqsuspect.ConvictingCrashes {
+		table.RecordCrash(at(i), runs(0, "deadly"))
+	}
+	table.RecordCrash(at(4), runs(0, "suspect"))
+	other.Merge(0, table.Records(at(5)))
+	for name, want := range map[string]kqsuspect.Verdict{"deadly": kqsuspect.Convicted, "suspect": kqsuspect.Suspected, "unknown": kqsuspect.Cleared} {
+		if got := other.Judge(time.Second, fingerprint(name)).Verdict; got != want {
+			t.Errorf("verdict of the other table on %s: got %s, want %s", name, got, want)
+		}
+	}
+}
+
+// TestFewServersCrashUnderOneDeadlyRequest plays the load: servers that run requests
+// side by side, one of which crashes each of them and comes again and again. Some
+// requests are often sent, others once; a lost one is repeated at another server, one
+// suspect at a time at each server. Servers also crash by themselves.
+func TestFewServersCrashUnderOneDeadlyRequest(t *testing.T) {
+	const (
+		servers    = 6
+		step       = 10 * time.Millisecond
+		length     = 60 * time.Second
+		runTime    = 120 * time.Millisecond
+		repairTime = 3 * time.Second
+		deadlyRate = 2.0
+		otherRate  = 100.0
+		popular    = 10
+		// contact is the time after the third crash from which on no more than
+		// lateRuns runs may begin.
+		contact  = 3 * time.Second
+		lateRuns = 3
+	)
+	type run struct {
+		kqsuspect.Run
+		name    string
+		begun   time.Duration
+		suspect bool
+	}
+	deadly := fingerprint("deadly")
+	totalCrashes, convictedOthers, refused, sent := 0, 0, 0, 0
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 11))
+		table := kqsuspect.New()
+		var running [servers][]run
+		var downUntil [servers]time.Duration
+		var waiting []run
+		crashes, late := 0, 0
+		convictedAt := length
+		for now := time.Duration(0); now < length; now += step {
+			arrive := func(name string) {
+				waiting = append(waiting, run{Run: kqsuspect.Run{Fingerprint: fingerprint(name)}, name: name})
+			}
+			if random.Float64() < deadlyRate*step.Seconds() {
+				arrive("deadly")
+			}
+			for range 1 + random.IntN(2) {
+				if random.Float64() >= otherRate*step.Seconds()/1.5 {
+					continue
+				}
+				if random.IntN(2) == 0 {
+					arrive(fmt.Sprintf("popular-%d", random.IntN(popular)))
+				} else {
+					arrive(fmt.Sprintf("single-%d-%d", now, random.Int()))
+				}
+				sent++
+			}
+			var later []run
+			for _, r := range waiting {
+				j := table.Judge(now, r.Fingerprint)
+				if j.Verdict == kqsuspect.Convicted {
+					if r.Fingerprint != deadly {
+						refused++
+					}
+					continue
+				}
+				s := random.IntN(servers)
+				taken := false
+				for _, o := range running[s] {
+					taken = taken || o.suspect && j.Verdict == kqsuspect.Suspected
+				}
+				if taken || now < downUntil[s] {
+					later = append(later, r)
+					continue
+				}
+				if r.Fingerprint == deadly && now > convictedAt+contact {
+					late++
+				}
+				r.begun, r.suspect = now, j.Verdict == kqsuspect.Suspected
+				running[s] = append(running[s], r)
+			}
+			waiting = later
+			for s := range running {
+				crashed := random.Float64() < 0.1*step.Seconds()/servers
+				var left []run
+				for _, r := range running[s] {
+					if now-r.begun < runTime {
+						left = append(left, r)
+						continue
+					}
+					if r.Fingerprint == deadly {
+						crashed = true
+						if crashes++; crashes == kqsuspect.ConvictingCrashes {
+							convictedAt = now
+						}
+						left = append(left, r)
+						break
+					}
+					table.RecordAnswer(r.Fingerprint)
+				}
+				if !crashed {
+					running[s] = left
+					continue
+				}
+				var lost []kqsuspect.Run
+				for _, r := range left {
+					lost = append(lost, kqsuspect.Run{Fingerprint: r.Fingerprint, Ran: now - r.begun, Repeat: r.Repeat})
+					if !r.Repeat {
+						r.Repeat = true
+						waiting = append(waiting, r)
+					}
+				}
+				for _, f := range table.RecordCrash(now, lost) {
+					if f != deadly {
+						convictedOthers++
+					}
+				}
+				running[s], downUntil[s] = nil, now+repairTime
+			}
+		}
+		totalCrashes += crashes
+		if late > lateRuns || crashes < kqsuspect.ConvictingCrashes {
+			t.Errorf("seed %d: got %d crashes and %d runs later than %s after the third, want %d at least and %d at most", seed, crashes, late, contact, kqsuspect.ConvictingCrashes, lateRuns)
+		}
+	}
+	t.Logf("20 runs of a minute: %d servers crashed, %d other requests of %d convicted, %d refused", totalCrashes, convictedOthers, sent, refused)
+	// Before its first crash the request may run at all servers at once.
+	if mean := float64(totalCrashes) / 20; mean > servers {
+		t.Errorf("servers that crashed, mean: got %.1f, want at most %d", mean, servers)
+	}
+	if convictedOthers > 0 {
+		t.Errorf("other requests convicted: got %d, want none", convictedOthers)
+	}
+}
--- /dev/null
+++ b/io/kqmesh/deadly_test.go
@@ -0,0 +1,184 @@
+package kqmesh_test
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"kumquatlink/core/kqserver"
+	"kumquatlink/core/kqsuspect"
+)
+
+// Times of crashes: how long the deadly request runs before its server ends, and how
+// long that is away.
+const (
+	deadlyRunTime = 20 * time.Millisecond
+	crashTime     = 300 * time.Millisecond
+)
+
+// mortal is a host whose server ends with all of its connections when it runs a
+// request to the path /look/deadly, and starts again some time later.
+type mortal struct {
+	*host
+	mutex   sync.Mutex
+	open    map[net.Conn]bool
+	born    int64
+	crashes atomic.Int64
+}
+
+// newMortal makes the server of a host mortal.
+func newMortal(h *host) *mortal {
+	m := &mortal{host: h, open: map[net.Conn]bool{}, born: 1}
+	m.setAnswer(m.answer)
+	return m
+}
+
+func (m *mortal) answer(c net.Conn, q *fasthttp.Request) {
+	m.mutex.Lock()
+	m.open[c] = true
+	m.mutex.Unlock()
+	// A run takes a moment, so that others are lost with the deadly one.
+	<-time.After(deadlyRunTime)
+	if string(q.Header.RequestURI()) == "/look/deadly" {
+		m.crash()
+		return
+	}
+	echo(c, q)
+}
+
+// crash closes the server's address and connections and opens the address later.
+func (m *mortal) crash() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.listener == nil {
+		return
+	}
+	m.crashes.Add(1)
+	address := m.address()
+	_ = m.listener.Close()
+	m.listener = nil
+	for c := range m.open {
+		_ = c.Close()
+	}
+	m.open = map[net.Conn]bool{}
+	time.AfterFunc(crashTime, func() { m.restart(address) })
+}
+
+func (m *mortal) restart(address string) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		m.t.Errorf("server starts again at %s: got %v, want the address free", address, err)
+		return
+	}
+	m.listener = l
+	m.t.Cleanup(func() { _ = l.Close() })
+	m.born++
+	go m.accept(l)
+	m.node.ApplyNotice(kqserver.Notice{ServerID: m.id, Service: m.settings.Service, Address: address, Slots: 4, State: kqserver.Ready, Sequence: 1, Born: m.born})
+}
+
+// TestDeadlyRequestCrashesServerAfterServer sends a request that crashes the servers
+// that run it, again and again and at all nodes, among requests that don't.
+func TestDeadlyRequestCrashesServerAfterServer(t *testing.T) {
+	f := newFleet(t)
+	var hosts []*host
+	var servers []*mortal
+	for i := range 5 {
+		h := f.add(fmt.Sprintf("orders-%d", i+1), "orders")
+		hosts, servers = append(hosts, h), append(servers, newMortal(h))
+	}
+	f.writeRoutes(1, route("/look/", "orders", false), route("/buy/", "orders", true))
+	f.serveAll(hosts...)
+	crashes := func() int64 {
+		total := int64(0)
+		for _, m := range servers {
+			total += m.crashes.Load()
+		}
+		return total
+	}
+	var callers sync.WaitGroup
+	var served, sent atomic.Int64
+	stop := make(chan struct{})
+	for c, h := range hosts {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				path := []string{"/look/popular", fmt.Sprintf("/look/%d-%d", c, i), fmt.Sprintf("/buy/%d-%d", c, i)}[i%3]
+				id := fmt.Sprintf("other-%d-%d", c, i)
+				got := h.request("GET", path, id, "")
+				sent.Add(1)
+				if got.status == 200 {
+					served.Add(1)
+				}
+				if strings.Contains(got.body, "CrashesServers") {
+					t.Errorf("request to %s: got %+v, want it not taken for the deadly one", path, got)
+				}
+			}
+		}()
+	}
+	for i := 0; i <= kqsuspect.ConvictingCrashes+len(hosts) || sent.Load() < 300; i++ {
+		got := hosts[i%len(hosts)].request("GET", "/look/deadly", fmt.Sprintf("deadly-%d", i), "")
+		if got.status == 200 {
+			t.Errorf("deadly request %d: got %+v, want a failure", i, got)
+		}
+		if i > kqsuspect.ConvictingCrashes && (got.status != 503 || got.retryAfter == "" || !strings.Contains(got.body, "CrashesServers")) {
+			t.Errorf("deadly request %d: got %+v, want it refused as not run, with a time to come back", i, got)
+		}
+	}
+	close(stop)
+	callers.Wait()
+	if got := crashes(); got > kqsuspect.ConvictingCrashes {
+		t.Errorf("servers that crashed: got %d, want %d at most", got, kqsuspect.ConvictingCrashes)
+	}
+	t.Logf("%d of %d other requests served", served.Load(), sent.Load())
+	// What must not repeat is lost with a server, and each crash loses a few of them.
+	if lost, want := sent.Load()-served.Load(), 3*crashes()*4; lost > want {
+		t.Errorf("other requests not served: got %d, want %d at most", lost, want)
+	}
+}
+
+// TestRestartedNodeForgetsADeadlyRequest restarts the node of a server, which must
+// refuse a request that is convicted before it runs it.
+func TestRestartedNodeForgetsADeadlyRequest(t *testing.T) {
+	f := newFleet(t)
+	var hosts []*host
+	var servers []*mortal
+	for i := range 4 {
+		h := f.add(fmt.Sprintf("orders-%d", i+1), "orders")
+		hosts, servers = append(hosts, h), append(servers, newMortal(h))
+	}
+	f.writeRoutes(1, route("/look/", "orders", false))
+	f.serveAll(hosts...)
+	for i := 0; !strings.Contains(f.logged(), "RequestConvicted"); i++ {
+		hosts[0].request("GET", "/look/deadly", fmt.Sprintf("deadly-%d", i), "")
+	}
+	last := hosts[3]
+	before := servers[3].crashes.Load()
+	last.node.Stop()
+	last.settings.FirstStart = false
+	f.start(last)
+	f.awaitLogged("records of lost requests are known")
+	last.node.ApplyNotice(kqserver.Notice{ServerID: last.id, Service: "orders", Address: last.settings.BackendAddress, Slots: 4, State: kqserver.Ready, Sequence: 9, Born: 99})
+	for i := range 20 {
+		if got := last.request("GET", "/look/deadly", fmt.Sprintf("again-%d", i), ""); got.status != 503 {
+			t.Errorf("deadly request after the restart: got %+v, want 503", got)
+		}
+	}
+	if got := servers[3].crashes.Load() - before; got > 0 {
+		t.Errorf("crashes of the server beside the node that was restarted: got %d more, want none", got)
+	}
+}
--- a/io/kqmesh/events.go
+++ b/io/kqmesh/events.go
@@ -24,6 +24,8 @@
 	fieldKind         = "Kind"
 	fieldEra          = "StoreEra"
 	fieldStoreVersion = "StoreVersion"
+	fieldRequest      = "RequestID"
+	fieldFingerprint  = "Fingerprint"
 )
 
 // eventKind identifies a kind of event that a node logs. It is the index of the
@@ -58,6 +60,10 @@
 	eventClockSetBack
 	eventServerState
 	eventServerCrashed
+	eventRequestConvicted
+	eventSuspectCleared
+	eventSuspectsNotTold
+	eventSuspectsFetched
 	eventServerHealthy
 	eventServerUnhealthy
 	eventHealthNotTold
@@ -110,7 +116,11 @@
 	eventRecordNotRepaired:   {Name: "RecordNotRepaired", Level: zerolog.WarnLevel, Description: "A record of another node can't be written back to the store.", Fields: []string{fieldHost}},
 	eventClockSetBack:        {Name: "ClockSetBack", Level: zerolog.WarnLevel, Description: "The record of an earlier start of the node seems to be of a later one. The node numbers its own start after it.", Fields: []string{fieldIncarnation}},
 	eventServerState:         {Name: "ServerState", Level: zerolog.InfoLevel, Description: "The state of the backend server beside the node has changed.", Fields: []string{fieldServer, fieldState, "FormerState", fieldSequence}},
-	eventServerCrashed:       {Name: "ServerCrashed", Level: zerolog.WarnLevel, Description: "The backend server beside the node has ended without notice while it ran requests.", Fields: []string{fieldServer, "Runs"}},
+	eventServerCrashed:       {Name: "ServerCrashed", Level: zerolog.WarnLevel, Description: "The backend server beside the node has ended without notice while it ran requests. All of them are suspects until a server has answered them.", Fields: []string{fieldServer, "Runs"}},
+	eventRequestConvicted:    {Name: "RequestConvicted", Level: zerolog.WarnLevel, Description: "A request is refused from now on, whatever its ID, since several servers have crashed while they ran it.", Fields: []string{fieldFingerprint, fieldSource}},
+	eventSuspectCleared:      {Name: "SuspectCleared", Level: zerolog.InfoLevel, Description: "A request that was lost with a server that crashed has been answered by a server.", Fields: []string{fieldRequest, fieldFingerprint}},
+	eventSuspectsNotTold:     {Name: "SuspectsNotTold", Level: zerolog.DebugLevel, Description: "Another gate could not be told of lost requests, or asked for them.", Fields: []string{fieldPeer}},
+	eventSuspectsFetched:     {Name: "SuspectsFetched", Level: zerolog.InfoLevel, Description: "The node, which was started again, has learned from another one which requests were lost with servers that crashed.", Fields: []string{fieldPeer, "Records"}},
 	eventServerHealthy:       {Name: "ServerHealthy", Level: zerolog.InfoLevel, Description: "A health probe found the backend server healthy, before the server had sent a notice.", Fields: []string{fieldServer, fieldVerdict}},
 	eventServerUnhealthy:     {Name: "ServerUnhealthy", Level: zerolog.InfoLevel, Description: "A health probe found the backend server not healthy.", Fields: []string{"Status"}},
 	eventHealthNotTold:       {Name: "HealthNotTold", Level: zerolog.InfoLevel, Description: "The backend server did not answer a health probe."},
--- a/io/kqmesh/fleet_test.go
+++ b/io/kqmesh/fleet_test.go
@@ -71,18 +71,20 @@
 	}
 	b := &backend{t: t, id: id, listener: l, runs: map[string]int{}, begun: make(chan string, 256), callersGone: make(chan string, 256)}
 	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go b.serve(c)
-		}
-	}()
+	go b.accept(l)
 	return b
 }
 
+func (b *backend) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go b.serve(c)
+	}
+}
+
 func (b *backend) address() string { return b.listener.Addr().String() }
 
 func (b *backend) serve(c net.Conn) {
--- a/io/kqmesh/gate.go
+++ b/io/kqmesh/gate.go
@@ -47,7 +47,7 @@
 	node *Node
 	pool *kqhttp.Pool
 	runs *kqlineage.Runs
-	// suspects finds out which calls the server ran when it crashed.
+	// suspects keeps the server from requests that crash it.
 	suspects *suspects
 
 	mutex   sync.Mutex
@@ -107,7 +107,7 @@
 func (n *Node) handleCall(ctx context.Context, peer string, head kqtrunk.CallHead, body []byte) (kqtrunk.AnswerHead, []byte) {
 	n.observePeerVersion(peer, head.RoutesVersion)
 	if head.AskLoad {
-		return kqtrunk.AnswerHead{End: kqcall.NotRun(""), Load: n.gate.load()}, nil
+		return n.handleLoadRequest(peer, body)
 	}
 	o := n.gate.run(ctx, head, body)
 	if s := n.State(); s.Routes != nil {
@@ -147,6 +147,11 @@
 		return o
 	}
 	begun := g.node.clock()
+	o, leave := g.suspects.admit(ctx, head, body)
+	if o != nil {
+		return o
+	}
+	defer leave()
 	end, admitted := g.admit(ctx, head, s.Server)
 	queued := g.node.clock() - begun
 	if !admitted {
@@ -154,7 +159,7 @@
 		o.head.Queue = queued
 		return o
 	}
-	o := g.execute(ctx, head, body, s.Server)
+	o = g.execute(ctx, head, body, s.Server)
 	took := g.node.clock() - begun - queued
 	o.head.Queue, o.head.Run = queued, took
 	g.node.metrics.Time(kqmetric.RunTime, took)
@@ -364,7 +369,7 @@
 	g.node.shedder.recordRun(head.Class)
 	g.fillRequest(request, head, body, server.ServerID, ends-begun)
 	response.SkipBody = request.Header.IsHead()
-	handedOver := g.suspects.begin(head, server)
+	handedOver := g.suspects.begin(head, body, server)
 	err := g.pool.Do(ctx, request, response)
 	o := g.readAnswer(ctx, response, err)
 	g.suspects.end(handedOver, o.head.End)
--- a/io/kqmesh/kqmesh.go
+++ b/io/kqmesh/kqmesh.go
@@ -283,6 +283,7 @@
 	n.startLoop(ctx, n.repairRecords)
 	n.startLoop(ctx, n.publishUpdates)
 	n.startLoop(ctx, n.probeServer)
+	n.startLoop(ctx, n.fetchRecords)
 	n.logEvent(eventNodeStarted, "node started at "+n.settings.CallerAddress+" for callers and "+n.peerAddress+" for nodes", nil,
 		kqlog.Text(fieldAddress, n.settings.CallerAddress), kqlog.Text("PeerAddress", n.peerAddress))
 	return nil
--- a/io/kqmesh/place.go
+++ b/io/kqmesh/place.go
@@ -166,7 +166,7 @@
 		a.Verdict = kqroute.Draining
 	case end.Cause == kqcall.CauseBackendShed:
 		a.Verdict = kqroute.Faulty
-	case end.Cause == kqcall.CauseCallerGone:
+	case end.Cause == kqcall.CauseCallerGone || end.Cause == kqcall.CauseCrashesServers:
 		a.Verdict = kqroute.Inconclusive
 	case end.Outcome == kqcall.OutcomeNotRun && o.fromGate && end.Cause != kqcall.CauseBackendLost:
 		a.Verdict = kqroute.Full
@@ -189,7 +189,7 @@
 	end := o.head.End
 	reachedBackend := true
 	switch {
-	case end.Cause == kqcall.CauseCallerGone || end.Cause == kqcall.CauseDeadline:
+	case end.Cause == kqcall.CauseCallerGone || end.Cause == kqcall.CauseDeadline || end.Cause == kqcall.CauseCrashesServers:
 		return false
 	case end.Outcome == kqcall.OutcomeRan && o.head.Status < fasthttp.StatusInternalServerError:
 		return false
--- /dev/null
+++ b/io/kqmesh/report.go
@@ -0,0 +1,177 @@
+package kqmesh
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"kumquatlink/core/kqcall"
+	"kumquatlink/core/kqmember"
+	"kumquatlink/core/kqsuspect"
+	"kumquatlink/io/kqlog"
+	"kumquatlink/io/kqtrunk"
+)
+
+// Times of reports about requests.
+const (
+	reportTimeout = time.Second
+	// recordsAttempts is how often a node that starts asks others for their records,
+	// and recordsPause the pause between two attempts.
+	recordsAttempts = 5
+	recordsPause    = 500 * time.Millisecond
+)
+
+// serviceGates returns the addresses of the other nodes whose servers offer the same
+// service. Only they may run what this node has run.
+func (k *suspects) serviceGates() []string {
+	return k.addresses(func(h HostRecord) bool { return h.Service == k.node.settings.Service })
+}
+
+// otherGates returns the addresses of the nodes of other services, to which routes may
+// send the same request later.
+func (k *suspects) otherGates() []string {
+	return k.addresses(func(h HostRecord) bool { return h.Service != k.node.settings.Service })
+}
+
+func (k *suspects) addresses(selected func(HostRecord) bool) []string {
+	var addresses []string
+	for name, h := range k.node.State().Hosts {
+		if name != k.node.settings.NodeID && h.Life != kqmember.LifeGone && selected(h) {
+			addresses = append(addresses, h.Address)
+		}
+	}
+	return addresses
+}
+
+// report tells the other gates of the service of a crash, and all nodes of the
+// requests that are convicted by it. It returns when the former have the report, or
+// after reportWait.
+func (k *suspects) report(r suspectReport, convicted []kqsuspect.Fingerprint) {
+	told := k.tell(k.serviceGates(), r)
+	if len(convicted) > 0 {
+		var records []kqsuspect.Record
+		for _, f := range convicted {
+			records = append(records, kqsuspect.Record{Fingerprint: f, Crashes: kqsuspect.ConvictingCrashes})
+		}
+		k.tell(k.otherGates(), suspectReport{Records: records})
+	}
+	t := time.NewTimer(reportWait)
+	defer t.Stop()
+	for range cap(told) {
+		select {
+		case <-told:
+		case <-t.C:
+			return
+		}
+	}
+}
+
+// tell sends a report to nodes in the background. The channel gets a value, up to its
+// capacity, for each that has answered or can't be reached.
+func (k *suspects) tell(addresses []string, r suspectReport) <-chan struct{} {
+	told := make(chan struct{}, len(addresses))
+	for _, address := range addresses {
+		send := func() {
+			defer func() { told <- struct{}{} }()
+			_, err := k.send(address, r)
+			if err != nil {
+				k.node.logEvent(eventSuspectsNotTold, "report on lost requests does not reach "+address, err, kqlog.Text(fieldPeer, address))
+			}
+		}
+		if err := k.node.pool.Submit(send); err != nil {
+			k.node.logEvent(eventSuspectsNotTold, "report on lost requests is not sent to "+address, err, kqlog.Text(fieldPeer, address))
+			told <- struct{}{}
+		}
+	}
+	return told
+}
+
+// send sends a report to a node and returns its answer.
+func (k *suspects) send(address string, r suspectReport) (suspectReport, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	var answer suspectReport
+	body, err := cbor.Marshal(r)
+	if err != nil {
+		return answer, err
+	}
+	head := kqtrunk.CallHead{Service: k.node.settings.Service, Budget: reportTimeout, AskLoad: true, RoutesVersion: k.node.routesVersion()}
+	got, err := k.node.dialer.Call(ctx, address, head, body)
+	if err != nil || len(got.Body) == 0 {
+		return answer, err
+	}
+	return answer, cbor.Unmarshal(got.Body, &answer)
+}
+
+// handleLoadRequest answers a request for the gate's load, which may carry a report.
+func (n *Node) handleLoadRequest(peer string, body []byte) (kqtrunk.AnswerHead, []byte) {
+	head := kqtrunk.AnswerHead{End: kqcall.NotRun(""), Load: n.gate.load()}
+	if len(body) == 0 {
+		return head, nil
+	}
+	var r suspectReport
+	if err := cbor.Unmarshal(body, &r); err != nil {
+		n.logEvent(eventPeerUnreadable, "report of peer "+peer+" can't be decoded: it is ignored", err, kqlog.Text(fieldPeer, peer))
+		return head, nil
+	}
+	answer := n.gate.suspects.receive(peer, r)
+	if answer.isEmpty() {
+		return head, nil
+	}
+	data, err := cbor.Marshal(answer)
+	if err != nil {
+		n.logEvent(eventMessageNotWritten, "answer to a report can't be encoded: it is not sent", err)
+		return head, nil
+	}
+	return head, data
+}
+
+// receive records what another gate reports and returns what it asks for.
+func (k *suspects) receive(peer string, r suspectReport) suspectReport {
+	k.mutex.Lock()
+	now := k.node.clock()
+	convicted := k.table.RecordCrash(now, r.Runs)
+	for _, f := range r.Cleared {
+		k.table.RecordAnswer(f)
+	}
+	if len(r.Cleared) > 0 {
+		k.wake()
+	}
+	k.table.Merge(now, r.Records)
+	var answer suspectReport
+	if r.Ask {
+		answer.Records = k.table.Records(now)
+	}
+	k.mutex.Unlock()
+	k.logConvicted(convicted, "peer "+peer)
+	return answer
+}
+
+// fetchRecords asks nodes of the service, and others if there are none, for what they
+// hold of requests, when a node starts again.
+func (n *Node) fetchRecords(ctx context.Context) {
+	if n.settings.FirstStart || n.WaitFor(ctx, func(s *State) bool { return s.HostsKnown }) != nil {
+		return
+	}
+	k := n.gate.suspects
+	for range recordsAttempts {
+		addresses, others := k.serviceGates(), k.otherGates()
+		shuffle(addresses, n.random)
+		shuffle(others, n.random)
+		for _, address := range append(addresses, others...)[:min(announcedPerDomain, len(addresses)+len(others))] {
+			answer, err := k.send(address, suspectReport{Ask: true})
+			if ctx.Err() != nil {
+				return
+			}
+			if err == nil {
+				k.receive(address, suspectReport{Records: answer.Records})
+				n.logEvent(eventSuspectsFetched, fmt.Sprintf("records of lost requests are known: %d of them from %s", len(answer.Records), address), nil, kqlog.Text(fieldPeer, address), kqlog.Number("Records", int64(len(answer.Records))))
+				return
+			}
+			n.logEvent(eventSuspectsNotTold, "records of lost requests can't be asked of "+address, err, kqlog.Text(fieldPeer, address))
+		}
+		sleep(ctx, recordsPause)
+	}
+}
--- a/io/kqmesh/suspect.go
+++ b/io/kqmesh/suspect.go
@@ -1,42 +1,86 @@
 package kqmesh
 
 import (
+	"context"
+	"encoding/hex"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
 
 	"kumquatlink/core/kqcall"
 	"kumquatlink/core/kqserver"
+	"kumquatlink/core/kqsuspect"
 	"kumquatlink/io/kqlog"
 	"kumquatlink/io/kqmetric"
 	"kumquatlink/io/kqtrunk"
 )
 
-// crashProbeTimeout bounds the attempt to connect that tells a server that has
-// ended from a connection that has. Both ends are on this host.
-const crashProbeTimeout = 200 * time.Millisecond
+// Settings for requests that crash backend servers. See docs/design/deadly-requests.md.
+const (
+	// crashProbeTimeout bounds the attempt to connect that tells a server that has
+	// ended from a connection that has. Both ends are on this host.
+	crashProbeTimeout = 200 * time.Millisecond
+	// reportWait is how long the answers to lost calls wait until the gates to
+	// which they may be repeated know of the crash. The farthest are 40 ms away.
+	reportWait = 60 * time.Millisecond
+	// clearDelay is how long a gate collects cleared requests for one report.
+	clearDelay = 50 * time.Millisecond
+	// maxWaitingSuspects is how many calls wait for the suspect that runs.
+	maxWaitingSuspects = 32
+)
+
+// callerHeaders are the header fields that tell the caller of a request. They are
+// part of what makes two requests the same.
+var callerHeaders = []string{fasthttp.HeaderAuthorization, fasthttp.HeaderCookie}
+
+// fingerprintOf returns the fingerprint of a request, whatever its ID.
+func fingerprintOf(head kqtrunk.CallHead, body []byte) kqsuspect.Fingerprint {
+	parts := [][]byte{[]byte(head.Method), []byte(head.Host), []byte(head.Path), body}
+	for _, name := range callerHeaders {
+		value := ""
+		for _, f := range head.Headers {
+			if strings.EqualFold(f.Name, name) {
+				value += f.Value
+			}
+		}
+		parts = append(parts, []byte(value))
+	}
+	return kqsuspect.FingerprintOf(parts...)
+}
 
-// suspects finds out which calls a backend server ran when it crashed.
+// suspects keeps a gate's backend server from requests that crash it. Which requests
+// those are it learns from its own server and from the other gates.
 type suspects struct {
 	node *Node
 
 	mutex sync.Mutex
+	table *kqsuspect.Table
 	// running holds the calls that the backend server runs, or was lost with while
 	// that is examined.
 	running map[*suspectRun]bool
+	// suspectRuns reports whether a suspect runs, and waiting how many calls wait
+	// for its end. changed is closed when it ends, or when a request is cleared.
+	suspectRuns bool
+	waiting     int
+	changed     chan struct{}
 	// examination is the one under way, or nil. examined is the start of the server
 	// that was last found to have crashed.
 	examination *examination
 	examined    kqserver.Notice
+	// cleared are requests of which the other gates are told after clearDelay.
+	cleared []kqsuspect.Fingerprint
 }
 
 // suspectRun is a call that the backend server runs.
 type suspectRun struct {
 	head   kqtrunk.CallHead
+	body   []byte
 	server kqserver.Notice
 	begun  time.Duration
 }
@@ -48,19 +92,84 @@
 }
 
 func newSuspects(n *Node) *suspects {
-	return &suspects{node: n, running: map[*suspectRun]bool{}}
+	return &suspects{node: n, table: kqsuspect.New(), running: map[*suspectRun]bool{}, changed: make(chan struct{})}
+}
+
+// admit returns the end of a call that is convicted, and otherwise nil and a function
+// to be called when the call has ended. A suspect waits until no other one runs.
+func (k *suspects) admit(ctx context.Context, head kqtrunk.CallHead, body []byte) (*callAnswer, func()) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.table.Empty() {
+		return nil, func() {}
+	}
+	fingerprint := fingerprintOf(head, body)
+	for {
+		j := k.table.Judge(k.node.clock(), fingerprint)
+		switch {
+		case j.Verdict == kqsuspect.Cleared:
+			return nil, func() {}
+		case j.Verdict == kqsuspect.Convicted:
+			k.node.metrics.Count(kqmetric.DeadlyRefused, head.Service)
+			o := endOnly(kqcall.NotRun(kqcall.CauseCrashesServers))
+			o.head.End.RetryAfter = kqsuspect.ConvictionTime
+			o.shedBy.Age = j.Age
+			return o, nil
+		case !k.suspectRuns:
+			k.suspectRuns = true
+			return nil, k.suspectEnded
+		case k.waiting >= maxWaitingSuspects:
+			return endOnly(kqcall.NotRun(kqcall.CauseShedGate)), nil
+		}
+		if !k.awaitChange(ctx) {
+			return endOnly(kqcall.NotRun(causeOfContext(ctx))), nil
+		}
+	}
+}
+
+// awaitChange waits until the suspect that runs has ended or a request is cleared, and
+// reports whether that was before the end of ctx. The mutex is held, and released
+// meanwhile.
+func (k *suspects) awaitChange(ctx context.Context) bool {
+	changed := k.changed
+	k.waiting++
+	k.mutex.Unlock()
+	defer func() {
+		k.mutex.Lock()
+		k.waiting--
+	}()
+	select {
+	case <-changed:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (k *suspects) suspectEnded() {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.suspectRuns = false
+	k.wake()
+}
+
+// wake wakes the calls that wait. The mutex is held.
+func (k *suspects) wake() {
+	close(k.changed)
+	k.changed = make(chan struct{})
 }
 
 // begin records that a call is handed to the backend server.
-func (k *suspects) begin(head kqtrunk.CallHead, server kqserver.Notice) *suspectRun {
-	r := &suspectRun{head: head, server: server, begun: k.node.clock()}
+func (k *suspects) begin(head kqtrunk.CallHead, body []byte, server kqserver.Notice) *suspectRun {
+	r := &suspectRun{head: head, body: body, server: server, begun: k.node.clock()}
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	k.running[r] = true
 	return r
 }
 
-// end records how a call ended that was handed to the backend server.
+// end records how a call ended that was handed to the backend server. If the server
+// has crashed, end returns when the other gates of the service know it.
 func (k *suspects) end(r *suspectRun, end kqcall.End) {
 	if end.Outcome == kqcall.OutcomeUnknown && end.Cause == kqcall.CauseBackendLost {
 		k.examine(r)
@@ -68,6 +177,29 @@
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	delete(k.running, r)
+	if end.Outcome != kqcall.OutcomeRan || k.table.Empty() {
+		return
+	}
+	fingerprint := fingerprintOf(r.head, r.body)
+	if !k.table.RecordAnswer(fingerprint) {
+		return
+	}
+	k.wake()
+	k.node.logEvent(eventSuspectCleared, "request "+r.head.RequestID+", lost with a server before, was answered: it is no suspect", nil,
+		kqlog.Text(fieldRequest, r.head.RequestID), kqlog.Text(fieldFingerprint, hex.EncodeToString(fingerprint[:])))
+	if len(k.cleared) == 0 {
+		time.AfterFunc(clearDelay, k.tellCleared)
+	}
+	k.cleared = append(k.cleared, fingerprint)
+}
+
+// tellCleared tells the other gates of the service which requests are cleared.
+func (k *suspects) tellCleared() {
+	k.mutex.Lock()
+	r := suspectReport{Cleared: k.cleared}
+	k.cleared = nil
+	k.mutex.Unlock()
+	k.tell(k.serviceGates(), r)
 }
 
 // examine finds out whether the backend server has crashed under a lost call. One
@@ -79,7 +211,7 @@
 		<-current.done
 		return
 	}
-	if k.examined.ServerID == r.server.ServerID && k.examined.Born == r.server.Born {
+	if _, found := k.running[r]; !found || k.examined.ServerID == r.server.ServerID && k.examined.Born == r.server.Born {
 		// An examination has found the crash meanwhile.
 		k.mutex.Unlock()
 		return
@@ -91,21 +223,26 @@
 	state := k.node.State()
 	crashed := state.ServerState == kqserver.Ready && !state.Leaving && k.hasEnded()
 	k.mutex.Lock()
-	defer k.mutex.Unlock()
 	k.examination = nil
 	if !crashed {
+		k.mutex.Unlock()
 		return
 	}
 	k.examined = r.server
-	runs := 0
+	now := k.node.clock()
+	var runs []kqsuspect.Run
 	for o := range k.running {
 		if o.server.ServerID == r.server.ServerID {
-			runs++
+			runs = append(runs, kqsuspect.Run{Fingerprint: fingerprintOf(o.head, o.body), Ran: now - o.begun, Repeat: o.head.Repeat})
 		}
 	}
+	convicted := k.table.RecordCrash(now, runs)
+	k.mutex.Unlock()
 	k.node.metrics.Count(kqmetric.ServerCrashes)
-	k.node.logEvent(eventServerCrashed, fmt.Sprintf("server %s has ended without notice while it ran %d requests", r.server.ServerID, runs), nil,
-		kqlog.Text(fieldServer, r.server.ServerID), kqlog.Number("Runs", int64(runs)))
+	k.node.logEvent(eventServerCrashed, fmt.Sprintf("server %s has ended without notice while it ran %d requests", r.server.ServerID, len(runs)), nil,
+		kqlog.Text(fieldServer, r.server.ServerID), kqlog.Number("Runs", int64(len(runs))))
+	k.logConvicted(convicted, "own server "+r.server.ServerID)
+	k.report(suspectReport{ServerID: r.server.ServerID, Runs: runs}, convicted)
 }
 
 // hasEnded reports whether nothing listens at the address of the backend server.
@@ -116,3 +253,30 @@
 	}
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
+
+// logConvicted logs the requests that a crash has convicted.
+func (k *suspects) logConvicted(convicted []kqsuspect.Fingerprint, source string) {
+	for _, f := range convicted {
+		text := hex.EncodeToString(f[:])
+		k.node.logEvent(eventRequestConvicted, fmt.Sprintf("request with fingerprint %s is refused from now on: %d servers have crashed while they ran it", text, kqsuspect.ConvictingCrashes), nil,
+			kqlog.Text(fieldFingerprint, text), kqlog.Text(fieldSource, source))
+	}
+}
+
+// suspectReport is what gates tell each other about requests. It is the body of a
+// request for a gate's load, which nodes of former builds do not look at.
+type suspectReport struct {
+	// Runs are the requests that the server ServerID ran when it crashed.
+	ServerID string
+	Runs     []kqsuspect.Run
+	// Cleared are requests that a server has answered.
+	Cleared []kqsuspect.Fingerprint
+	// Records are what the sender holds of requests; Ask asks for all of them.
+	Records []kqsuspect.Record
+	Ask     bool
+}
+
+// isEmpty reports whether the report says nothing and asks nothing.
+func (r suspectReport) isEmpty() bool {
+	return len(r.Runs) == 0 && len(r.Cleared) == 0 && len(r.Records) == 0 && !r.Ask
+}
--- a/io/kqmetric/kqmetric.go
+++ b/io/kqmetric/kqmetric.go
@@ -91,6 +91,7 @@
 	ServerState          = Definition{"server_state", KindGauge, []string{"state"}, "0 or 1", "State of the backend server beside this node."}
 	ServerRateLimit      = Definition{"server_rate_limit", KindGauge, nil, "calls per second", "Limit that the backend server beside this node names in its answers; -1 if it names none."}
 	ServerCrashes        = Definition{"server_crashes", KindCounter, nil, "crashes", "Times that the backend server beside this node ended without notice while it ran requests."}
+	DeadlyRefused        = Definition{"deadly_refused", KindCounter, []string{"service"}, unitCalls, "Calls refused because several servers have crashed while they ran the same request."}
 	LogDropped           = Definition{"log_dropped", KindGauge, nil, "lines", "Log lines that were not written since the start, because the queue was full or the line budget was spent."}
 )
 
@@ -99,7 +100,7 @@
 	return []Definition{
 		Answers, AnswerTime, Routes, Admissions, StoreCalls, StoreTime, StoreRestores,
 		ConfigurationVersion, ConfigurationRefused, Members, Suspected, Confirmed, Pauses, Exchanges,
-		QueueTime, RunTime, GateSlots, Upstreams, Repeats, RepeatsRefused, ServerState, ServerRateLimit, ServerCrashes, LogDropped,
+		QueueTime, RunTime, GateSlots, Upstreams, Repeats, RepeatsRefused, ServerState, ServerRateLimit, ServerCrashes, DeadlyRefused, LogDropped,
 	}
 }
 
