Keep convictions in the store for nodes that are all started at once

The gate that convicts a request writes it to the store; a node that starts again reads the stale list of convictions once (a tenth of a call), beside asking a peer.

TestDeadlyRequestIsForgottenWhenAllNodesEnd failed before (waits for a minute in vain).

--- a/io/kqmesh/deadly_test.go
+++ b/io/kqmesh/deadly_test.go
@@ -13,6 +13,8 @@
 
 	"kumquatlink/core/kqserver"
 	"kumquatlink/core/kqsuspect"
+	"kumquatlink/io/kqmesh"
+	"kumquatlink/io/kqstore"
 )
 
 // Times of crashes: how long the deadly request runs before its server ends, and how
@@ -182,3 +184,69 @@
 		t.Errorf("crashes of the server beside the node that was restarted: got %d more, want none", got)
 	}
 }
+
+// TestDeadlyRequestIsForgottenWhenAllNodesEnd restarts all nodes at once. They know of
+// the conviction from the store alone.
+func TestDeadlyRequestIsForgottenWhenAllNodesEnd(t *testing.T) {
+	f := newFleet(t)
+	var hosts []*host
+	var servers []*mortal
+	for i := range 4 {
+		h := f.add(fmt.Sprintf("orders-%d", i+1), "orders")
+		hosts, servers = append(hosts, h), append(servers, newMortal(h))
+	}
+	f.writeRoutes(1, route("/look/", "orders", false))
+	f.serveAll(hosts...)
+	for i := 0; !strings.Contains(f.logged(), "RequestConvicted"); i++ {
+		hosts[0].request("GET", "/look/deadly", fmt.Sprintf("deadly-%d", i), "")
+	}
+	client := kqstore.NewHTTP(f.store.Address())
+	ticks := time.NewTicker(10 * time.Millisecond)
+	defer ticks.Stop()
+	for begun := time.Now(); ; <-ticks.C {
+		objects, _, err := client.List(t.Context(), kqstore.KindConvictions)
+		if err == nil && len(objects) == 1 {
+			break
+		}
+		if time.Since(begun) > testTimeout {
+			t.Fatalf("convictions in the store: got %d, %v, want 1", len(objects), err)
+		}
+	}
+	old := kqstore.Object{Name: strings.Repeat("ab", 16), Value: []byte(`{"ConvictedAt":1}`)}
+	if _, err := client.Put(t.Context(), kqstore.KindConvictions, old); err != nil {
+		t.Fatal(err)
+	}
+	for _, h := range hosts {
+		h.node.Stop()
+	}
+	before := int64(0)
+	for i, h := range hosts {
+		before += servers[i].crashes.Load()
+		h.settings.FirstStart = false
+		f.start(h)
+	}
+	for begun := time.Now(); f.logCount("records of convicted requests are known: 1 of them") < len(hosts); <-ticks.C {
+		if time.Since(begun) > testTimeout {
+			t.Fatal("nodes that have read the conviction: got fewer than all within the test timeout")
+		}
+	}
+	for _, h := range hosts {
+		h.node.ApplyNotice(kqserver.Notice{ServerID: h.id, Service: "orders", Address: h.settings.BackendAddress, Slots: 4, State: kqserver.Ready, Sequence: 9, Born: 99})
+		f.awaitState(h, "its routes", func(s *kqmesh.State) bool { return s.Routes != nil && s.HostsKnown })
+	}
+	for i := range 20 {
+		if got := hosts[i%4].request("GET", "/look/deadly", fmt.Sprintf("again-%d", i), ""); got.status != 503 {
+			t.Errorf("deadly request after the restart: got %+v, want 503", got)
+		}
+	}
+	after := int64(0)
+	for _, m := range servers {
+		after += m.crashes.Load()
+	}
+	if after > before {
+		t.Errorf("crashes after the restart: got %d, want none", after-before)
+	}
+	if objects, _, err := client.List(t.Context(), kqstore.KindConvictions); err != nil || len(objects) != 1 {
+		t.Errorf("convictions in the store after the restart: got %d, %v, want 1 without the old one", len(objects), err)
+	}
+}
--- a/io/kqmesh/events.go
+++ b/io/kqmesh/events.go
@@ -64,6 +64,9 @@
 	eventSuspectCleared
 	eventSuspectsNotTold
 	eventSuspectsFetched
+	eventConvictionNotStored
+	eventConvictionsNotRead
+	eventConvictionRemoved
 	eventServerHealthy
 	eventServerUnhealthy
 	eventHealthNotTold
@@ -121,6 +124,9 @@
 	eventSuspectCleared:      {Name: "SuspectCleared", Level: zerolog.InfoLevel, Description: "A request that was lost with a server that crashed has been answered by a server.", Fields: []string{fieldRequest, fieldFingerprint}},
 	eventSuspectsNotTold:     {Name: "SuspectsNotTold", Level: zerolog.DebugLevel, Description: "Another gate could not be told of lost requests, or asked for them.", Fields: []string{fieldPeer}},
 	eventSuspectsFetched:     {Name: "SuspectsFetched", Level: zerolog.InfoLevel, Description: "The node, which was started again, has learned from another one which requests were lost with servers that crashed.", Fields: []string{fieldPeer, "Records"}},
+	eventConvictionNotStored: {Name: "ConvictionNotStored", Level: zerolog.WarnLevel, Description: "The conviction of a request can't be written to the store, or removed there. Nodes that are started learn of it from others.", Fields: []string{fieldFingerprint}},
+	eventConvictionsNotRead:  {Name: "ConvictionsNotRead", Level: zerolog.WarnLevel, Description: "A node that was started again can't read from the store which requests are convicted."},
+	eventConvictionRemoved:   {Name: "ConvictionRemoved", Level: zerolog.InfoLevel, Description: "An old conviction was removed from the store.", Fields: []string{fieldFingerprint}},
 	eventServerHealthy:       {Name: "ServerHealthy", Level: zerolog.InfoLevel, Description: "A health probe found the backend server healthy, before the server had sent a notice.", Fields: []string{fieldServer, fieldVerdict}},
 	eventServerUnhealthy:     {Name: "ServerUnhealthy", Level: zerolog.InfoLevel, Description: "A health probe found the backend server not healthy.", Fields: []string{"Status"}},
 	eventHealthNotTold:       {Name: "HealthNotTold", Level: zerolog.InfoLevel, Description: "The backend server did not answer a health probe."},
--- a/io/kqmesh/fleet_test.go
+++ b/io/kqmesh/fleet_test.go
@@ -208,6 +208,9 @@
 	return f.log.String()
 }
 
+// logCount returns how often a text has been logged.
+func (f *fleet) logCount(text string) int { return strings.Count(f.logged(), text) }
+
 // awaitLogged waits until a text has been logged.
 func (f *fleet) awaitLogged(text string) {
 	f.t.Helper()
--- a/io/kqmesh/kqmesh.go
+++ b/io/kqmesh/kqmesh.go
@@ -196,8 +196,10 @@
 	// for its list of nodes, is scheduled.
 	peerRequestPending atomic.Bool
 	shutDown           atomic.Bool
-	cancel             context.CancelFunc
-	loops              sync.WaitGroup
+	// ctx ends when the node is closed.
+	ctx    context.Context
+	cancel context.CancelFunc
+	loops  sync.WaitGroup
 }
 
 // Option configures a node that New creates.
@@ -249,7 +251,7 @@
 // ErrNode.
 func (n *Node) Start() error {
 	ctx, cancel := context.WithCancel(context.Background())
-	n.cancel = cancel
+	n.ctx, n.cancel = ctx, cancel
 	var err error
 	n.server, err = kqtrunk.Listen(n.settings.PeerAddress, kqtrunk.Handlers{
 		Call: n.handleCall, Message: n.handleMessage, Update: n.handleUpdate, Submit: n.pool.Submit,
@@ -284,6 +286,7 @@
 	n.startLoop(ctx, n.publishUpdates)
 	n.startLoop(ctx, n.probeServer)
 	n.startLoop(ctx, n.fetchRecords)
+	n.startLoop(ctx, n.readConvictions)
 	n.logEvent(eventNodeStarted, "node started at "+n.settings.CallerAddress+" for callers and "+n.peerAddress+" for nodes", nil,
 		kqlog.Text(fieldAddress, n.settings.CallerAddress), kqlog.Text("PeerAddress", n.peerAddress))
 	return nil
--- a/io/kqmesh/report.go
+++ b/io/kqmesh/report.go
@@ -56,6 +56,7 @@
 			records = append(records, kqsuspect.Record{Fingerprint: f, Crashes: kqsuspect.ConvictingCrashes})
 		}
 		k.tell(k.otherGates(), suspectReport{Records: records})
+		k.storeConvictions(convicted, r.ServerID)
 	}
 	t := time.NewTimer(reportWait)
 	defer t.Stop()
--- a/io/kqstore/kqstore.go
+++ b/io/kqstore/kqstore.go
@@ -109,6 +109,10 @@
 // KindHosts has one object for each node that is discovered through the store.
 const KindHosts = "kumquatlink.dev/v1/hosts"
 
+// KindConvictions has one object for each request that is refused because backend
+// servers have crashed while they ran it.
+const KindConvictions = "kumquatlink.dev/v1/convictions"
+
 // KindConfiguration and NameConfiguration identify the single object that holds
 // the configuration.
 const (
