Soak: play a request that crashes the servers that run it

The request comes twice a second at random nodes, beside all other faults; a server that runs it closes its address and its connections and is back within a second. The soak counts its runs later than 3 s after the third crash, through nodes that no fault has affected for as long: more than three violate a guarantee.

--- a/io/kqsoak/faults.go
+++ b/io/kqsoak/faults.go
@@ -163,8 +163,10 @@
 	for i := range limitSeries {
 		running.Go(func() { s.nameLimits(ctx, rand.New(rand.NewPCG(s.options.Seed, uint64(2+i)))) })
 	}
-	// Random sources 2 and up to 2+limitSeries are those of the limits.
+	// Random sources 2 and up to 2+limitSeries are those of the limits, and the next
+	// ones those of the restores and of the deadly request.
 	running.Go(func() { s.restoreStore(ctx, rand.New(rand.NewPCG(s.options.Seed, 2+limitSeries))) })
+	running.Go(func() { s.sendDeadly(ctx, rand.New(rand.NewPCG(s.options.Seed, 3+limitSeries))) })
 	running.Go(func() {
 		addedRandom := rand.New(rand.NewPCG(s.options.Seed, 1))
 		s.injectFrom(ctx, &running, hostLocks, addedFaultKinds, addedRandom, meanAddedFaultPause)
@@ -186,7 +188,9 @@
 				s.ledger.allowLoss(time.Now().Add(length + maxFaultLength + lossGrace))
 			}
 			s.recordEvent("%s: %s, %s", h.name, f.name, length.Round(time.Millisecond))
+			h.faultAt.Store(time.Now().Add(length).UnixNano())
 			f.inject(s, ctx, h, length)
+			h.faultAt.Store(time.Now().UnixNano())
 			if !f.planned {
 				s.ledger.allowLoss(time.Now().Add(lossGrace))
 			}
--- a/io/kqsoak/host.go
+++ b/io/kqsoak/host.go
@@ -56,6 +56,10 @@
 	// holdsLimits reports whether the node is of a build that holds the limits
 	// which servers name.
 	holdsLimits atomic.Bool
+	// crashing is set while the backend server is away under a deadly request, and
+	// faultAt is when the last fault of the host ends or ended, in Unix nanoseconds.
+	crashing atomic.Bool
+	faultAt  atomic.Int64
 
 	mutex  sync.Mutex
 	server *server
@@ -113,6 +117,11 @@
 	}
 }
 
+// lastFault returns when the last fault of the host ends or ended.
+func (h *host) lastFault() time.Time {
+	return time.Unix(0, h.faultAt.Load())
+}
+
 func (h *host) current() *server {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
@@ -293,6 +302,10 @@
 		v.host.soak.ledger.recordViolation("%s reached server %s of %s after it had drained", id, v.id, v.host.name)
 	}
 	v.host.soak.ledger.recordRun(id, v.id)
+	if isDeadly(q) {
+		v.host.crash()
+		return false
+	}
 	time.Sleep(serviceTime(id) + t.delay)
 	body := expectedBody(id, q)
 	if v.host.settings.Service == services[0] && !v.makeOnwardCall(q, repeat) {
--- a/io/kqsoak/kqsoak.go
+++ b/io/kqsoak/kqsoak.go
@@ -17,6 +17,7 @@
 //     slow, and lose, truncate or duplicate answers;
 //   - backend servers name limits on requests a second in their answers, change
 //     and end them, while other faults affect their hosts;
+//   - a request that comes again and again crashes each server that runs it;
 //   - the routes change;
 //   - the store is restored from a copy, and makes writes late.
 //
@@ -34,6 +35,7 @@
 //   - a planned shutdown of a node interrupts no request;
 //   - the repeats of all nodes together stay within the bound;
 //   - a backend server that names a limit gets no more requests than that allows;
+//   - the request that crashes servers is soon kept from them;
 //   - once the faults are over, every node serves the newest routes.
 package kqsoak
 
@@ -109,6 +111,7 @@
 	store     *storeProcess
 	hosts     []*host
 	ledger    *ledger
+	deadly    deadlyRuns
 
 	// operator is held while routes are written.
 	operator sync.Mutex
--- a/io/kqsoak/proxy.go
+++ b/io/kqsoak/proxy.go
@@ -32,10 +32,11 @@
 
 // proxy forwards TCP connections to a target and injects faults.
 type proxy struct {
-	listener net.Listener
-	target   string
+	listenAddress string
+	target        string
 
 	mutex       sync.Mutex
+	listener    net.Listener
 	fault       proxyFault
 	connections map[*connection]struct{}
 }
@@ -57,16 +58,37 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	p := &proxy{listener: l, target: target, connections: map[*connection]struct{}{}}
-	go p.accept()
+	p := &proxy{listenAddress: l.Addr().String(), listener: l, target: target, connections: map[*connection]struct{}{}}
+	go p.accept(l)
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string { return p.listenAddress }
 
-func (p *proxy) accept() {
+// end closes the proxy's address, as if the process behind it had ended.
+func (p *proxy) end() {
+	p.mutex.Lock()
+	_ = p.listener.Close()
+	p.mutex.Unlock()
+	p.reset()
+}
+
+// restart opens the address again after end.
+func (p *proxy) restart() error {
+	l, err := net.Listen("tcp", p.listenAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen again")
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.listener = l
+	go p.accept(l)
+	return nil
+}
+
+func (p *proxy) accept(l net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -178,6 +200,5 @@
 }
 
 func (p *proxy) close() {
-	_ = p.listener.Close()
-	p.reset()
+	p.end()
 }
