Let only a node that starts number itself after the record in the store

Found when the diff was read again, before any run showed it: a process that shuts down reads the record of the process that replaces it, whose number is higher, and would have numbered itself after it and written its own record over it, in turn with the other one. Now only a process that has not written its record yet does so.

TestProcessNumbersItselfAfterItsSuccessor fails if a process that has written its record takes a later number.

--- a/io/kqmesh/control.go
+++ b/io/kqmesh/control.go
@@ -226,7 +226,6 @@
 
 func (e hostsEvent) apply(c *control) bool {
 	known := c.state.Hosts
-	c.followFormer(e.all[c.node.settings.NodeID].HostRecord)
 	c.restoreServerState(e.all[c.node.settings.NodeID].HostRecord)
 	hosts, behind := map[string]HostRecord{}, map[string]string{}
 	for name, h := range e.all {
@@ -303,17 +302,15 @@
 func (e hostEvent) apply(c *control) bool {
 	held, found := c.state.Hosts[e.name]
 	c.markRemoved(e.name, e.removed)
-	followed := false
 	if e.name == c.node.settings.NodeID && !e.removed {
 		c.ownRecordSeen = c.node.clock()
-		followed = c.followFormer(e.record.HostRecord)
 		c.restoreServerState(e.record.HostRecord)
 	}
 	older, behind := false, false
 	if !e.removed {
 		older, behind = c.observeStored(e.name, e.record)
 	}
-	changed := c.setBehind(e.name, e.record.version, behind) || followed
+	changed := c.setBehind(e.name, e.record.version, behind)
 	if older || !e.removed && (e.record.Address == "" || found && held == e.record.HostRecord) {
 		return changed
 	}
@@ -332,13 +329,12 @@
 
 // followFormer makes this start of the node the later one if its record in the store
 // is of a start that seems later, since the clock was set back. It reports whether it
-// did; the record is then written again.
+// did.
 func (c *control) followFormer(former HostRecord) bool {
 	if former.Incarnation <= c.node.incarnation.Load() {
 		return false
 	}
 	c.node.incarnation.Store(former.Incarnation + 1)
-	c.markRemoved(c.node.settings.NodeID, true)
 	c.node.logEvent(eventClockSetBack, fmt.Sprintf("an earlier start of this node has the number %d, so the clock was set back: this start takes the next one", former.Incarnation), nil, kqlog.Number(fieldIncarnation, former.Incarnation))
 	return true
 }
--- a/io/kqmesh/former_test.go
+++ b/io/kqmesh/former_test.go
@@ -24,3 +24,22 @@
 		t.Errorf("server after a late notice that it is ready: got %s, want Draining as in the peer's list", got)
 	}
 }
+
+// TestProcessNumbersItselfAfterItsSuccessor has a process read the record of the one
+// that replaces it. Both would write their records in turn if it took a later number.
+func TestProcessNumbersItselfAfterItsSuccessor(t *testing.T) {
+	n, err := New(Settings{NodeID: "orders-1", Service: "orders"}, NativeDialect(), &kqstore.Client{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	own := n.incarnation.Load()
+	successor := HostRecord{NodeID: "orders-1", Incarnation: own + 5, Address: "10.0.0.1:90", Service: "orders"}
+	formerRecordEvent{former: successor}.apply(n.control)
+	if n.incarnation.Load() != own {
+		t.Errorf("number of a process that has written its record: got %d, want %d still", n.incarnation.Load(), own)
+	}
+	formerRecordEvent{former: successor, isFirst: true}.apply(n.control)
+	if n.incarnation.Load() <= successor.Incarnation {
+		t.Errorf("number of a process that starts: got %d, want one after %d", n.incarnation.Load(), successor.Incarnation)
+	}
+}
--- a/io/kqmesh/peer.go
+++ b/io/kqmesh/peer.go
@@ -126,7 +126,6 @@
 	all := maps.Clone(c.state.Hosts)
 	for _, h := range e.hosts {
 		if h.NodeID == c.node.settings.NodeID {
-			c.followFormer(h)
 			c.restoreServerState(h)
 		}
 		if current, found := all[h.NodeID]; h.NodeID != c.node.settings.NodeID && (!found || current.Incarnation <= h.Incarnation) {
--- a/io/kqmesh/record.go
+++ b/io/kqmesh/record.go
@@ -171,7 +171,7 @@
 		return errors.CombineErrors(cause, err)
 	default:
 		o.Version = current.Version
-		if n.restoreFormer(current) {
+		if n.restoreFormer(current, !w.written) {
 			return nil
 		}
 	}
@@ -188,15 +188,16 @@
 }
 
 // restoreFormer takes over from the node's record in the store what an earlier start
-// of the node has written, and reports whether that changes the node's record.
-func (n *Node) restoreFormer(current kqstore.Object) bool {
+// of the node has written, and reports whether that changes the node's record. Once
+// this start has written a record, another one may be of the process that replaces it.
+func (n *Node) restoreFormer(current kqstore.Object, isFirst bool) bool {
 	former, err := decodeHost(current)
 	if err != nil {
 		n.logEvent(eventHostIgnored, "record of the own node in the store is replaced", err, kqlog.Text(fieldHost, current.Name))
 		return false
 	}
 	before, incarnation := n.State().ServerState, n.incarnation.Load()
-	e := formerRecordEvent{former: former, done: make(chan struct{})}
+	e := formerRecordEvent{former: former, isFirst: isFirst, done: make(chan struct{})}
 	n.control.send(e)
 	select {
 	case <-e.done:
@@ -205,17 +206,19 @@
 	return n.State().ServerState != before || n.incarnation.Load() != incarnation
 }
 
-// formerRecordEvent is the event that the record of an earlier start of the node was
-// read. done is closed after the resulting state was published.
+// formerRecordEvent is the event that a record of the node that this start has not
+// written was read. isFirst reports whether this start has written none yet. done is
+// closed after the resulting state was published.
 type formerRecordEvent struct {
-	former HostRecord
-	done   chan struct{}
+	former  HostRecord
+	isFirst bool
+	done    chan struct{}
 }
 
 func (e formerRecordEvent) finish() { close(e.done) }
 
 func (e formerRecordEvent) apply(c *control) bool {
-	followed := c.followFormer(e.former)
+	followed := e.isFirst && c.followFormer(e.former)
 	return c.restoreServerState(e.former) || followed
 }
 
