Check a suspect again when it has waited

Found when the diff was read again: a call that waits for other suspects had passed the check whether the server drains before it waited, and would have been handed over after that had been acknowledged. A waiting call is woken now when the node's state changes, and checked again before it goes on; a shutdown counts it as in flight.

TestSuspectRunsOnAServerThatDrains fails without the check (the waiting call stays).

--- a/io/kqmesh/deadly_test.go
+++ b/io/kqmesh/deadly_test.go
@@ -41,10 +41,15 @@
 	return m
 }
 
-func (m *mortal) answer(c net.Conn, q *fasthttp.Request) {
+// register keeps a connection that a crash closes.
+func (m *mortal) register(c net.Conn) {
 	m.mutex.Lock()
+	defer m.mutex.Unlock()
 	m.open[c] = true
-	m.mutex.Unlock()
+}
+
+func (m *mortal) answer(c net.Conn, q *fasthttp.Request) {
+	m.register(c)
 	// A run takes a moment, so that others are lost with the deadly one.
 	<-time.After(deadlyRunTime)
 	if string(q.Header.RequestURI()) == "/look/deadly" {
@@ -250,3 +255,60 @@
 		t.Errorf("convictions in the store after the restart: got %d, %v, want 1 without the old one", len(objects), err)
 	}
 }
+
+// TestSuspectRunsOnAServerThatDrains has suspects wait for each other when their server
+// begins to drain. Those that wait must go elsewhere at once.
+func TestSuspectRunsOnAServerThatDrains(t *testing.T) {
+	f := newFleet(t)
+	first, second := f.add("orders-1", "orders"), f.add("orders-2", "orders")
+	server := newMortal(first)
+	f.writeRoutes(1, route("/look/", "orders", false))
+	f.serveAll(first)
+	// Both requests run when the server crashes, so both are suspect.
+	server.setAnswer(func(c net.Conn, q *fasthttp.Request) {
+		server.register(c)
+		if string(q.Header.RequestURI()) == "/look/deadly" {
+			server.crash()
+			return
+		}
+		// The connection is closed by the crash.
+		_, _ = c.Read(make([]byte, 1))
+	})
+	var lost sync.WaitGroup
+	for _, path := range []string{"/look/a", "/look/b"} {
+		lost.Go(func() { first.request("GET", path, "lost "+path, "") })
+		<-first.begun
+	}
+	first.request("GET", "/look/deadly", "deadly", "")
+	lost.Wait()
+	f.awaitLogged("has ended without notice while it ran 3 requests")
+	f.awaitState(first, "the server's restart", func(s *kqmesh.State) bool { return s.Server.Born == 2 })
+	release := make(chan struct{})
+	server.holdAnswers(release)
+	var results sync.Map
+	var callers sync.WaitGroup
+	for _, path := range []string{"/look/a", "/look/b"} {
+		callers.Go(func() { results.Store(path, first.request("GET", path, path, "")) })
+	}
+	running := <-first.begun
+	for running != "/look/a" && running != "/look/b" {
+		running = <-first.begun
+	}
+	second.reportState(kqserver.Ready)
+	f.awaitConvergence(1, 2)
+	first.node.ApplyNotice(kqserver.Notice{ServerID: first.id, Service: "orders", Address: first.settings.BackendAddress, State: kqserver.Draining, Sequence: 9, Born: 2})
+	if got := <-second.begun; got == running {
+		t.Errorf("request that runs elsewhere: got %s, want the one that waits", got)
+	}
+	close(release)
+	callers.Wait()
+	results.Range(func(path, got any) bool {
+		if got.(result).status != 200 {
+			t.Errorf("request to %s: got %+v, want 200", path, got)
+		}
+		return true
+	})
+	if got := first.runCount("/look/a") + first.runCount("/look/b"); got != 1 {
+		t.Errorf("suspects that ran on the server that drains: got %d, want 1", got)
+	}
+}
--- a/io/kqmesh/gate.go
+++ b/io/kqmesh/gate.go
@@ -152,6 +152,11 @@
 		return o
 	}
 	defer leave()
+	// The state may have changed while the call waited for other suspects.
+	s = g.node.State()
+	if cause := g.refusalCause(s, head.Service); cause != "" {
+		return endOnly(kqcall.NotRun(cause))
+	}
 	end, admitted := g.admit(ctx, head, s.Server)
 	queued := g.node.clock() - begun
 	if !admitted {
@@ -354,7 +359,7 @@
 func (g *gate) activeCalls() int {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.queue.InFlight() + g.queue.Waiting()
+	return g.queue.InFlight() + g.queue.Waiting() + g.suspects.waitingCalls()
 }
 
 // execute runs an admitted call on the backend server.
--- a/io/kqmesh/suspect.go
+++ b/io/kqmesh/suspect.go
@@ -105,6 +105,10 @@
 	}
 	fingerprint := fingerprintOf(head, body)
 	for {
+		stateChanged := k.node.control.changed()
+		if cause := k.node.gate.refusalCause(k.node.State(), head.Service); cause != "" {
+			return endOnly(kqcall.NotRun(cause)), nil
+		}
 		j := k.table.Judge(k.node.clock(), fingerprint)
 		switch {
 		case j.Verdict == kqsuspect.Cleared:
@@ -121,16 +125,16 @@
 		case k.waiting >= maxWaitingSuspects:
 			return endOnly(kqcall.NotRun(kqcall.CauseShedGate)), nil
 		}
-		if !k.awaitChange(ctx) {
+		if !k.awaitChange(ctx, stateChanged) {
 			return endOnly(kqcall.NotRun(causeOfContext(ctx))), nil
 		}
 	}
 }
 
-// awaitChange waits until the suspect that runs has ended or a request is cleared, and
-// reports whether that was before the end of ctx. The mutex is held, and released
-// meanwhile.
-func (k *suspects) awaitChange(ctx context.Context) bool {
+// awaitChange waits until the suspect that runs has ended, a request is cleared or the
+// channel is closed, and reports whether that was before the end of ctx. The mutex
+// is held, and released meanwhile.
+func (k *suspects) awaitChange(ctx context.Context, stateChanged <-chan struct{}) bool {
 	changed := k.changed
 	k.waiting++
 	k.mutex.Unlock()
@@ -141,11 +145,20 @@
 	select {
 	case <-changed:
 		return true
+	case <-stateChanged:
+		return true
 	case <-ctx.Done():
 		return false
 	}
 }
 
+// waitingCalls returns the number of calls that wait for other suspects.
+func (k *suspects) waitingCalls() int {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.waiting
+}
+
 func (k *suspects) suspectEnded() {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
