--- a/io/kqmesh/deadly_test.go
+++ b/io/kqmesh/deadly_test.go
@@ -41,6 +41,18 @@
 	return m
 }
 
+// addMortals adds hosts with such servers.
+func (f *fleet) addMortals(count int) ([]*host, []*mortal) {
+	f.t.Helper()
+	var hosts []*host
+	var servers []*mortal
+	for i := range count {
+		h := f.add(fmt.Sprintf("orders-%d", i+1), "orders")
+		hosts, servers = append(hosts, h), append(servers, newMortal(h))
+	}
+	return hosts, servers
+}
+
 // register keeps a connection that a crash closes.
 func (m *mortal) register(c net.Conn) {
 	m.mutex.Lock()
@@ -96,12 +108,7 @@
 // that run it, again and again and at all nodes, among requests that don't.
 func TestDeadlyRequestCrashesServerAfterServer(t *testing.T) {
 	f := newFleet(t)
-	var hosts []*host
-	var servers []*mortal
-	for i := range 5 {
-		h := f.add(fmt.Sprintf("orders-%d", i+1), "orders")
-		hosts, servers = append(hosts, h), append(servers, newMortal(h))
-	}
+	hosts, servers := f.addMortals(5)
 	f.writeRoutes(1, route("/look/", "orders", false), route("/buy/", "orders", true))
 	f.serveAll(hosts...)
 	crashes := func() int64 {
@@ -162,12 +169,7 @@
 // refuse a request that is convicted before it runs it.
 func TestRestartedNodeForgetsADeadlyRequest(t *testing.T) {
 	f := newFleet(t)
-	var hosts []*host
-	var servers []*mortal
-	for i := range 4 {
-		h := f.add(fmt.Sprintf("orders-%d", i+1), "orders")
-		hosts, servers = append(hosts, h), append(servers, newMortal(h))
-	}
+	hosts, servers := f.addMortals(4)
 	f.writeRoutes(1, route("/look/", "orders", false))
 	f.serveAll(hosts...)
 	for i := 0; !strings.Contains(f.logged(), "RequestConvicted"); i++ {
@@ -194,12 +196,7 @@
 // the conviction from the store alone.
 func TestDeadlyRequestIsForgottenWhenAllNodesEnd(t *testing.T) {
 	f := newFleet(t)
-	var hosts []*host
-	var servers []*mortal
-	for i := range 4 {
-		h := f.add(fmt.Sprintf("orders-%d", i+1), "orders")
-		hosts, servers = append(hosts, h), append(servers, newMortal(h))
-	}
+	hosts, servers := f.addMortals(4)
 	f.writeRoutes(1, route("/look/", "orders", false))
 	f.serveAll(hosts...)
 	for i := 0; !strings.Contains(f.logged(), "RequestConvicted"); i++ {
