--- a/io/kqmesh/deadly_test.go
+++ b/io/kqmesh/deadly_test.go
@@ -1,6 +1,7 @@
 package kqmesh_test
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"strings"
@@ -165,31 +166,67 @@
 	}
 }
 
-// TestRestartedNodeForgetsADeadlyRequest restarts the node of a server, which must
-// refuse a request that is convicted before it runs it.
+// TestRestartedNodeForgetsADeadlyRequest restarts a node again and again while the store
+// does not hold the conviction. It must refuse the request each time, although most of
+// the nodes that it may ask have been added since, and know nothing.
 func TestRestartedNodeForgetsADeadlyRequest(t *testing.T) {
 	f := newFleet(t)
-	hosts, servers := f.addMortals(4)
+	hosts, servers := f.addMortals(2)
 	f.writeRoutes(1, route("/look/", "orders", false))
 	f.serveAll(hosts...)
 	for i := 0; !strings.Contains(f.logged(), "RequestConvicted"); i++ {
 		hosts[0].request("GET", "/look/deadly", fmt.Sprintf("deadly-%d", i), "")
 	}
-	last := hosts[3]
-	before := servers[3].crashes.Load()
-	last.node.Stop()
-	last.settings.FirstStart = false
-	f.start(last)
-	f.awaitLogged("records of lost requests are known")
-	last.node.ApplyNotice(kqserver.Notice{ServerID: last.id, Service: "orders", Address: last.settings.BackendAddress, Slots: 4, State: kqserver.Ready, Sequence: 9, Born: 99})
-	for i := range 20 {
-		if got := last.request("GET", "/look/deadly", fmt.Sprintf("again-%d", i), ""); got.status != 503 {
-			t.Errorf("deadly request after the restart: got %+v, want 503", got)
+	f.removeConvictions()
+	// The new nodes can be asked, but take no work.
+	for i := range 2 {
+		f.add(fmt.Sprintf("orders-new-%d", i+1), "orders").reportState(kqserver.Draining)
+	}
+	for _, h := range hosts {
+		f.awaitState(h, "the new nodes", func(s *kqmesh.State) bool { return len(s.Hosts) == 4 })
+	}
+	restarted, before := hosts[1], servers[1].crashes.Load()
+	restarted.settings.FirstStart = false
+	ticks := time.NewTicker(10 * time.Millisecond)
+	defer ticks.Stop()
+	for i := range 4 {
+		restarted.node.Stop()
+		f.start(restarted)
+		for begun := time.Now(); f.logCount("records of lost requests are known") <= i; <-ticks.C {
+			if time.Since(begun) > testTimeout {
+				t.Fatal("records after a restart: got none within the test timeout, want some")
+			}
 		}
+		f.awaitState(restarted, "its routes", func(s *kqmesh.State) bool { return s.Routes != nil })
+		restarted.node.ApplyNotice(kqserver.Notice{ServerID: restarted.id, Service: "orders", Address: restarted.settings.BackendAddress, Slots: 4, State: kqserver.Ready, Sequence: 9, Born: int64(99 + i)})
+		for n := range 5 {
+			restarted.request("GET", "/look/deadly", fmt.Sprintf("again-%d-%d", i, n), "")
+		}
+	}
+	if got := servers[1].crashes.Load() - before; got > 0 {
+		t.Errorf("crashes of the server beside the restarted node: got %d more, want none", got)
 	}
-	if got := servers[3].crashes.Load() - before; got > 0 {
-		t.Errorf("crashes of the server beside the node that was restarted: got %d more, want none", got)
+}
+
+// removeConvictions waits until the store holds a conviction, and removes all.
+func (f *fleet) removeConvictions() {
+	f.t.Helper()
+	client := kqstore.NewHTTP(f.store.Address())
+	ticks := time.NewTicker(10 * time.Millisecond)
+	defer ticks.Stop()
+	for begun := time.Now(); time.Since(begun) < testTimeout; <-ticks.C {
+		objects, _, err := client.List(context.Background(), kqstore.KindConvictions)
+		if err != nil || len(objects) == 0 {
+			continue
+		}
+		for _, o := range objects {
+			if err := client.Delete(context.Background(), kqstore.KindConvictions, o); err != nil {
+				f.t.Fatal(err)
+			}
+		}
+		return
 	}
+	f.t.Fatal("convictions in the store: got none within the test timeout, want one")
 }
 
 // TestDeadlyRequestIsForgottenWhenAllNodesEnd restarts all nodes at once. They know of
--- a/io/kqmesh/report.go
+++ b/io/kqmesh/report.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -17,8 +19,10 @@
 // Times of reports about requests.
 const (
 	reportTimeout = time.Second
-	// recordsAttempts is how often a node that starts asks others for their records,
-	// and recordsPause the pause between two attempts.
+	// recordsAttempts is how often a node that starts asks others for their records
+	// until one answers, and recordsPause the pause between two attempts. It asks
+	// recordsPeers nodes of its service and as many others.
+	recordsPeers    = 3
 	recordsAttempts = 5
 	recordsPause    = 500 * time.Millisecond
 )
@@ -150,28 +154,38 @@
 	return answer
 }
 
-// fetchRecords asks nodes of the service, and others if there are none, for what they
-// hold of requests, when a node starts again.
+// fetchRecords asks other nodes for what they hold of requests when a node starts
+// again: some of its service, and some others. It asks several, since those that have
+// just been started hold little.
 func (n *Node) fetchRecords(ctx context.Context) {
 	if n.settings.FirstStart || n.WaitFor(ctx, func(s *State) bool { return s.HostsKnown }) != nil {
 		return
 	}
 	k := n.gate.suspects
 	for range recordsAttempts {
-		addresses, others := k.serviceGates(), k.otherGates()
-		shuffle(addresses, n.random)
-		shuffle(others, n.random)
-		for _, address := range append(addresses, others...)[:min(announcedPerDomain, len(addresses)+len(others))] {
-			answer, err := k.send(address, suspectReport{Ask: true})
-			if ctx.Err() != nil {
-				return
-			}
-			if err == nil {
+		var addresses []string
+		for _, group := range [][]string{k.serviceGates(), k.otherGates()} {
+			shuffle(group, n.random)
+			addresses = append(addresses, group[:min(recordsPeers, len(group))]...)
+		}
+		var records, answers atomic.Int64
+		var asking sync.WaitGroup
+		for _, address := range addresses {
+			asking.Go(func() {
+				answer, err := k.send(address, suspectReport{Ask: true})
+				if err != nil {
+					n.logEvent(eventSuspectsNotTold, "records of lost requests can't be asked of "+address, err, kqlog.Text(fieldPeer, address))
+					return
+				}
 				k.receive(address, suspectReport{Records: answer.Records})
-				n.logEvent(eventSuspectsFetched, fmt.Sprintf("records of lost requests are known: %d of them from %s", len(answer.Records), address), nil, kqlog.Text(fieldPeer, address), kqlog.Number("Records", int64(len(answer.Records))))
-				return
-			}
-			n.logEvent(eventSuspectsNotTold, "records of lost requests can't be asked of "+address, err, kqlog.Text(fieldPeer, address))
+				records.Add(int64(len(answer.Records)))
+				answers.Add(1)
+			})
+		}
+		asking.Wait()
+		if answers.Load() > 0 || ctx.Err() != nil {
+			n.logEvent(eventSuspectsFetched, fmt.Sprintf("records of lost requests are known: %d of them from %d nodes", records.Load(), answers.Load()), nil, kqlog.Number("Records", records.Load()), kqlog.Number("Hosts", answers.Load()))
+			return
 		}
 		sleep(ctx, recordsPause)
 	}
