Share a conviction also with gates that have counted one crash less

A run counts at a gate if it began after that gate heard of the crash before. A gate that hears late counts two of three crashes, goes on to hold the request suspect, and runs it later. The report of a crash now names the requests that it convicts, and the answer to it those that it convicts at the other gate, which the sender tells on.

TestGatesDisagreeOnAConviction plays both.

--- a/io/kqmesh/former_test.go
+++ b/io/kqmesh/former_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"encoding/json"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"kumquatlink/core/kqmember"
 	"kumquatlink/core/kqserver"
+	"kumquatlink/core/kqsuspect"
 	"kumquatlink/io/kqstore"
 )
 
@@ -76,3 +78,31 @@
 		t.Errorf("records %+v and %+v: the former replaces the latter, want it older", made[0], made[1])
 	}
 }
+
+// TestGatesDisagreeOnAConviction has gates that heard of the second crash before and after
+// the run of the third one began. Each must refuse the request after the third.
+func TestGatesDisagreeOnAConviction(t *testing.T) {
+	n, err := New(Settings{NodeID: "orders-1", Service: "orders"}, NativeDialect(), &kqstore.Client{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	k, deadly := n.gate.suspects, kqsuspect.FingerprintOf([]byte("deadly"))
+	run := []kqsuspect.Run{{Fingerprint: deadly, Repeat: true}}
+	k.receive("a peer", suspectReport{Runs: run})
+	k.receive("a peer", suspectReport{Runs: run})
+	answer := k.receive("a peer", suspectReport{Runs: run})
+	if len(answer.Records) != 1 || answer.Records[0].Crashes != kqsuspect.ConvictingCrashes {
+		t.Errorf("answer to the report of the third crash: got %+v, want the conviction", answer.Records)
+	}
+	late, err := New(Settings{NodeID: "orders-2", Service: "orders"}, NativeDialect(), &kqstore.Client{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	k = late.gate.suspects
+	k.receive("a peer", suspectReport{Runs: run})
+	k.receive("a peer", suspectReport{Runs: run})
+	k.receive("a peer", suspectReport{Runs: []kqsuspect.Run{{Fingerprint: deadly, Ran: time.Hour}}, Records: convictionsOf([]kqsuspect.Fingerprint{deadly})})
+	if got := k.table.Judge(late.clock(), deadly).Verdict; got != kqsuspect.Convicted {
+		t.Errorf("verdict of a gate that does not count the third crash: got %s, want Convicted", got)
+	}
+}
--- a/io/kqmesh/report.go
+++ b/io/kqmesh/report.go
@@ -53,13 +53,10 @@
 // requests that are convicted by it. It returns when the former have the report, or
 // after reportWait.
 func (k *suspects) report(r suspectReport, convicted []kqsuspect.Fingerprint) {
+	r.Records = convictionsOf(convicted)
 	told := k.tell(k.serviceGates(), r)
 	if len(convicted) > 0 {
-		var records []kqsuspect.Record
-		for _, f := range convicted {
-			records = append(records, kqsuspect.Record{Fingerprint: f, Crashes: kqsuspect.ConvictingCrashes})
-		}
-		k.tell(k.otherGates(), suspectReport{Records: records})
+		k.tell(k.otherGates(), suspectReport{Records: r.Records})
 		k.storeConvictions(convicted, r.ServerID)
 	}
 	t := time.NewTimer(reportWait)
@@ -73,6 +70,36 @@
 	}
 }
 
+// convictionsOf returns the records of convicted requests.
+func convictionsOf(convicted []kqsuspect.Fingerprint) []kqsuspect.Record {
+	var records []kqsuspect.Record
+	for _, f := range convicted {
+		records = append(records, kqsuspect.Record{Fingerprint: f, Crashes: kqsuspect.ConvictingCrashes})
+	}
+	return records
+}
+
+// shareConvictions tells all nodes, and the store, of requests that other gates hold
+// convicted and this one did not. Gates hear of crashes at different times, and may
+// so count one crash less.
+func (k *suspects) shareConvictions(peer string, records []kqsuspect.Record) {
+	k.mutex.Lock()
+	var convicted []kqsuspect.Fingerprint
+	for _, r := range records {
+		if r.Crashes >= kqsuspect.ConvictingCrashes && k.table.Judge(k.node.clock(), r.Fingerprint).Verdict != kqsuspect.Convicted {
+			convicted = append(convicted, r.Fingerprint)
+		}
+	}
+	k.table.Merge(k.node.clock(), convictionsOf(convicted))
+	k.mutex.Unlock()
+	if len(convicted) == 0 {
+		return
+	}
+	k.logConvicted(convicted, "peer "+peer)
+	k.tell(append(k.serviceGates(), k.otherGates()...), suspectReport{Records: convictionsOf(convicted)})
+	k.storeConvictions(convicted, "")
+}
+
 // tell sends a report to nodes in the background. The channel gets a value, up to its
 // capacity, for each that has answered or can't be reached.
 func (k *suspects) tell(addresses []string, r suspectReport) <-chan struct{} {
@@ -80,7 +107,8 @@
 	for _, address := range addresses {
 		send := func() {
 			defer func() { told <- struct{}{} }()
-			_, err := k.send(address, r)
+			answer, err := k.send(address, r)
+			k.shareConvictions(address, answer.Records)
 			if err != nil {
 				k.node.logEvent(eventSuspectsNotTold, "report on lost requests does not reach "+address, err, kqlog.Text(fieldPeer, address))
 			}
@@ -145,7 +173,7 @@
 		k.wake()
 	}
 	k.table.Merge(now, r.Records)
-	var answer suspectReport
+	answer := suspectReport{Records: convictionsOf(convicted)}
 	if r.Ask {
 		answer.Records = k.table.Records(now)
 	}
