Review case 5: a server that has left is used again after a node's restart

A node acknowledges that its server leaves although the store is away, is killed, and takes a late heartbeat of that server as news after its restart.

--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -79,7 +79,7 @@
 			state = "draining"
 		}
 		s.mutex.Unlock()
-		_ = s.Report(state)
+		_ = s.Heartbeat(state)()
 		select {
 		case <-ticker.C:
 		case <-s.stop:
@@ -88,16 +88,29 @@
 	}
 }
 
-// Report sends a heartbeat and returns the status of its answer, or 0.
-func (s *Server) Report(state string) int {
+// Leave tells the node beside the server that it leaves, without having reported
+// before that it drains, and returns the status of the answer. The server sends no
+// further heartbeats, and its health check fails; it goes on to serve.
+func (s *Server) Leave() int {
 	s.mutex.Lock()
+	s.leaving = true
+	s.sequence++
+	body, _ := json.Marshal(map[string]any{"sequence": s.sequence, "born": s.born})
+	s.mutex.Unlock()
+	close(s.stop)
+	return s.post(names.LeavePath, body)
+}
+
+// Heartbeat returns a function that sends the next heartbeat, made now, however late.
+func (s *Server) Heartbeat(state string) func() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	s.sequence++
 	body, _ := json.Marshal(map[string]any{
 		"service": s.machine.Service, "address": s.machine.App, "zone": s.machine.Zone, "version": "v1", "slots": s.slots,
 		"state": state, names.ColdField: "0ms", "sequence": s.sequence, "born": s.born,
 	})
-	s.mutex.Unlock()
-	return s.post(names.BeatPath, body)
+	return func() int { return s.post(names.BeatPath, body) }
 }
 
 func (s *Server) post(path string, body []byte) int {
@@ -111,8 +124,14 @@
 	return r.StatusCode
 }
 
-// Close ends the server without notice.
-func (s *Server) Close() {
-	close(s.stop)
+// End ends the server, after [Server.Leave] or without notice.
+func (s *Server) End() {
+	s.mutex.Lock()
+	leaving := s.leaving
+	s.leaving = true
+	s.mutex.Unlock()
+	if !leaving {
+		close(s.stop)
+	}
 	_ = s.server.Close()
 }
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -24,6 +24,8 @@
 	kinds    map[string]map[string]*object
 	history  []change
 	changed  chan struct{}
+	// back is closed when the store answers again, and nil while it answers.
+	back chan struct{}
 }
 
 type metadata struct {
@@ -61,6 +63,39 @@
 // Close ends the store.
 func (s *Store) Close() { _ = s.server.Close() }
 
+// Silence lets the store answer nobody until the returned function is called. It
+// does nothing meanwhile.
+func (s *Store) Silence() func() {
+	back := make(chan struct{})
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.back = back
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return func() {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		s.back = nil
+		close(back)
+	}
+}
+
+// hold reports whether the store is silent, after it was. The answer is then never
+// sent, and the call has no effect.
+func (s *Store) hold(r *http.Request) bool {
+	s.mutex.Lock()
+	back := s.back
+	s.mutex.Unlock()
+	if back == nil {
+		return false
+	}
+	select {
+	case <-back:
+	case <-r.Context().Done():
+	}
+	return true
+}
+
 // Write writes an object as the operator does, and returns its revision.
 func (s *Store) Write(kind, name string, spec any) (int64, error) {
 	data, err := json.Marshal(spec)
@@ -101,6 +136,9 @@
 }
 
 func (s *Store) serve(w http.ResponseWriter, r *http.Request) {
+	if s.hold(r) {
+		panic(http.ErrAbortHandler)
+	}
 	path, found := strings.CutPrefix(r.URL.Path, names.ObjectsPath)
 	if !found {
 		http.NotFound(w, r)
@@ -157,6 +195,9 @@
 	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
 	over := time.After(time.Duration(wait) * time.Millisecond)
 	for {
+		if s.hold(r) {
+			panic(http.ErrAbortHandler)
+		}
 		s.mutex.Lock()
 		events := []change{}
 		for _, c := range s.history {
