--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,59 +1,37 @@
-// Case 1: a node that was told to end breaks off requests at which their server is
-// at work, because another client sends a header with a byte of ISO 8859-1.
+// Case 1: bytes of a faulty server that are no answer reach a client as a success.
 package main
 
 import (
 	"fmt"
 	"net/http"
 	"sync"
-	"syscall"
+	"sync/atomic"
 	"time"
 
 	"kumquatlink/review/rig"
 )
 
 const (
-	orders   = 8
-	work     = 1500 * time.Millisecond
-	deadline = 5 * time.Second
-	grace    = 6 * time.Second
+	clients  = 10
+	requests = 60
+	// One of the two servers spoils one of spoiledOf answers.
+	spoiledOf = 40
+	deadline  = 5 * time.Second
+	junk      = "\x01\x02 not an answer"
 )
 
-// order is what was seen of one order.
-type order struct {
-	id         string
-	sentAt     time.Time
-	begunAt    time.Time
-	brokenAt   time.Time
-	finishedAt time.Time
-	answeredAt time.Time
-	answer     rig.Answer
-	err        error
-}
-
-// book holds the orders by their IDs.
-type book struct {
-	mutex  sync.Mutex
-	orders map[string]*order
-}
-
-func (b *book) update(id string, change func(*order)) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	if b.orders[id] == nil {
-		b.orders[id] = &order{id: id}
-	}
-	change(b.orders[id])
-}
-
 func main() { rig.Run(play) }
 
 func play(f *rig.Fleet) (int, string, error) {
-	entry, err := f.AddMachine("a", "front")
+	front, err := f.AddMachine("a", "front")
+	if err != nil {
+		return 0, "", err
+	}
+	first, err := f.AddMachine("a", "orders")
 	if err != nil {
 		return 0, "", err
 	}
-	gate, err := f.AddMachine("a", "orders")
+	second, err := f.AddMachine("a", "orders")
 	if err != nil {
 		return 0, "", err
 	}
@@ -63,33 +41,35 @@
 	); err != nil {
 		return 0, "", err
 	}
-	b := &book{orders: map[string]*order{}}
-	run := func(w http.ResponseWriter, r *http.Request) {
+	var answered, spoiled atomic.Int64
+	sound := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write([]byte("answer to " + r.Header.Get(rig.Wire().RequestID)))
+	}
+	faulty := func(w http.ResponseWriter, r *http.Request) {
 		id := r.Header.Get(rig.Wire().RequestID)
-		f.Record.Printf("server begins %s %s, request %s", r.Method, r.URL.Path, id)
-		if r.Method == http.MethodGet {
-			_, _ = w.Write([]byte("the list\n"))
+		if !rig.Trouble() || answered.Add(1)%spoiledOf != 0 {
+			sound(w, r)
 			return
 		}
-		b.update(id, func(o *order) { o.begunAt = time.Now() })
-		select {
-		case <-time.After(work):
-			b.update(id, func(o *order) { o.finishedAt = time.Now() })
-			f.Record.Printf("server has run request %s", id)
-			_, _ = w.Write([]byte("ordered " + id + "\n"))
-		case <-r.Context().Done():
-			b.update(id, func(o *order) { o.brokenAt = time.Now() })
-			f.Record.Printf("server at work on request %s is cut off: its connection was closed", id)
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
 		}
+		defer c.Close()
+		text := fmt.Sprintf("HTTP/1.1 000 \r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", rig.Wire().RequestID, id, len(junk), junk)
+		_, _ = c.Write([]byte(text))
+		spoiled.Add(1)
+		f.Record.Printf("server spoils its answer to %s %s, request %s: %q", r.Method, r.URL.Path, id, text)
 	}
-	if _, err := f.NewServer(entry, "i-front", 36, run); err != nil {
-		return 0, "", err
-	}
-	if _, err := f.NewServer(gate, "i-orders", 36, run); err != nil {
-		return 0, "", err
-	}
-	for _, m := range f.Machines {
-		if err := f.Start(m, true); err != nil {
+	for _, s := range []struct {
+		machine *rig.Machine
+		id      string
+		run     http.HandlerFunc
+	}{{front, "i-front", sound}, {first, "i-orders-1", sound}, {second, "i-orders-2", faulty}} {
+		if _, err := f.NewServer(s.machine, s.id, 36, s.run); err != nil {
+			return 0, "", err
+		}
+		if err := f.Start(s.machine, true); err != nil {
 			return 0, "", err
 		}
 	}
@@ -98,68 +78,51 @@
 	}
 	time.Sleep(5 * time.Second)
 
-	// Each client keeps a connection, on which it has been served before.
-	list := func(c *rig.Connection, headers ...string) (rig.Answer, error) {
-		r := rig.Request{ID: rig.NewID(), Method: http.MethodGet, Host: "shop.example", Path: "/list/all", Deadline: deadline, Headers: headers}
-		if err := c.Send(r); err != nil {
-			return rig.Answer{}, err
-		}
-		a, err := c.Read(r.Method)
-		f.Record.Printf("client of the list, request %s: status %d, stamp %q, %v", r.ID, a.Status, a.Stamp, err)
-		return a, err
-	}
-	var clients []*rig.Connection
-	for range orders + 1 {
-		c, err := rig.Dial(entry.Outbound)
-		if err != nil {
-			return 0, "", err
-		}
-		a, err := list(c)
-		if err != nil || a.Status != http.StatusOK {
-			return 0, "", fmt.Errorf("calm request: status %d, %w", a.Status, err)
-		}
-		clients = append(clients, c)
-	}
-
-	terminated := time.Now()
-	if rig.Trouble() {
-		f.Signal(entry, syscall.SIGTERM)
-	}
-	time.Sleep(300 * time.Millisecond)
-	var sending sync.WaitGroup
-	for _, c := range clients[:orders] {
-		r := rig.Request{ID: rig.NewID(), Method: http.MethodPost, Host: "shop.example", Path: "/order/new", Deadline: deadline, Body: []byte("one voice")}
-		sending.Go(func() {
-			b.update(r.ID, func(o *order) { o.sentAt = time.Now() })
-			f.Record.Printf("client sends order %s", r.ID)
-			err := c.Send(r)
-			var a rig.Answer
-			if err == nil {
-				a, err = c.Read(r.Method)
+	var successes, mixed atomic.Int64
+	statuses := map[int]int{}
+	var mutex sync.Mutex
+	var all sync.WaitGroup
+	for range clients {
+		all.Go(func() {
+			c, err := rig.Dial(front.Outbound)
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			for i := range requests {
+				r := rig.Request{ID: rig.NewID(), Method: http.MethodGet, Host: "shop.example", Path: "/list/all", Deadline: deadline}
+				if i%3 == 0 {
+					r.Method, r.Path, r.Body = http.MethodPost, "/order/new", []byte("one voice")
+				}
+				var a rig.Answer
+				err := c.Send(r)
+				if err == nil {
+					a, err = c.Read(r.Method)
+				}
+				if err != nil {
+					f.Record.Printf("client of %s %s, request %s: %v", r.Method, r.Path, r.ID, err)
+					return
+				}
+				mutex.Lock()
+				statuses[a.Status]++
+				mutex.Unlock()
+				if a.Status/100 != 2 {
+					f.Record.Printf("client of %s %s, request %s: status %d", r.Method, r.Path, r.ID, a.Status)
+				} else if successes.Add(1); a.Stamp == "" || string(a.Body) != "answer to "+r.ID {
+					mixed.Add(1)
+					f.Record.Printf("client of %s %s, request %s: status %d, no success of the server: stamp %q, body %q", r.Method, r.Path, r.ID, a.Status, a.Stamp, a.Body)
+				}
+				time.Sleep(20 * time.Millisecond)
 			}
-			f.Record.Printf("client of order %s: status %d, stamp %q, body %q, %v", r.ID, a.Status, a.Stamp, a.Body, err)
-			b.update(r.ID, func(o *order) { o.answeredAt, o.answer, o.err = time.Now(), a, err })
 		})
 	}
-	time.Sleep(500 * time.Millisecond)
-	f.Record.Printf("another client asks for the list, with a header of ISO 8859-1")
-	_, _ = list(clients[orders], "X-Reader: lecteur d'\xe9cran")
-	sending.Wait()
-
-	lost := 0
-	for _, o := range b.orders {
-		if !rig.Trouble() || o.begunAt.IsZero() || o.answer.Stamp != "" && o.err == nil {
-			continue
-		}
-		// The excuses of the rule: the server broke off, the time was over, or it was
-		// the last sixth of the grace time.
-		if o.answeredAt.Sub(o.sentAt) >= deadline || o.answeredAt.Sub(terminated) >= grace*5/6 || !o.finishedAt.IsZero() && o.finishedAt.Before(o.answeredAt) {
-			continue
-		}
-		lost++
+	all.Wait()
+	verdict := fmt.Sprintf("%d successes, %d of them without the server's stamp and body; %d spoiled answers; statuses %v", successes.Load(), mixed.Load(), spoiled.Load(), statuses)
+	if mixed.Load() > 0 {
+		return rig.Broken, "MIXED is broken: " + verdict, nil
 	}
-	if lost > 0 {
-		return rig.Broken, fmt.Sprintf("LOST is broken: %d of %d orders were broken off while their server was at work, %.1f s after the SIGTERM", lost, orders, time.Since(terminated).Seconds()), nil
+	if spoiled.Load() == 0 && rig.Trouble() {
+		return rig.NotRun, "no answer was spoiled: " + verdict, nil
 	}
-	return rig.Held, "LOST held", nil
+	return rig.Held, "MIXED held: " + verdict, nil
 }
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,162 +1,193 @@
-// Case 3: a node never accepts a connection again after a burst of callers has used
-// up its descriptors, although it says that it is ready.
+// Case 3: a node that was killed while the store was away forgets that the server
+// beside it has left, and sends it work again.
 package main
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"kumquatlink/review/rig"
 )
 
+// Figures of the settings and of the site.
 const (
-	// maxFds is that of the settings.
-	maxFds = 4100
-	// burst is how many callers come at once, and calm how many without the burst.
-	burst = 4200
-	calm  = 200
-	// stay is how long they stay after the last has come.
-	stay = 2 * time.Second
-	// contact is that of the settings. The node is asked for longer than that.
-	contact  = 3 * time.Second
-	observed = 12 * time.Second
-	// clients try for a new connection each second after the burst.
-	clients  = 8
-	deadline = 5 * time.Second
+	drain   = 2500 * time.Millisecond
+	contact = 3 * time.Second
+	// away is how long the store answers nobody, and down how long a killed node is
+	// away.
+	away = 4500 * time.Millisecond
+	down = 500 * time.Millisecond
+	// late is how long after it was sent the last heartbeat arrives.
+	late = 3500 * time.Millisecond
+	// stays is how long the server serves after its leaving was acknowledged.
+	stays    = 14 * time.Second
+	deadline = 4 * time.Second
 )
 
 func main() { rig.Run(play) }
 
-// fetch sends one request on a new connection, which a client allows a second to be
-// established and to be read.
-func fetch(f *rig.Fleet, m *rig.Machine) bool {
-	r := rig.Request{ID: rig.NewID(), Method: http.MethodGet, Host: "shop.example", Path: "/list/all", Deadline: deadline}
-	c, err := rig.Dial(m.Outbound)
-	if err != nil {
-		f.Record.Printf("client has no connection for request %s: %v", r.ID, err)
-		return false
-	}
-	defer c.Close()
-	_ = c.SetDeadline(time.Now().Add(time.Second))
-	err = c.Send(r)
-	var a rig.Answer
-	if err == nil {
-		a, err = c.Read(r.Method)
-	}
-	f.Record.Printf("client on a new connection, request %s: status %d, stamp %q, %v", r.ID, a.Status, a.Stamp, err)
-	return err == nil && a.Stamp != ""
+// ledger holds the times of what matters for the rule.
+type ledger struct {
+	mutex          sync.Mutex
+	acknowledgedAt time.Time
+	inTouchFrom    time.Time
+	sentAt         map[string]time.Time
+	late           int
+	lateInTouch    int
 }
 
-// probe asks the node each second on one connection whether it is ready, as long as
-// stop is open, and counts the answers.
-func probe(f *rig.Fleet, m *rig.Machine, ready, not *atomic.Int64, stop <-chan struct{}) {
-	client := http.Client{Timeout: time.Second}
-	ticker := time.NewTicker(time.Second)
-	defer ticker.Stop()
-	for {
-		r, err := client.Get("http://" + m.Ready + rig.Wire().ReadyPath)
-		switch {
-		case err == nil && r.StatusCode == http.StatusOK:
-			ready.Add(1)
-			f.Record.Printf("the platform asks %s: it is ready", m.ID)
-		default:
-			not.Add(1)
-			f.Record.Printf("the platform asks %s: it is not ready: %v", m.ID, err)
-		}
-		if err == nil {
-			_ = r.Body.Close()
-		}
-		select {
-		case <-ticker.C:
-		case <-stop:
-			return
-		}
-	}
+func (l *ledger) send(id string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.sentAt[id] = time.Now()
 }
 
-func play(f *rig.Fleet) (int, string, error) {
-	var limit syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur < burst+500 {
-		return 0, "", fmt.Errorf("needs %d descriptors, has %d: %w", burst+500, limit.Cur, err)
+// arrive counts a request at the server that leaves, and reports whether that is
+// later than allowed.
+func (l *ledger) arrive(id string) (sinceAck time.Duration, tooLate bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.acknowledgedAt.IsZero() {
+		return 0, false
 	}
-	f.Before = []string{"/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$@"`, maxFds), "sh"}
-	m, err := f.AddMachine("a", "list")
-	if err != nil {
-		return 0, "", err
+	since := time.Since(l.acknowledgedAt)
+	if since <= drain {
+		return since, false
 	}
-	if err := f.Configure(rig.Route{Host: "shop.example", Prefix: "/list/", Kind: rig.Idempotent, Service: "list", Timeout: deadline, Attempts: 2}); err != nil {
-		return 0, "", err
+	l.late++
+	if !l.inTouchFrom.IsZero() && l.sentAt[id].After(l.inTouchFrom) {
+		l.lateInTouch++
 	}
-	if _, err := f.NewServer(m, "i-list", 36, func(w http.ResponseWriter, r *http.Request) {
-		_, _ = w.Write([]byte("the list\n"))
-	}); err != nil {
-		return 0, "", err
+	return since, true
+}
+
+func play(f *rig.Fleet) (int, string, error) {
+	var machines []*rig.Machine
+	for _, service := range []string{"front", "orders", "orders", "orders"} {
+		m, err := f.AddMachine("a", service)
+		if err != nil {
+			return 0, "", err
+		}
+		machines = append(machines, m)
 	}
-	if err := f.Start(m, true); err != nil {
+	front, gate := machines[0], machines[1]
+	if err := f.Configure(rig.Route{Host: "shop.example", Prefix: "/list/", Kind: rig.Idempotent, Service: "orders", Timeout: deadline, Attempts: 2}); err != nil {
 		return 0, "", err
 	}
+	l := &ledger{sentAt: map[string]time.Time{}}
+	var leaver *rig.Server
+	for i, m := range machines {
+		s, err := f.NewServer(m, fmt.Sprintf("i-%s-%d", m.Service, i), 36, func(w http.ResponseWriter, r *http.Request) {
+			id := r.Header.Get(rig.Wire().RequestID)
+			if m == gate {
+				if since, tooLate := l.arrive(id); tooLate {
+					f.Record.Printf("server of %s gets request %s, %.2f s after the acknowledgement of its leaving", m.ID, id, since.Seconds())
+				}
+			}
+			time.Sleep(20 * time.Millisecond)
+			_, _ = w.Write([]byte("the list"))
+		})
+		if err != nil {
+			return 0, "", err
+		}
+		if m == gate {
+			leaver = s
+		}
+		if err := f.Start(m, true); err != nil {
+			return 0, "", err
+		}
+	}
 	if err := f.AwaitReady(); err != nil {
 		return 0, "", err
 	}
-	time.Sleep(3 * time.Second)
-	var ready, not atomic.Int64
+	time.Sleep(5 * time.Second)
+
 	stop := make(chan struct{})
-	var probing sync.WaitGroup
-	probing.Go(func() { probe(f, m, &ready, &not, stop) })
-	for range clients {
-		if !fetch(f, m) {
-			return 0, "", fmt.Errorf("a calm request was not served")
-		}
+	var clients sync.WaitGroup
+	var mutex sync.Mutex
+	statuses := map[int]int{}
+	for range 8 {
+		clients.Go(func() { ask(f, front, l, stop, &mutex, statuses) })
 	}
+	time.Sleep(2 * time.Second)
 
-	callers := calm
+	back := func() {}
 	if rig.Trouble() {
-		callers = burst
-	}
-	f.Record.Printf("%d callers come at once", callers)
-	var held []net.Conn
-	for range callers {
-		c, err := net.DialTimeout("tcp", m.Outbound, time.Second)
-		if err != nil {
-			f.Record.Printf("a caller has no connection: %v", err)
-			break
-		}
-		held = append(held, c)
+		f.Record.Printf("the store answers nobody")
+		back = f.Store.Silence()
 	}
-	f.Record.Printf("%d callers have connections", len(held))
-	time.Sleep(stay)
-	for _, c := range held {
-		_ = c.Close()
+	stoppedAt := time.Now()
+	heartbeat, madeAt := leaver.Heartbeat("ready"), time.Now()
+	f.Record.Printf("server of %s sends a heartbeat that arrives late", gate.ID)
+	time.Sleep(500 * time.Millisecond)
+	status := leaver.Leave()
+	f.Record.Printf("server of %s has told that it leaves: status %d", gate.ID, status)
+	if status/100 != 2 {
+		return 0, "", fmt.Errorf("leaving was not acknowledged: status %d", status)
 	}
-	f.Record.Printf("the callers have left")
-	time.Sleep(contact)
-	ready.Store(0)
-	not.Store(0)
-	var tried, served atomic.Int64
-	until := time.Now().Add(observed)
-	for time.Now().Before(until) {
-		var all sync.WaitGroup
-		for range clients {
-			all.Go(func() {
-				tried.Add(1)
-				if fetch(f, m) {
-					served.Add(1)
-				}
-			})
+	l.mutex.Lock()
+	l.acknowledgedAt = time.Now()
+	l.mutex.Unlock()
+	if rig.Trouble() {
+		time.Sleep(200 * time.Millisecond)
+		f.Signal(gate, syscall.SIGKILL)
+		<-gate.Ended()
+		time.Sleep(down)
+		if err := f.Start(gate, false); err != nil {
+			return 0, "", err
 		}
-		all.Wait()
-		time.Sleep(time.Second)
 	}
+	time.Sleep(time.Until(madeAt.Add(late)))
+	f.Record.Printf("the late heartbeat of the server of %s arrives: status %d", gate.ID, heartbeat())
+	time.Sleep(time.Until(stoppedAt.Add(away)))
+	if rig.Trouble() {
+		f.Record.Printf("the store answers again")
+		back()
+	}
+	l.mutex.Lock()
+	l.inTouchFrom = time.Now().Add(contact)
+	l.mutex.Unlock()
+	time.Sleep(time.Until(l.acknowledgedAt.Add(stays)))
+	f.Record.Printf("server of %s ends", gate.ID)
+	leaver.End()
 	close(stop)
-	probing.Wait()
-	verdict := fmt.Sprintf("in %.0f s, from %.0f s after the callers have left: %d of %d new connections were served; ready %d times, not ready %d times", observed.Seconds(), contact.Seconds(), served.Load(), tried.Load(), ready.Load(), not.Load())
-	if served.Load() == 0 {
-		return rig.Broken, "the node hangs, and RECOVER is broken: " + verdict, nil
+	clients.Wait()
+	verdict := fmt.Sprintf("%d requests reached the server later than %.1f s after the acknowledgement, %d of them sent when all machines were in touch; statuses %v", l.late, drain.Seconds(), l.lateInTouch, statuses)
+	if l.lateInTouch > 0 {
+		return rig.Broken, "DRAIN is broken: " + verdict, nil
+	}
+	return rig.Held, "DRAIN held: " + verdict, nil
+}
+
+// ask sends requests one after the other on a kept connection until stop is closed.
+func ask(f *rig.Fleet, m *rig.Machine, l *ledger, stop <-chan struct{}, mutex *sync.Mutex, statuses map[int]int) {
+	c, err := rig.Dial(m.Outbound)
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(40 * time.Millisecond):
+		}
+		r := rig.Request{ID: rig.NewID(), Method: http.MethodGet, Host: "shop.example", Path: "/list/all", Deadline: deadline}
+		l.send(r.ID)
+		err := c.Send(r)
+		var a rig.Answer
+		if err == nil {
+			a, err = c.Read(r.Method)
+		}
+		if err != nil {
+			f.Record.Printf("client of request %s: %v", r.ID, err)
+			return
+		}
+		mutex.Lock()
+		statuses[a.Status]++
+		mutex.Unlock()
 	}
-	return rig.Held, "RECOVER held: " + verdict, nil
 }
