Take only 200 to 599 for the status of an answer, and require its signature

Cause: the codec keeps the status in an integer whose zero value stands for 200, and reads the status line "HTTP/1.1 000" as 0. Nothing checked it. On related paths 001 to 099, 600 to 999 and 101 were passed on, gates of former builds pass on all of these, and a handler that panics left an empty 200.

kqhttp reads the status before the codec does; gate and entry require the signature of a success where the dialect names one; kqedge answers a panic with 500. The log says in Detail why an answer was lost.

Ruled out: the answer of another request (the ID is its own), a second answer on the connection (the server closes it), the link (the gate's line says 200).

--- a/io/kqedge/connection.go
+++ b/io/kqedge/connection.go
@@ -264,7 +264,16 @@
 	c.answers <- e
 	err := c.server.submit(func() {
 		defer close(e.done)
+		isAnswered := false
+		defer func() {
+			if !isAnswered {
+				// An unfilled response has the status 200.
+				e.Response.Reset()
+				e.Response.SetStatusCode(fasthttp.StatusInternalServerError)
+			}
+		}()
 		c.server.handle(e.ctx, e)
+		isAnswered = true
 	})
 	if err != nil {
 		e.Abort = true
--- a/io/kqedge/kqedge_test.go
+++ b/io/kqedge/kqedge_test.go
@@ -292,6 +292,43 @@
 
 // TestCallersGetTheirOwnAnswers guards against mixed-up answers when many callers
 // send pipelined requests.
+// TestPanickingHandlerAnswersWithSuccess guards against the empty answer with status
+// 200 that a response has which no handler has filled.
+func TestPanickingHandlerAnswersWithSuccess(t *testing.T) {
+	server := kqedge.New(func(_ context.Context, e *kqedge.Exchange) {
+		if string(e.Request.Header.RequestURI()) == "/panic" {
+			e.Response.SetStatusCode(fasthttp.StatusAccepted)
+			panic("handler fails")
+		}
+		e.Response.SetBodyString("whole")
+	}, kqedge.WithSubmit(func(task func()) error {
+		go func() {
+			defer func() { _ = recover() }()
+			task()
+		}()
+		return nil
+	}))
+	address, err := server.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	c, reader := dial(t, address)
+	_, _ = io.WriteString(c, "GET /panic HTTP/1.1\r\nHost: x\r\n\r\nGET /next HTTP/1.1\r\nHost: x\r\n\r\n")
+	for _, want := range []struct {
+		status int
+		body   string
+	}{{500, ""}, {200, "whole"}} {
+		response := &fasthttp.Response{}
+		if err := response.Read(reader); err != nil {
+			t.Fatal(err)
+		}
+		if got := response.StatusCode(); got != want.status || string(response.Body()) != want.body {
+			t.Errorf("answer: got status %d and body %q, want %d and %q", got, response.Body(), want.status, want.body)
+		}
+	}
+}
+
 func TestCallersGetTheirOwnAnswers(t *testing.T) {
 	s := newTestServer(t)
 	done := make(chan error, 8)
--- a/io/kqhttp/kqhttp.go
+++ b/io/kqhttp/kqhttp.go
@@ -211,7 +211,10 @@
 	// has read the whole call and then close the connection.
 	for range maxStrayAnswers {
 		response.StreamBody = true
-		err := response.ReadLimitBody(c.reader, 0)
+		err := readAnswerHead(c.reader, response)
+		if err == nil && hasBody(response) {
+			err = response.ReadBody(c.reader, 0)
+		}
 		if err == nil && !wantsStream {
 			err = p.readBody(response)
 		}
--- /dev/null
+++ b/io/kqhttp/status_test.go
@@ -0,0 +1,61 @@
+package kqhttp_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"kumquatlink/io/kqhttp"
+)
+
+// TestBytesThatAreNoAnswerAreASuccess guards against status lines that the codec
+// takes for another answer than they are: it reads the status 000 as 200.
+func TestBytesThatAreNoAnswerAreASuccess(t *testing.T) {
+	const rest = "Content-Length: 4\r\n\r\nbody"
+	for _, c := range []struct {
+		text string
+		// want is the status of the answer, or 0 if there is none.
+		want int
+	}{
+		{"HTTP/1.1 200 OK\r\n" + rest, 200},
+		{"HTTP/1.1 200\r\n" + rest, 200},
+		{"HTTP/1.0 200 OK\r\n" + rest, 200},
+		{"\r\nHTTP/1.1 200 OK\r\n" + rest, 200},
+		{"HTTP/1.1 599 Odd\r\n" + rest, 599},
+		{"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 404 Not Found\r\n" + rest, 404},
+		{strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 4) + "HTTP/1.1 200 OK\r\n" + rest, 200},
+		{"HTTP/1.1 000 \r\n" + rest, 0},
+		{"HTTP/1.1 000\r\n" + rest, 0},
+		{"\r\nHTTP/1.1  000 OK\r\n" + rest, 0},
+		{"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 000 \r\n" + rest, 0},
+		{"HTTP/1.1 001 Odd\r\n" + rest, 0},
+		{"HTTP/1.1 099 Odd\r\n" + rest, 0},
+		{"HTTP/1.1 100 Continue\r\n" + rest, 0},
+		{"HTTP/1.1 101 Switching Protocols\r\n" + rest, 0},
+		{"HTTP/1.1 199 Odd\r\n" + rest, 0},
+		{"HTTP/1.1 600 Odd\r\n" + rest, 0},
+		{"HTTP/1.1 999 Odd\r\n" + rest, 0},
+		{"HTTP/1.1 0200 OK\r\n" + rest, 0},
+		{"HTTP/1.1 20 OK\r\n" + rest, 0},
+		{"HTTP/1.1 2OO OK\r\n" + rest, 0},
+		{"HTTP/1.1 -20 OK\r\n" + rest, 0},
+		{"200 OK HTTP/1.1\r\n" + rest, 0},
+		{"nonsense\r\n" + rest, 0},
+		{strings.Repeat("n", 8<<10), 0},
+		{strings.Repeat("\r\n", 8<<10), 0},
+		{strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 1000) + "HTTP/1.1 200 OK\r\n" + rest, 0},
+	} {
+		l := listen(t)
+		serveOnce(l, c.text)
+		response := &fasthttp.Response{}
+		err := do(kqhttp.NewPool(l.Addr().String()), response)
+		switch {
+		case c.want == 0 && !errors.Is(err, kqhttp.ErrLost):
+			t.Errorf("%.60q: got status %d, %v, want an error marked ErrLost", c.text, response.StatusCode(), err)
+		case c.want != 0 && (err != nil || response.StatusCode() != c.want || string(response.Body()) != "body"):
+			t.Errorf("%.60q: got status %d, body %q, %v, want %d and the whole body", c.text, response.StatusCode(), response.Body(), err, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/io/kqmesh/answer.go
@@ -0,0 +1,49 @@
+package kqmesh
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"kumquatlink/core/kqcall"
+	"kumquatlink/io/kqhttp"
+	"kumquatlink/io/kqtrunk"
+)
+
+// rejectSpoiled returns the answer. If it is none that a backend server can have
+// given, it returns the end of a call whose answer was lost: the status is none
+// of a final answer, or a success lacks the server's signature. Gates check
+// their server's answers, and entries those of gates, which may be of a build
+// that does not check them.
+func (n *Node) rejectSpoiled(o *callAnswer) *callAnswer {
+	if o.head.End.Outcome != kqcall.OutcomeRan {
+		return o
+	}
+	spoiled := *o
+	switch {
+	case !kqhttp.IsFinalStatus(o.head.Status):
+		spoiled.detail = fmt.Sprintf("answer has the status %03d", o.head.Status)
+	case isSuccess(o.head.Status) && !n.isSigned(o.head.Headers):
+		spoiled.detail = fmt.Sprintf("answer with status %d has no signature", o.head.Status)
+	default:
+		return o
+	}
+	spoiled.head.End = kqcall.Unknown(kqcall.CauseBackendLost)
+	spoiled.head.Status, spoiled.head.Headers, spoiled.body = 0, nil, nil
+	return &spoiled
+}
+
+func isSuccess(status int) bool {
+	return status >= fasthttp.StatusOK && status < fasthttp.StatusMultipleChoices
+}
+
+// isSigned reports whether the headers hold a backend server's signature, or
+// servers don't sign their answers.
+func (n *Node) isSigned(headers []kqtrunk.Header) bool {
+	name := n.dialect.Headers.Signature
+	return name == "" || slices.ContainsFunc(headers, func(h kqtrunk.Header) bool {
+		return strings.EqualFold(h.Name, name) && h.Value != ""
+	})
+}
--- a/io/kqmesh/dialect.go
+++ b/io/kqmesh/dialect.go
@@ -24,6 +24,9 @@
 	// NotRun is set on the answer of a backend server that did not run the
 	// request.
 	NotRun string
+	// Signature is set by backend servers on each success: a success without it is
+	// not their answer. It is empty if servers don't sign what they answer.
+	Signature string
 	// CallerService carries the service of the host from which the request was
 	// sent.
 	CallerService string
--- a/io/kqmesh/fleet_test.go
+++ b/io/kqmesh/fleet_test.go
@@ -184,6 +184,8 @@
 	store *kqobject.Store
 	hosts map[string]*host
 	log   *lockedBuffer
+	// dialect is the dialect of the hosts.
+	dialect kqmesh.Dialect
 	// wrap wraps the store client of each host that is added, or is nil.
 	wrap func(name string, c *kqstore.Client) *kqstore.Client
 }
@@ -226,7 +228,7 @@
 // newFleet starts a store and returns a fleet without hosts.
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: kqobject.New(), hosts: map[string]*host{}, log: &lockedBuffer{}}
+	f := &fleet{t: t, store: kqobject.New(), hosts: map[string]*host{}, log: &lockedBuffer{}, dialect: kqmesh.NativeDialect()}
 	if err := f.store.Listen("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
@@ -307,7 +309,7 @@
 func (f *fleet) tryStart(h *host) error {
 	f.t.Helper()
 	log := kqlog.New(f.log, kqlog.WithNode(h.settings.NodeID, h.settings.FailureDomain))
-	n, err := kqmesh.New(h.settings, kqmesh.NativeDialect(), h.store, kqmesh.WithLog(log))
+	n, err := kqmesh.New(h.settings, f.dialect, h.store, kqmesh.WithLog(log))
 	if err != nil {
 		log.Close()
 		return err
--- a/io/kqmesh/gate.go
+++ b/io/kqmesh/gate.go
@@ -91,6 +91,8 @@
 	// fromGate reports whether a gate answered. Otherwise the entry ended the call,
 	// or the connection to the gate failed.
 	fromGate bool
+	// detail is a remark on the end of the call for the log.
+	detail string
 	// shedBy names the reported admission threshold because of which this node
 	// refused the call, if it did.
 	shedBy kqshed.Reason
@@ -129,7 +131,7 @@
 		RequestID: head.RequestID, Root: head.Root, Class: head.Class, Service: head.Service, Decision: decisionAdmit,
 		Cause: string(o.head.End.Cause), Outcome: string(o.head.End.Outcome), Chosen: o.head.ServerID,
 		Took: g.node.clock() - begun, Left: head.Budget, Queued: o.head.Queue, Load: formatLoad(o.head.Load), Version: head.RoutesVersion,
-		Behind: o.shedBy.Service, Age: o.shedBy.Age,
+		Behind: o.shedBy.Service, Age: o.shedBy.Age, Detail: o.detail,
 	})
 	return o
 }
@@ -419,7 +421,9 @@
 // to the end of the call.
 func (g *gate) readAnswer(ctx context.Context, response *fasthttp.Response, err error) *callAnswer {
 	if err != nil {
-		return endOnly(endOfBackendError(ctx, err))
+		o := endOnly(endOfBackendError(ctx, err))
+		o.detail = err.Error()
+		return o
 	}
 	status := response.StatusCode()
 	notRun := len(response.Header.Peek(g.node.dialect.Headers.NotRun)) > 0
@@ -444,7 +448,7 @@
 			o.head.Headers = append(o.head.Headers, kqtrunk.Header{Name: string(k), Value: string(v)})
 		}
 	}
-	return o
+	return g.node.rejectSpoiled(o)
 }
 
 // endOfBackendError returns the end of a call whose connection to the backend
--- a/io/kqmesh/oldgate_test.go
+++ b/io/kqmesh/oldgate_test.go
@@ -33,12 +33,15 @@
 // states, and runs every call.
 type oldGate struct {
 	calls atomic.Int64
+	// status is the status of its answers.
+	status atomic.Int64
 }
 
 // addOldGate starts an old gate of the service and writes its record.
 func (f *fleet) addOldGate(name, service, statement string) *oldGate {
 	f.t.Helper()
 	g := &oldGate{}
+	g.status.Store(fasthttp.StatusOK)
 	server, err := kqtrunk.Listen("127.0.0.1:0", kqtrunk.Handlers{
 		Call: func(_ context.Context, _ string, head kqtrunk.CallHead, _ []byte) (kqtrunk.AnswerHead, []byte) {
 			if head.AskLoad {
@@ -46,7 +49,7 @@
 			}
 			g.calls.Add(1)
 			return kqtrunk.AnswerHead{
-				End: kqcall.Ran(), Status: fasthttp.StatusOK, ServerID: "i-" + name, RoutesVersion: head.RoutesVersion,
+				End: kqcall.Ran(), Status: int(g.status.Load()), ServerID: "i-" + name, RoutesVersion: head.RoutesVersion,
 				Headers: []kqtrunk.Header{{Name: "Kumquatlink-Rate-Limit", Value: statement}},
 			}, nil
 		},
--- a/io/kqmesh/path_test.go
+++ b/io/kqmesh/path_test.go
@@ -61,6 +61,11 @@
 			_ = c.Close()
 		}
 	}
+	withStatus := func(status string) func(net.Conn, *fasthttp.Request) {
+		return closing(func(q *fasthttp.Request) string {
+			return strings.Replace(head(q, "Content-Length: 5\r\n\r\nbytes"), "200 OK", status, 1)
+		})
+	}
 	faults := []struct {
 		name   string
 		answer func(net.Conn, *fasthttp.Request)
@@ -102,6 +107,16 @@
 		{"is another server", func(c net.Conn, q *fasthttp.Request) {
 			_, _ = io.WriteString(c, strings.Replace(head(q, "Content-Length: 0\r\n\r\n"), "200 OK", "421 Misdirected", 1))
 		}},
+		{"answers with status 000", withStatus("000 ")},
+		{"answers with status 099", withStatus("099 Odd")},
+		{"answers with status 600", withStatus("600 Odd")},
+		{"answers with status 999", withStatus("999 Odd")},
+		{"switches protocols", withStatus("101 Switching Protocols")},
+		{"sends only an interim answer", withStatus("100 Continue")},
+		{"answers with status 000 after hints", func(c net.Conn, q *fasthttp.Request) {
+			_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n")
+			withStatus("000 ")(c, q)
+		}},
 		{"sends hints first", func(c net.Conn, q *fasthttp.Request) {
 			_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n")
 			echo(c, q)
--- a/io/kqmesh/place.go
+++ b/io/kqmesh/place.go
@@ -73,6 +73,7 @@
 			RequestID: q.head.RequestID, Root: q.head.Root, Class: q.head.Class, Service: q.head.Service, Decision: decisionRoute,
 			Cause: string(o.head.End.Cause), Outcome: string(o.head.End.Outcome), Chosen: u.Record.NodeID,
 			Took: n.now().Sub(now), Left: q.head.Budget, Queued: o.head.Queue, Load: formatLoad(o.head.Load), Version: q.head.RoutesVersion, Status: o.head.Status,
+			Detail: o.detail,
 		})
 		last = o
 		if o.head.End.Outcome != kqcall.OutcomeNotRun {
@@ -118,7 +119,8 @@
 		return endOnly(endOfLinkError(ctx, err))
 	}
 	n.observePeerVersion(u.Record.Address, answer.Head.RoutesVersion)
-	return &callAnswer{head: answer.Head, body: answer.Body, fromGate: true}
+	// A gate of a former build passes on what its server spoils.
+	return n.rejectSpoiled(&callAnswer{head: answer.Head, body: answer.Body, fromGate: true})
 }
 
 // endOfLinkError returns the end of a call whose connection to the peer failed.
