Acknowledge that a server leaves only when something outside the process keeps it

Cause: awaitLeavingRecord dropped the error of its wait, so the node acknowledged what only its own process knew, and the next process believed the first notice without asking anybody.

Now the store or three other nodes have to keep the departure first, else the answer is 503; a restarted node holds back ready notices until the store or a peer has said what its former process knew; and nodes that keep a departure send no calls to a server whose record contradicts it, and tell its node.

Ruled out: the outage alone and the kill alone (both hold).

--- a/io/kqmesh/control.go
+++ b/io/kqmesh/control.go
@@ -28,6 +28,9 @@
 // long after it was last seen.
 const maxListAge = 10 * time.Second
 
+// maxHeldNotices bounds the notices that a restarted node holds back.
+const maxHeldNotices = 8
+
 // controlEvent is applied by the control goroutine. apply reports whether it
 // changed the state. An event may also have a method finish, which is called
 // after the changed state was published.
@@ -62,6 +65,11 @@
 	// seenVersions holds the newest version of each record that the store has
 	// reported, by node ID, apart from versions that made a record older.
 	seenVersions map[string]string
+	// departures holds which servers are known to leave.
+	departures *departures
+	// heldNotices are the notices of a ready server that came before the node knew
+	// what its former process knew.
+	heldNotices []kqserver.Notice
 
 	mutex        sync.Mutex
 	stateChanged chan struct{}
@@ -77,8 +85,9 @@
 		node: n, events: make(chan controlEvent, eventQueueLength), stopped: make(chan struct{}), life: kqserver.New(),
 		stateChanged: make(chan struct{}), removedRecords: map[string]bool{},
 		watch: kqwatch.New(n.clock(), n.settings.NodeID), divergedSince: map[string]time.Duration{}, lastRequest: -requestInterval, listedEra: kqstore.UnknownEra, seenVersions: map[string]string{},
+		departures: newDepartures(),
 	}
-	c.state = State{Hosts: map[string]HostRecord{}, Behind: map[string]string{}, Upstreams: map[string]*kqroute.Table{}, ServerState: kqserver.Unknown, Starting: true}
+	c.state = State{Hosts: map[string]HostRecord{}, Behind: map[string]string{}, Upstreams: map[string]*kqroute.Table{}, ServerState: kqserver.Unknown, Starting: true, Recalled: n.settings.FirstStart}
 	c.publish()
 	return c
 }
@@ -105,6 +114,7 @@
 			if c.advanceWatch(c.node.clock()) {
 				c.publish()
 			}
+			c.retellDepartures()
 		case <-warm:
 			c.state.Server.Cold = 0
 			c.publish()
@@ -377,8 +387,11 @@
 // addresses that no record has.
 func (c *control) rebuildUpstreams() {
 	services := map[string][]kqmember.Record{}
+	for _, h := range c.state.Hosts {
+		c.departures.observe(c.node.clock(), h)
+	}
 	for _, name := range slices.Sorted(maps.Keys(c.state.Hosts)) {
-		if h := c.state.Hosts[name]; h.TakesWork() {
+		if h := c.state.Hosts[name]; h.TakesWork() && !c.hasDeparted(h) {
 			services[h.Service] = append(services[h.Service], h.memberRecord())
 		}
 	}
@@ -417,6 +430,11 @@
 	if e.notice.ReceivedAt.IsZero() {
 		e.notice.ReceivedAt = c.node.now()
 	}
+	if !c.state.Recalled && e.notice.State == kqserver.Ready {
+		c.heldNotices = append(c.heldNotices[max(0, len(c.heldNotices)-maxHeldNotices+1):], e.notice)
+		e.verdict = kqserver.Taken
+		return false
+	}
 	verdict := c.life.Observe(e.notice)
 	e.verdict = verdict
 	if verdict != kqserver.Taken {
--- a/io/kqmesh/events.go
+++ b/io/kqmesh/events.go
@@ -83,6 +83,9 @@
 	eventWatching
 	eventWatcherAsked
 	eventServerRemembered
+	eventFormerRecalled
+	eventDepartureShared
+	eventDepartureTold
 	eventServerLimit
 	eventServerLeaves
 	eventStatementUnreadable
@@ -142,6 +145,9 @@
 	eventWatching:            {Name: "Watching", Level: zerolog.InfoLevel, Description: "The node has begun or ceased to watch the store for its failure domain.", Fields: []string{fieldState}},
 	eventWatcherAsked:        {Name: "WatcherAsked", Level: zerolog.InfoLevel, Description: "A node that watches the store has announced newer routes or a different list of nodes; the node requests them from it.", Fields: []string{fieldHost, fieldRoutes, fieldFormer}},
 	eventServerRemembered:    {Name: "ServerRemembered", Level: zerolog.InfoLevel, Description: "The record that the node wrote before its restart says that the backend server drains or is gone.", Fields: []string{fieldServer, fieldState, fieldVerdict}},
+	eventFormerRecalled:      {Name: "FormerRecalled", Level: zerolog.InfoLevel, Description: "The node, which was started again, has asked the store and other nodes what its former process knew of the backend server. Until then it holds back notices that the server is ready.", Fields: []string{"Hosts", fieldTook}},
+	eventDepartureShared:     {Name: "DepartureShared", Level: zerolog.WarnLevel, Description: "The backend server leaves and the store has not taken that yet; Hosts is how many other nodes keep it. If they are too few, the server's notice is not acknowledged.", Fields: []string{fieldServer, "Hosts"}},
+	eventDepartureTold:       {Name: "DepartureTold", Level: zerolog.WarnLevel, Description: "The record of a node says that its backend server is ready, and this node knows that it leaves. The server gets no calls from here, and the node is told.", Fields: []string{fieldHost, fieldServer, fieldIncarnation}},
 	eventServerLimit:         {Name: "ServerLimit", Level: zerolog.InfoLevel, Description: "An answer of the backend server beside the node names another limit on requests a second than the answer before it.", Fields: []string{fieldServer, "Limit", "FormerLimit"}},
 	eventServerLeaves:        {Name: "ServerLeaves", Level: zerolog.InfoLevel, Description: "An answer of the backend server beside the node says that the server leaves; it gets no new calls.", Fields: []string{fieldServer, fieldVerdict}},
 	eventStatementUnreadable: {Name: "StatementUnreadable", Level: zerolog.WarnLevel, Description: "What an answer of the backend server says about the server can't be decoded and is ignored. Logged at the first such answer after a readable one.", Fields: []string{fieldServer}},
--- a/io/kqmesh/kqmesh.go
+++ b/io/kqmesh/kqmesh.go
@@ -140,6 +140,9 @@
 	ServerState kqserver.State
 	// Leaving reports whether a shutdown of the node has begun.
 	Leaving bool
+	// Recalled reports whether the node knows what its former process, if there was
+	// one, knew of the backend server.
+	Recalled bool
 	// HostsDigest is a hash of Hosts, by which nodes compare their lists.
 	HostsDigest uint64
 	// Watching reports whether the node watches the store on behalf of its
--- a/io/kqmesh/notice.go
+++ b/io/kqmesh/notice.go
@@ -21,10 +21,6 @@
 	noticeIdleTime = time.Minute
 )
 
-// recordTimeout is how long the answer to a notice of leaving waits for the store. It
-// is well below the time after which a server sends the notice again.
-const recordTimeout = 500 * time.Millisecond
-
 // Limits of the health probe of the backend server at the node's start.
 const (
 	healthTimeout  = time.Second
@@ -38,7 +34,8 @@
 
 // handleNotice handles a notice that the backend server sends about its own
 // state. A success is sent after the notice is in force, so that a server which
-// got one to its notice of draining gets no further calls.
+// got one to its notice of draining gets no further calls, and after something
+// outside this process keeps it.
 func (n *Node) handleNotice(ctx context.Context, e *kqedge.Exchange) {
 	notice, found, err := n.dialect.ReadNotice(string(e.Request.Header.Method()), string(e.Request.Header.RequestURI()), e.Request.Body())
 	if !found {
@@ -62,26 +59,14 @@
 		e.Response.SetStatusCode(fasthttp.StatusConflict)
 		return
 	}
-	if notice.State != kqserver.Ready {
-		n.awaitLeavingRecord(ctx)
+	if current := n.State(); notice.State != kqserver.Ready && notice.ServerID == current.Server.ServerID && current.ServerState != kqserver.Ready && !n.awaitDepartureKept(ctx) {
+		e.Response.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
 	}
 	e.Response.Header.SetContentType("application/json")
 	e.Response.SetBodyRaw(n.dialect.Acknowledgement)
 }
 
-// awaitLeavingRecord waits until the node's record says that the backend server
-// leaves, so that the node's next process learns of it, but no longer than
-// recordTimeout: the server may leave also while the store is away.
-func (n *Node) awaitLeavingRecord(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
-	defer cancel()
-	// An error means that the time is over, or the node has ended.
-	_ = n.WaitFor(ctx, func(s *State) bool {
-		h, found := s.Hosts[n.settings.NodeID]
-		return found && h.ServerState == s.ServerState && h.ServerID == s.Server.ServerID
-	})
-}
-
 // ApplyNotice applies a notice of the backend server and returns whether it was
 // taken, and if not, why. The gate acts on it before ApplyNotice returns. After
 // the node has ended the verdict is [kqserver.Over].
@@ -109,7 +94,7 @@
 // the server may have been running before, so that the node need not wait for
 // the next notice. A server that drains does not answer that it is healthy.
 func (n *Node) probeServer(ctx context.Context) {
-	if n.settings.FirstStart {
+	if n.settings.FirstStart || n.WaitFor(ctx, func(s *State) bool { return s.Recalled }) != nil {
 		return
 	}
 	for range healthAttempts {
--- a/io/kqmesh/record.go
+++ b/io/kqmesh/record.go
@@ -102,6 +102,7 @@
 // again when it was removed there or is older there.
 func (n *Node) maintainRecord(ctx context.Context) {
 	w := &recordWriter{}
+	n.recallFormer(ctx, w)
 	failures := 0
 	for ctx.Err() == nil {
 		changed := n.control.changed()
--- a/io/kqmesh/report.go
+++ b/io/kqmesh/report.go
@@ -27,6 +27,24 @@
 	recordsPause    = 500 * time.Millisecond
 )
 
+// nodeReport is what nodes tell each other apart from calls, routes and lists of
+// nodes. It is the body of a request for a gate's load, and of the answer. Nodes of
+// former builds look at the report on requests only, or at nothing.
+type nodeReport struct {
+	suspectReport
+	// Departures are records of nodes whose backend servers leave, for the receiver
+	// to keep. KeepsDepartures is set in the answer when it does.
+	Departures      []HostRecord
+	KeepsDepartures bool
+	// AskDeparture asks for the departure of that node's server.
+	AskDeparture string
+}
+
+// isEmpty reports whether the report says nothing and asks nothing.
+func (r nodeReport) isEmpty() bool {
+	return r.suspectReport.isEmpty() && len(r.Departures) == 0 && !r.KeepsDepartures && r.AskDeparture == ""
+}
+
 // serviceGates returns the addresses of the other nodes whose servers offer the same
 // service. Only they may run what this node has run.
 func (k *suspects) serviceGates() []string {
@@ -121,17 +139,23 @@
 	return told
 }
 
-// send sends a report to a node and returns its answer.
+// send sends a report on requests to a node and returns its answer.
 func (k *suspects) send(address string, r suspectReport) (suspectReport, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	answer, err := k.node.sendReport(address, reportTimeout, nodeReport{suspectReport: r})
+	return answer.suspectReport, err
+}
+
+// sendReport sends a report to a node and returns its answer.
+func (n *Node) sendReport(address string, timeout time.Duration, r nodeReport) (nodeReport, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	var answer suspectReport
+	var answer nodeReport
 	body, err := cbor.Marshal(r)
 	if err != nil {
 		return answer, err
 	}
-	head := kqtrunk.CallHead{Service: k.node.settings.Service, Budget: reportTimeout, AskLoad: true, RoutesVersion: k.node.routesVersion()}
-	got, err := k.node.dialer.Call(ctx, address, head, body)
+	head := kqtrunk.CallHead{Service: n.settings.Service, Budget: timeout, AskLoad: true, RoutesVersion: n.routesVersion()}
+	got, err := n.dialer.Call(ctx, address, head, body)
 	if err != nil || len(got.Body) == 0 {
 		return answer, err
 	}
@@ -144,12 +168,19 @@
 	if len(body) == 0 {
 		return head, nil
 	}
-	var r suspectReport
+	var r nodeReport
 	if err := cbor.Unmarshal(body, &r); err != nil {
 		n.logEvent(eventPeerUnreadable, "report of peer "+peer+" can't be decoded: it is ignored", err, kqlog.Text(fieldPeer, peer))
 		return head, nil
 	}
-	answer := n.gate.suspects.receive(peer, r)
+	answer := nodeReport{suspectReport: n.gate.suspects.receive(peer, r.suspectReport)}
+	if len(r.Departures) > 0 {
+		n.keepDepartures(r.Departures)
+		answer.KeepsDepartures = true
+	}
+	if r.AskDeparture != "" {
+		answer.Departures = n.departureOf(r.AskDeparture)
+	}
 	if answer.isEmpty() {
 		return head, nil
 	}
