Refuse in a planned stop what can't end in time, and answer what is given up

Operators of a similar system reported requests that were taken late in the grace time and cut off at its end without an answer. Here it could happen: up to 2.8 s after SIGTERM a request was taken however long it might run, and what still ran 0.4 s before the end lost its connection.

Cause: the stop decided by time alone, and closed connections instead of ending requests. Now core/kqdrain compares the request's deadline and its route's recent times with the time that is left; what still runs is answered as unknown before everything closes.

Ruled out: requests refused after the time for taking them; the gate, which takes nothing from the first moment on; the own interface, which waits longer than any deadline.

Evidence: TestRequestTakenLateInAPlannedStopIsCutOff and TestStoppedGateAnswersWhatItGaveUp failed on the former code: the request was begun by its server and got no answer.

--- a/io/kqmesh/announce.go
+++ b/io/kqmesh/announce.go
@@ -33,7 +33,7 @@
 			n.logEvent(eventNotAnnounced, "routes are not announced to "+address, err, kqlog.Text(fieldPeer, address), kqlog.Number(fieldRoutes, version))
 		}
 	}
-	n.logEvent(eventRoutesAnnounced, fmt.Sprintf("routes of version %d are announced to %d nodes", version, len(targets)), nil, kqlog.Number(fieldRoutes, version), kqlog.Number("Hosts", int64(len(targets))))
+	n.logEvent(eventRoutesAnnounced, fmt.Sprintf("routes of version %d are announced to %d nodes", version, len(targets)), nil, kqlog.Number(fieldRoutes, version), kqlog.Number(fieldHosts, int64(len(targets))))
 }
 
 // announceTargets returns the addresses of the nodes to tell: a few of each other
--- a/io/kqmesh/departure.go
+++ b/io/kqmesh/departure.go
@@ -249,7 +249,7 @@
 	}
 	isKept := needed > 0 && count == needed
 	n.logEvent(eventDepartureShared, fmt.Sprintf("server %s leaves and the store has not taken that: %d of %d nodes keep it, acknowledged: %t", record.ServerID, count, len(targets), isKept), nil,
-		kqlog.Text(fieldServer, record.ServerID), kqlog.Number("Hosts", int64(count)))
+		kqlog.Text(fieldServer, record.ServerID), kqlog.Number(fieldHosts, int64(count)))
 	return isKept
 }
 
@@ -310,7 +310,7 @@
 				w.version = o.Version
 			}
 			n.logEvent(eventFormerRecalled, fmt.Sprintf("what the former process knew of the backend server was asked for: the store answered: %t, nodes that answered: %d", o != nil, answers.Load()), nil,
-				kqlog.Number("Hosts", answers.Load()), kqlog.Micros(fieldTook, n.clock()-begun))
+				kqlog.Number(fieldHosts, answers.Load()), kqlog.Micros(fieldTook, n.clock()-begun))
 			break
 		}
 		sleep(ctx, recallBackoff.After(failures, n.randomFraction()))
--- a/io/kqmesh/entry.go
+++ b/io/kqmesh/entry.go
@@ -75,14 +75,22 @@
 // decides the route, refuses the request or sends it to upstreams, and answers.
 func (n *Node) handleCaller(ctx context.Context, e *kqedge.Exchange) {
 	q, o := n.readCall(e)
+	if o == nil {
+		o = n.refuseLate(q)
+	}
 	if o == nil {
 		o = n.shedder.refuseAtEntry(q)
 	}
 	if o == nil {
+		running, end := n.untilEnd(ctx)
 		// The gate ends the call at the deadline; its answer comes shortly after.
-		waiting, cancel := context.WithDeadline(ctx, q.deadline.Add(answerGrace))
+		waiting, cancel := context.WithDeadline(running, q.deadline.Add(answerGrace))
 		o = n.routeCall(waiting, q)
 		cancel()
+		end()
+		if o.head.End.Outcome != kqcall.OutcomeNotRun {
+			n.recentTimes.Record(n.clock(), q.head.Route, n.now().Sub(e.ReceivedAt))
+		}
 	}
 	n.recordDecision(kqlog.Decision{
 		RequestID: q.head.RequestID, Root: q.head.Root, Class: q.head.Class, Service: q.head.Service, Decision: decisionAnswer,
--- a/io/kqmesh/events.go
+++ b/io/kqmesh/events.go
@@ -11,6 +11,7 @@
 	fieldPeer         = "Peer"
 	fieldServer       = "Server"
 	fieldHost         = "Host"
+	fieldHosts        = "Hosts"
 	fieldService      = "Service"
 	fieldSource       = "Source"
 	fieldState        = "State"
@@ -109,7 +110,7 @@
 	eventWatchEnded:          {Name: "WatchEnded", Level: zerolog.InfoLevel, Description: "A watch of the store ended; the objects are listed again.", Fields: []string{fieldKind}},
 	eventRoutesTaken:         {Name: "RoutesTaken", Level: zerolog.InfoLevel, Description: "Routes have come into force.", Fields: []string{fieldRoutes, fieldFormer, fieldSource}},
 	eventRoutesRefused:       {Name: "RoutesRefused", Level: zerolog.WarnLevel, Description: "Routes were offered that are older than those in force, or have the same version and another text.", Fields: []string{fieldRoutes, fieldFormer, fieldSource}},
-	eventRoutesAnnounced:     {Name: "RoutesAnnounced", Level: zerolog.InfoLevel, Description: "The node tells nodes of other failure domains, or of its own, that it has newer routes.", Fields: []string{fieldRoutes, "Hosts"}},
+	eventRoutesAnnounced:     {Name: "RoutesAnnounced", Level: zerolog.InfoLevel, Description: "The node tells nodes of other failure domains, or of its own, that it has newer routes.", Fields: []string{fieldRoutes, fieldHosts}},
 	eventNotAnnounced:        {Name: "NotAnnounced", Level: zerolog.DebugLevel, Description: "A node could not be told of newer routes.", Fields: []string{fieldPeer, fieldRoutes}},
 	eventRoutesUnreadable:    {Name: "RoutesUnreadable", Level: zerolog.ErrorLevel, Description: "Routes that were offered can't be decoded.", Fields: []string{fieldSource}},
 	eventRoutesFaulty:        {Name: "RoutesFaulty", Level: zerolog.ErrorLevel, Description: "Routes that were offered are invalid; Detail holds the first fault.", Fields: []string{fieldSource, "Detail"}},
@@ -126,7 +127,7 @@
 	eventRequestConvicted:    {Name: "RequestConvicted", Level: zerolog.WarnLevel, Description: "A request is refused from now on, whatever its ID, since several servers have crashed while they ran it.", Fields: []string{fieldFingerprint, fieldSource}},
 	eventSuspectCleared:      {Name: "SuspectCleared", Level: zerolog.InfoLevel, Description: "A request that was lost with a server that crashed has been answered by a server.", Fields: []string{fieldRequest, fieldFingerprint}},
 	eventSuspectsNotTold:     {Name: "SuspectsNotTold", Level: zerolog.DebugLevel, Description: "Another gate could not be told of lost requests, or asked for them.", Fields: []string{fieldPeer}},
-	eventSuspectsFetched:     {Name: "SuspectsFetched", Level: zerolog.InfoLevel, Description: "The node, which was started again, has learned from other ones, or from the store, which requests were lost with servers that crashed.", Fields: []string{"Records", "Hosts"}},
+	eventSuspectsFetched:     {Name: "SuspectsFetched", Level: zerolog.InfoLevel, Description: "The node, which was started again, has learned from other ones, or from the store, which requests were lost with servers that crashed.", Fields: []string{"Records", fieldHosts}},
 	eventConvictionNotStored: {Name: "ConvictionNotStored", Level: zerolog.WarnLevel, Description: "The conviction of a request can't be written to the store, or removed there. Nodes that are started learn of it from others.", Fields: []string{fieldFingerprint}},
 	eventConvictionsNotRead:  {Name: "ConvictionsNotRead", Level: zerolog.WarnLevel, Description: "A node that was started again can't read from the store which requests are convicted."},
 	eventConvictionRemoved:   {Name: "ConvictionRemoved", Level: zerolog.InfoLevel, Description: "An old conviction was removed from the store.", Fields: []string{fieldFingerprint}},
@@ -139,14 +140,14 @@
 	eventPeerConnected:       {Name: "PeerConnected", Level: zerolog.InfoLevel, Description: "A connection to a peer was made.", Fields: []string{fieldPeer}},
 	eventPeerLost:            {Name: "PeerLost", Level: zerolog.WarnLevel, Description: "The connection to a peer was closed, failed or timed out.", Fields: []string{fieldPeer}},
 	eventPeerAsked:           {Name: "PeerAsked", Level: zerolog.InfoLevel, Description: "The node requests newer routes of a peer, or its list of nodes since the node has none yet.", Fields: []string{fieldPeer, fieldRoutes, fieldFormer}},
-	eventPeerTold:            {Name: "PeerTold", Level: zerolog.InfoLevel, Description: "The node has taken over the list of nodes of a peer, since it has not read that of the store yet.", Fields: []string{fieldPeer, "Hosts"}},
+	eventPeerTold:            {Name: "PeerTold", Level: zerolog.InfoLevel, Description: "The node has taken over the list of nodes of a peer, since it has not read that of the store yet.", Fields: []string{fieldPeer, fieldHosts}},
 	eventPeerUnreadable:      {Name: "PeerUnreadable", Level: zerolog.WarnLevel, Description: "A message of a peer can't be decoded.", Fields: []string{fieldPeer}},
 	eventMessageNotWritten:   {Name: "MessageNotWritten", Level: zerolog.ErrorLevel, Description: "A message to a peer can't be encoded."},
 	eventWatching:            {Name: "Watching", Level: zerolog.InfoLevel, Description: "The node has begun or ceased to watch the store for its failure domain.", Fields: []string{fieldState}},
 	eventWatcherAsked:        {Name: "WatcherAsked", Level: zerolog.InfoLevel, Description: "A node that watches the store has announced newer routes or a different list of nodes; the node requests them from it.", Fields: []string{fieldHost, fieldRoutes, fieldFormer}},
 	eventServerRemembered:    {Name: "ServerRemembered", Level: zerolog.InfoLevel, Description: "The record that the node wrote before its restart says that the backend server drains or is gone.", Fields: []string{fieldServer, fieldState, fieldVerdict}},
-	eventFormerRecalled:      {Name: "FormerRecalled", Level: zerolog.InfoLevel, Description: "The node, which was started again, has asked the store and other nodes what its former process knew of the backend server. Until then it holds back notices that the server is ready.", Fields: []string{"Hosts", fieldTook}},
-	eventDepartureShared:     {Name: "DepartureShared", Level: zerolog.WarnLevel, Description: "The backend server leaves and the store has not taken that yet; Hosts is how many other nodes keep it. If they are too few, the server's notice is not acknowledged.", Fields: []string{fieldServer, "Hosts"}},
+	eventFormerRecalled:      {Name: "FormerRecalled", Level: zerolog.InfoLevel, Description: "The node, which was started again, has asked the store and other nodes what its former process knew of the backend server. Until then it holds back notices that the server is ready.", Fields: []string{fieldHosts, fieldTook}},
+	eventDepartureShared:     {Name: "DepartureShared", Level: zerolog.WarnLevel, Description: "The backend server leaves and the store has not taken that yet; Hosts is how many other nodes keep it. If they are too few, the server's notice is not acknowledged.", Fields: []string{fieldServer, fieldHosts}},
 	eventDepartureTold:       {Name: "DepartureTold", Level: zerolog.WarnLevel, Description: "The record of a node says that its backend server is ready, and this node knows that it leaves. The server gets no calls from here, and the node is told.", Fields: []string{fieldHost, fieldServer, fieldIncarnation}},
 	eventServerLimit:         {Name: "ServerLimit", Level: zerolog.InfoLevel, Description: "An answer of the backend server beside the node names another limit on requests a second than the answer before it.", Fields: []string{fieldServer, "Limit", "FormerLimit"}},
 	eventServerLeaves:        {Name: "ServerLeaves", Level: zerolog.InfoLevel, Description: "An answer of the backend server beside the node says that the server leaves; it gets no new calls.", Fields: []string{fieldServer, fieldVerdict}},
--- a/io/kqmesh/gate.go
+++ b/io/kqmesh/gate.go
@@ -122,6 +122,8 @@
 // budget. The returned answer carries the gate's load.
 func (g *gate) run(ctx context.Context, head kqtrunk.CallHead, body []byte) *callAnswer {
 	begun := g.node.clock()
+	ctx, end := g.node.untilEnd(ctx)
+	defer end()
 	ctx, cancel := context.WithTimeout(ctx, head.Budget)
 	defer cancel()
 	o := g.admitAndRun(ctx, head, body)
@@ -469,8 +471,11 @@
 
 // causeOfContext returns the cause for which the context of a call has ended.
 func causeOfContext(ctx context.Context) kqcall.Cause {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return kqcall.CauseDeadline
+	case errors.Is(context.Cause(ctx), errNodeEnds):
+		return kqcall.CauseDraining
 	}
 	return kqcall.CauseCallerGone
 }
--- a/io/kqmesh/kqmesh.go
+++ b/io/kqmesh/kqmesh.go
@@ -44,6 +44,7 @@
 
 	"kumquatlink/core/kqbudget"
 	"kumquatlink/core/kqclass"
+	"kumquatlink/core/kqdrain"
 	"kumquatlink/core/kqmember"
 	"kumquatlink/core/kqroute"
 	"kumquatlink/core/kqroutes"
@@ -186,6 +187,8 @@
 	shedder  *shedder
 	budget   *kqbudget.Budget
 	stated   *statedServers
+	// recentTimes holds how long the requests of callers have taken lately.
+	recentTimes *kqdrain.Recent
 
 	incarnation atomic.Uint64
 	// peerAddress is the address that other nodes use to reach this one.
@@ -199,6 +202,11 @@
 	// for its list of nodes, is scheduled.
 	peerRequestPending atomic.Bool
 	shutDown           atomic.Bool
+	// callsCtx ends when the calls that run are given up, since the node ends.
+	// endsAt is when that will be, on the node's clock, once a shutdown has begun.
+	callsCtx    context.Context
+	giveUpCalls context.CancelCauseFunc
+	endsAt      atomic.Int64
 	// ctx ends when the node is closed.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -245,6 +253,8 @@
 	n.gate = newGate(n)
 	n.shedder = newShedder(n)
 	n.stated = &statedServers{node: n}
+	n.recentTimes = kqdrain.New()
+	n.callsCtx, n.giveUpCalls = context.WithCancelCause(context.Background())
 	n.control = newControl(n)
 	return n, nil
 }
--- a/io/kqmesh/peer.go
+++ b/io/kqmesh/peer.go
@@ -132,7 +132,7 @@
 			all[h.NodeID] = h
 		}
 	}
-	c.node.logEvent(eventPeerTold, fmt.Sprintf("peer %s sent its list of %d nodes, before the store was read", e.from, len(e.hosts)), nil, kqlog.Text(fieldPeer, e.from), kqlog.Number("Hosts", int64(len(e.hosts))))
+	c.node.logEvent(eventPeerTold, fmt.Sprintf("peer %s sent its list of %d nodes, before the store was read", e.from, len(e.hosts)), nil, kqlog.Text(fieldPeer, e.from), kqlog.Number(fieldHosts, int64(len(e.hosts))))
 	c.state.Hosts, c.state.HostsKnown = all, true
 	c.rebuildUpstreams()
 	return true
--- a/io/kqmesh/place.go
+++ b/io/kqmesh/place.go
@@ -79,7 +79,7 @@
 		if o.head.End.Outcome != kqcall.OutcomeNotRun {
 			lastBegun = o
 		}
-		if !n.mayTryNext(q, o) {
+		if ctx.Err() != nil || !n.mayTryNext(q, o) {
 			break
 		}
 		// The list of upstreams may have changed, but never the route.
--- a/io/kqmesh/report.go
+++ b/io/kqmesh/report.go
@@ -243,7 +243,7 @@
 		}
 		asking.Wait()
 		if answers.Load() > 0 || ctx.Err() != nil {
-			n.logEvent(eventSuspectsFetched, fmt.Sprintf("records of lost requests are known: %d of them from %d nodes", records.Load(), answers.Load()), nil, kqlog.Number("Records", records.Load()), kqlog.Number("Hosts", answers.Load()))
+			n.logEvent(eventSuspectsFetched, fmt.Sprintf("records of lost requests are known: %d of them from %d nodes", records.Load(), answers.Load()), nil, kqlog.Number("Records", records.Load()), kqlog.Number(fieldHosts, answers.Load()))
 			return
 		}
 		sleep(ctx, recordsPause)
--- a/io/kqmesh/shutdown.go
+++ b/io/kqmesh/shutdown.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"kumquatlink/core/kqcall"
 	"kumquatlink/io/kqedge"
 	"kumquatlink/io/kqlog"
 )
@@ -28,13 +29,21 @@
 	// shutdownMargin is the part of the shutdown time that is reserved for
 	// closing.
 	shutdownMargin = 400 * time.Millisecond
-	shutdownPoll   = 20 * time.Millisecond
+	// answerMargin is how long before that the requests that still run are given
+	// up, so that their callers get an answer.
+	answerMargin = 200 * time.Millisecond
+	shutdownPoll = 20 * time.Millisecond
 )
 
+// errNodeEnds is the cause for which requests are given up that are still running
+// when the node ends.
+var errNodeEnds = errors.New("node ends")
+
 // Shutdown drains the node and closes it. The node reports that it is not ready
 // and takes no more calls from other nodes. It serves its callers and the onward
-// calls of its backend server until they are finished, and then closes. Requests
-// that are still in flight when the shutdown time is over are cut off, and the
+// calls of its backend server until they are finished, and then closes. It refuses
+// requests of callers that may not be finished in time. Requests that are still
+// running when the shutdown time is almost over are answered as unknown, and the
 // returned error, marked with [ErrNode], says how many. A second call returns
 // nil at once. When ctx ends, the node closes without further waiting.
 func (n *Node) Shutdown(ctx context.Context) error {
@@ -42,6 +51,8 @@
 		return nil
 	}
 	started := n.now()
+	bound := n.tunables.Load().ShutdownTime.Value() - shutdownMargin
+	n.endsAt.Store(int64(n.clock() + bound - answerMargin))
 	done := make(chan struct{})
 	n.control.send(shutdownEvent{done: done})
 	select {
@@ -50,7 +61,6 @@
 	}
 	n.callerServer.Drain()
 	n.logEvent(eventNodeLeaves, "node drains: it was told to end", nil)
-	bound := n.tunables.Load().ShutdownTime.Value() - shutdownMargin
 	for acceptUntil := started.Add(min(acceptTime, bound/2)); ctx.Err() == nil && n.now().Before(acceptUntil) && !n.isQuiet(started); {
 		sleep(ctx, shutdownPoll)
 	}
@@ -62,13 +72,21 @@
 		since := n.now().Sub(stopped)
 		return since < kqedge.LateRequestTime || since < slowReadTime && n.callerServer.Reading() > 0
 	}
-	for ctx.Err() == nil && n.now().Sub(started) < bound && (n.isBusy() || mayArrive()) {
+	for ctx.Err() == nil && n.now().Sub(started) < bound-answerMargin && (n.isBusy() || mayArrive()) {
+		sleep(ctx, shutdownPoll)
+	}
+	givenUp := n.callerServer.InFlight() + n.gate.activeCalls()
+	n.giveUpCalls(errNodeEnds)
+	for ctx.Err() == nil && n.now().Sub(started) < bound && n.isBusy() {
 		sleep(ctx, shutdownPoll)
 	}
-	cutOff := n.callerServer.InFlight() + n.gate.activeCalls()
+	if givenUp > 0 {
+		// The last answers are on their way to peers and callers.
+		sleep(ctx, started.Add(bound).Sub(n.now()))
+	}
 	err := n.closeAll()
-	if cutOff > 0 {
-		err = errors.CombineErrors(err, errors.Newf("%d requests were cut off when the shutdown time was over", cutOff))
+	if givenUp > 0 {
+		err = errors.CombineErrors(err, errors.Newf("%d requests were given up when the shutdown time was over", givenUp))
 	}
 	took := n.now().Sub(started)
 	n.logEvent(eventNodeEnded, "node ended: shutdown took "+took.String(), err, kqlog.Micros(fieldTook, took))
@@ -104,6 +122,31 @@
 	return errors.CombineErrors(err, n.metrics.Close())
 }
 
+// refuseLate refuses a request of a caller that may still be running when the node
+// ends. An onward call is not refused, since its parent runs already.
+func (n *Node) refuseLate(q *call) *callAnswer {
+	if !q.state.Leaving || q.parent != nil {
+		return nil
+	}
+	now := n.clock()
+	remaining := time.Duration(n.endsAt.Load()) - now
+	if n.recentTimes.Fits(now, q.head.Route, q.deadline.Sub(n.now()), remaining) {
+		return nil
+	}
+	q.detail = "node ends in " + remaining.String() + ": the request may take longer"
+	return endOnly(kqcall.NotRun(kqcall.CauseDraining))
+}
+
+// untilEnd returns a context that ends with ctx, or when the node gives up its calls.
+func (n *Node) untilEnd(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(n.callsCtx, func() { cancel(context.Cause(n.callsCtx)) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 // isBusy reports whether a request or a call is in flight.
 func (n *Node) isBusy() bool {
 	return n.callerServer.InFlight() > 0 || n.gate.activeCalls() > 0
