Read answers whose head is longer than a connection's buffer

Cause: a head had to fit into the 4 KB buffer of the connection. A longer one is now read with a buffer of 64 KB.

TestAnswerWithALongHeadIsLost failed for 5, 20 and 60 KB before.

--- a/io/kqhttp/kqhttp.go
+++ b/io/kqhttp/kqhttp.go
@@ -211,7 +211,7 @@
 	// has read the whole call and then close the connection.
 	for range maxStrayAnswers {
 		response.StreamBody = true
-		err := readAnswerHead(c.reader, response)
+		err := c.readAnswerHead(response)
 		if err == nil && hasBody(response) {
 			err = response.ReadBody(c.reader, 0)
 		}
--- a/io/kqhttp/status.go
+++ b/io/kqhttp/status.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"io"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -26,18 +27,28 @@
 	return status >= minFinalStatus && status <= maxStatus
 }
 
+// maxHeadBytes bounds the status line and the headers of an answer. Heads that do
+// not fit into the connection's buffer are read with one of this size.
+const maxHeadBytes = 64 << 10
+
 // readAnswerHead reads the status line and the headers of a final answer, after
 // any interim ones. It fails if the status is none of HTTP, or if the server
 // wants to switch protocols, which no call asks for.
-func readAnswerHead(reader *bufio.Reader, response *fasthttp.Response) error {
+func (c *connection) readAnswerHead(response *fasthttp.Response) error {
 	response.ResetBody()
 	for range maxInterimAnswers {
 		// The codec reports the status 000 as 200.
-		status, err := peekStatus(reader)
+		status, err := peekStatus(c.reader)
 		if err != nil {
 			return err
 		}
-		if err := response.Header.Read(reader); err != nil {
+		err = response.Header.Read(c.reader)
+		var small *fasthttp.ErrSmallBuffer
+		if errors.As(err, &small) && c.reader.Size() < maxHeadBytes {
+			c.growReader()
+			err = response.Header.Read(c.reader)
+		}
+		if err != nil {
 			return err
 		}
 		switch {
@@ -50,6 +61,12 @@
 	return errors.Newf("server sent %d interim answers", maxInterimAnswers)
 }
 
+// growReader replaces the connection's reader by one with a buffer of maxHeadBytes.
+func (c *connection) growReader() {
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c.Conn), maxHeadBytes)
+}
+
 // peekStatus returns the status of the answer that reader is at, and consumes
 // nothing.
 func peekStatus(reader *bufio.Reader) (int, error) {
--- a/io/kqhttp/status_test.go
+++ b/io/kqhttp/status_test.go
@@ -59,3 +59,18 @@
 		}
 	}
 }
+
+// TestAnswerWithALongHeadIsLost guards against answers that are dropped, after the
+// server has run the call, since their head does not fit into a buffer.
+func TestAnswerWithALongHeadIsLost(t *testing.T) {
+	for _, size := range []int{3 << 10, 5 << 10, 20 << 10, 60 << 10} {
+		want := strings.Repeat("x", size)
+		l := listen(t)
+		serveOnce(l, "HTTP/1.1 103 Early Hints\r\nLink: "+want+"\r\n\r\nHTTP/1.1 200 OK\r\nX-Long: "+want+"\r\nContent-Length: 4\r\n\r\nbody")
+		response := &fasthttp.Response{}
+		err := do(kqhttp.NewPool(l.Addr().String()), response)
+		if got := string(response.Header.Peek("X-Long")); err != nil || got != want || string(response.Body()) != "body" {
+			t.Errorf("head of %d bytes: got a header of %d bytes, body %q, %v", size, len(got), response.Body(), err)
+		}
+	}
+}
