End a call, not its link, over a head that can't be decoded

Cause: heads are CBOR text, the decoder refuses what is not UTF-8, and an undecodable head ended the connection. A full pool at the peer and an answer too large for a frame did the same.

Heads are decoded as bytes; a whole frame that can't be used ends its own call with a true answer; peers of former builds are not sent odd heads.

--- a/io/kqtrunk/frame.go
+++ b/io/kqtrunk/frame.go
@@ -84,12 +84,24 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := cbor.Unmarshal(data, head); err != nil {
+	if err := headMode.Unmarshal(data, head); err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "decode head"), ErrFrame)
 	}
 	return body, nil
 }
 
+// headMode decodes heads. Header values, paths and queries are bytes, which HTTP
+// does not require to be UTF-8, though they are encoded as text.
+var headMode = newHeadMode()
+
+func newHeadMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
 func writeFrame(w *bufio.Writer, f frame) error {
 	var prefix [prefixBytes]byte
 	binary.BigEndian.PutUint32(prefix[:], uint32(len(f.payload)))
--- a/io/kqtrunk/trunk.go
+++ b/io/kqtrunk/trunk.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"kumquatlink/core/kqcall"
 )
 
 // bufferBytes is the size of a connection's read and write buffers; most frames
@@ -170,7 +172,8 @@
 	var head CallHead
 	body, err := unpack(f.payload, &head)
 	if err != nil {
-		return err
+		// The frame is whole, so only its call is lost.
+		return t.answer(f.number, AnswerHead{End: kqcall.NotRun(kqcall.CauseBadRequest)}, nil)
 	}
 	if t.handlers.Call == nil {
 		return errors.Mark(errors.New("received a call, but this end takes none"), ErrFrame)
@@ -182,21 +185,30 @@
 	task := func() {
 		defer t.finishCall(f.number, cancel)
 		answer, data := t.handlers.Call(ctx, t.peer, head, body)
-		payload, err := pack(answer.forVersion(t.version.Load()), data)
-		if err == nil {
-			err = t.send(frame{kind: frameAnswer, number: f.number, payload: payload})
-		}
-		if err != nil {
+		if err := t.answer(f.number, answer, data); err != nil {
 			_ = t.fail(errors.Mark(err, ErrLost))
 		}
 	}
 	if err := t.handlers.submit(task); err != nil {
 		t.finishCall(f.number, cancel)
-		return err
+		return t.answer(f.number, AnswerHead{End: kqcall.NotRun(kqcall.CausePoolFull)}, nil)
 	}
 	return nil
 }
 
+// answer sends the answer to a call of the peer. An answer that can't be encoded, or
+// is too large for a frame, is sent as a lost one.
+func (t *trunk) answer(number uint64, head AnswerHead, body []byte) error {
+	payload, err := pack(head.forVersion(t.version.Load()), body)
+	if err != nil {
+		payload, err = pack(AnswerHead{End: kqcall.Unknown(kqcall.CauseTooLarge), ServerID: head.ServerID}, nil)
+	}
+	if err != nil {
+		return err
+	}
+	return t.send(frame{kind: frameAnswer, number: number, payload: payload})
+}
+
 // finishCall releases what handleCall keeps for a call of the peer.
 func (t *trunk) finishCall(number uint64, cancel context.CancelFunc) {
 	cancel()
@@ -208,6 +220,9 @@
 // call sends a call and waits for its answer. When ctx ends first, the call is
 // cancelled at the peer.
 func (t *trunk) call(ctx context.Context, head CallHead, body []byte) (*Answer, error) {
+	if !head.isDecodable(t.version.Load()) {
+		return nil, errors.Mark(errors.New("head of the call is not UTF-8, which this peer can't decode"), ErrNotSent)
+	}
 	payload, err := pack(head, body)
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
--- a/io/kqtrunk/version.go
+++ b/io/kqtrunk/version.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -20,7 +21,10 @@
 	// requests a second that its backend server names, and that report
 	// [Load.LimitWithheld].
 	versionRateLimit = 4
-	ownVersion       = versionRateLimit
+	// versionBytes is the first of nodes that decode heads with bytes that are not
+	// UTF-8. Earlier ones close the connection.
+	versionBytes = 5
+	ownVersion   = versionBytes
 )
 
 // limitClass is the class of the element of Load.Deep that carries
@@ -87,6 +91,18 @@
 	return nil
 }
 
+// isDecodable reports whether a peer of the version can decode the call's head.
+func (h CallHead) isDecodable(version uint64) bool {
+	if version >= versionBytes {
+		return true
+	}
+	texts := []string{h.RequestID, h.Root, h.Class, h.Route, h.Service, h.From, h.Method, h.Path, h.Host}
+	for _, f := range h.Headers {
+		texts = append(texts, f.Name, f.Value)
+	}
+	return !slices.ContainsFunc(texts, func(text string) bool { return !utf8.ValidString(text) })
+}
+
 // forVersion returns the answer as it is encoded for a peer of the version,
 // without what such a peer can't decode.
 func (a AnswerHead) forVersion(version uint64) AnswerHead {
