Go on accepting connections after errors that pass

Cause: the accept loop ended at the first error of Accept, also at EMFILE. The loops for peers, notices and readiness did the same, and callers could use all descriptors.

--- a/io/kqedge/connection.go
+++ b/io/kqedge/connection.go
@@ -36,6 +36,15 @@
 	// still due, and reading whether a request has been partly read.
 	shuttingDown bool
 	reading      bool
+	// idleSince is when the connection was opened or its last answer written.
+	idleSince time.Time
+}
+
+// idle reports whether no request is being read or answered, and since when.
+func (c *connection) idle() (time.Time, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.idleSince, !c.reading && len(c.active) == 0 && !c.closing.Load()
 }
 
 // shutdown lets the connection start no more requests. A request that begins to
@@ -415,6 +424,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	delete(c.active, e)
+	c.idleSince = time.Now()
 	if !c.shuttingDown || len(c.active) > 0 || c.closing.Load() {
 		return false
 	}
--- a/io/kqedge/kqedge.go
+++ b/io/kqedge/kqedge.go
@@ -39,6 +39,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"kumquatlink/io/kqaccept"
 	"kumquatlink/io/kqbody"
 )
 
@@ -64,6 +65,11 @@
 	// lingerTime is how long a caller may take to close its side after the
 	// server has closed the sending direction.
 	lingerTime = time.Second
+	// lingeringShare is the part of the limit on connections by which it may be
+	// exceeded while the idle ones that were replaced end, and minLingering the
+	// least number.
+	lingeringShare = 10
+	minLingering   = 64
 )
 
 // LateRequestTime is how long after [Server.Shutdown] requests that were on
@@ -142,6 +148,11 @@
 	mutex       sync.Mutex
 	closed      bool
 	connections map[*connection]struct{}
+	// maxConnections is the number of connections from which on idle ones are
+	// replaced, or 0 for no limit.
+	maxConnections int
+	// acceptFailed is told of errors of the listener that pass.
+	acceptFailed func(err error)
 	// bodyBudget bounds the memory of all request bodies that are being read.
 	bodyBudget *kqbody.Budget
 	inFlight   atomic.Int64
@@ -167,6 +178,18 @@
 	return func(s *Server) { s.submit = submit }
 }
 
+// WithMaxConnections sets the number of connections from which on a new one replaces
+// an idle one, or is closed. The default is no limit.
+func WithMaxConnections(count int) Option {
+	return func(s *Server) { s.maxConnections = count }
+}
+
+// WithAcceptObserver sets a function that is called with the first of several errors
+// in a row of the listener, and with nil when it accepts connections again.
+func WithAcceptObserver(observe func(err error)) Option {
+	return func(s *Server) { s.acceptFailed = observe }
+}
+
 // WithErrorHandler sets the function that fills the response to a request that
 // can't be read or taken. The default sets the status of [StatusOf] and the error
 // as the body.
@@ -178,7 +201,8 @@
 func New(handle func(ctx context.Context, e *Exchange), options ...Option) *Server {
 	s := &Server{
 		handle: handle, limits: func() Limits { return Limits{} }, connections: map[*connection]struct{}{},
-		submit: func(task func()) error { go task(); return nil }, bodyBudget: kqbody.NewBudget(maxBodyMemory),
+		acceptFailed: func(error) {},
+		submit:       func(task func()) error { go task(); return nil }, bodyBudget: kqbody.NewBudget(maxBodyMemory),
 		refused: func(r *fasthttp.Response, err error) {
 			r.SetStatusCode(StatusOf(err))
 			r.SetBodyString(err.Error() + "\n")
@@ -225,25 +249,47 @@
 // passed.
 func (s *Server) accept(l net.Listener) {
 	defer close(s.accepted)
-	for {
-		raw, err := l.Accept()
-		if err != nil {
-			return
-		}
-		c := &connection{server: s, raw: raw, answers: make(chan *Exchange, maxPipelined)}
-		s.mutex.Lock()
-		closed := s.closed
-		if !closed {
-			s.connections[c] = struct{}{}
-		}
-		s.mutex.Unlock()
-		if closed {
-			_ = raw.Close()
-			continue
+	_ = kqaccept.Run(l, s.serve, kqaccept.WithObserver(s.acceptFailed))
+}
+
+// serve serves a connection. One beyond the limit replaces an idle one, or is closed
+// if there is none, or if those that were replaced have not ended yet.
+func (s *Server) serve(raw net.Conn) {
+	c := &connection{server: s, raw: raw, answers: make(chan *Exchange, maxPipelined), idleSince: time.Now()}
+	s.mutex.Lock()
+	count := len(s.connections)
+	mayServe := !s.closed && (s.maxConnections <= 0 || count < s.maxConnections+max(s.maxConnections/lingeringShare, minLingering))
+	var replaced *connection
+	if mayServe && s.maxConnections > 0 && count >= s.maxConnections {
+		replaced = s.longestIdle()
+		mayServe = replaced != nil
+	}
+	if mayServe {
+		s.connections[c] = struct{}{}
+	}
+	s.mutex.Unlock()
+	if replaced != nil {
+		replaced.closeIfIdle()
+	}
+	if !mayServe {
+		_ = raw.Close()
+		return
+	}
+	go c.readRequests()
+	go c.writeAnswers()
+}
+
+// longestIdle returns the connection that has been idle for the longest time, or nil.
+// The mutex is held.
+func (s *Server) longestIdle() *connection {
+	var found *connection
+	var since time.Time
+	for c := range s.connections {
+		if at, idle := c.idle(); idle && (found == nil || at.Before(since)) {
+			found, since = c, at
 		}
-		go c.readRequests()
-		go c.writeAnswers()
 	}
+	return found
 }
 
 // Drain lets each further answer say that its connection closes, unless other
--- a/io/kqedge/kqedge_test.go
+++ b/io/kqedge/kqedge_test.go
@@ -329,6 +329,35 @@
 	}
 }
 
+// TestBurstOfConnectionsCutsOffRequests opens more connections than the server keeps:
+// new ones replace idle ones, and those with a request go on.
+func TestBurstOfConnectionsCutsOffRequests(t *testing.T) {
+	const limit = 4
+	s := newTestServer(t, kqedge.WithMaxConnections(limit))
+	busy, busyReader := dial(t, s.address)
+	_, _ = io.WriteString(busy, "GET /wait HTTP/1.1\r\nHost: x\r\n\r\n")
+	<-s.started
+	for i := range 3 * limit {
+		c, reader := dial(t, s.address)
+		path := fmt.Sprint("/", i)
+		_, _ = io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: x\r\n\r\n")
+		response := &fasthttp.Response{}
+		if err := response.Read(reader); err != nil || string(response.Body()) != "GET "+path+" " {
+			t.Fatalf("connection %d: got %q, %v, want its answer", i, response.Body(), err)
+		}
+		// The server closes its side of a connection that a later one replaces.
+		go func() {
+			_, _ = io.Copy(io.Discard, reader)
+			_ = c.Close()
+		}()
+	}
+	s.release <- struct{}{}
+	response := &fasthttp.Response{}
+	if err := response.Read(busyReader); err != nil || response.StatusCode() != fasthttp.StatusOK {
+		t.Errorf("request of a connection that was busy all the while: got %v, want its answer", err)
+	}
+}
+
 func TestCallersGetTheirOwnAnswers(t *testing.T) {
 	s := newTestServer(t)
 	done := make(chan error, 8)
--- a/io/kqmesh/events.go
+++ b/io/kqmesh/events.go
@@ -92,6 +92,8 @@
 	eventStatementUnreadable
 	eventServerStated
 	eventPanic
+	eventAcceptFailed
+	eventAcceptBack
 	eventKindCount
 )
 
@@ -154,6 +156,8 @@
 	eventStatementUnreadable: {Name: "StatementUnreadable", Level: zerolog.WarnLevel, Description: "What an answer of the backend server says about the server can't be decoded and is ignored. Logged at the first such answer after a readable one.", Fields: []string{fieldServer}},
 	eventServerStated:        {Name: "ServerStated", Level: zerolog.InfoLevel, Description: "An answer that the entry passed on states another limit than the one before, or that the server of another node leaves.", Fields: []string{fieldServer, fieldHost, "Limit", "Leaving"}},
 	eventPanic:               {Name: "Panic", Level: zerolog.ErrorLevel, Description: "A call or task ended by a panic, a fault of the node: its caller gets no answer. The message holds the stack."},
+	eventAcceptFailed:        {Name: "AcceptFailed", Level: zerolog.WarnLevel, Description: "A listener could not accept a connection, for example since the process has no descriptor left. It goes on trying.", Fields: []string{fieldSource}},
+	eventAcceptBack:          {Name: "AcceptBack", Level: zerolog.InfoLevel, Description: "A listener accepts connections again.", Fields: []string{fieldSource}},
 	eventLoadNotAsked:        {Name: "LoadNotAsked", Level: zerolog.DebugLevel, Description: "The load of a gate could not be requested.", Fields: []string{fieldService, fieldHost}},
 }
 
--- a/io/kqmesh/kqmesh.go
+++ b/io/kqmesh/kqmesh.go
@@ -268,14 +268,16 @@
 	var err error
 	n.server, err = kqtrunk.Listen(n.settings.PeerAddress, kqtrunk.Handlers{
 		Call: n.handleCall, Message: n.handleMessage, Update: n.handleUpdate, Submit: n.pool.Submit,
+		AcceptFailed: n.acceptObserver("peers"),
 	})
 	if err != nil {
 		return errors.Mark(err, ErrNode)
 	}
 	n.peerAddress = cmp.Or(n.settings.AdvertisedAddress, n.server.Address())
-	n.callerServer = kqedge.New(n.handleCaller, kqedge.WithLimits(n.callerLimits), kqedge.WithSubmit(n.pool.Submit), kqedge.WithErrorHandler(n.answerUnreadable))
-	n.noticeServer = kqedge.New(n.handleNotice, kqedge.WithLimits(noticeLimits))
-	n.ready = kqedge.New(n.handleReady, kqedge.WithLimits(noticeLimits))
+	n.callerServer = kqedge.New(n.handleCaller, kqedge.WithLimits(n.callerLimits), kqedge.WithSubmit(n.pool.Submit), kqedge.WithErrorHandler(n.answerUnreadable),
+		kqedge.WithMaxConnections(maxCallerConnections()), kqedge.WithAcceptObserver(n.acceptObserver("callers")))
+	n.noticeServer = kqedge.New(n.handleNotice, kqedge.WithLimits(noticeLimits), kqedge.WithAcceptObserver(n.acceptObserver("notices")))
+	n.ready = kqedge.New(n.handleReady, kqedge.WithLimits(noticeLimits), kqedge.WithAcceptObserver(n.acceptObserver("readiness probes")))
 	for _, s := range []struct {
 		server  *kqedge.Server
 		address string
--- a/io/kqtrunk/bytes_test.go
+++ b/io/kqtrunk/bytes_test.go
@@ -117,7 +117,7 @@
 func TestFullPoolEndsTheLink(t *testing.T) {
 	isFull := false
 	server, err := kqtrunk.Listen("127.0.0.1:0", kqtrunk.Handlers{
-		Call: func(_ context.Context, _ string, head kqtrunk.CallHead, body []byte) (kqtrunk.AnswerHead, []byte) {
+		Call: func(_ context.Context, _ string, _ kqtrunk.CallHead, body []byte) (kqtrunk.AnswerHead, []byte) {
 			return kqtrunk.AnswerHead{End: kqcall.Ran()}, body
 		},
 		Submit: func(task func()) error {
--- a/io/kqtrunk/kqtrunk.go
+++ b/io/kqtrunk/kqtrunk.go
@@ -195,6 +195,9 @@
 	// failed to, or has lost one; err says why if up is false. It must not call
 	// the dialer, which holds a lock on the peer's connection.
 	ConnectionChanged func(peer string, up bool, err error)
+	// AcceptFailed is called with the first of several errors in a row of a server
+	// that accepts no connections for the moment, and with nil when it does again.
+	AcceptFailed func(err error)
 }
 
 func (h Handlers) submit(task func()) error {
--- a/io/kqtrunk/server.go
+++ b/io/kqtrunk/server.go
@@ -5,6 +5,8 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"kumquatlink/io/kqaccept"
 )
 
 // Server accepts the connections of peers. It is safe for concurrent use.
@@ -24,7 +26,11 @@
 		return nil, errors.Wrapf(err, "listen at %s", address)
 	}
 	s := &Server{listener: l, handlers: handlers, trunks: map[*trunk]struct{}{}}
-	go s.accept()
+	var options []kqaccept.Option
+	if handlers.AcceptFailed != nil {
+		options = append(options, kqaccept.WithObserver(handlers.AcceptFailed))
+	}
+	go func() { _ = kqaccept.Run(l, s.serve, options...) }()
 	return s, nil
 }
 
@@ -33,22 +39,17 @@
 	return s.listener.Addr().String()
 }
 
-func (s *Server) accept() {
-	for {
-		conn, err := s.listener.Accept()
-		if err != nil {
-			return
-		}
-		t := newTrunk(conn.RemoteAddr().String(), conn, s.handlers)
-		if err := setTimeouts(conn); err != nil || !s.add(t) {
-			_ = conn.Close()
-			continue
-		}
-		go func() {
-			_ = t.run()
-			s.remove(t)
-		}()
+// serve serves the connection of a peer.
+func (s *Server) serve(conn net.Conn) {
+	t := newTrunk(conn.RemoteAddr().String(), conn, s.handlers)
+	if err := setTimeouts(conn); err != nil || !s.add(t) {
+		_ = conn.Close()
+		return
 	}
+	go func() {
+		_ = t.run()
+		s.remove(t)
+	}()
 }
 
 // add registers a connection and reports whether the server is still open.
