Ask for a departure to be kept once, not for each notice of it

A draining server repeats its notice each second; while the store was away each one was sent to all keepers again. Behaviour checked by the tests of departures, which pass.

--- a/io/kqmesh/departure.go
+++ b/io/kqmesh/departure.go
@@ -69,6 +69,16 @@
 	return h.ServerState == kqserver.Ready && h.ServerID == d.ServerID && (h.Born == d.Born || h.Born == 0 || d.Born == 0)
 }
 
+// serverStart identifies a start of a backend server.
+type serverStart struct {
+	serverID string
+	born     int64
+}
+
+func startOf(n kqserver.Notice) serverStart {
+	return serverStart{n.ServerID, n.Born}
+}
+
 // departures holds the last departure of each node's backend server. A start that
 // has departed never becomes ready again, so a later record that says so is wrong:
 // the node was restarted and does not know. The control goroutine owns it.
@@ -206,16 +216,21 @@
 // or other nodes if the store does not answer. It returns false if nothing does.
 // Then the notice must not be acknowledged, although the gate acts on it.
 func (n *Node) awaitDepartureKept(ctx context.Context) bool {
+	leaving := startOf(n.State().Server)
+	if kept := n.keptDeparture.Load(); kept != nil && *kept == leaving {
+		return true
+	}
 	inStore := func(s *State) bool {
 		h, found := s.Hosts[n.settings.NodeID]
 		return found && isDeparture(h) && h.ServerID == s.Server.ServerID && (h.Born == s.Server.Born || s.Server.Born == 0)
 	}
 	waiting, cancel := context.WithTimeout(ctx, storeHeadStart)
 	defer cancel()
-	if n.WaitFor(waiting, inStore) == nil {
-		return true
+	isKept := n.WaitFor(waiting, inStore) == nil || n.shareDeparture(ctx) || inStore(n.State())
+	if isKept {
+		n.keptDeparture.Store(&leaving)
 	}
-	return n.shareDeparture(ctx) || inStore(n.State())
+	return isKept
 }
 
 // shareDeparture has other nodes keep that the backend server leaves, and reports
--- a/io/kqmesh/kqmesh.go
+++ b/io/kqmesh/kqmesh.go
@@ -202,6 +202,9 @@
 	// for its list of nodes, is scheduled.
 	peerRequestPending atomic.Bool
 	shutDown           atomic.Bool
+	// keptDeparture is the start of the backend server of which something outside the
+	// process keeps that it leaves, or nil.
+	keptDeparture atomic.Pointer[serverStart]
 	// callsCtx ends when the calls that run are given up, since the node ends.
 	// endsAt is when that will be, on the node's clock, once a shutdown has begun.
 	callsCtx    context.Context
--- a/io/kqmesh/notice.go
+++ b/io/kqmesh/notice.go
@@ -59,7 +59,7 @@
 		e.Response.SetStatusCode(fasthttp.StatusConflict)
 		return
 	}
-	if current := n.State(); notice.State != kqserver.Ready && notice.ServerID == current.Server.ServerID && current.ServerState != kqserver.Ready && !n.awaitDepartureKept(ctx) {
+	if n.isDepartureOfOwn(notice) && !n.awaitDepartureKept(ctx) {
 		e.Response.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
@@ -67,6 +67,13 @@
 	e.Response.SetBodyRaw(n.dialect.Acknowledgement)
 }
 
+// isDepartureOfOwn reports whether the notice says that the server leaves which
+// calls name, and the node has taken it.
+func (n *Node) isDepartureOfOwn(notice kqserver.Notice) bool {
+	s := n.State()
+	return notice.State != kqserver.Ready && notice.ServerID == s.Server.ServerID && s.ServerState != kqserver.Ready
+}
+
 // ApplyNotice applies a notice of the backend server and returns whether it was
 // taken, and if not, why. The gate acts on it before ApplyNotice returns. After
 // the node has ended the verdict is [kqserver.Over].
