Tell the call under test from those that wait for the shutdown

TestShutdownStillSendsOnwardCallsOfRunningCalls panicked when one of the calls with which it waits for the shutdown ran before that was in force: its backend server closed a channel twice (traced by the review). Later calls are now answered at once and counted, and the runs have to be exactly one and those: as strict as before, when any second run was a panic.

--- a/io/kqnode/shutdown_test.go
+++ b/io/kqnode/shutdown_test.go
@@ -147,7 +147,13 @@
 	}
 	backend := newScriptedBackend(t, gate.Node.BackendAddress(), "catalog")
 	started, resume := make(chan struct{}), make(chan struct{})
+	var runs atomic.Int64
 	backend.setAnswerWithContext(func(c net.Conn, token string) {
+		if runs.Add(1) > 1 {
+			// A call that waits for the shutdown came before it was in force.
+			writeAndClose("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")(c)
+			return
+		}
 		close(started)
 		<-resume
 		onward := call(t, gate.Node.BackendAddress(), func(r *fasthttp.Request) {
@@ -167,11 +173,18 @@
 	<-started
 	ended := make(chan error, 1)
 	go func() { ended <- gate.Node.Shutdown(ctx) }()
+	ranBefore := int64(0)
 	eventually(ctx, t, "new calls to be refused", func() bool {
 		end := outcomeAndCause(call(t, gate.Node.CallerAddress(), browse))
+		if end == "ran Done" {
+			ranBefore++
+		}
 		return end == "not-run Draining"
 	})
 	close(resume)
+	if got, want := runs.Load(), 1+ranBefore; got != want {
+		t.Errorf("runs at the backend server: got %d, want %d: one, and those of calls before the shutdown", got, want)
+	}
 	if got, want := <-answered, "ran Done: ran Done"; got != want {
 		t.Errorf("answer: got %q, want %q", got, want)
 	}
