Say of a notice that is held back that it is held, not that it was taken

Cause: the verdict; the state was right. Notices that are held back now have a verdict of their own and a line in the log.

The test also checks the state and the verdict once the former process is known, which is stricter; TestReadyServerIsUsedAfterNodeRestart waits for that before it asks for Taken.

--- a/core/kqserver/kqserver.go
+++ b/core/kqserver/kqserver.go
@@ -87,6 +87,9 @@
 	// Late means that the notice is of another start than the latest, or says
 	// Ready but is not newer than the last accepted one.
 	Late Verdict = "Late"
+	// Held means that the notice waits until the node knows what its former process
+	// knew. A Tracker does not return it.
+	Held Verdict = "Held"
 	// Over means that the start has already announced that it drains or leaves,
 	// which the notice would take back.
 	Over Verdict = "Over"
--- a/io/kqmesh/control.go
+++ b/io/kqmesh/control.go
@@ -432,7 +432,9 @@
 	}
 	if !c.state.Recalled && e.notice.State == kqserver.Ready {
 		c.heldNotices = append(c.heldNotices[max(0, len(c.heldNotices)-maxHeldNotices+1):], e.notice)
-		e.verdict = kqserver.Taken
+		e.verdict = kqserver.Held
+		c.node.logEvent(eventNoticeIgnored, "notice of server "+e.notice.ServerID+" is held back: what the former process knew is not known yet", nil,
+			kqlog.Text(fieldServer, e.notice.ServerID), kqlog.Number(fieldSequence, e.notice.Sequence), kqlog.Number(fieldIncarnation, e.notice.Born), kqlog.Text(fieldVerdict, string(e.verdict)))
 		return false
 	}
 	verdict := c.life.Observe(e.notice)
--- a/io/kqmesh/events.go
+++ b/io/kqmesh/events.go
@@ -136,7 +136,7 @@
 	eventServerHealthy:       {Name: "ServerHealthy", Level: zerolog.InfoLevel, Description: "A health probe found the backend server healthy, before the server had sent a notice.", Fields: []string{fieldServer, fieldVerdict}},
 	eventServerUnhealthy:     {Name: "ServerUnhealthy", Level: zerolog.InfoLevel, Description: "A health probe found the backend server not healthy.", Fields: []string{"Status"}},
 	eventHealthNotTold:       {Name: "HealthNotTold", Level: zerolog.InfoLevel, Description: "The backend server did not answer a health probe."},
-	eventNoticeIgnored:       {Name: "NoticeIgnored", Level: zerolog.InfoLevel, Description: "A notice of the backend server changed nothing.", Fields: []string{fieldServer, fieldSequence, fieldIncarnation, fieldVerdict}},
+	eventNoticeIgnored:       {Name: "NoticeIgnored", Level: zerolog.InfoLevel, Description: "A notice of the backend server changed nothing, or is held back until the node knows what its former process knew.", Fields: []string{fieldServer, fieldSequence, fieldIncarnation, fieldVerdict}},
 	eventNoticeForeign:       {Name: "NoticeForeign", Level: zerolog.WarnLevel, Description: "A notice came from another backend server than that of this host.", Fields: []string{fieldServer, fieldService, fieldAddress}},
 	eventNoticeUnreadable:    {Name: "NoticeUnreadable", Level: zerolog.WarnLevel, Description: "A notice can't be decoded."},
 	eventPeerConnected:       {Name: "PeerConnected", Level: zerolog.InfoLevel, Description: "A connection to a peer was made.", Fields: []string{fieldPeer}},
--- a/io/kqmesh/restart_test.go
+++ b/io/kqmesh/restart_test.go
@@ -29,9 +29,13 @@
 	if got := draining.reportState(kqserver.Ready); got == kqserver.Taken {
 		t.Errorf("notice from before the restart: got %s, want it ignored", got)
 	}
+	f.awaitState(draining, "what the former process knew", func(s *kqmesh.State) bool { return s.Recalled })
 	if got := draining.node.State().ServerState; got != kqserver.Draining {
 		t.Errorf("server state after the restart: got %s, want Draining", got)
 	}
+	if got := draining.reportState(kqserver.Ready); got == kqserver.Taken || got == kqserver.Held {
+		t.Errorf("notice from before the restart, once the former process is known: got %s, want it ignored", got)
+	}
 	// The same server ID with a later start time is another server.
 	draining.sequence = 0
 	if got := draining.node.ApplyNotice(kqserver.Notice{ServerID: draining.id, Service: "orders", Address: draining.address(), Slots: 4, State: kqserver.Ready, Sequence: 1, Born: 2}); got != kqserver.Taken {
@@ -50,7 +54,7 @@
 	}
 	other.settings.FirstStart = false
 	f.start(other)
-	f.awaitState(other, "the store's list", func(s *kqmesh.State) bool { return s.HostsKnown && s.Routes != nil })
+	f.awaitState(other, "what the former process knew", func(s *kqmesh.State) bool { return s.Recalled && s.HostsKnown && s.Routes != nil })
 	if got := other.reportState(kqserver.Ready); got != kqserver.Taken {
 		t.Errorf("notice after the node's restart: got %s, want it taken", got)
 	}
