Tests of deadly requests: no race for the node, no address that others may take

Traced: a server's restart, which runs on a timer, read the test's field for the node while the test replaced it (race detector, TestRestartedNodeForgetsADeadlyRequest); and a restarted node listened at its former address, which another program had taken meanwhile (TestDeadlyRequestIsForgottenWhenAllNodesEnd, seen by the review too).

The timer reads an atomic pointer; restarted nodes reserve new addresses, as those of other tests do. The checks are the same.

--- a/io/kqmesh/deadly_test.go
+++ b/io/kqmesh/deadly_test.go
@@ -102,7 +102,7 @@
 	m.t.Cleanup(func() { _ = l.Close() })
 	m.born++
 	go m.accept(l)
-	m.node.ApplyNotice(kqserver.Notice{ServerID: m.id, Service: m.settings.Service, Address: address, Slots: 4, State: kqserver.Ready, Sequence: 1, Born: m.born})
+	m.latest.Load().ApplyNotice(kqserver.Notice{ServerID: m.id, Service: m.settings.Service, Address: address, Slots: 4, State: kqserver.Ready, Sequence: 1, Born: m.born})
 }
 
 // TestDeadlyRequestCrashesServerAfterServer sends a request that crashes the servers
@@ -191,7 +191,7 @@
 	defer ticks.Stop()
 	for i := range 4 {
 		restarted.node.Stop()
-		f.start(restarted)
+		f.startElsewhere(restarted)
 		for begun := time.Now(); f.logCount("records of lost requests are known") <= i; <-ticks.C {
 			if time.Since(begun) > testTimeout {
 				t.Fatal("records after a restart: got none within the test timeout, want some")
@@ -262,7 +262,7 @@
 	for i, h := range hosts {
 		before += servers[i].crashes.Load()
 		h.settings.FirstStart = false
-		f.start(h)
+		f.startElsewhere(h)
 	}
 	for begun := time.Now(); f.logCount("records of convicted requests are known: 1 of them") < len(hosts); <-ticks.C {
 		if time.Since(begun) > testTimeout {
--- a/io/kqmesh/departure_test.go
+++ b/io/kqmesh/departure_test.go
@@ -16,7 +16,7 @@
 	f.t.Helper()
 	h.node.Stop()
 	h.settings.FirstStart = false
-	f.start(h)
+	f.startElsewhere(h)
 }
 
 // TestServerThatLeftWhileTheStoreWasAwayIsUsedAfterARestart guards against a node
--- a/io/kqmesh/fleet_test.go
+++ b/io/kqmesh/fleet_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -171,7 +172,9 @@
 // host is a node and the backend server beside it.
 type host struct {
 	*backend
-	node     *kqmesh.Node
+	node *kqmesh.Node
+	// latest is node, for goroutines other than the test's own.
+	latest   atomic.Pointer[kqmesh.Node]
 	settings kqmesh.Settings
 	store    *kqstore.Client
 	// sequence is the number of the last notice.
@@ -297,6 +300,15 @@
 	}
 }
 
+// startElsewhere starts the node of a host at new addresses, since other programs may
+// have taken the former ones while the node was stopped.
+func (f *fleet) startElsewhere(h *host) {
+	f.t.Helper()
+	f.startOnFreeAddresses(h, func() {
+		h.settings.CallerAddress, h.settings.NoticeAddress, h.settings.ReadyAddress = address(f.t), address(f.t), address(f.t)
+	})
+}
+
 // start starts the node of a host and fails the test on an error.
 func (f *fleet) start(h *host) {
 	f.t.Helper()
@@ -320,6 +332,7 @@
 		return err
 	}
 	h.node = n
+	h.latest.Store(n)
 	f.t.Cleanup(func() {
 		h.node.Stop()
 		log.Close()
--- a/io/kqmesh/handover_test.go
+++ b/io/kqmesh/handover_test.go
@@ -24,9 +24,7 @@
 	for i, id := range requests {
 		switch i {
 		case 40:
-			f.startOnFreeAddresses(later, func() {
-				later.settings.CallerAddress, later.settings.NoticeAddress, later.settings.ReadyAddress = address(t), address(t), address(t)
-			})
+			f.startElsewhere(later)
 			later.node.ApplyNotice(kqserver.Notice{ServerID: former.id, Service: "orders", Address: former.address(), Slots: 4, State: kqserver.Ready, Sequence: 9, Born: 1})
 		case 80:
 			former.node.Stop()
