--- a/io/kqmesh/events.go
+++ b/io/kqmesh/events.go
@@ -82,6 +82,7 @@
 	eventMessageNotWritten
 	eventLoadNotAsked
 	eventWatching
+	eventUpdates
 	eventWatcherAsked
 	eventServerRemembered
 	eventFormerRecalled
@@ -146,6 +147,7 @@
 	eventPeerUnreadable:      {Name: "PeerUnreadable", Level: zerolog.WarnLevel, Description: "A message of a peer can't be decoded.", Fields: []string{fieldPeer}},
 	eventMessageNotWritten:   {Name: "MessageNotWritten", Level: zerolog.ErrorLevel, Description: "A message to a peer can't be encoded."},
 	eventWatching:            {Name: "Watching", Level: zerolog.InfoLevel, Description: "The node has begun or ceased to watch the store for its failure domain.", Fields: []string{fieldState}},
+	eventUpdates:             {Name: "Updates", Level: zerolog.InfoLevel, Description: "The node has begun or ceased to tell its failure domain what the store holds, by the time since the store last answered its watches.", Fields: []string{fieldState, fieldTook}},
 	eventWatcherAsked:        {Name: "WatcherAsked", Level: zerolog.InfoLevel, Description: "A node that watches the store has announced newer routes or a different list of nodes; the node requests them from it.", Fields: []string{fieldHost, fieldRoutes, fieldFormer}},
 	eventServerRemembered:    {Name: "ServerRemembered", Level: zerolog.InfoLevel, Description: "The record that the node wrote before its restart says that the backend server drains or is gone.", Fields: []string{fieldServer, fieldState, fieldVerdict}},
 	eventFormerRecalled:      {Name: "FormerRecalled", Level: zerolog.InfoLevel, Description: "The node, which was started again, has asked the store and other nodes what its former process knew of the backend server. Until then it holds back notices that the server is ready.", Fields: []string{fieldHosts, fieldTook}},
--- a/io/kqmesh/news.go
+++ b/io/kqmesh/news.go
@@ -57,20 +57,36 @@
 	return sum
 }
 
-// storeWatched reports whether this node has watches of both the routes and the
-// nodes open.
+// evidence returns why this node takes what it knows for what the store holds.
+func (n *Node) evidence() kqwatch.Evidence {
+	e := kqwatch.Evidence{RoutesWatched: n.routesWatched.Load(), HostsWatched: n.hostsWatched.Load()}
+	if n.store.HeardAt != nil {
+		e.Age = n.now().Sub(n.store.HeardAt())
+	}
+	return e
+}
+
+// storeWatched reports whether this node knows from the store itself what that holds,
+// and may tell others.
 func (n *Node) storeWatched() bool {
-	return n.routesWatched.Load() && n.hostsWatched.Load()
+	return n.evidence().IsSufficient()
 }
 
 // publishUpdates sends updates to the nodes of the own failure domain while this
 // node watches the store.
 func (n *Node) publishUpdates(ctx context.Context) {
 	var sent *State
+	wasSource := false
 	for ctx.Err() == nil {
 		changed := n.control.changed()
-		s := n.State()
-		if !s.Watching || !n.storeWatched() {
+		s, e := n.State(), n.evidence()
+		isSource := s.Watching && e.IsSufficient()
+		if isSource != wasSource {
+			wasSource = isSource
+			n.logEvent(eventUpdates, fmt.Sprintf("node tells its failure domain what the store holds: %t; the store was heard %s ago", isSource, e.Age.Round(time.Millisecond)), nil,
+				kqlog.Text(fieldState, fmt.Sprint(isSource)), kqlog.Micros(fieldTook, e.Age))
+		}
+		if !isSource {
 			if sent != nil {
 				n.sendUpdateToDomain(s, storeUpdate{NodeID: n.settings.NodeID, RoutesVersion: endOfUpdates, HostsDigest: s.HostsDigest})
 			}
@@ -81,7 +97,7 @@
 		if n.sendUpdate(sent, s) {
 			sent = s
 		}
-		waitForUpdate(ctx, n, s)
+		waitForUpdate(ctx, n, s, min(kqwatch.UpdatePeriod, e.Remaining()+time.Millisecond))
 	}
 }
 
@@ -98,9 +114,9 @@
 }
 
 // waitForUpdate waits until the state differs from the one that was sent, the
-// node no longer has to watch, or the next periodic update is due.
-func waitForUpdate(ctx context.Context, n *Node, sent *State) {
-	waiting, cancel := context.WithTimeout(ctx, kqwatch.UpdatePeriod)
+// node no longer has to watch, or the time until the next update has passed.
+func waitForUpdate(ctx context.Context, n *Node, sent *State, d time.Duration) {
+	waiting, cancel := context.WithTimeout(ctx, d)
 	defer cancel()
 	// An error means that the period has ended, or ctx.
 	_ = n.WaitFor(waiting, func(s *State) bool {
--- a/io/kqmesh/news_test.go
+++ b/io/kqmesh/news_test.go
@@ -167,6 +167,14 @@
 // error, once the switch is set. A watch that is open stays open.
 func silentClient(inner *kqstore.Client, silent *atomic.Bool) *kqstore.Client {
 	c := *inner
+	var silentSince atomic.Int64
+	c.HeardAt = func() time.Time {
+		if !silent.Load() {
+			return inner.HeardAt()
+		}
+		silentSince.CompareAndSwap(0, inner.HeardAt().UnixNano())
+		return time.Unix(0, silentSince.Load())
+	}
 	c.List = func(ctx context.Context, kind string) ([]kqstore.Object, string, error) {
 		if silent.Load() {
 			<-ctx.Done()
@@ -207,3 +215,30 @@
 	f.writeRoutes(2, route("/look/", "orders", false))
 	f.awaitConvergence(2, 10)
 }
+
+// TestWatchersThatHearNothingKeepOthersFromAsking has the watches of all watchers of a
+// failure domain stay open and hear nothing, as on connections that are silent. They
+// must say so, for another node to ask the store, and learn from that one.
+func TestWatchersThatHearNothingKeepOthersFromAsking(t *testing.T) {
+	f := newFleet(t)
+	f.writeRoutes(1, route("/look/", "orders", false))
+	switches := map[string]*atomic.Bool{}
+	f.wrap = func(name string, c *kqstore.Client) *kqstore.Client {
+		switches[name] = &atomic.Bool{}
+		return silentClient(c, switches[name])
+	}
+	for i := range 4 {
+		f.add(fmt.Sprintf("orders-%d", i+1), "orders").reportState(kqserver.Ready)
+	}
+	f.awaitConvergence(1, 4)
+	for _, h := range f.hosts {
+		f.awaitState(h, "the start to be over", func(s *kqmesh.State) bool { return !s.Starting })
+	}
+	f.awaitLogged("node watches the store: true")
+	for _, name := range f.watchers() {
+		switches[name].Store(true)
+	}
+	f.writeRoutes(2, route("/look/", "orders", false))
+	f.awaitConvergence(2, 4)
+	f.awaitLogged("node tells its failure domain what the store holds: false")
+}
--- a/io/kqstore/http.go
+++ b/io/kqstore/http.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -115,12 +116,24 @@
 	address string
 	pool    *kqhttp.Pool
 	eras    *Eras
+	// heardAt is when a list was last read or a line of a watch, in Unix nanoseconds.
+	heardAt atomic.Int64
 }
 
 // NewHTTP returns a client of the object API at a TCP address.
 func NewHTTP(address string) *Client {
 	h := &httpClient{address: address, pool: kqhttp.NewPool(address, kqhttp.WithMaxIdle(2)), eras: NewEras(time.Now)}
-	return &Client{Get: h.get, Put: h.put, Watch: h.watch, List: h.list, Delete: h.delete, Era: h.eras.Newest}
+	return &Client{Get: h.get, Put: h.put, Watch: h.watch, List: h.list, Delete: h.delete, Era: h.eras.Newest, HeardAt: h.lastHeard}
+}
+
+// recordHeard records that a list was read, or a line of a watch.
+func (h *httpClient) recordHeard() {
+	h.heardAt.Store(time.Now().UnixNano())
+}
+
+// lastHeard returns when a list was last read, or a line of a watch.
+func (h *httpClient) lastHeard() time.Time {
+	return time.Unix(0, h.heardAt.Load())
 }
 
 // do makes a call and returns its JSON answer and the era that the answer states.
@@ -175,6 +188,7 @@
 	for _, w := range l.Items {
 		objects = append(objects, w.object(era))
 	}
+	h.recordHeard()
 	return objects, FormatVersion(era, l.Metadata.ResourceVersion), nil
 }
 
@@ -255,7 +269,12 @@
 		if err != nil {
 			return err
 		}
-		return readEvents(body, era, func() { idleTimer.Reset(watchIdleTimeout) }, handle)
+		received := func() {
+			h.recordHeard()
+			idleTimer.Reset(watchIdleTimeout)
+		}
+		received()
+		return readEvents(body, era, received, handle)
 	})
 	if ctx.Err() == nil && watchCtx.Err() != nil {
 		return errors.Mark(errors.Newf("watch received nothing for %s", watchIdleTimeout), ErrUnavailable)
--- a/io/kqstore/kqstore.go
+++ b/io/kqstore/kqstore.go
@@ -18,6 +18,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -76,6 +77,9 @@
 	// Era returns the era of the store that its answers have stated so far, or
 	// [UnknownEra]. It may be nil.
 	Era func() int64
+	// HeardAt returns when the store last answered a list or a call of a watch, or
+	// wrote a line of a watch. It may be nil if that is unknown.
+	HeardAt func() time.Time
 }
 
 // CurrentEra returns the era of the store, or [UnknownEra] if there is no client or
