Answer no call lost in a crash before the other gates know; count crashes of servers that are back at once

Cause, from the log of one such run: the examination of the third crash ended when the crash was known, before the other gates had been told. A call of the same server that was found lost in that moment was answered at once, and its repeat met a gate that heard of the conviction 0.4 ms later. Now an examination lasts until the gates know, or 60 ms; every call of that server waits for it. Test TestCallLostInACrashIsRepeatedBeforeGatesKnow, failed before in 3 of 3 runs.

Now calls lost while the server takes connections are remembered for 3 s, and a report of another start in place of one that had not announced its end makes it a crash under those. Test TestDeadlyRequestCrashesServersThatAreBackAtOnce: no conviction after 61 requests before, after three crashes now.

--- a/io/kqmesh/control.go
+++ b/io/kqmesh/control.go
@@ -444,10 +444,14 @@
 			kqlog.Text(fieldServer, e.notice.ServerID), kqlog.Number(fieldSequence, e.notice.Sequence), kqlog.Number(fieldIncarnation, e.notice.Born), kqlog.Text(fieldVerdict, string(verdict)))
 		return false
 	}
+	if formerState == kqserver.Ready && !isSameStart(former, e.notice) {
+		// It tells other nodes, for which control must not wait.
+		go c.node.gate.suspects.serverReplaced(former)
+	}
 	c.state.Server = c.life.Notice()
 	c.state.ServerState = c.life.State()
 	c.coldUntil = c.node.clock() + e.notice.Cold
-	changed := formerState != c.life.State() || former.ServerID != e.notice.ServerID || former.Born != e.notice.Born
+	changed := formerState != c.life.State() || former.ServerID != e.notice.ServerID || !isSameStart(former, e.notice)
 	if changed {
 		c.node.logEvent(eventServerState, fmt.Sprintf("server %s is %s after notice %d, was %s", e.notice.ServerID, c.life.State(), e.notice.Sequence, formerState), nil,
 			kqlog.Text(fieldServer, e.notice.ServerID), kqlog.Text(fieldState, string(c.life.State())), kqlog.Text("FormerState", string(formerState)), kqlog.Number(fieldSequence, e.notice.Sequence))
--- a/io/kqmesh/deadly_test.go
+++ b/io/kqmesh/deadly_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"strings"
@@ -12,6 +13,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"kumquatlink/core/kqmember"
 	"kumquatlink/core/kqserver"
 	"kumquatlink/core/kqsuspect"
 	"kumquatlink/io/kqmesh"
@@ -33,6 +35,10 @@
 	open    map[net.Conn]bool
 	born    int64
 	crashes atomic.Int64
+	// isBackAtOnce keeps the address open while the server starts again.
+	isBackAtOnce bool
+	// closePause is the time between the ends of two of its connections in a crash.
+	closePause time.Duration
 }
 
 // newMortal makes the server of a host mortal.
@@ -81,12 +87,21 @@
 	}
 	m.crashes.Add(1)
 	address := m.address()
-	_ = m.listener.Close()
-	m.listener = nil
+	if !m.isBackAtOnce {
+		_ = m.listener.Close()
+		m.listener = nil
+	}
 	for c := range m.open {
 		_ = c.Close()
+		if m.closePause > 0 {
+			<-time.After(m.closePause)
+		}
 	}
 	m.open = map[net.Conn]bool{}
+	if m.isBackAtOnce {
+		time.AfterFunc(deadlyRunTime, func() { m.reportStart(address) })
+		return
+	}
 	time.AfterFunc(crashTime, func() { m.restart(address) })
 }
 
@@ -100,8 +115,20 @@
 	}
 	m.listener = l
 	m.t.Cleanup(func() { _ = l.Close() })
-	m.born++
 	go m.accept(l)
+	m.reportNextStart(address)
+}
+
+// reportStart reports a start of the server to its node.
+func (m *mortal) reportStart(address string) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.reportNextStart(address)
+}
+
+// reportNextStart does the same. The mutex is held.
+func (m *mortal) reportNextStart(address string) {
+	m.born++
 	m.latest.Load().ApplyNotice(kqserver.Notice{ServerID: m.id, Service: m.settings.Service, Address: address, Slots: 4, State: kqserver.Ready, Sequence: 1, Born: m.born})
 }
 
@@ -166,6 +193,101 @@
 	}
 }
 
+// TestDeadlyRequestCrashesServersThatAreBackAtOnce sends the request to servers that take
+// connections again before their gates can tell that they had ended, as under a
+// supervisor that keeps the address open. Each such crash must count.
+func TestDeadlyRequestCrashesServersThatAreBackAtOnce(t *testing.T) {
+	f := newFleet(t)
+	hosts, servers := f.addMortals(3)
+	for _, m := range servers {
+		m.isBackAtOnce = true
+	}
+	f.writeRoutes(1, route("/look/", "orders", false))
+	f.serveAll(hosts...)
+	for i := 0; !strings.Contains(f.logged(), "RequestConvicted"); i++ {
+		if i > 20*kqsuspect.ConvictingCrashes {
+			t.Fatalf("deadly requests until it was convicted: got none after %d, want a conviction after %d crashes", i, kqsuspect.ConvictingCrashes)
+		}
+		hosts[i%len(hosts)].request("GET", "/look/deadly", fmt.Sprintf("deadly-%d", i), "")
+		// The server reports its new start.
+		<-time.After(3 * deadlyRunTime)
+	}
+	crashes := int64(0)
+	for _, m := range servers {
+		crashes += m.crashes.Load()
+	}
+	// A second server may run a repeat of the last one before the first reports itself.
+	if want := int64(kqsuspect.ConvictingCrashes + 1); crashes > want {
+		t.Errorf("servers that crashed: got %d, want %d at most", crashes, want)
+	}
+	for i, h := range hosts {
+		if got := h.request("GET", "/look/deadly", fmt.Sprintf("late-%d", i), ""); got.status != 503 || !strings.Contains(got.body, "CrashesServers") {
+			t.Errorf("deadly request after its conviction: got %+v, want it refused", got)
+		}
+	}
+}
+
+// addSilentGate adds the record of a gate that takes connections but no work, and says
+// nothing.
+func (f *fleet) addSilentGate(name, service string) {
+	f.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = l.Close() })
+	value, err := json.Marshal(kqmesh.HostRecord{
+		NodeID: name, Incarnation: 1, Change: 1, Address: l.Addr().String(), Region: "south", FailureDomain: "south-a",
+		Service: service, ServerID: "i-" + name, ServerState: kqserver.Draining, Born: 1, Slots: 4, Life: kqmember.LifeDraining,
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if _, err := kqstore.NewHTTP(f.store.Address()).Put(context.Background(), kqstore.KindHosts, kqstore.Object{Name: name, Value: value}); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// TestCallLostInACrashIsRepeatedBeforeGatesKnow crashes a server whose connections end
+// one after the other, while one of the other gates does not answer reports. No call
+// that is lost with it may be answered before the time for the reports is over, since
+// its repeat would meet gates that do not know of the crash.
+func TestCallLostInACrashIsRepeatedBeforeGatesKnow(t *testing.T) {
+	// Below the wait for the reports by what a busy machine may add to the crash time.
+	const wantWait = 45 * time.Millisecond
+	f := newFleet(t)
+	hosts, servers := f.addMortals(1)
+	servers[0].closePause = 10 * time.Millisecond
+	hosts[0].setAnswer(func(c net.Conn, q *fasthttp.Request) {
+		if string(q.Header.RequestURI()) != "/look/deadly" {
+			servers[0].register(c)
+			<-time.After(time.Second)
+		}
+		servers[0].answer(c, q)
+	})
+	f.addSilentGate("orders-silent", "orders")
+	once := route("/look/", "orders", false)
+	once.MaxAttempts = 1
+	f.writeRoutes(1, once)
+	f.serveAll(hosts...)
+	f.awaitState(hosts[0], "the record of the silent gate", func(s *kqmesh.State) bool { return len(s.Hosts) == 2 })
+	begun := time.Now()
+	var callers sync.WaitGroup
+	// The deadly request comes last, so that the others run by then.
+	for i, path := range []string{"/look/1", "/look/2", "/look/3", "/look/deadly"} {
+		callers.Go(func() {
+			got := hosts[0].request("GET", path, fmt.Sprintf("lost-%d", i), "")
+			if took := time.Since(begun); got.status != 200 && took < deadlyRunTime+wantWait {
+				t.Errorf("request to %s, lost in the crash: got %+v after %s, want it after %s at least", path, got, took, deadlyRunTime+wantWait)
+			}
+		})
+	}
+	callers.Wait()
+	if got := servers[0].crashes.Load(); got != 1 {
+		t.Errorf("crashes: got %d, want 1", got)
+	}
+}
+
 // TestRestartedNodeForgetsADeadlyRequest restarts a node again and again while the store
 // does not hold the conviction. It must refuse the request each time, although most of
 // the nodes that it may ask have been added since, and know nothing.
--- a/io/kqmesh/suspect.go
+++ b/io/kqmesh/suspect.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -33,6 +34,11 @@
 	clearDelay = 50 * time.Millisecond
 	// maxWaitingSuspects is how many calls wait for the suspect that runs.
 	maxWaitingSuspects = 32
+	// maxLostRuns is how many calls are remembered that were lost with a server that
+	// still took connections, and lostRunTime for how long. A server that is started
+	// again at once reports itself within that time.
+	maxLostRuns = 64
+	lostRunTime = 3 * time.Second
 )
 
 // callerHeaders are the header fields that tell the caller of a request. They are
@@ -73,6 +79,9 @@
 	// that was last found to have crashed.
 	examination *examination
 	examined    kqserver.Notice
+	// lost are calls that were lost while the server took connections: either a
+	// connection has ended, or the server and another start of it is there already.
+	lost []lostRun
 	// cleared are requests of which the other gates are told after clearDelay.
 	cleared []kqsuspect.Fingerprint
 }
@@ -85,10 +94,18 @@
 	begun  time.Duration
 }
 
-// examination finds out whether the backend server has crashed. done is closed at its
-// end.
+// lostRun is a call that was lost with a server that may have crashed.
+type lostRun struct {
+	*suspectRun
+	lostAt time.Duration
+}
+
+// examination finds out whether a backend server has crashed. done is closed at its
+// end, when crashed is known and the other gates have been told.
 type examination struct {
-	done chan struct{}
+	server  kqserver.Notice
+	done    chan struct{}
+	crashed bool
 }
 
 func newSuspects(n *Node) *suspects {
@@ -216,46 +233,117 @@
 }
 
 // examine finds out whether the backend server has crashed under a lost call. One
-// examination serves all calls that are lost with it.
+// examination serves all calls that are lost with it, and none of them returns before
+// the other gates know of the crash: a call may be repeated at any of them.
 func (k *suspects) examine(r *suspectRun) {
+	e, wasCrash := k.beginExamination(r)
+	if e == nil {
+		if !wasCrash {
+			k.mutex.Lock()
+			k.rememberLost(r)
+			k.mutex.Unlock()
+		}
+		return
+	}
+	defer func() {
+		k.mutex.Lock()
+		k.examination = nil
+		k.mutex.Unlock()
+		close(e.done)
+	}()
+	state := k.node.State()
+	e.crashed = state.ServerState == kqserver.Ready && !state.Leaving && k.hasEnded()
 	k.mutex.Lock()
-	if current := k.examination; current != nil {
+	if !e.crashed {
+		k.rememberLost(r)
 		k.mutex.Unlock()
-		<-current.done
 		return
 	}
-	if _, found := k.running[r]; !found || k.examined.ServerID == r.server.ServerID && k.examined.Born == r.server.Born {
-		// An examination has found the crash meanwhile.
+	var calls []*suspectRun
+	for o := range k.running {
+		if o.server.ServerID == r.server.ServerID {
+			calls = append(calls, o)
+		}
+	}
+	k.recordCrash(r.server, calls)
+}
+
+// beginExamination begins the examination of the server with which a call was lost. If
+// one of the same start has been made, it returns nil when that is over, and so when the
+// other gates know of the crash, and whether it was one.
+func (k *suspects) beginExamination(r *suspectRun) (e *examination, wasCrash bool) {
+	for {
+		k.mutex.Lock()
+		current := k.examination
+		if current == nil {
+			break
+		}
 		k.mutex.Unlock()
-		return
+		<-current.done
+		if isSameStart(current.server, r.server) {
+			return nil, current.crashed
+		}
 	}
-	e := &examination{done: make(chan struct{})}
-	k.examination = e
-	k.mutex.Unlock()
-	defer close(e.done)
-	state := k.node.State()
-	crashed := state.ServerState == kqserver.Ready && !state.Leaving && k.hasEnded()
+	defer k.mutex.Unlock()
+	if isSameStart(k.examined, r.server) {
+		return nil, true
+	}
+	k.examination = &examination{server: r.server, done: make(chan struct{})}
+	return k.examination, false
+}
+
+// rememberLost remembers a call that was lost while its server took connections. The
+// mutex is held.
+func (k *suspects) rememberLost(r *suspectRun) {
+	now := k.node.clock()
+	k.lost = slices.DeleteFunc(k.lost, func(l lostRun) bool { return now-l.lostAt > lostRunTime })
+	if len(k.lost) < maxLostRuns {
+		k.lost = append(k.lost, lostRun{r, now})
+	}
+}
+
+// serverReplaced records a crash if calls were lost with a server, in place of which
+// another start has reported itself, and it had not announced its end. Such a server
+// may be back before an examination of the first crash can tell.
+func (k *suspects) serverReplaced(former kqserver.Notice) {
 	k.mutex.Lock()
-	k.examination = nil
-	if !crashed {
+	now := k.node.clock()
+	var calls []*suspectRun
+	for _, l := range k.lost {
+		if isSameStart(l.server, former) && now-l.lostAt <= lostRunTime {
+			calls = append(calls, l.suspectRun)
+		}
+	}
+	if len(calls) == 0 || isSameStart(k.examined, former) {
+		k.lost = nil
 		k.mutex.Unlock()
 		return
 	}
-	k.examined = r.server
+	// Calls that still run may have been handed to the new start already.
+	k.recordCrash(former, calls)
+}
+
+// isSameStart reports whether two notices are of the same start of a server.
+func isSameStart(a, b kqserver.Notice) bool {
+	return a.ServerID == b.ServerID && a.Born == b.Born
+}
+
+// recordCrash records the crash of a server under calls, and tells the other gates. The
+// mutex is held, and released.
+func (k *suspects) recordCrash(server kqserver.Notice, calls []*suspectRun) {
+	k.examined, k.lost = server, nil
 	now := k.node.clock()
 	var runs []kqsuspect.Run
-	for o := range k.running {
-		if o.server.ServerID == r.server.ServerID {
-			runs = append(runs, kqsuspect.Run{Fingerprint: fingerprintOf(o.head, o.body), Ran: now - o.begun, Repeat: o.head.Repeat})
-		}
+	for _, o := range calls {
+		runs = append(runs, kqsuspect.Run{Fingerprint: fingerprintOf(o.head, o.body), Ran: now - o.begun, Repeat: o.head.Repeat})
 	}
 	convicted := k.table.RecordCrash(now, runs)
 	k.mutex.Unlock()
 	k.node.metrics.Count(kqmetric.ServerCrashes)
-	k.node.logEvent(eventServerCrashed, fmt.Sprintf("server %s has ended without notice while it ran %d requests", r.server.ServerID, len(runs)), nil,
-		kqlog.Text(fieldServer, r.server.ServerID), kqlog.Number("Runs", int64(len(runs))))
-	k.logConvicted(convicted, "own server "+r.server.ServerID)
-	k.report(suspectReport{ServerID: r.server.ServerID, Runs: runs}, convicted)
+	k.node.logEvent(eventServerCrashed, fmt.Sprintf("server %s has ended without notice while it ran %d requests", server.ServerID, len(runs)), nil,
+		kqlog.Text(fieldServer, server.ServerID), kqlog.Number("Runs", int64(len(runs))))
+	k.logConvicted(convicted, "own server "+server.ServerID)
+	k.report(suspectReport{ServerID: server.ServerID, Runs: runs}, convicted)
 }
 
 // hasEnded reports whether nothing listens at the address of the backend server.
