--- a/io/kqstore/guard.go
+++ b/io/kqstore/guard.go
@@ -83,7 +83,7 @@
 	for _, o := range options {
 		o(g)
 	}
-	return &Client{Get: g.get, Put: g.put, Watch: g.watch, List: g.list, Delete: g.delete, Era: inner.CurrentEra, HeardAt: inner.HeardAt}
+	return &Client{Get: g.get, Put: g.put, Watch: g.watch, List: g.list, Delete: g.delete, Era: inner.CurrentEra, HeardAt: inner.heardAt()}
 }
 
 func (g *guard) get(ctx context.Context, kind, name string) (Object, error) {
--- a/io/kqstore/kqstore.go
+++ b/io/kqstore/kqstore.go
@@ -91,6 +91,14 @@
 	return c.Era()
 }
 
+// heardAt returns HeardAt, or nil if there is no client.
+func (c *Client) heardAt() func() time.Time {
+	if c == nil {
+		return nil
+	}
+	return c.HeardAt
+}
+
 // staleKey is the context key that allows stale reads.
 type staleKey struct{}
 
