--- a/io/kqbody/kqbody_test.go
+++ b/io/kqbody/kqbody_test.go
@@ -74,3 +74,34 @@
 		t.Errorf("error: got %v, want %v", err, want)
 	}
 }
+
+// TestHeldBodiesCountUntilTheyAreReleased covers bodies that are read, that come from
+// elsewhere, and that can't be refused.
+func TestHeldBodiesCountUntilTheyAreReleased(t *testing.T) {
+	const bytes = 300 << 10
+	budget := kqbody.NewBudget(1 << 20)
+	body, release, err := budget.Hold(strings.NewReader(strings.Repeat("b", bytes)), bytes, 1<<20)
+	if got := budget.InUse(); err != nil || len(body) != bytes || got < bytes || got > bytes+1 {
+		t.Errorf("body read: got %d bytes, %v and %d in use, want %d and no more in use", len(body), err, got, bytes)
+	}
+	if !budget.HasRoom(bytes) || budget.HasRoom(3*bytes) {
+		t.Errorf("room for one more, for three more: got %t, %t, want true, false", budget.HasRoom(bytes), budget.HasRoom(3*bytes))
+	}
+	if _, err := budget.Reserve(3 * bytes); !errors.Is(err, kqbody.ErrNoRoom) {
+		t.Errorf("reserve for three more: got %v, want ErrNoRoom", err)
+	}
+	releaseSecond, err := budget.Reserve(bytes)
+	if err != nil {
+		t.Errorf("reserve for one more: got %v, want room", err)
+	}
+	releaseAnswer := budget.Charge(3 * bytes)
+	if budget.HasRoom(bytes) || !budget.HasRoom(kqbody.SmallBytes) {
+		t.Errorf("room for a large, for a small body in a spent budget: got %t, %t, want false, true", budget.HasRoom(bytes), budget.HasRoom(kqbody.SmallBytes))
+	}
+	releaseAnswer()
+	releaseSecond()
+	release()
+	if got := budget.InUse(); got != 0 {
+		t.Errorf("in use at the end: got %d, want 0", got)
+	}
+}
--- a/io/kqcli/mesh.go
+++ b/io/kqcli/mesh.go
@@ -38,6 +38,10 @@
 // node. GOGC in the environment takes precedence.
 const gcPercent = 50
 
+// memoryLimit is the memory in bytes from which on a node collects garbage as often as
+// it takes to stay below. The smallest hosts end a process at 284 MB.
+const memoryLimit = 200 << 20
+
 type meshCommand struct {
 	MetricsPort int    `placeholder:"PORT" help:"TCP port on the address of the host at which metrics are served, at /metrics."`
 	Settings    string `placeholder:"FILE" help:"Settings file of the node: JSON if the name ends in .json, otherwise in the format of the platform. By default, the file that the platform names."`
@@ -126,6 +130,9 @@
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(memoryLimit)
+	}
 	log := kqlog.New(e.output, kqlog.WithNode(settings.NodeID, settings.FailureDomain), kqlog.WithLevel(zerolog.InfoLevel),
 		kqlog.WithQueueLength(logQueue), kqlog.WithBudget(logLinesPerSecond))
 	defer log.Close()
--- a/io/kqedge/connection.go
+++ b/io/kqedge/connection.go
@@ -83,7 +83,10 @@
 			break
 		}
 		limits = c.server.limits().WithDefaults()
-		e := &Exchange{Request: fasthttp.AcquireRequest(), Response: fasthttp.AcquireResponse(), done: make(chan struct{})}
+		e := &Exchange{
+			Request: fasthttp.AcquireRequest(), Response: fasthttp.AcquireResponse(), done: make(chan struct{}),
+			releaseRequest: func() {}, releaseResponse: func() {},
+		}
 		e.ctx, e.cancel = context.WithCancel(context.Background())
 		_ = c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTime))
 		var err error
@@ -99,6 +102,7 @@
 			return
 		}
 		if !c.register(e) {
+			e.releaseRequest()
 			// Earlier requests keep running until they are answered.
 			c.awaitDisconnect()
 			return
@@ -177,18 +181,23 @@
 	if err != nil {
 		return reader, err
 	}
+	if length := e.Request.Header.ContentLength(); length <= limits.BodyBytes && !c.server.bodyBudget.HasRoom(length) {
+		// Refused before the caller has sent the body.
+		return reader, errors.Mark(errors.Newf("body of %d bytes", length), kqbody.ErrNoRoom)
+	}
 	if e.Request.MayContinue() {
 		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return reader, err
 		}
 	}
-	return reader, c.server.readBody(reader, e.Request, limits.BodyBytes)
+	return reader, c.server.readBody(reader, e, limits.BodyBytes)
 }
 
 // readBody reads the body of a request, of at most maxBytes. For a body that is
 // large or of unknown length, memory is allocated as bytes arrive, within the
-// server's budget.
-func (s *Server) readBody(reader *bufio.Reader, r *fasthttp.Request, maxBytes int) error {
+// server's budget, and counts until the exchange is finished.
+func (s *Server) readBody(reader *bufio.Reader, e *Exchange, maxBytes int) error {
+	r := e.Request
 	length := r.Header.ContentLength()
 	if length > maxBytes {
 		return fasthttp.ErrBodyTooLarge
@@ -199,14 +208,16 @@
 	if err := r.ContinueReadBodyStream(reader, maxBytes, false); err != nil {
 		return err
 	}
-	body, err := s.bodyBudget.Read(r.BodyStream(), length, maxBytes)
+	body, release, err := s.bodyBudget.Hold(r.BodyStream(), length, maxBytes)
 	if err == nil && length > len(body) {
 		err = io.ErrUnexpectedEOF
 	}
 	if err != nil {
+		release()
 		return err
 	}
 	r.SetBodyRaw(body)
+	e.releaseRequest = release
 	return nil
 }
 
@@ -315,6 +326,8 @@
 // refuse answers a request that can't be read or taken, and ends the connection.
 // A request whose caller disconnected or was too slow gets no answer.
 func (c *connection) refuse(e *Exchange, err error) {
+	e.releaseRequest()
+	e.releaseRequest = func() {}
 	if errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) {
 		c.cancelAll()
 		return
@@ -354,6 +367,9 @@
 	ended := false
 	for e := range c.answers {
 		<-e.done
+		if !e.Response.IsBodyStream() {
+			e.releaseResponse = c.server.bodyBudget.Charge(len(e.Response.Body()))
+		}
 		if !ended && !c.writeAnswer(writer, e) {
 			ended = true
 			// No later request gets an answer: for the caller they count as
@@ -442,4 +458,6 @@
 	}
 	fasthttp.ReleaseRequest(e.Request)
 	fasthttp.ReleaseResponse(e.Response)
+	e.releaseRequest()
+	e.releaseResponse()
 }
--- a/io/kqedge/kqedge.go
+++ b/io/kqedge/kqedge.go
@@ -57,8 +57,9 @@
 	// body. For a body without any length it reports a lower value.
 	chunkedLength = -1
 	// maxBodyMemory bounds the memory in bytes of all large request bodies that
-	// a server is reading: a sixth of the memory of the smallest hosts.
-	maxBodyMemory = 32 << 20
+	// a server reads or holds, until they are answered: a seventh of the memory of the
+	// smallest hosts.
+	maxBodyMemory = 40 << 20
 	// backlogTime is how long a server that shuts down accepts the connections
 	// that wait in the listener's backlog.
 	backlogTime = 20 * time.Millisecond
@@ -126,6 +127,10 @@
 	Abort bool
 	// refused reports whether the request is answered without the handler.
 	refused bool
+	// releaseRequest and releaseResponse give the memory of the bodies back to the
+	// server's budget.
+	releaseRequest  func()
+	releaseResponse func()
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -153,7 +158,8 @@
 	maxConnections int
 	// acceptFailed is told of errors of the listener that pass.
 	acceptFailed func(err error)
-	// bodyBudget bounds the memory of all request bodies that are being read.
+	// bodyBudget bounds the memory of all large request bodies. Answers that are being
+	// written count as well.
 	bodyBudget *kqbody.Budget
 	inFlight   atomic.Int64
 	// reading counts the requests that are being read. lastReceived is in Unix
--- a/io/kqmesh/entry.go
+++ b/io/kqmesh/entry.go
@@ -13,6 +13,7 @@
 	"kumquatlink/core/kqcall"
 	"kumquatlink/core/kqlineage"
 	"kumquatlink/core/kqroutes"
+	"kumquatlink/io/kqbody"
 	"kumquatlink/io/kqedge"
 	"kumquatlink/io/kqlog"
 	"kumquatlink/io/kqtrunk"
@@ -104,8 +105,8 @@
 	}
 }
 
-// readCall copies the request out of the connection's buffers and decides its
-// route. The result is nil, or the end of a request that can't be routed or is
+// readCall takes the request out of the connection's buffers and decides its
+// route. A large body has memory of its own and is not copied. The result is nil, or the end of a request that can't be routed or is
 // too late.
 func (n *Node) readCall(e *kqedge.Exchange) (*call, *callAnswer) {
 	h := &e.Request.Header
@@ -134,7 +135,9 @@
 			q.head.Headers = append(q.head.Headers, kqtrunk.Header{Name: name, Value: string(v)})
 		}
 	}
-	q.body = append([]byte(nil), e.Request.Body()...)
+	if q.body = e.Request.Body(); len(q.body) <= kqbody.SmallBytes {
+		q.body = append([]byte(nil), q.body...)
+	}
 	n.budget.RecordRequest(n.clock(), q.budgetCall(), q.head.Repeat)
 	if !q.deadline.After(n.now()) {
 		return q, endOnly(kqcall.NotRun(kqcall.CauseDeadline))
--- a/io/kqmesh/gate.go
+++ b/io/kqmesh/gate.go
@@ -15,6 +15,7 @@
 	"kumquatlink/core/kqlineage"
 	"kumquatlink/core/kqserver"
 	"kumquatlink/core/kqshed"
+	"kumquatlink/io/kqbody"
 	"kumquatlink/io/kqhttp"
 	"kumquatlink/io/kqlog"
 	"kumquatlink/io/kqmetric"
@@ -39,6 +40,9 @@
 	// drainQueueShare is the share of the drain time during which calls that
 	// wait may still be sent to a draining backend server.
 	drainQueueShare = 0.5
+	// maxGateBodyMemory bounds the memory in bytes of the large bodies of all calls at
+	// the gate. A call beyond it is refused and may run elsewhere.
+	maxGateBodyMemory = 48 << 20
 )
 
 // gate admits calls to the backend server beside the node and runs them there.
@@ -49,6 +53,8 @@
 	runs *kqlineage.Runs
 	// suspects keeps the server from requests that crash it.
 	suspects *suspects
+	// bodies bounds the memory of the large bodies of calls that wait or run.
+	bodies *kqbody.Budget
 
 	mutex   sync.Mutex
 	queue   *kqadmit.Queue
@@ -72,7 +78,8 @@
 func newGate(n *Node) *gate {
 	return &gate{
 		node: n, queue: kqadmit.New(), waiting: map[uint64]chan kqadmit.Verdict{}, runs: kqlineage.New(), suspects: newSuspects(n),
-		pool: kqhttp.NewPool(n.settings.BackendAddress, kqhttp.WithMaxAge(maxIdleTime), kqhttp.WithAnswerMatcher(n.answerMatches)),
+		bodies: kqbody.NewBudget(maxGateBodyMemory),
+		pool:   kqhttp.NewPool(n.settings.BackendAddress, kqhttp.WithMaxAge(maxIdleTime), kqhttp.WithAnswerMatcher(n.answerMatches)),
 	}
 }
 
@@ -150,6 +157,11 @@
 	if o := g.node.shedder.refuseAtGate(head); o != nil {
 		return o
 	}
+	freeBody, err := g.bodies.Reserve(len(body))
+	if err != nil {
+		return endOnly(kqcall.NotRun(kqcall.CauseShedGate))
+	}
+	defer freeBody()
 	begun := g.node.clock()
 	o, leave := g.suspects.admit(ctx, head, body)
 	if o != nil {
--- a/io/kqmesh/shutdown.go
+++ b/io/kqmesh/shutdown.go
@@ -51,6 +51,7 @@
 		return nil
 	}
 	started := n.now()
+	n.logEvent(eventNodeLeaves, "node drains: it was told to end", nil)
 	bound := n.tunables.Load().ShutdownTime.Value() - shutdownMargin
 	n.endsAt.Store(int64(n.clock() + bound - answerMargin))
 	done := make(chan struct{})
@@ -60,7 +61,6 @@
 	case <-ctx.Done():
 	}
 	n.callerServer.Drain()
-	n.logEvent(eventNodeLeaves, "node drains: it was told to end", nil)
 	for acceptUntil := started.Add(min(acceptTime, bound/2)); ctx.Err() == nil && n.now().Before(acceptUntil) && !n.isQuiet(started); {
 		sleep(ctx, shutdownPoll)
 	}
--- a/io/kqmesh/suspect.go
+++ b/io/kqmesh/suspect.go
@@ -94,10 +94,14 @@
 	begun  time.Duration
 }
 
-// lostRun is a call that was lost with a server that may have crashed.
+// lostRun is a call that was lost with a server that may have crashed. It does not
+// hold the call's body.
 type lostRun struct {
-	*suspectRun
-	lostAt time.Duration
+	server      kqserver.Notice
+	fingerprint kqsuspect.Fingerprint
+	repeat      bool
+	begun       time.Duration
+	lostAt      time.Duration
 }
 
 // examination finds out whether a backend server has crashed. done is closed at its
@@ -259,13 +263,14 @@
 		k.mutex.Unlock()
 		return
 	}
-	var calls []*suspectRun
+	now := k.node.clock()
+	var runs []kqsuspect.Run
 	for o := range k.running {
 		if o.server.ServerID == r.server.ServerID {
-			calls = append(calls, o)
+			runs = append(runs, kqsuspect.Run{Fingerprint: fingerprintOf(o.head, o.body), Ran: now - o.begun, Repeat: o.head.Repeat})
 		}
 	}
-	k.recordCrash(r.server, calls)
+	k.recordCrash(r.server, now, runs)
 }
 
 // beginExamination begins the examination of the server with which a call was lost. If
@@ -298,7 +303,7 @@
 	now := k.node.clock()
 	k.lost = slices.DeleteFunc(k.lost, func(l lostRun) bool { return now-l.lostAt > lostRunTime })
 	if len(k.lost) < maxLostRuns {
-		k.lost = append(k.lost, lostRun{r, now})
+		k.lost = append(k.lost, lostRun{server: r.server, fingerprint: fingerprintOf(r.head, r.body), repeat: r.head.Repeat, begun: r.begun, lostAt: now})
 	}
 }
 
@@ -308,19 +313,19 @@
 func (k *suspects) serverReplaced(former kqserver.Notice) {
 	k.mutex.Lock()
 	now := k.node.clock()
-	var calls []*suspectRun
+	var runs []kqsuspect.Run
 	for _, l := range k.lost {
 		if isSameStart(l.server, former) && now-l.lostAt <= lostRunTime {
-			calls = append(calls, l.suspectRun)
+			runs = append(runs, kqsuspect.Run{Fingerprint: l.fingerprint, Ran: now - l.begun, Repeat: l.repeat})
 		}
 	}
-	if len(calls) == 0 || isSameStart(k.examined, former) {
+	if len(runs) == 0 || isSameStart(k.examined, former) {
 		k.lost = nil
 		k.mutex.Unlock()
 		return
 	}
 	// Calls that still run may have been handed to the new start already.
-	k.recordCrash(former, calls)
+	k.recordCrash(former, now, runs)
 }
 
 // isSameStart reports whether two notices are of the same start of a server.
@@ -330,13 +335,8 @@
 
 // recordCrash records the crash of a server under calls, and tells the other gates. The
 // mutex is held, and released.
-func (k *suspects) recordCrash(server kqserver.Notice, calls []*suspectRun) {
+func (k *suspects) recordCrash(server kqserver.Notice, now time.Duration, runs []kqsuspect.Run) {
 	k.examined, k.lost = server, nil
-	now := k.node.clock()
-	var runs []kqsuspect.Run
-	for _, o := range calls {
-		runs = append(runs, kqsuspect.Run{Fingerprint: fingerprintOf(o.head, o.body), Ran: now - o.begun, Repeat: o.head.Repeat})
-	}
 	convicted := k.table.RecordCrash(now, runs)
 	k.mutex.Unlock()
 	k.node.metrics.Count(kqmetric.ServerCrashes)
--- a/io/kqsoak/process.go
+++ b/io/kqsoak/process.go
@@ -20,8 +20,13 @@
 	"kumquatlink/io/kqsettings"
 )
 
-// exitTimeout is how long a process may take to exit before it is killed.
-const exitTimeout = 8 * time.Second
+const (
+	// exitTimeout is how long a process may take to exit before it is killed.
+	exitTimeout = 8 * time.Second
+	// dumpTimeout is how long it may take before that to write to its log what its
+	// goroutines wait for.
+	dumpTimeout = time.Second
+)
 
 // process runs the program with fixed arguments; it can be ended and restarted.
 type process struct {
@@ -87,8 +92,8 @@
 	return true
 }
 
-// wait waits until the process has exited, and kills it after exitTimeout. It
-// reports whether it had to.
+// wait waits until the process has exited, and kills it after exitTimeout, with its
+// goroutines in its log. It reports whether it had to.
 func (p *process) wait() (killed bool) {
 	p.mutex.Lock()
 	done := p.done
@@ -100,10 +105,15 @@
 	case <-done:
 		return false
 	case <-time.After(exitTimeout):
+	}
+	p.signal(syscall.SIGQUIT)
+	select {
+	case <-done:
+	case <-time.After(dumpTimeout):
 		p.signal(syscall.SIGKILL)
 		<-done
-		return true
 	}
+	return true
 }
 
 // kill kills the process and waits until it has exited.
