--- a/io/kqhttp/kqhttp_test.go
+++ b/io/kqhttp/kqhttp_test.go
@@ -1,6 +1,7 @@
 package kqhttp_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -134,6 +135,67 @@
 	}
 }
 
+// uploadTo sends a large body to a server that reads the head of the request, calls
+// pause, and then reads the rest and answers. It returns the error of the call.
+func uploadTo(ctx context.Context, t *testing.T, pause func(c net.Conn)) error {
+	t.Helper()
+	l := listen(t)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		var head fasthttp.RequestHeader
+		r := bufio.NewReader(c)
+		if head.Read(r) != nil {
+			return
+		}
+		pause(c)
+		if _, err := io.CopyN(io.Discard, r, int64(head.ContentLength())); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	}()
+	request, response := &fasthttp.Request{}, &fasthttp.Response{}
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetRequestURI("/upload")
+	request.Header.SetHost("backend")
+	request.SetBodyRaw(make([]byte, 32<<20))
+	return kqhttp.NewPool(l.Addr().String()).Do(ctx, request, response)
+}
+
+// TestServerThatStopsReadingIsCutOff guards against taking a server that does not read
+// for a while, within the deadline of the call, for a silent connection. The kernel
+// then asks for the window at growing intervals, of 1.6 s and more after 3 s.
+func TestServerThatStopsReadingIsCutOff(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	if err := uploadTo(ctx, t, func(net.Conn) { <-time.After(5 * time.Second) }); err != nil {
+		t.Errorf("upload to a server that read on after 5 s: got %v, want an answer", err)
+	}
+}
+
+// TestSilentConnectionWithClosedWindowIsFound drops all segments of a server that has
+// stopped reading. The call must fail without waiting for its deadline.
+func TestSilentConnectionWithClosedWindowIsFound(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	begun := time.Now()
+	err := uploadTo(ctx, t, func(c net.Conn) {
+		<-time.After(300 * time.Millisecond)
+		dropIncoming(t, c)
+		<-ctx.Done()
+	})
+	if !errors.Is(err, kqhttp.ErrSilent) || !errors.Is(err, kqhttp.ErrLost) {
+		t.Errorf("upload to a server that is gone: got %v, want an error marked ErrSilent and ErrLost", err)
+	}
+	if got, want := time.Since(begun), 4*time.Second; got > want {
+		t.Errorf("time until the call failed: got %s, want at most %s", got, want)
+	}
+}
+
 // TestSlowServerKeepsItsConnection guards against taking a slow server for a
 // silent connection. The call waits until the kernel has sent several probes.
 func TestSlowServerKeepsItsConnection(t *testing.T) {
--- a/io/kqhttp/silent.go
+++ b/io/kqhttp/silent.go
@@ -19,6 +19,9 @@
 	serverKeepAliveCount    = 4
 	silentAfter             = 1400 * time.Millisecond
 	silenceCheckPeriod      = 100 * time.Millisecond
+	// maxUnansweredProbes is how many probes of a closed window may be under way
+	// without an answer: the last one may have just been sent.
+	maxUnansweredProbes = 1
 )
 
 // ErrSilent marks errors of calls, marked [ErrLost] as well, whose connection
@@ -83,7 +86,10 @@
 }
 
 // isSilent reports whether the connection has received no acknowledgement for
-// longer than silentAfter.
+// longer than silentAfter. A server that does not read closes its window. The kernel
+// then sends no keep-alive probes but asks for the window, less and less often, so that
+// the last acknowledgement may be older than that. Such a connection is silent only if
+// those probes are not answered.
 func (p *socketProbe) isSilent() bool {
 	if p == nil {
 		return false
@@ -91,7 +97,12 @@
 	silent := false
 	_ = p.raw.Control(func(descriptor uintptr) {
 		info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
-		silent = err == nil && time.Duration(info.Last_ack_recv)*time.Millisecond > silentAfter
+		if err != nil || time.Duration(info.Last_ack_recv)*time.Millisecond <= silentAfter {
+			return
+		}
+		// All that was sent is acknowledged, and more waits to be sent.
+		isWindowClosed := info.Unacked == 0 && info.Notsent_bytes > 0
+		silent = !isWindowClosed || info.Probes > maxUnansweredProbes
 	})
 	return silent
 }
