--- a/core/kqcall/kqcall.go
+++ b/core/kqcall/kqcall.go
@@ -71,6 +71,8 @@
 	CauseBackendShed Cause = "BackendShed"
 	// CauseDraining means that the node is draining.
 	CauseDraining Cause = "Draining"
+	// CausePanic means that a fault of the node ended the call.
+	CausePanic Cause = "Panic"
 	// CausePoolFull means that the worker pool of the node is full.
 	CausePoolFull Cause = "PoolFull"
 	// CauseDepth means that the chain of calls is as long as MaxDepth.
--- a/io/kqmesh/observe.go
+++ b/io/kqmesh/observe.go
@@ -65,8 +65,10 @@
 	n.control.observeStore(r)
 }
 
-// logPanic logs a panic in a goroutine of the pool, whose call gets no answer.
+// logPanic logs and counts a panic in a goroutine of the pool. A caller gets the status
+// 500, and a peer learns that its call may have run.
 func (n *Node) logPanic(reason any) {
+	n.metrics.Count(kqmetric.Panics)
 	n.logEvent(eventPanic, fmt.Sprintf("call ended by a panic: %v\n%s", reason, debug.Stack()), nil)
 }
 
--- a/io/kqtrunk/kqtrunk_test.go
+++ b/io/kqtrunk/kqtrunk_test.go
@@ -62,6 +62,44 @@
 	return kqtrunk.AnswerHead{End: kqcall.Ran(), Status: 200, Headers: []kqtrunk.Header{{Name: "X", Value: head.RequestID}}}, body
 }
 
+// TestPanicLeavesACallWithoutAnswer has the handler of one call panic. The peer must
+// learn at once that the call may have run, and other calls of the link go on.
+func TestPanicLeavesACallWithoutAnswer(t *testing.T) {
+	server, err := kqtrunk.Listen("127.0.0.1:0", kqtrunk.Handlers{
+		Call: func(_ context.Context, _ string, head kqtrunk.CallHead, body []byte) (kqtrunk.AnswerHead, []byte) {
+			if head.Service == "panic" {
+				panic("handler fails")
+			}
+			return kqtrunk.AnswerHead{End: kqcall.Ran(), Status: 200}, body
+		},
+		Submit: func(task func()) error {
+			go func() {
+				defer func() { _ = recover() }()
+				task()
+			}()
+			return nil
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = server.Close() })
+	d := kqtrunk.NewDialer(kqtrunk.Handlers{})
+	defer d.Close()
+	for _, c := range []struct {
+		service string
+		want    kqcall.End
+	}{{"echo", kqcall.Ran()}, {"panic", kqcall.Unknown(kqcall.CausePanic)}, {"echo", kqcall.Ran()}} {
+		answer, err := d.Call(testContext(t), server.Address(), kqtrunk.CallHead{Service: c.service, RequestID: "r", Budget: time.Minute}, []byte("body"))
+		if err != nil {
+			t.Fatalf("call to %s: got %v, want an answer", c.service, err)
+		}
+		if got := answer.Head.End; got != c.want {
+			t.Errorf("call to %s: got %+v, want %+v", c.service, got, c.want)
+		}
+	}
+}
+
 func TestConcurrentCallsShareOneConnection(t *testing.T) {
 	p := newPeer(t)
 	d := kqtrunk.NewDialer(kqtrunk.Handlers{})
@@ -293,6 +331,37 @@
 	})
 }
 
+// FuzzCallArrivesUnchanged sends a call whose path, header value and body hold any bytes
+// over one link. They must arrive as they are, and so must the answer's. A value that
+// can't be sent ends its own call only.
+func FuzzCallArrivesUnchanged(f *testing.F) {
+	server, err := kqtrunk.Listen("127.0.0.1:0", kqtrunk.Handlers{
+		Call: func(_ context.Context, _ string, head kqtrunk.CallHead, body []byte) (kqtrunk.AnswerHead, []byte) {
+			return kqtrunk.AnswerHead{End: kqcall.Ran(), Status: 200, Headers: append(head.Headers, kqtrunk.Header{Name: "Path", Value: head.Path})}, body
+		},
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(func() { _ = server.Close() })
+	d := kqtrunk.NewDialer(kqtrunk.Handlers{})
+	f.Cleanup(d.Close)
+	// The peer's version is known after the first answer.
+	if _, err := d.Call(testContext(f), server.Address(), kqtrunk.CallHead{}, nil); err != nil {
+		f.Fatal(err)
+	}
+	f.Fuzz(func(t *testing.T, path, value string, body []byte) {
+		answer, err := d.Call(testContext(t), server.Address(), kqtrunk.CallHead{Path: path, Headers: []kqtrunk.Header{{Name: "Value", Value: value}}}, body)
+		if err != nil {
+			t.Fatalf("call with path %q and value %q: got %v, want an answer", path, value, err)
+		}
+		got := answer.Head.Headers
+		if len(got) != 2 || got[0].Value != value || got[1].Value != path || !bytes.Equal(answer.Body, body) {
+			t.Errorf("call with path %q, value %q and body %q: got %q and %q, want them unchanged", path, value, body, got, answer.Body)
+		}
+	})
+}
+
 func BenchmarkCall(b *testing.B) {
 	p := newPeer(b)
 	d := kqtrunk.NewDialer(kqtrunk.Handlers{})
--- a/io/kqtrunk/trunk.go
+++ b/io/kqtrunk/trunk.go
@@ -184,7 +184,15 @@
 	t.mutex.Unlock()
 	task := func() {
 		defer t.finishCall(f.number, cancel)
+		hasEnded := false
+		defer func() {
+			if !hasEnded {
+				// A panic of the handler. The peer would wait until its deadline.
+				_ = t.answer(f.number, AnswerHead{End: kqcall.Unknown(kqcall.CausePanic)}, nil)
+			}
+		}()
 		answer, data := t.handlers.Call(ctx, t.peer, head, body)
+		hasEnded = true
 		if err := t.answer(f.number, answer, data); err != nil {
 			_ = t.fail(errors.Mark(err, ErrLost))
 		}
