--- a/io/kqedge/connection.go
+++ b/io/kqedge/connection.go
@@ -40,6 +40,38 @@
 	idleSince time.Time
 }
 
+// input reads from a connection. While a body is read, its sender may take a pause of
+// bodyPause before each part, until bodyEnd.
+type input struct {
+	net.Conn
+	bodyPause time.Duration
+	bodyEnd   time.Time
+}
+
+// Read reads what has arrived, like the connection.
+func (i *input) Read(p []byte) (int, error) {
+	if i.bodyPause > 0 {
+		until := time.Now().Add(i.bodyPause)
+		if until.After(i.bodyEnd) {
+			until = i.bodyEnd
+		}
+		if err := i.SetReadDeadline(until); err != nil {
+			return 0, err
+		}
+	}
+	return i.Conn.Read(p)
+}
+
+// beginBody lets the sender of a body take its time, beyond that of the header.
+func (i *input) beginBody(pause time.Duration) {
+	i.bodyPause, i.bodyEnd = pause, time.Now().Add(max(pause, maxBodyTime))
+}
+
+// endBody ends the time for a body.
+func (i *input) endBody() {
+	i.bodyPause = 0
+}
+
 // idle reports whether no request is being read or answered, and since when.
 func (c *connection) idle() (time.Time, bool) {
 	c.mutex.Lock()
@@ -76,7 +108,8 @@
 	defer close(c.answers)
 	defer c.endReading()
 	limits := c.server.limits().WithDefaults()
-	reader := bufio.NewReaderSize(c.raw, initialBufferBytes)
+	in := &input{Conn: c.raw}
+	reader := bufio.NewReaderSize(in, initialBufferBytes)
 	var previous *Exchange
 	for !c.closing.Load() {
 		if !c.awaitRequest(reader, limits.IdleTime) || !c.beginReading() {
@@ -90,7 +123,7 @@
 		e.ctx, e.cancel = context.WithCancel(context.Background())
 		_ = c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTime))
 		var err error
-		reader, err = c.readRequest(reader, e, limits)
+		reader, err = c.readRequest(in, reader, e, limits)
 		e.ReceivedAt = time.Now()
 		if err != nil {
 			c.refuse(e, err)
@@ -168,14 +201,16 @@
 }
 
 // readRequest reads a request. If its headers do not fit into the buffer of
-// reader, it goes on with a larger one. It returns the reader to use next.
-func (c *connection) readRequest(reader *bufio.Reader, e *Exchange, limits Limits) (*bufio.Reader, error) {
+// reader, it goes on with a larger one. It returns the reader to use next. The time for
+// a header ends when that is read; a body may take as long as the sender does not pause
+// for longer than an idle connection may, up to maxBodyTime.
+func (c *connection) readRequest(in *input, reader *bufio.Reader, e *Exchange, limits Limits) (*bufio.Reader, error) {
 	err := e.Request.Header.Read(reader)
 	var small *fasthttp.ErrSmallBuffer
 	if errors.As(err, &small) && reader.Size() < limits.HeaderBytes {
 		buffered, _ := reader.Peek(reader.Buffered())
 		buffered = bytes.Clone(buffered)
-		reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(buffered), c.raw), limits.HeaderBytes)
+		reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(buffered), in), limits.HeaderBytes)
 		err = e.Request.Header.Read(reader)
 	}
 	if err != nil {
@@ -190,6 +225,8 @@
 			return reader, err
 		}
 	}
+	in.beginBody(limits.IdleTime)
+	defer in.endBody()
 	return reader, c.server.readBody(reader, e, limits.BodyBytes)
 }
 
--- a/io/kqedge/held_test.go
+++ b/io/kqedge/held_test.go
@@ -84,3 +84,42 @@
 		t.Errorf("upload after the others: got status %d, want 200", got)
 	}
 }
+
+// TestSlowBodyIsCutOffWithTheHeader sends a header at once and its body in parts, over
+// several times the time for a header. It must be served; a body whose sender pauses for
+// longer than an idle connection may, and a header that takes too long, must not.
+func TestSlowBodyIsCutOffWithTheHeader(t *testing.T) {
+	t.Parallel()
+	limits := kqedge.Limits{HeaderTime: 200 * time.Millisecond, IdleTime: 700 * time.Millisecond, BodyBytes: 1 << 20}
+	s := newTestServer(t, kqedge.WithLimits(func() kqedge.Limits { return limits }))
+	const head = "POST /slow HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\n"
+	for _, c := range []struct {
+		name   string
+		parts  []string
+		pause  time.Duration
+		served bool
+	}{
+		{"body in parts", []string{head, "v", "o", "i", "c", "e"}, limits.HeaderTime, true},
+		{"body with a long pause", []string{head + "v", "oice"}, 2 * limits.IdleTime, false},
+		{"header in parts", []string{head[:10], head[10:20], head[20:] + "voice"}, limits.HeaderTime, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			conn, r := dial(t, s.address)
+			for i, part := range c.parts {
+				if i > 0 {
+					<-time.After(c.pause)
+				}
+				// A server that has given up may have closed the connection.
+				_, _ = io.WriteString(conn, part)
+			}
+			status, err := readStatus(r)
+			if c.served && (err != nil || status != http.StatusOK) {
+				t.Errorf("slow request: got status %d, %v, want 200", status, err)
+			}
+			if !c.served && err == nil {
+				t.Errorf("slow request: got status %d, want its connection closed", status)
+			}
+		})
+	}
+}
--- a/io/kqedge/kqedge.go
+++ b/io/kqedge/kqedge.go
@@ -60,6 +60,9 @@
 	// a server reads or holds, until they are answered: a seventh of the memory of the
 	// smallest hosts.
 	maxBodyMemory = 40 << 20
+	// maxBodyTime is how long a body may take to arrive, unless an idle connection may
+	// pause for longer.
+	maxBodyTime = time.Minute
 	// backlogTime is how long a server that shuts down accepts the connections
 	// that wait in the listener's backlog.
 	backlogTime = 20 * time.Millisecond
@@ -91,9 +94,9 @@
 	// The defaults are 16 KiB and 16 MiB.
 	HeaderBytes int
 	BodyBytes   int
-	// HeaderTime is how long a whole request may take to arrive from its first
-	// byte on, and IdleTime how long a connection may stay without a request.
-	// The defaults are 5 s and 60 s.
+	// HeaderTime is how long a header may take to arrive from its first byte on, and
+	// IdleTime how long a connection may stay without a request, or its caller pause
+	// within a body. The defaults are 5 s and 60 s.
 	HeaderTime time.Duration
 	IdleTime   time.Duration
 }
