Soak: keep the addresses of a soak from others that run at the same time

Two of eight soaks that were started at once did not begin: 'the fleet does not serve: licensing-1 ... connection refused'. The logs of the nodes say 'bind: address already in use' (2 nodes, 1 node). An address was tried by listening and closing, and was free for others until the node listened, and again between its stops and starts. Now a UDP socket at the same port keeps it until the soak ends.

--- a/io/kqsoak/kqsoak.go
+++ b/io/kqsoak/kqsoak.go
@@ -236,6 +236,7 @@
 	if s.store != nil {
 		s.store.close()
 	}
+	s.addresses.close()
 }
 
 func (s *soak) report() *Report {
--- a/io/kqsoak/process.go
+++ b/io/kqsoak/process.go
@@ -175,17 +175,20 @@
 	lastPort  = 31000
 )
 
-// addressAllocator allocates unused loopback addresses, each once.
+// addressAllocator allocates unused loopback addresses, each once. It keeps other soaks
+// from the same ones until it is closed: a process that is started or restarted later
+// must find its address free.
 type addressAllocator struct {
-	mutex     sync.Mutex
-	random    *rand.Rand
-	allocated map[string]bool
+	mutex  sync.Mutex
+	random *rand.Rand
+	// claims holds a UDP socket for each address, which no process of the fleet uses.
+	claims map[string]net.PacketConn
 }
 
 // newAddressAllocator seeds the choice of ports differently in each process, so
-// that soaks that run at the same time rarely choose the same ones.
+// that soaks that run at the same time rarely try the same ones.
 func newAddressAllocator() *addressAllocator {
-	return &addressAllocator{random: rand.New(rand.NewPCG(uint64(os.Getpid()), uint64(time.Now().UnixNano()))), allocated: map[string]bool{}}
+	return &addressAllocator{random: rand.New(rand.NewPCG(uint64(os.Getpid()), uint64(time.Now().UnixNano()))), claims: map[string]net.PacketConn{}}
 }
 
 // allocate returns an address at which nobody listens.
@@ -194,18 +197,31 @@
 	defer a.mutex.Unlock()
 	for range lastPort - firstPort {
 		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+a.random.IntN(lastPort-firstPort)))
-		if a.allocated[address] {
+		claim, err := net.ListenPacket("udp", address)
+		if err != nil {
 			continue
 		}
-		a.allocated[address] = true
-		if l, err := net.Listen("tcp", address); err == nil {
-			_ = l.Close()
-			return address, nil
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			_ = claim.Close()
+			continue
 		}
+		_ = l.Close()
+		a.claims[address] = claim
+		return address, nil
 	}
 	return "", errors.New("no loopback port is free")
 }
 
+// close gives the addresses back.
+func (a *addressAllocator) close() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for _, c := range a.claims {
+		_ = c.Close()
+	}
+}
+
 func writeJSON(path string, value any) error {
 	var text bytes.Buffer
 	e := json.NewEncoder(&text)
