--- a/io/kqhttp/kqhttp.go
+++ b/io/kqhttp/kqhttp.go
@@ -30,9 +30,11 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -82,13 +84,17 @@
 	idle  []*connection
 }
 
-// connection is a connection to the server with its buffers.
+// connection is a connection to the server with its buffers. One call at a time uses
+// it.
 type connection struct {
 	net.Conn
 	reader    *bufio.Reader
 	writer    *bufio.Writer
 	idleSince time.Time
 	probe     *socketProbe
+	// broken is the error with which the connection failed, other than the end of
+	// the server's stream.
+	broken error
 
 	// timer checks for silence while a call uses the connection, which busy
 	// reports. silent reports that the connection was closed for its silence.
@@ -97,13 +103,38 @@
 	silent atomic.Bool
 }
 
-func newConnection(c net.Conn) *connection {
-	return &connection{
-		Conn:   c,
-		reader: bufio.NewReaderSize(c, bufferSize),
-		writer: bufio.NewWriterSize(c, bufferSize),
-		probe:  newSocketProbe(c),
+func newConnection(raw net.Conn) *connection {
+	c := &connection{Conn: raw, probe: newSocketProbe(raw)}
+	c.reader = bufio.NewReaderSize(c, bufferSize)
+	c.writer = bufio.NewWriterSize(c, bufferSize)
+	return c
+}
+
+// Read reads what has arrived. The kernel reports a reset once, to the call that meets
+// it, and an end of stream from then on. Read reports the reset again, since an answer
+// without a length would seem to be complete.
+func (c *connection) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	switch {
+	case err == nil:
+	case errors.Is(err, io.EOF):
+		if c.broken != nil {
+			err = c.broken
+		}
+	default:
+		c.broken = err
+	}
+	return n, err
+}
+
+// Write writes p. It fails with EPIPE if the server had ended its stream before it
+// reset the connection: then the stream is complete.
+func (c *connection) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil && !errors.Is(err, syscall.EPIPE) {
+		c.broken = err
 	}
+	return n, err
 }
 
 // Option configures a [Pool].
--- a/io/kqhttp/status.go
+++ b/io/kqhttp/status.go
@@ -64,7 +64,7 @@
 // growReader replaces the connection's reader by one with a buffer of maxHeadBytes.
 func (c *connection) growReader() {
 	buffered, _ := c.reader.Peek(c.reader.Buffered())
-	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c.Conn), maxHeadBytes)
+	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c), maxHeadBytes)
 }
 
 // peekStatus returns the status of the answer that reader is at, and consumes
--- a/io/kqmesh/fleet_test.go
+++ b/io/kqmesh/fleet_test.go
@@ -58,6 +58,9 @@
 	// answer writes the answer to a request; if it is nil, the backend echoes
 	// the request.
 	answer func(c net.Conn, r *fasthttp.Request)
+	// answerEarly answers a request whose body has not been read, and ends the
+	// connection; if it is nil, the body is read first.
+	answerEarly func(c net.Conn, r *fasthttp.Request)
 	// begun gets the ID of each request that begins, and callersGone that of
 	// each whose connection was closed while holdAnswers held its answer.
 	begun       chan string
@@ -93,7 +96,17 @@
 	r := bufio.NewReader(c)
 	for {
 		q := &fasthttp.Request{}
-		if err := q.Read(r); err != nil {
+		if err := q.Header.Read(r); err != nil {
+			return
+		}
+		b.mutex.Lock()
+		answerEarly := b.answerEarly
+		b.mutex.Unlock()
+		if answerEarly != nil {
+			answerEarly(c, q)
+			return
+		}
+		if err := q.ContinueReadBody(r, 0); err != nil {
 			return
 		}
 		id := string(q.Header.Peek("Kumquatlink-Request-Id"))
@@ -155,6 +168,14 @@
 	b.answer = f
 }
 
+// setEarlyAnswer sets the function that answers requests before their body has been
+// read; nil reads it first.
+func (b *backend) setEarlyAnswer(f func(c net.Conn, q *fasthttp.Request)) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.answerEarly = f
+}
+
 // runCount returns how often the request was begun.
 func (b *backend) runCount(id string) int {
 	b.mutex.Lock()
