--- /dev/null
+++ b/core/kqanswer/framing.go
@@ -0,0 +1,123 @@
+package kqanswer
+
+import (
+	"strconv"
+	"strings"
+)
+
+// Names of the fields that say how a body ends and what becomes of its connection.
+const (
+	fieldLength   = "Content-Length"
+	fieldEncoding = "Transfer-Encoding"
+	fieldOptions  = "Connection"
+)
+
+// Options of a connection.
+const (
+	optionClose = "close"
+	optionKeep  = "keep-alive"
+)
+
+// codingChunked is the only transfer coding of answers, since calls ask for none.
+const codingChunked = "chunked"
+
+// Statuses of final answers that have no body.
+const (
+	statusNoContent   = 204
+	statusNotModified = 304
+)
+
+// Framing says how the body of an answer ends.
+type Framing int
+
+// Ways in which a body ends.
+const (
+	// FramingNone is that of an answer that ends with its head.
+	FramingNone Framing = iota
+	// FramingLength is that of a body of a given length.
+	FramingLength
+	// FramingChunks is that of a body in chunks.
+	FramingChunks
+	// FramingClose is that of a body that ends when the server ends its stream.
+	FramingClose
+)
+
+// setFraming decides how the body ends, when all fields are known. A head that says so
+// twice, or in a way that its version or status does not have, says nothing: each
+// recipient may take another end.
+func (h *Head) setFraming() error {
+	lengths, codings := 0, 0
+	for _, f := range h.Fields {
+		var err error
+		switch {
+		case strings.EqualFold(f.Name, fieldLength):
+			lengths++
+			h.length, err = parseLength(f.Value)
+		case strings.EqualFold(f.Name, fieldEncoding):
+			codings++
+			if !strings.EqualFold(f.Value, codingChunked) {
+				err = malformed("transfer coding", []byte(f.Value))
+			}
+		case strings.EqualFold(f.Name, fieldOptions):
+			h.isClosed = h.isClosed || hasOption(f.Value, optionClose)
+			h.isKept = h.isKept || hasOption(f.Value, optionKeep)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	switch {
+	case lengths+codings > 1, codings > 0 && h.Minor == 0:
+		return malformed("framing", []byte(fieldLength+", "+fieldEncoding))
+	case (!h.IsFinal() || h.Status == statusNoContent) && (codings > 0 || h.length > 0):
+		return malformed("framing without a body", []byte(strconv.Itoa(h.Status)))
+	case !h.IsFinal(), h.Status == statusNoContent, h.Status == statusNotModified:
+		h.framing = FramingNone
+	case codings > 0:
+		h.framing = FramingChunks
+	case lengths > 0:
+		h.framing = FramingLength
+	default:
+		h.framing = FramingClose
+	}
+	return nil
+}
+
+// Framing returns how the body of a complete head's answer ends, and its length in bytes
+// for [FramingLength]. An answer to a HEAD request has no body.
+func (h *Head) Framing(isHEAD bool) (Framing, int) {
+	if isHEAD {
+		return FramingNone, 0
+	}
+	return h.framing, h.length
+}
+
+// Closes reports whether the connection takes no other call after the answer of a
+// complete head.
+func (h *Head) Closes() bool {
+	return h.isClosed || h.Minor == 0 && !h.isKept || h.framing == FramingClose
+}
+
+// hasOption reports whether a list of options has the option.
+func hasOption(list, option string) bool {
+	for o := range strings.SplitSeq(list, ",") {
+		if strings.EqualFold(strings.Trim(o, " \t"), option) {
+			return true
+		}
+	}
+	return false
+}
+
+// parseLength parses a length in bytes.
+func parseLength(text string) (int, error) {
+	for i := range len(text) {
+		if !isDigit(text[i]) {
+			return 0, malformed("length", []byte(text))
+		}
+	}
+	length, err := strconv.Atoi(text)
+	if err != nil {
+		return 0, malformed("length", []byte(text))
+	}
+	return length, nil
+}
--- /dev/null
+++ b/core/kqanswer/kqanswer.go
@@ -0,0 +1,129 @@
+// Package kqanswer decides whether bytes are an answer in HTTP/1.1. It answers the
+// load of a faulty backend server, which sends bytes that only resemble one.
+//
+// It follows the grammar of RFC 9112 and repairs nothing: an answer that a lenient
+// recipient may trim, join or guess at is none, since what is made of it is not what
+// the server said. Everything that reads answers decides by this package, before it
+// uses any part of them.
+//
+// # Usage
+//
+// A [Head] takes the lines of a head one by one, each with its line end, and is
+// complete after the empty one:
+//
+//	var head kqanswer.Head
+//	for isComplete := false; !isComplete; {
+//		line := ... // up to and with the next "\n"
+//		isComplete, err = head.AddLine(line)
+//	}
+//
+// The head is that of an interim answer unless [Head.IsFinal] holds. [Head.Framing] says
+// how the body ends, and [Head.Closes] whether its connection takes another call. Errors are marked [ErrMalformed]. What comes from a node that may not have decided so
+// is checked with [CheckField].
+package kqanswer
+
+import (
+	"bytes"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrMalformed marks the error for bytes that are no answer.
+var ErrMalformed = errors.New("bytes are no answer in HTTP/1.1")
+
+// Statuses of answers. No call asks to switch protocols, so nothing can follow that
+// status.
+const (
+	minStatus       = 100
+	switchProtocols = 101
+	minFinalStatus  = 200
+	maxStatus       = 599
+)
+
+// Parts of a status line.
+const (
+	protocol     = "HTTP/1."
+	statusAt     = len("HTTP/1.1 ")
+	statusDigits = 3
+	reasonAt     = statusAt + statusDigits + len(" ")
+)
+
+// lineEnd ends each line of a head.
+var lineEnd = []byte("\r\n")
+
+// malformed returns an error marked [ErrMalformed] about a line.
+func malformed(what string, line []byte) error {
+	const maxQuoted = 80
+	return errors.Mark(errors.Newf("%s in %q", what, line[:min(len(line), maxQuoted)]), ErrMalformed)
+}
+
+// IsFinalStatus reports whether the status is one of a final answer.
+func IsFinalStatus(status int) bool {
+	return status >= minFinalStatus && status <= maxStatus
+}
+
+// Head is the head of an answer. The zero value has no lines yet.
+type Head struct {
+	// Status is 0 until the status line was added.
+	Status int
+	// Minor is the minor version of HTTP/1, 0 to 9.
+	Minor int
+	// Fields are in the order of their lines.
+	Fields []Field
+
+	// framing and length say how the body ends, isClosed and isKept what the fields say
+	// about the connection.
+	framing          Framing
+	length           int
+	isClosed, isKept bool
+}
+
+// Reset empties the head and keeps its memory.
+func (h *Head) Reset() {
+	clear(h.Fields)
+	*h = Head{Fields: h.Fields[:0]}
+}
+
+// AddLine adds the next line, with its line end. It reports whether the head is
+// complete. After an error the head must not be used.
+func (h *Head) AddLine(line []byte) (isComplete bool, err error) {
+	text, hasEnd := bytes.CutSuffix(line, lineEnd)
+	switch {
+	case !hasEnd:
+		return false, malformed("line end", line)
+	case h.Status == 0:
+		return false, h.parseStatusLine(text)
+	case len(text) == 0:
+		return true, h.setFraming()
+	}
+	f, err := ParseField(text)
+	if err != nil {
+		return false, err
+	}
+	h.Fields = append(h.Fields, f)
+	return false, nil
+}
+
+// parseStatusLine sets the version and the status. A reason may be empty, the blank
+// before it may not be missing.
+func (h *Head) parseStatusLine(line []byte) error {
+	if len(line) < reasonAt || string(line[:len(protocol)]) != protocol || !isDigit(line[len(protocol)]) ||
+		line[statusAt-1] != ' ' || line[reasonAt-1] != ' ' {
+		return malformed("status line", line)
+	}
+	for _, c := range line[reasonAt:] {
+		if !isTextByte(c) {
+			return malformed("reason", line)
+		}
+	}
+	status, err := strconv.ParseUint(string(line[statusAt:reasonAt-1]), 10, 16)
+	if err != nil || status < minStatus || status > maxStatus || status == switchProtocols {
+		return malformed("status", line)
+	}
+	h.Status, h.Minor = int(status), int(line[len(protocol)]-'0')
+	return nil
+}
+
+// IsFinal reports whether the answer is a final one, and not an interim one.
+func (h *Head) IsFinal() bool { return IsFinalStatus(h.Status) }
--- a/io/kqhttp/kqhttp.go
+++ b/io/kqhttp/kqhttp.go
@@ -1,9 +1,10 @@
 // Package kqhttp is an HTTP/1.1 client with a connection pool, and a listener
 // that detects callers that disconnect while their request is running.
 //
-// It uses the codec of fasthttp but manages its connections itself, since the
-// client of fasthttp does not report whether a failed call was sent, and does
-// not close the connection of a call that is cancelled.
+// It writes calls with the codec of fasthttp but manages its connections itself, since
+// the client of fasthttp does not report whether a failed call was sent, and does
+// not close the connection of a call that is cancelled. It reads answers itself too: the
+// codec repairs bytes that are none.
 //
 // # Usage
 //
@@ -40,6 +41,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"kumquatlink/core/kqanswer"
 	"kumquatlink/io/kqbody"
 )
 
@@ -92,6 +94,8 @@
 	writer    *bufio.Writer
 	idleSince time.Time
 	probe     *socketProbe
+	// head is the head that is being read.
+	head kqanswer.Head
 	// broken is the error with which the connection failed, other than the end of
 	// the server's stream.
 	broken error
--- a/io/kqhttp/status_test.go
+++ b/io/kqhttp/status_test.go
@@ -20,12 +20,15 @@
 		want int
 	}{
 		{"HTTP/1.1 200 OK\r\n" + rest, 200},
-		{"HTTP/1.1 200\r\n" + rest, 200},
+		{"HTTP/1.1 200 \r\n" + rest, 200},
 		{"HTTP/1.0 200 OK\r\n" + rest, 200},
-		{"\r\nHTTP/1.1 200 OK\r\n" + rest, 200},
 		{"HTTP/1.1 599 Odd\r\n" + rest, 599},
 		{"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 404 Not Found\r\n" + rest, 404},
 		{strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 4) + "HTTP/1.1 200 OK\r\n" + rest, 200},
+		// No blank after the status, and a line before it: a recipient may put up with
+		// both, but neither is an answer.
+		{"HTTP/1.1 200\r\n" + rest, 0},
+		{"\r\nHTTP/1.1 200 OK\r\n" + rest, 0},
 		{"HTTP/1.1 000 \r\n" + rest, 0},
 		{"HTTP/1.1 000\r\n" + rest, 0},
 		{"\r\nHTTP/1.1  000 OK\r\n" + rest, 0},
--- a/io/kqmesh/answer.go
+++ b/io/kqmesh/answer.go
@@ -7,8 +7,8 @@
 
 	"github.com/valyala/fasthttp"
 
+	"kumquatlink/core/kqanswer"
 	"kumquatlink/core/kqcall"
-	"kumquatlink/io/kqhttp"
 	"kumquatlink/io/kqtrunk"
 )
 
@@ -23,7 +23,7 @@
 	}
 	spoiled := *o
 	switch {
-	case !kqhttp.IsFinalStatus(o.head.Status):
+	case !kqanswer.IsFinalStatus(o.head.Status):
 		spoiled.detail = fmt.Sprintf("answer has the status %03d", o.head.Status)
 	case isSuccess(o.head.Status) && !n.isSigned(o.head.Headers):
 		spoiled.detail = fmt.Sprintf("answer with status %d has no signature", o.head.Status)
--- a/io/kqmesh/path_test.go
+++ b/io/kqmesh/path_test.go
@@ -117,6 +117,27 @@
 			_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n")
 			withStatus("000 ")(c, q)
 		}},
+		{"has a blank in the name of a field", closing(func(q *fasthttp.Request) string { return head(q, "X Odd: a\r\nContent-Length: 5\r\n\r\nbytes") })},
+		{"has a blank in the name of the length", closing(func(q *fasthttp.Request) string { return head(q, "Content Length: 3\r\n\r\nbytes") })},
+		{"has a blank after the name of a field", closing(func(q *fasthttp.Request) string { return head(q, "Content-Length : 3\r\n\r\nbytes") })},
+		{"has a control byte in the name of a field", closing(func(q *fasthttp.Request) string { return head(q, "X-\x01Odd: a\r\nContent-Length: 5\r\n\r\nbytes") })},
+		{"has a control byte in the value of a field", closing(func(q *fasthttp.Request) string { return head(q, "X-Odd: \x01\r\nContent-Length: 5\r\n\r\nbytes") })},
+		{"has a control byte in the reason", withStatus("200 O\x01K")},
+		{"folds a field", closing(func(q *fasthttp.Request) string { return head(q, "X-Odd: a\r\n b\r\nContent-Length: 5\r\n\r\nbytes") })},
+		{"ends a line without CR", closing(func(q *fasthttp.Request) string { return head(q, "X-Odd: a\nContent-Length: 5\r\n\r\nbytes") })},
+		{"speaks HTTP/2.0", closing(func(q *fasthttp.Request) string {
+			return strings.Replace(head(q, "Content-Length: 5\r\n\r\nbytes"), "HTTP/1.1", "HTTP/2.0", 1)
+		})},
+		{"has a blank in a name of its hints", func(c net.Conn, q *fasthttp.Request) {
+			_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nX Odd: a\r\n\r\n")
+			echo(c, q)
+		}},
+		{"has a length and chunks", closing(func(q *fasthttp.Request) string {
+			return head(q, "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nbytes\r\n0\r\n\r\n")
+		})},
+		{"has chunks in HTTP/1.0", closing(func(q *fasthttp.Request) string {
+			return strings.Replace(head(q, "Transfer-Encoding: chunked\r\n\r\n5\r\nbytes\r\n0\r\n\r\n"), "HTTP/1.1", "HTTP/1.0", 1)
+		})},
 		{"sends hints first", func(c net.Conn, q *fasthttp.Request) {
 			_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n")
 			echo(c, q)
