--- a/core/kqanswer/kqanswer.go
+++ b/core/kqanswer/kqanswer.go
@@ -79,8 +79,12 @@
 	isClosed, isKept bool
 }
 
-// Reset empties the head and keeps its memory.
+// Reset empties the head and keeps the memory for a usual number of fields.
 func (h *Head) Reset() {
+	const maxKept = 64
+	if cap(h.Fields) > maxKept {
+		h.Fields = nil
+	}
 	clear(h.Fields)
 	*h = Head{Fields: h.Fields[:0]}
 }
--- a/core/kqanswer/kqanswer_test.go
+++ b/core/kqanswer/kqanswer_test.go
@@ -17,11 +17,14 @@
 const (
 	token = "[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 	text  = `[\t -~\x{80}-\x{ff}]*`
+	// quoted is a quoted string.
+	quoted = `"([\t !#-\[\]-~\x{80}-\x{ff}]|\\[\t -~\x{80}-\x{ff}])*"`
 )
 
 var (
 	statusLine = regexp.MustCompile(`^HTTP/1\.[0-9] ([0-9]{3}) ` + text + `\r\n$`)
 	fieldLine  = regexp.MustCompile(`^(` + token + `):(` + text + `)\r\n$`)
+	chunkLine  = regexp.MustCompile(`^([0-9A-Fa-f]+)([ \t]*;[ \t]*` + token + `([ \t]*=[ \t]*(` + token + `|` + quoted + `))?)*\r\n$`)
 )
 
 // runes returns a text with a rune for each byte of the line.
@@ -117,6 +120,25 @@
 	})
 }
 
+func TestChunkLineFollowsTheGrammar(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		line := lines("4\r\n", "0\r\n", "00Af;a=b\r\n", "1 ; a = b\r\n", "1;a=\"b\\\"\";c\r\n", "fffffffffffffff\r\n").Draw(t, "chunk line")
+		m := chunkLine.FindStringSubmatch(runes(line))
+		want, isTooLarge := int64(0), false
+		if m != nil {
+			var err error
+			want, err = strconv.ParseInt(m[1], 16, 61)
+			isTooLarge = err != nil
+		}
+		isValid := m != nil && !isTooLarge
+		got, err := kqanswer.ParseChunkLine(line)
+		checkError(t, line, isValid, err)
+		if isValid && int64(got) != want {
+			t.Fatalf("%q: got size %d, want %d", line, got, want)
+		}
+	})
+}
+
 // TestFramingOfHeads reads how bodies end from whole heads.
 func TestFramingOfHeads(t *testing.T) {
 	for _, c := range []struct {
--- a/io/kqhttp/endless_test.go
+++ b/io/kqhttp/endless_test.go
@@ -49,6 +49,13 @@
 	{"chunk size", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
 	{"chunk extension", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;", "a"},
 	{"trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: a\r\n"},
+	{"lines that end nowhere", "", "n"},
+	{"blank lines", "", "\r\n"},
+	{"control bytes", "", "\x00\x01"},
+	{"answers without a status", "", "HTTP/1.1 000 \r\n\r\n"},
+	{"reason of an interim answer", "HTTP/1.1 103 ", "a"},
+	{"small chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1;a=\"b\"\r\nx\r\n"},
+	{"empty fields of a trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "a:\r\n"},
 	{"answers to other calls", "", "HTTP/1.1 200 OK\r\nX-Of: another\r\nContent-Length: 4\r\n\r\nbody"},
 }
 
--- a/io/kqhttp/grammar_test.go
+++ b/io/kqhttp/grammar_test.go
@@ -108,6 +108,46 @@
 	"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nbody",
 }
 
+// brokenChunks lists answers in chunks of which a line or the end is none of HTTP/1.1.
+var brokenChunks = []string{
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nbody",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\nbody\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbodyxx0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nbody\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n+4\r\nbody\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n-4\r\nbody\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0x4\r\nbody\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n 4\r\nbody\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4 \r\nbody\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4 4\r\nbody\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n\r\nbody\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n;a\r\nbody\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;\r\nbody\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;a=\r\nbody\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;a b\r\nbody\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;a=\"b\r\nbody\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;\x01\r\nbody\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;a=\"\x00\"\r\nbody\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10000000000000004\r\nbody\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\nbody\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX Y: a\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Y : a\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-\x01: a\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Y: \x00\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Y: a\r\n b\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nNoColon\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Y: a\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Y: a\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nContent-Length: 9\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nTransfer-Encoding: chunked\r\n\r\n",
+}
+
 // soundAnswers lists unusual answers that are whole, each with the body "body" and at
 // most one field of note.
 var soundAnswers = []struct {
@@ -144,6 +184,7 @@
 	{"HTTP/1.1 200 OK\r\ntransfer-encoding:chunked\r\n\r\n04\r\nbody\r\n000\r\n\r\n", 200, "", ""},
 	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nb\r\n3\r\nody\r\n0\r\n\r\n", 200, "", ""},
 	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;a\r\nbody\r\n0;b=c\r\n\r\n", 200, "", ""},
+	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4 ; a = b\r\nbody\r\n0\r\n\r\n", 200, "", ""},
 	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;a=\"b;\\\" \xe9\";c\r\nbody\r\n0\r\n\r\n", 200, "", ""},
 	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Y: a\r\nX-Z:\r\n\r\n", 200, "", ""},
 	{"HTTP/1.1 200 OK\r\nTrailer: X-Y\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Y: a\r\n\r\n", 200, "", ""},
@@ -163,6 +204,11 @@
 	checkLost(t, brokenFramings)
 }
 
+// TestBrokenChunkIsPassedOn guards against bodies whose parts are guessed.
+func TestBrokenChunkIsPassedOn(t *testing.T) {
+	checkLost(t, brokenChunks)
+}
+
 // checkLost checks that none of the answers is passed on.
 func checkLost(t *testing.T, answers []string) {
 	t.Helper()
--- a/io/kqhttp/head.go
+++ b/io/kqhttp/head.go
@@ -7,20 +7,12 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
-
-	"kumquatlink/core/kqanswer"
 )
 
 // maxInterimAnswers is the number of interim answers, such as 103 Early Hints,
 // after which a call fails.
 const maxInterimAnswers = 100
 
-// Lengths by which the codec knows bodies without a length.
-const (
-	chunkedLength    = -1
-	untilCloseLength = -2
-)
-
 // maxHeadBytes bounds the status line and the fields of an answer, in bytes.
 const maxHeadBytes = 64 << 10
 
@@ -94,16 +86,4 @@
 	if c.head.Closes() {
 		h.SetConnectionClose()
 	}
-	switch framing, _ := c.head.Framing(false); framing {
-	case kqanswer.FramingChunks:
-		h.SetContentLength(chunkedLength)
-	case kqanswer.FramingClose:
-		h.SetContentLength(untilCloseLength)
-	}
-}
-
-// hasBody reports whether a body follows the headers of the answer.
-func hasBody(response *fasthttp.Response) bool {
-	status := response.StatusCode()
-	return !response.SkipBody && status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
 }
--- a/io/kqhttp/kqhttp.go
+++ b/io/kqhttp/kqhttp.go
@@ -165,7 +165,7 @@
 
 // WithAnswerMatcher sets the function that reports whether an answer belongs to
 // the call. Answers to other calls, which a faulty server may send late or
-// twice, are skipped.
+// twice, are skipped. It is for [Pool.Do] only.
 func WithAnswerMatcher(matches func(request *fasthttp.Request, response *fasthttp.Response) bool) Option {
 	return func(p *Pool) { p.matches = matches }
 }
@@ -207,7 +207,7 @@
 		return errors.Mark(errors.Wrap(ctx.Err(), "call was cancelled before it was sent"), ErrNotSent)
 	}
 	c.startWatchdog()
-	err = p.exchange(c, request, response)
+	_, err = p.exchange(c, request, response)
 	c.stopWatchdog()
 	if err != nil {
 		stop()
@@ -234,10 +234,10 @@
 	return errors.Mark(err, ErrSilent)
 }
 
-// exchange writes the call and reads its answer, with the body unless the
-// response has StreamBody set.
-func (p *Pool) exchange(c *connection, request *fasthttp.Request, response *fasthttp.Response) error {
-	wantsStream := response.StreamBody
+// exchange writes the call and reads its answer. If the response has StreamBody set, it
+// returns the body, or nil if there is none, instead of reading it.
+func (p *Pool) exchange(c *connection, request *fasthttp.Request, response *fasthttp.Response) (io.Reader, error) {
+	isHEAD, wantsStream := response.SkipBody || request.Header.IsHead(), response.StreamBody
 	writeErr := request.Write(c.writer)
 	if writeErr == nil {
 		writeErr = c.writer.Flush()
@@ -245,40 +245,30 @@
 	// The answer is read even if writing failed: a server may answer before it
 	// has read the whole call and then close the connection.
 	for range maxStrayAnswers {
-		response.StreamBody = true
 		err := c.readAnswerHead(response)
-		if err == nil && hasBody(response) {
-			err = response.ReadBody(c.reader, 0)
-		}
-		if err == nil && !wantsStream {
-			err = p.readBody(response)
+		body, length := c.body(isHEAD)
+		if err == nil && body != nil && !wantsStream {
+			err = p.readBody(response, body, length)
 		}
 		if err != nil {
-			return errors.CombineErrors(errors.Wrap(writeErr, "write call"), errors.Wrap(err, "read answer"))
+			return nil, errors.CombineErrors(errors.Wrap(writeErr, "write call"), errors.Wrap(err, "read answer"))
 		}
 		if p.matches(request, response) {
 			if writeErr != nil {
 				response.SetConnectionClose()
 			}
-			return nil
+			return body, nil
 		}
-		skip := response.SkipBody
 		response.Reset()
-		response.SkipBody = skip
+		response.SkipBody = isHEAD
 	}
-	return errors.Newf("gave up after %d answers that belong to other calls", maxStrayAnswers)
+	return nil, errors.Newf("gave up after %d answers that belong to other calls", maxStrayAnswers)
 }
 
-// readBody reads the body of a response whose headers have been read.
-func (p *Pool) readBody(response *fasthttp.Response) error {
-	response.StreamBody = false
-	stream := response.BodyStream()
-	if stream == nil {
-		return nil
-	}
-	body, err := p.bodyBudget.Read(stream, response.Header.ContentLength(), p.maxBodyBytes)
-	err = errors.CombineErrors(err, response.CloseBodyStream())
-	response.SetBodyRaw(body)
+// readBody reads the body of a response, whose length is negative if it is not known.
+func (p *Pool) readBody(response *fasthttp.Response, body io.Reader, length int) error {
+	content, err := p.bodyBudget.Read(body, length, p.maxBodyBytes)
+	response.SetBodyRaw(content)
 	return err
 }
 
@@ -320,6 +310,7 @@
 
 // release returns a connection to the pool, or closes it if the pool is full.
 func (p *Pool) release(c *connection) {
+	c.head.Reset()
 	c.idleSince = p.now()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/io/kqhttp/stream.go
+++ b/io/kqhttp/stream.go
@@ -22,11 +22,12 @@
 	defer func() { _ = c.Close() }()
 	defer context.AfterFunc(ctx, func() { _ = c.Close() })()
 	response := &fasthttp.Response{StreamBody: true}
-	if err := p.exchange(c, request, response); err != nil {
+	body, err := p.exchange(c, request, response)
+	if err != nil {
 		return errors.Mark(errors.Wrapf(err, "call %s", p.address), ErrLost)
 	}
-	if body := response.BodyStream(); body != nil {
-		return handle(&response.Header, body)
+	if body == nil {
+		body = bytes.NewReader(nil)
 	}
-	return handle(&response.Header, bytes.NewReader(response.Body()))
+	return handle(&response.Header, body)
 }
--- a/io/kqmesh/path_test.go
+++ b/io/kqmesh/path_test.go
@@ -138,6 +138,15 @@
 		{"has chunks in HTTP/1.0", closing(func(q *fasthttp.Request) string {
 			return strings.Replace(head(q, "Transfer-Encoding: chunked\r\n\r\n5\r\nbytes\r\n0\r\n\r\n"), "HTTP/1.1", "HTTP/1.0", 1)
 		})},
+		{"has a control byte after the size of a chunk", closing(func(q *fasthttp.Request) string {
+			return head(q, "Transfer-Encoding: chunked\r\n\r\n5;\x01\r\nbytes\r\n0\r\n\r\n")
+		})},
+		{"has a blank in the name of a trailer's field", closing(func(q *fasthttp.Request) string {
+			return head(q, "Transfer-Encoding: chunked\r\n\r\n5\r\nbytes\r\n0\r\nX Odd: a\r\n\r\n")
+		})},
+		{"has extensions and a trailer", closing(func(q *fasthttp.Request) string {
+			return head(q, "Transfer-Encoding: chunked\r\n\r\n5;a=\"b\"\r\nbytes\r\n0\r\nX-Odd: a\r\n\r\n")
+		})},
 		{"sends hints first", func(c net.Conn, q *fasthttp.Request) {
 			_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n")
 			echo(c, q)
