--- a/io/kqmesh/oldgate_test.go
+++ b/io/kqmesh/oldgate_test.go
@@ -33,8 +33,9 @@
 // states, and runs every call.
 type oldGate struct {
 	calls atomic.Int64
-	// status is the status of its answers.
+	// status is the status of its answers, and field another field of them.
 	status atomic.Int64
+	field  atomic.Pointer[kqtrunk.Header]
 }
 
 // addOldGate starts an old gate of the service and writes its record.
@@ -48,9 +49,12 @@
 				return kqtrunk.AnswerHead{End: kqcall.NotRun("")}, nil
 			}
 			g.calls.Add(1)
+			fields := []kqtrunk.Header{{Name: "Kumquatlink-Rate-Limit", Value: statement}}
+			if f := g.field.Load(); f != nil {
+				fields = append(fields, *f)
+			}
 			return kqtrunk.AnswerHead{
-				End: kqcall.Ran(), Status: int(g.status.Load()), ServerID: "i-" + name, RoutesVersion: head.RoutesVersion,
-				Headers: []kqtrunk.Header{{Name: "Kumquatlink-Rate-Limit", Value: statement}},
+				End: kqcall.Ran(), Status: int(g.status.Load()), ServerID: "i-" + name, RoutesVersion: head.RoutesVersion, Headers: fields,
 			}, nil
 		},
 	})
--- a/io/kqmesh/spoiled_test.go
+++ b/io/kqmesh/spoiled_test.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"kumquatlink/core/kqserver"
+	"kumquatlink/io/kqtrunk"
 )
 
 // TestUnsignedSuccessReachesTheCaller guards against successes that the backend
@@ -51,7 +52,7 @@
 }
 
 // TestSpoiledAnswerOfAnOldGateReachesTheCaller guards against gates of a former
-// build, which pass on an answer whose status is none.
+// build, which pass on an answer whose status or fields are none.
 func TestSpoiledAnswerOfAnOldGateReachesTheCaller(t *testing.T) {
 	f := newFleet(t)
 	entry := f.add("packs-1", "packs")
@@ -65,4 +66,24 @@
 			t.Errorf("answer of the gate with status %d: got %+v, want %d", c.status, got, c.want)
 		}
 	}
+	old.status.Store(200)
+	for i, c := range []struct {
+		field kqtrunk.Header
+		want  int
+	}{
+		{kqtrunk.Header{Name: "X-Odd", Value: "a \xe9"}, 200},
+		{kqtrunk.Header{Name: "X-Odd"}, 200},
+		{kqtrunk.Header{Name: "X Odd", Value: "a"}, 502},
+		{kqtrunk.Header{Name: "X-Odd ", Value: "a"}, 502},
+		{kqtrunk.Header{Name: "X-\x01Odd", Value: "a"}, 502},
+		{kqtrunk.Header{Name: "X:Odd", Value: "a"}, 502},
+		{kqtrunk.Header{Value: "a"}, 502},
+		{kqtrunk.Header{Name: "X-Odd", Value: "a\x00"}, 502},
+		{kqtrunk.Header{Name: "X-Odd", Value: "a\r\nX-Other: b"}, 502},
+	} {
+		old.field.Store(&c.field)
+		if got := entry.request("POST", "/buy/", fmt.Sprint("f", i), ""); got.status != c.want {
+			t.Errorf("answer of the gate with field %+v: got %+v, want %d", c.field, got, c.want)
+		}
+	}
 }
--- a/io/kqnode/keyed.go
+++ b/io/kqnode/keyed.go
@@ -209,11 +209,9 @@
 		}
 		return &callAnswer{end: end, retriesLeft: q.head.Retries}
 	}
-	h := answer.Head
-	return &callAnswer{
-		end: h.End, status: h.Status, headers: h.Headers, body: answer.Body,
-		retriesLeft: min(h.RetriesLeft, q.head.Retries), load: h.Load, token: h.Token,
-	}
+	r := readPeerAnswer(answer.Head, answer.Body)
+	r.retriesLeft, r.token = min(r.retriesLeft, q.head.Retries), answer.Head.Token
+	return r
 }
 
 // homeUnreached returns the end of a call that did not reach the home of its key.
--- a/io/kqnode/router.go
+++ b/io/kqnode/router.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 
 	"github.com/cockroachdb/errors"
 
+	"kumquatlink/core/kqanswer"
 	"kumquatlink/core/kqcall"
 	"kumquatlink/core/kqmember"
 	"kumquatlink/core/kqretry"
@@ -297,8 +299,28 @@
 	if err != nil {
 		return answerOfLinkError(ctx, err, q.head.Retries)
 	}
-	h := answer.Head
-	return &callAnswer{end: h.End, status: h.Status, headers: h.Headers, body: answer.Body, retriesLeft: h.RetriesLeft, load: h.Load, fromGate: true}
+	a := readPeerAnswer(answer.Head, answer.Body)
+	a.fromGate = true
+	return a
+}
+
+// readPeerAnswer returns the answer of a peer. A peer of a former build passes on answers
+// of its backend server that are none: these are lost.
+func readPeerAnswer(h kqlink.AnswerHead, body []byte) *callAnswer {
+	r := &callAnswer{end: h.End, retriesLeft: h.RetriesLeft, load: h.Load}
+	if h.End.Outcome == kqcall.OutcomeRan && !isAnswer(h) {
+		r.end = kqcall.Unknown(kqcall.CauseBackendLost)
+		return r
+	}
+	r.status, r.headers, r.body = h.Status, h.Headers, body
+	return r
+}
+
+// isAnswer reports whether the status and the fields are those of an answer in HTTP.
+func isAnswer(h kqlink.AnswerHead) bool {
+	return kqanswer.IsFinalStatus(h.Status) && !slices.ContainsFunc(h.Headers, func(f kqlink.Header) bool {
+		return kqanswer.CheckField(f.Name, f.Value) != nil
+	})
 }
 
 // answerOfLinkError returns the answer to a call whose link failed. The retries
--- /dev/null
+++ b/io/kqnode/spoiled_test.go
@@ -0,0 +1,36 @@
+package kqnode
+
+import (
+	"testing"
+
+	"kumquatlink/core/kqcall"
+	"kumquatlink/io/kqlink"
+)
+
+// TestSpoiledAnswerOfAFormerPeerIsPassedOn guards against peers that pass on an answer
+// whose status or fields are none.
+func TestSpoiledAnswerOfAFormerPeerIsPassedOn(t *testing.T) {
+	lost := kqcall.Unknown(kqcall.CauseBackendLost)
+	for _, c := range []struct {
+		status int
+		field  kqlink.Header
+		want   kqcall.End
+	}{
+		{200, kqlink.Header{Name: "X-Odd", Value: "a \xe9"}, kqcall.Ran()},
+		{500, kqlink.Header{Name: "X-Odd"}, kqcall.Ran()},
+		{0, kqlink.Header{Name: "X-Odd"}, lost},
+		{101, kqlink.Header{Name: "X-Odd"}, lost},
+		{200, kqlink.Header{Name: "X Odd", Value: "a"}, lost},
+		{200, kqlink.Header{Name: "X-\x01Odd", Value: "a"}, lost},
+		{200, kqlink.Header{Name: "X-Odd", Value: "a\r\nX-Other: b"}, lost},
+	} {
+		got := readPeerAnswer(kqlink.AnswerHead{End: kqcall.Ran(), Status: c.status, Headers: []kqlink.Header{c.field}}, []byte("body"))
+		if got.end != c.want || (string(got.body) == "body") != (c.want == kqcall.Ran()) {
+			t.Errorf("status %d, field %+v: got %+v, body %q, want %+v", c.status, c.field, got.end, got.body, c.want)
+		}
+	}
+	refused := kqlink.AnswerHead{End: kqcall.NotRun(kqcall.CauseDraining)}
+	if got := readPeerAnswer(refused, nil); got.end != refused.End {
+		t.Errorf("refusal of a peer: got %+v, want %+v", got.end, refused.End)
+	}
+}
