--- a/core/kqanswer/kqanswer_test.go
+++ b/core/kqanswer/kqanswer_test.go
@@ -79,7 +79,10 @@
 
 func TestStatusLineFollowsTheGrammar(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		line := lines("HTTP/1.1 200 OK\r\n", "HTTP/1.0 404 \r\n", "HTTP/1.1 103 Early Hints\r\n", "HTTP/1.1 599 \xe9\r\n").Draw(t, "status line")
+		line := lines(
+			"HTTP/1.1 200 OK\r\n", "HTTP/1.0 404 \r\n", "HTTP/1.1 103 Early Hints\r\n", "HTTP/1.1 599 \xe9\r\n",
+			"HTTP/1.1 000 \r\n", "HTTP/1.1 099 Odd\r\n", "HTTP/1.1 101 Odd\r\n", "HTTP/1.1 600 Odd\r\n",
+		).Draw(t, "status line")
 		var h kqanswer.Head
 		isComplete, err := h.AddLine(line)
 		want := 0
