Reader of answers: usual terms in comments and errors, one function for an answer

Read as a newcomer would: a usage comment of kqanswer was cut, "none" stood for malformed, and exchange asked for the body of a head that had failed. Behaviour is unchanged but for their texts.

--- a/core/kqanswer/chunk.go
+++ b/core/kqanswer/chunk.go
@@ -44,8 +44,8 @@
 }
 
 // areExtensions reports whether the text is a list of chunk extensions, which may be
-// empty. Each has a semicolon, a name and optionally a value, with blanks around them
-// that the grammar lets a recipient accept.
+// empty. Each has a semicolon, a name and optionally a value. The grammar allows blanks
+// before and after the semicolon and the equals sign.
 func areExtensions(text []byte) bool {
 	for len(text) > 0 {
 		rest, hasSeparator := bytes.CutPrefix(trimBlanks(text), []byte(";"))
@@ -97,7 +97,7 @@
 }
 
 // CheckTrailerLine checks the next line of a trailer, with its line end, and reports
-// whether the trailer is complete. A trailer can't say how the body before it ends.
+// whether the trailer is complete. Fields about the framing may not be in a trailer.
 func CheckTrailerLine(line []byte) (isComplete bool, err error) {
 	text, hasEnd := bytes.CutSuffix(line, lineEnd)
 	if !hasEnd {
--- a/core/kqanswer/field.go
+++ b/core/kqanswer/field.go
@@ -11,8 +11,8 @@
 	Name, Value string
 }
 
-// ParseField parses a field line without its line end. A line that goes on with the
-// value of the line before it is none.
+// ParseField parses a field line without its line end. Folded lines, which continue the
+// value of the line before them, are malformed.
 func ParseField(line []byte) (Field, error) {
 	name, value, hasColon := bytes.Cut(line, []byte(":"))
 	if !hasColon || !isToken(name) {
@@ -52,7 +52,7 @@
 	return true
 }
 
-// isTokenByte holds the bytes that a token may have.
+// isTokenByte holds the bytes that a token may contain.
 var isTokenByte = func() (table [256]bool) {
 	for c := range table {
 		table[c] = isDigit(byte(c)) || c >= 'A' && c <= 'Z' || c >= 'a' && c <= 'z'
@@ -63,8 +63,8 @@
 	return table
 }()
 
-// isTextByte reports whether a value or a reason may have the byte: a visible one, a
-// blank, a tab, or one over 127, which has no meaning in HTTP.
+// isTextByte reports whether a value or a reason may contain the byte: a visible
+// character, a blank, a tab or a byte over 127.
 func isTextByte(c byte) bool {
 	const del = 0x7f
 	return c == '\t' || c >= ' ' && c != del
--- a/core/kqanswer/framing.go
+++ b/core/kqanswer/framing.go
@@ -42,9 +42,9 @@
 	FramingClose
 )
 
-// setFraming decides how the body ends, when all fields are known. A head that says so
-// twice, or in a way that its version or status does not have, says nothing: each
-// recipient may take another end.
+// setFraming decides how the body ends, when all fields are known. Repeated and
+// contradicting fields are errors, since recipients would disagree on the end of the body.
+// So are fields that the version or the status does not allow.
 func (h *Head) setFraming() error {
 	lengths, codings := 0, 0
 	for _, f := range h.Fields {
--- a/core/kqanswer/kqanswer.go
+++ b/core/kqanswer/kqanswer.go
@@ -1,10 +1,10 @@
 // Package kqanswer decides whether bytes are an answer in HTTP/1.1. It answers the
-// load of a faulty backend server, which sends bytes that only resemble one.
+// load of a faulty backend server that sends malformed answers.
 //
-// It follows the grammar of RFC 9112 and repairs nothing: an answer that a lenient
-// recipient may trim, join or guess at is none, since what is made of it is not what
-// the server said. Everything that reads answers decides by this package, before it
-// uses any part of them.
+// It follows the grammar of RFC 9112 and repairs nothing. Where the RFC lets a recipient
+// trim, join or ignore something, the answer is malformed here: a caller must not get
+// what its server has not sent. All code that reads answers decides by this package,
+// before it uses any part of them.
 //
 // # Usage
 //
@@ -18,8 +18,13 @@
 //	}
 //
 // The head is that of an interim answer unless [Head.IsFinal] holds. [Head.Framing] says
-// how the body ends, and [Head.Closes] whether its connection takes another call. Errors are marked [ErrMalformed]. What comes from a node that may not have decided so
-// is checked with [CheckField].
+// how the body ends, and [Head.Closes] whether its connection takes another call. The lines
+// of a body in chunks are parsed by [ParseChunkLine] before the data of a chunk,
+// [CheckChunkEnd] after it, and [CheckTrailerLine] after the last chunk. Errors are marked
+// [ErrMalformed].
+//
+// Answers that another node has read are checked with [IsFinalStatus] and [CheckField],
+// since it may be of a build that accepts others.
 package kqanswer
 
 import (
@@ -29,11 +34,10 @@
 	"github.com/cockroachdb/errors"
 )
 
-// ErrMalformed marks the error for bytes that are no answer.
-var ErrMalformed = errors.New("bytes are no answer in HTTP/1.1")
+// ErrMalformed marks the errors of malformed answers.
+var ErrMalformed = errors.New("malformed answer")
 
-// Statuses of answers. No call asks to switch protocols, so nothing can follow that
-// status.
+// Statuses of answers. Status 101 is refused, since no call asks to switch protocols.
 const (
 	minStatus       = 100
 	switchProtocols = 101
@@ -52,10 +56,11 @@
 // lineEnd ends each line of a head.
 var lineEnd = []byte("\r\n")
 
-// malformed returns an error marked [ErrMalformed] about a line.
+// malformed returns an error, marked [ErrMalformed], that names the malformed part and
+// quotes the line.
 func malformed(what string, line []byte) error {
 	const maxQuoted = 80
-	return errors.Mark(errors.Newf("%s in %q", what, line[:min(len(line), maxQuoted)]), ErrMalformed)
+	return errors.Mark(errors.Newf("malformed %s in %q", what, line[:min(len(line), maxQuoted)]), ErrMalformed)
 }
 
 // IsFinalStatus reports whether the status is one of a final answer.
@@ -109,8 +114,8 @@
 	return false, nil
 }
 
-// parseStatusLine sets the version and the status. A reason may be empty, the blank
-// before it may not be missing.
+// parseStatusLine sets the version and the status. The reason may be empty, but the
+// blank before it is required.
 func (h *Head) parseStatusLine(line []byte) error {
 	if len(line) < reasonAt || string(line[:len(protocol)]) != protocol || !isDigit(line[len(protocol)]) ||
 		line[statusAt-1] != ' ' || line[reasonAt-1] != ' ' {
--- a/io/kqhttp/body.go
+++ b/io/kqhttp/body.go
@@ -9,8 +9,8 @@
 )
 
 // body returns the body that follows the head that was read, and its length in bytes,
-// negative if the head does not say. The body is nil if there is none. It ends with
-// [io.EOF] only where the answer does: a stream that ends earlier is an error.
+// negative if it is unknown. The body is nil if there is none. It returns [io.EOF] only at
+// the end of the answer, and another error if the stream ends earlier.
 func (c *connection) body(isHEAD bool) (body io.Reader, length int) {
 	framing, length := c.head.Framing(isHEAD)
 	switch framing {
@@ -94,8 +94,7 @@
 	return nil
 }
 
-// readTrailer reads the trailer of a body, whose fields are left out. It returns io.EOF
-// at its end.
+// readTrailer reads and drops the trailer of a body. It returns io.EOF at its end.
 func (c *connection) readTrailer() error {
 	left := maxHeadBytes
 	for {
--- a/io/kqhttp/grammar_test.go
+++ b/io/kqhttp/grammar_test.go
@@ -10,7 +10,7 @@
 	"kumquatlink/io/kqhttp"
 )
 
-// brokenHeads lists answers of which a line of a head is none of HTTP/1.1.
+// brokenHeads lists answers with a malformed line in a head.
 var brokenHeads = []string{
 	"HTTP/1.1 200 OK\r\nX Y: a\r\nContent-Length: 4\r\n\r\nbody",
 	"HTTP/1.1 200 OK\r\nX-Y : a\r\nContent-Length: 4\r\n\r\nbody",
@@ -73,8 +73,8 @@
 	"HTTP/1.1 100 Continue\r\n\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
 }
 
-// brokenFramings lists answers whose head does not say in one way of HTTP/1.1 how the
-// body ends, or whose body ends otherwise.
+// brokenFramings lists answers with malformed, repeated or contradicting fields about the
+// length of the body, or with a body of another length.
 var brokenFramings = []string{
 	"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\nbody",
 	"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 2\r\n\r\nbody",
@@ -108,7 +108,7 @@
 	"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nbody",
 }
 
-// brokenChunks lists answers in chunks of which a line or the end is none of HTTP/1.1.
+// brokenChunks lists answers in chunks with a malformed line or end.
 var brokenChunks = []string{
 	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nbody",
 	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\nbody\r\n0\r\n\r\n",
@@ -193,8 +193,8 @@
 	{"HTTP/1.1 100 \r\n\r\nHTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", 200, "Link", ""},
 }
 
-// TestBrokenHeadIsPassedOn guards against heads that the codec takes for those of an
-// answer by leaving out, trimming or joining what is none.
+// TestBrokenHeadIsPassedOn guards against malformed heads that are accepted because their
+// lines are trimmed, joined or skipped.
 func TestBrokenHeadIsPassedOn(t *testing.T) {
 	checkLost(t, brokenHeads)
 }
@@ -268,7 +268,7 @@
 }
 
 // TestBrokenAnswerIsTakenForThatOfTheNextCall sends two calls. What follows the first
-// answer on its connection may end neither of them with an answer that is none.
+// answer on its connection may spoil neither of them.
 func TestBrokenAnswerIsTakenForThatOfTheNextCall(t *testing.T) {
 	const first = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
 	for _, more := range []string{"\r\n", "HTTP/1.1 000 \r\n\r\n", "\x00", "HTTP/1.1 200 OK\r\nX Y: a\r\n\r\n", strings.Repeat("n", 8<<10)} {
--- a/io/kqhttp/head.go
+++ b/io/kqhttp/head.go
@@ -17,8 +17,7 @@
 const maxHeadBytes = 64 << 10
 
 // readAnswerHead reads the head of a final answer, after any interim ones, and sets the
-// status and the fields of the response. It fails at the first line that is none of an
-// answer.
+// status and the fields of the response. It fails at the first malformed line.
 func (c *connection) readAnswerHead(response *fasthttp.Response) error {
 	response.ResetBody()
 	for range maxInterimAnswers {
@@ -78,7 +77,7 @@
 	h.Reset()
 	h.SetStatusCode(c.head.Status)
 	for _, f := range c.head.Fields {
-		// The codec would keep fields that Trailer names out of the head.
+		// The codec takes fields that are listed in Trailer out of the head.
 		if !strings.EqualFold(f.Name, fasthttp.HeaderTrailer) {
 			h.Add(f.Name, f.Value)
 		}
--- a/io/kqhttp/kqhttp.go
+++ b/io/kqhttp/kqhttp.go
@@ -3,8 +3,8 @@
 //
 // It writes calls with the codec of fasthttp but manages its connections itself, since
 // the client of fasthttp does not report whether a failed call was sent, and does
-// not close the connection of a call that is cancelled. It reads answers itself too: the
-// codec repairs bytes that are none.
+// not close the connection of a call that is cancelled. It reads answers itself, since
+// the codec accepts and repairs malformed ones; package kqanswer has the grammar.
 //
 // # Usage
 //
@@ -12,7 +12,8 @@
 //	err := pool.Do(ctx, request, response)
 //
 // An error marked [ErrNotSent] proves that no byte of the call was written.
-// After one marked [ErrLost] the server may or may not have run the call. An
+// After one marked [ErrLost], also for a malformed answer, the server may or may not have
+// run the call. An
 // error of a connection that stopped passing bytes is marked [ErrSilent] as
 // well. A cancelled call closes its connection, so that the server notices the
 // cancellation. The pool never retries a call.
@@ -119,20 +120,19 @@
 // without a length would seem to be complete.
 func (c *connection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	switch {
-	case err == nil:
-	case errors.Is(err, io.EOF):
-		if c.broken != nil {
-			err = c.broken
-		}
-	default:
+	isEnd := errors.Is(err, io.EOF)
+	if isEnd && c.broken != nil {
+		return n, c.broken
+	}
+	if err != nil && !isEnd {
 		c.broken = err
 	}
 	return n, err
 }
 
-// Write writes p. It fails with EPIPE if the server had ended its stream before it
-// reset the connection: then the stream is complete.
+// Write writes p and remembers its error for Read, apart from EPIPE: the first write after
+// a reset fails with it only if the server had ended its stream before, and then the
+// stream is complete.
 func (c *connection) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	if err != nil && !errors.Is(err, syscall.EPIPE) {
@@ -245,11 +245,7 @@
 	// The answer is read even if writing failed: a server may answer before it
 	// has read the whole call and then close the connection.
 	for range maxStrayAnswers {
-		err := c.readAnswerHead(response)
-		body, length := c.body(isHEAD)
-		if err == nil && body != nil && !wantsStream {
-			err = p.readBody(response, body, length)
-		}
+		body, err := p.readAnswer(c, response, isHEAD, wantsStream)
 		if err != nil {
 			return nil, errors.CombineErrors(errors.Wrap(writeErr, "write call"), errors.Wrap(err, "read answer"))
 		}
@@ -265,11 +261,18 @@
 	return nil, errors.Newf("gave up after %d answers that belong to other calls", maxStrayAnswers)
 }
 
-// readBody reads the body of a response, whose length is negative if it is not known.
-func (p *Pool) readBody(response *fasthttp.Response, body io.Reader, length int) error {
+// readAnswer reads an answer. It returns the body if that is to be a stream.
+func (p *Pool) readAnswer(c *connection, response *fasthttp.Response, isHEAD, wantsStream bool) (io.Reader, error) {
+	if err := c.readAnswerHead(response); err != nil {
+		return nil, err
+	}
+	body, length := c.body(isHEAD)
+	if body == nil || wantsStream {
+		return body, nil
+	}
 	content, err := p.bodyBudget.Read(body, length, p.maxBodyBytes)
 	response.SetBodyRaw(content)
-	return err
+	return nil, err
 }
 
 // acquire returns the most recently used idle connection that can take a call,
--- a/io/kqhttp/status_test.go
+++ b/io/kqhttp/status_test.go
@@ -25,8 +25,8 @@
 		{"HTTP/1.1 599 Odd\r\n" + rest, 599},
 		{"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 404 Not Found\r\n" + rest, 404},
 		{strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 4) + "HTTP/1.1 200 OK\r\n" + rest, 200},
-		// No blank after the status, and a line before it: a recipient may put up with
-		// both, but neither is an answer.
+		// RFC 9112 lets recipients accept a missing blank after the status; the grammar
+		// has neither that nor an empty line before the status line.
 		{"HTTP/1.1 200\r\n" + rest, 0},
 		{"\r\nHTTP/1.1 200 OK\r\n" + rest, 0},
 		{"HTTP/1.1 000 \r\n" + rest, 0},
--- a/io/kqmesh/answer.go
+++ b/io/kqmesh/answer.go
@@ -14,9 +14,9 @@
 
 // rejectSpoiled returns the answer. If it is none that a backend server can have
 // given, it returns the end of a call whose answer was lost: the status is none
-// of a final answer, a field is none of HTTP, or a success lacks the server's
-// signature. Gates check their server's answers, and entries those of gates, which
-// may be of a build that does not check them.
+// of a final answer, a field is malformed, or a success lacks the server's signature.
+// Gates check their server's answers, and entries those of gates, which may be of a
+// build that does not check them.
 func (n *Node) rejectSpoiled(o *callAnswer) *callAnswer {
 	if o.head.End.Outcome != kqcall.OutcomeRan {
 		return o
@@ -38,7 +38,7 @@
 	return &spoiled
 }
 
-// checkFields returns the error of the first header that is no field of an answer.
+// checkFields returns the error of the first malformed header.
 func checkFields(headers []kqtrunk.Header) error {
 	for _, h := range headers {
 		if err := kqanswer.CheckField(h.Name, h.Value); err != nil {
--- a/io/kqmesh/spoiled_test.go
+++ b/io/kqmesh/spoiled_test.go
@@ -52,7 +52,7 @@
 }
 
 // TestSpoiledAnswerOfAnOldGateReachesTheCaller guards against gates of a former
-// build, which pass on an answer whose status or fields are none.
+// build, which pass on answers whose status or fields are malformed.
 func TestSpoiledAnswerOfAnOldGateReachesTheCaller(t *testing.T) {
 	f := newFleet(t)
 	entry := f.add("packs-1", "packs")
--- a/io/kqnode/router.go
+++ b/io/kqnode/router.go
@@ -304,8 +304,8 @@
 	return a
 }
 
-// readPeerAnswer returns the answer of a peer. A peer of a former build passes on answers
-// of its backend server that are none: these are lost.
+// readPeerAnswer returns the answer of a peer. A peer of a former build passes on malformed
+// answers of its backend server; these are lost.
 func readPeerAnswer(h kqlink.AnswerHead, body []byte) *callAnswer {
 	r := &callAnswer{end: h.End, retriesLeft: h.RetriesLeft, load: h.Load}
 	if h.End.Outcome == kqcall.OutcomeRan && !isAnswer(h) {
@@ -316,7 +316,7 @@
 	return r
 }
 
-// isAnswer reports whether the status and the fields are those of an answer in HTTP.
+// isAnswer reports whether the status and the fields of a peer's answer are well-formed.
 func isAnswer(h kqlink.AnswerHead) bool {
 	return kqanswer.IsFinalStatus(h.Status) && !slices.ContainsFunc(h.Headers, func(f kqlink.Header) bool {
 		return kqanswer.CheckField(f.Name, f.Value) != nil
--- a/io/kqnode/spoiled_test.go
+++ b/io/kqnode/spoiled_test.go
@@ -8,7 +8,7 @@
 )
 
 // TestSpoiledAnswerOfAFormerPeerIsPassedOn guards against peers that pass on an answer
-// whose status or fields are none.
+// whose status or fields are malformed.
 func TestSpoiledAnswerOfAFormerPeerIsPassedOn(t *testing.T) {
 	lost := kqcall.Unknown(kqcall.CauseBackendLost)
 	for _, c := range []struct {
