--- a/io/kqhttp/grammar_test.go
+++ b/io/kqhttp/grammar_test.go
@@ -199,6 +199,22 @@
 	checkLost(t, brokenHeads)
 }
 
+// TestOddByteInANameIsPassedOn guards against each byte that the name of a field may not
+// have, at its beginning, within it and at its end.
+func TestOddByteInANameIsPassedOn(t *testing.T) {
+	var answers []string
+	for c := range 256 {
+		odd := string([]byte{byte(c)})
+		if c == ':' || strings.ContainsAny(odd, "!#$%&'*+-.^_`|~") || c >= '0' && c <= '9' || c >= 'A' && c <= 'Z' || c >= 'a' && c <= 'z' {
+			continue
+		}
+		for _, name := range []string{odd + "X", "X" + odd + "Y", "X" + odd} {
+			answers = append(answers, "HTTP/1.1 200 OK\r\n"+name+": a\r\nContent-Length: 4\r\n\r\nbody")
+		}
+	}
+	checkLost(t, answers)
+}
+
 // TestBrokenFramingIsPassedOn guards against answers whose end is guessed.
 func TestBrokenFramingIsPassedOn(t *testing.T) {
 	checkLost(t, brokenFramings)
--- a/io/kqmesh/path_test.go
+++ b/io/kqmesh/path_test.go
@@ -121,6 +121,7 @@
 		{"has a blank in the name of the length", closing(func(q *fasthttp.Request) string { return head(q, "Content Length: 3\r\n\r\nbytes") })},
 		{"has a blank after the name of a field", closing(func(q *fasthttp.Request) string { return head(q, "Content-Length : 3\r\n\r\nbytes") })},
 		{"has a control byte in the name of a field", closing(func(q *fasthttp.Request) string { return head(q, "X-\x01Odd: a\r\nContent-Length: 5\r\n\r\nbytes") })},
+		{"has a line feed before the name of a field", closing(func(q *fasthttp.Request) string { return head(q, "\nX-Odd: a\r\nContent-Length: 5\r\n\r\nbytes") })},
 		{"has a control byte in the value of a field", closing(func(q *fasthttp.Request) string { return head(q, "X-Odd: \x01\r\nContent-Length: 5\r\n\r\nbytes") })},
 		{"has a control byte in the reason", withStatus("200 O\x01K")},
 		{"folds a field", closing(func(q *fasthttp.Request) string { return head(q, "X-Odd: a\r\n b\r\nContent-Length: 5\r\n\r\nbytes") })},
