Test of odd heads: await the peer's version before the odd call

Traced: a dialer refuses an odd head as not sent while it has not read the version that the peer advertises first, and the test's first call does not wait for that. That refusal is meant (TestOddHeadIsSentToAFormerBuild); the test is about what happens after it is sent.

--- a/io/kqtrunk/bytes_test.go
+++ b/io/kqtrunk/bytes_test.go
@@ -31,6 +31,11 @@
 		waiting <- err
 	}()
 	<-p.started
+	// Odd heads are not sent before the peer has advertised its version, which it does
+	// before its first answer.
+	if _, err := d.Call(ctx, p.server.Address(), kqtrunk.CallHead{RequestID: "plain"}, nil); err != nil {
+		t.Fatalf("call before: got %v, want its answer", err)
+	}
 	odd := kqtrunk.CallHead{RequestID: oddText, Path: "/" + oddText, Headers: []kqtrunk.Header{{Name: "X-Reader", Value: oddText}}}
 	answer, err := d.Call(ctx, p.server.Address(), odd, []byte("body"))
 	if err != nil || string(answer.Body) != "body" {
