Test of silent watchers: wait until the watchers tell others what the store holds

Cause: a race of the test. It made the watchers silent as soon as one had logged that it watches the store. That line comes before the watcher has listed the store and opened its watches. If the list is slower than the test, a watcher never tells others what the store holds, and does not say later that it no longer does. The new routes are in force all the same, by the nodes that take over.

The test waits until as many nodes as watch a failure domain have said that they tell it. Its checks are unchanged. No product code is changed.

--- a/io/kqmesh/fleet_test.go
+++ b/io/kqmesh/fleet_test.go
@@ -239,12 +239,22 @@
 
 // awaitLogged waits until a text has been logged.
 func (f *fleet) awaitLogged(text string) {
+	f.t.Helper()
+	f.awaitLines(1, text)
+}
+
+// awaitLines waits until at least that many lines of the log contain the text.
+func (f *fleet) awaitLines(want int, text string) {
 	f.t.Helper()
 	pause := time.NewTicker(10 * time.Millisecond)
 	defer pause.Stop()
-	for begun := time.Now(); !strings.Contains(f.logged(), text); <-pause.C {
+	for begun := time.Now(); ; <-pause.C {
+		got := f.logCount(text)
+		if got >= want {
+			return
+		}
 		if time.Since(begun) > testTimeout {
-			f.t.Fatalf("log: got no line with %q within the test timeout, want one", text)
+			f.t.Fatalf("log: got %d lines with %q within the test timeout, want %d", got, text, want)
 		}
 	}
 }
--- a/io/kqmesh/news_test.go
+++ b/io/kqmesh/news_test.go
@@ -234,7 +234,8 @@
 	for _, h := range f.hosts {
 		f.awaitState(h, "the start to be over", func(s *kqmesh.State) bool { return !s.Starting })
 	}
-	f.awaitLogged("node watches the store: true")
+	// A node that has not told anything yet does not say that it tells nothing any more.
+	f.awaitLines(kqwatch.WatchersPerDomain, "node tells its failure domain what the store holds: true")
 	for _, name := range f.watchers() {
 		switches[name].Store(true)
 	}
