Early answers of servers that read no further are delivered

What callers saw: shown by tests, not reported. A server answers a long upload at once, keeps the connection and reads nothing more. The request ends at its deadline without an answer, though the whole answer waits in the socket (LOST).

Cause: kqhttp wrote the whole call before it read the answer; a write to a server that does not read blocks until the deadline closes the connection.

Tests, failing before: five rows of TestEarlyAnswerThatWasResetIsPassedOn and TestEarlyStreamThatWasResetLooksWhole (on the code before: no answer after a minute, "write call: use of closed network connection"; the malformed one is lost after a minute in place of at once), one of TestPartOfAnEarlyAnswerReachesTheCaller (io/kqmesh, 4 of 4 requests ended without an answer, at the server's host and at another one).

After a whole answer the rest of the call is sent as long as the server's kernel acknowledges more of it, and given up after 500 ms without. Servers that answer early and read on still get the whole call (TestCallWithAnEarlyAnswerIsCutOff), and only a connection on which the call was written takes the next one. A reset may now meet either of the two: a read that finds the end of the stream asks the kernel whether the server has ended its stream, and otherwise waits for the write, which then fails at once. Without that wait two rows of the tests of resets fail; without the question a server that ends its stream and reads no further keeps the call for 20 s (each tried). Heads and small calls are written as before; for large ones the bytes were compared with those of the codec for seven methods and seven fields: equal, but for calls with a Trailer field, which nodes do not pass on.

Ruled out: writing on in the background after the answer was passed on (the body's memory is the caller's, and counts until the call is over); giving up the rest as soon as the answer is whole (servers that answer first and then read would be cut off).

--- a/io/kqhttp/early_test.go
+++ b/io/kqhttp/early_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -47,6 +48,17 @@
 	_ = c.Close()
 }
 
+// stopReading keeps the connection open and reads nothing more.
+func stopReading(c net.Conn, _ io.Reader) {
+	<-time.After(2 * maxEarlyTime)
+	_ = c.Close()
+}
+
+func endThenStopReading(c net.Conn, r io.Reader) {
+	_ = c.(*net.TCPConn).CloseWrite()
+	stopReading(c, r)
+}
+
 // earlyAnswers lists answers that are written before the server has read the upload.
 var earlyAnswers = []struct {
 	name, text string
@@ -68,9 +80,18 @@
 	{"chunks, reset", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", reset, true},
 	{"chunks, reset before the last one", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n", reset, false},
 	{"chunks, reset within the trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n", reset, false},
+	{"length, upload not read", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", stopReading, true},
+	{"chunks, upload not read", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", stopReading, true},
+	{"hints, upload not read", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 413 Too Large\r\nContent-Length: 5\r\nConnection: close\r\n\r\nwhole", stopReading, true},
+	{"without length, ended, upload not read", "HTTP/1.1 200 OK\r\n\r\nwhole", endThenStopReading, true},
+	{"malformed, upload not read", "HTTP/1.1 000 OK\r\nContent-Length: 5\r\n\r\nwhole", stopReading, false},
 	{"head, reset", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n", reset, false},
 }
 
+// maxEarlyTime is the time in which the outcome of an early answer must be known. It is
+// far below the deadline of the calls.
+const maxEarlyTime = 10 * time.Second
+
 // serveEarly answers one upload as soon as its head has arrived.
 func serveEarly(l net.Listener, text string, end func(c net.Conn, r io.Reader)) {
 	c, err := l.Accept()
@@ -105,9 +126,10 @@
 		go serveEarly(l, e.text, e.end)
 		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 		response := &fasthttp.Response{}
+		begun := time.Now()
 		err := kqhttp.NewPool(l.Addr().String()).Do(ctx, newUpload(), response)
 		cancel()
-		checkEarly(t, e.name, e.isWhole, string(response.Body()), err)
+		checkEarly(t, e.name, time.Since(begun), e.isWhole, string(response.Body()), err)
 	}
 }
 
@@ -119,19 +141,24 @@
 		go serveEarly(l, e.text, e.end)
 		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 		var body []byte
+		begun := time.Now()
 		err := kqhttp.NewPool(l.Addr().String()).Stream(ctx, newUpload(), func(_ *fasthttp.ResponseHeader, r io.Reader) error {
 			var err error
 			body, err = io.ReadAll(r)
 			return errors.Mark(err, kqhttp.ErrLost)
 		})
 		cancel()
-		checkEarly(t, e.name, e.isWhole, string(body), err)
+		checkEarly(t, e.name, time.Since(begun), e.isWhole, string(body), err)
 	}
 }
 
-// checkEarly checks the body of an early answer, or the error in place of one.
-func checkEarly(t *testing.T, name string, isWhole bool, body string, err error) {
+// checkEarly checks the body of an early answer, or the error in place of one, and the
+// time that the call took.
+func checkEarly(t *testing.T, name string, took time.Duration, isWhole bool, body string, err error) {
 	t.Helper()
+	if took > maxEarlyTime {
+		t.Errorf("%s: got the outcome after %s, want it within %s", name, took, maxEarlyTime)
+	}
 	switch {
 	case isWhole && (err != nil || body != "whole"):
 		t.Errorf("%s: got body %q, %v, want the whole body", name, body, err)
@@ -139,3 +166,47 @@
 		t.Errorf("%s: got body %q, %v, want an error marked ErrLost", name, body, err)
 	}
 }
+
+// TestCallWithAnEarlyAnswerIsCutOff guards against giving up the rest of a call to a
+// server that has answered and reads on, slowly. The connection then takes the next call.
+func TestCallWithAnEarlyAnswerIsCutOff(t *testing.T) {
+	l := listen(t)
+	received := make(chan int64, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		const answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
+		var head fasthttp.RequestHeader
+		r := bufio.NewReader(c)
+		if head.Read(r) != nil {
+			return
+		}
+		_, _ = io.WriteString(c, answer)
+		sum := int64(0)
+		for err == nil && sum < earlyUploadBytes {
+			<-time.After(300 * time.Millisecond)
+			var n int64
+			n, err = io.CopyN(io.Discard, r, earlyUploadBytes/8)
+			sum += n
+		}
+		received <- sum
+		if head.Read(r) == nil {
+			_, _ = io.WriteString(c, answer)
+		}
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	p, response := kqhttp.NewPool(l.Addr().String()), &fasthttp.Response{}
+	if err := p.Do(ctx, newUpload(), response); err != nil || string(response.Body()) != "whole" {
+		t.Errorf("call: got body %q, %v, want the whole body", response.Body(), err)
+	}
+	if got, want := <-received, int64(earlyUploadBytes); got != want {
+		t.Errorf("bytes that the server received: got %d, want %d", got, want)
+	}
+	if err := callPool(ctx, p, response); err != nil {
+		t.Errorf("next call on the connection: got %v, want an answer", err)
+	}
+}
--- a/io/kqhttp/kqhttp.go
+++ b/io/kqhttp/kqhttp.go
@@ -97,9 +97,11 @@
 	probe     *socketProbe
 	// head is the head that is being read.
 	head kqanswer.Head
+	// upload is the body of the call that is still being written, nil if there is none.
+	upload *upload
 	// broken is the error with which the connection failed, other than the end of
 	// the server's stream.
-	broken error
+	broken atomic.Pointer[error]
 
 	// timer checks for silence while a call uses the connection, which busy
 	// reports. silent reports that the connection was closed for its silence.
@@ -120,12 +122,16 @@
 // without a length would seem to be complete.
 func (c *connection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	isEnd := errors.Is(err, io.EOF)
-	if isEnd && c.broken != nil {
-		return n, c.broken
+	if !errors.Is(err, io.EOF) {
+		c.remember(err)
+		return n, err
 	}
-	if err != nil && !isEnd {
-		c.broken = err
+	if c.upload != nil && !c.probe.isHalfClosed() {
+		// The upload fails at once, and may have met the reset.
+		<-c.upload.done
+	}
+	if broken := c.broken.Load(); broken != nil {
+		return n, *broken
 	}
 	return n, err
 }
@@ -135,12 +141,21 @@
 // stream is complete.
 func (c *connection) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	if err != nil && !errors.Is(err, syscall.EPIPE) {
-		c.broken = err
+	if !errors.Is(err, syscall.EPIPE) {
+		c.remember(err)
 	}
 	return n, err
 }
 
+// remember keeps an error with which the connection failed.
+func (c *connection) remember(err error) {
+	if err == nil {
+		return
+	}
+	failure := err
+	c.broken.Store(&failure)
+}
+
 // Option configures a [Pool].
 type Option func(*Pool)
 
@@ -193,9 +208,10 @@
 	return p
 }
 
-// Do sends the call and reads the whole answer. The response must not have
-// StreamBody set, see [Pool.Stream]. An error is marked with [ErrNotSent] or
-// [ErrLost].
+// Do sends the call and reads the whole answer. The request must have a path as its URI
+// and a Host field. The response must not have StreamBody set, see [Pool.Stream]. An
+// answer that comes before the call is written counts. Do sends the rest of the call then,
+// as long as the server receives it. An error is marked with [ErrNotSent] or [ErrLost].
 func (p *Pool) Do(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response) error {
 	c, err := p.acquire(ctx)
 	if err != nil {
@@ -208,13 +224,13 @@
 	}
 	c.startWatchdog()
 	_, err = p.exchange(c, request, response)
+	isWritten := err == nil && c.finishUpload()
 	c.stopWatchdog()
 	if err != nil {
 		stop()
-		_ = c.Close()
-		return p.wrapExchangeError(c, err)
+		return p.wrapExchangeError(c, errors.CombineErrors(err, c.abortUpload()))
 	}
-	if !stop() || response.ConnectionClose() || request.ConnectionClose() {
+	if !stop() || !isWritten || response.ConnectionClose() || request.ConnectionClose() {
 		_ = c.Close()
 		return nil
 	}
@@ -235,13 +251,11 @@
 }
 
 // exchange writes the call and reads its answer. If the response has StreamBody set, it
-// returns the body, or nil if there is none, instead of reading it.
+// returns the body, or nil if there is none, instead of reading it. A large call may not
+// be written yet when it returns.
 func (p *Pool) exchange(c *connection, request *fasthttp.Request, response *fasthttp.Response) (io.Reader, error) {
 	isHEAD, wantsStream := response.SkipBody || request.Header.IsHead(), response.StreamBody
-	writeErr := request.Write(c.writer)
-	if writeErr == nil {
-		writeErr = c.writer.Flush()
-	}
+	writeErr := c.send(request)
 	// The answer is read even if writing failed: a server may answer before it
 	// has read the whole call and then close the connection.
 	for range maxStrayAnswers {
--- a/io/kqhttp/silent.go
+++ b/io/kqhttp/silent.go
@@ -91,20 +91,41 @@
 // the last acknowledgement may be older than that. Such a connection is silent only if
 // those probes are not answered.
 func (p *socketProbe) isSilent() bool {
-	if p == nil {
+	info := p.info()
+	if info == nil || time.Duration(info.Last_ack_recv)*time.Millisecond <= silentAfter {
 		return false
 	}
-	silent := false
+	// All that was sent is acknowledged, and more waits to be sent.
+	isWindowClosed := info.Unacked == 0 && info.Notsent_bytes > 0
+	return !isWindowClosed || info.Probes > maxUnansweredProbes
+}
+
+// info returns the kernel's figures of the connection, nil if there are none.
+func (p *socketProbe) info() *unix.TCPInfo {
+	if p == nil {
+		return nil
+	}
+	var info *unix.TCPInfo
 	_ = p.raw.Control(func(descriptor uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
-		if err != nil || time.Duration(info.Last_ack_recv)*time.Millisecond <= silentAfter {
-			return
-		}
-		// All that was sent is acknowledged, and more waits to be sent.
-		isWindowClosed := info.Unacked == 0 && info.Notsent_bytes > 0
-		silent = !isWindowClosed || info.Probes > maxUnansweredProbes
+		info, _ = unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
-	return silent
+	return info
+}
+
+// isHalfClosed reports whether the server has ended its stream, without a reset, and may
+// still read.
+func (p *socketProbe) isHalfClosed() bool {
+	info := p.info()
+	return info != nil && info.State == unix.BPF_TCP_CLOSE_WAIT
+}
+
+// acknowledged returns the number of bytes that the server's kernel has received.
+func (p *socketProbe) acknowledged() uint64 {
+	info := p.info()
+	if info == nil {
+		return 0
+	}
+	return info.Bytes_acked
 }
 
 // isStale reports whether an idle connection can't take another call.
--- a/io/kqhttp/stream.go
+++ b/io/kqhttp/stream.go
@@ -24,10 +24,15 @@
 	response := &fasthttp.Response{StreamBody: true}
 	body, err := p.exchange(c, request, response)
 	if err != nil {
-		return errors.Mark(errors.Wrapf(err, "call %s", p.address), ErrLost)
+		return errors.Mark(errors.Wrapf(errors.CombineErrors(err, c.abortUpload()), "call %s", p.address), ErrLost)
 	}
 	if body == nil {
 		body = bytes.NewReader(nil)
 	}
-	return handle(&response.Header, body)
+	if err := handle(&response.Header, body); err != nil {
+		_ = c.abortUpload()
+		return err
+	}
+	c.finishUpload()
+	return nil
 }
--- a/io/kqmesh/early_test.go
+++ b/io/kqmesh/early_test.go
@@ -11,13 +11,15 @@
 )
 
 // TestPartOfAnEarlyAnswerReachesTheCaller lets a backend server answer uploads before it
-// has read them, and end the connection in several ways. A caller beside the server and
-// one at another host must get the whole answer or none.
+// has read them, and end the connection in several ways, or neither end it nor read on.
+// A caller beside the server and one at another host must get the whole answer or none.
 func TestPartOfAnEarlyAnswerReachesTheCaller(t *testing.T) {
 	reset := func(c net.Conn) {
 		_ = c.(*net.TCPConn).SetLinger(0)
 		_ = c.Close()
 	}
+	release := make(chan struct{})
+	defer close(release)
 	f := newFleet(t)
 	near, far := f.add("orders-1", "orders"), f.add("packs-1", "packs")
 	f.startServing(near, far, route("/buy/", "orders", true), route("/look/", "orders", false))
@@ -30,6 +32,10 @@
 		{"no length, reset", "\r\npart", reset, result{status: 502, body: "unknown: BackendLost\n"}},
 		{"length, reset within the body", "Content-Length: 5\r\n\r\npart", reset, result{status: 502, body: "unknown: BackendLost\n"}},
 		{"length, reset", "Content-Length: 5\r\n\r\nwhole", reset, result{status: 200, body: "whole"}},
+		{"length, upload not read", "Content-Length: 5\r\n\r\nwhole", func(c net.Conn) {
+			<-release
+			_ = c.Close()
+		}, result{status: 200, body: "whole"}},
 		{"no length, ended, then reset", "\r\nwhole", func(c net.Conn) {
 			_ = c.(*net.TCPConn).CloseWrite()
 			reset(c)
