Soak: stand-ins take connections again after they had no descriptor left

Cause: the accept loops of the stand-ins (io/kqsoak/host.go, proxy.go) ended at their first error. The soak's own process, which holds both ends of most connections, reaches the limit of 20,000 descriptors at this size. A stand-in whose loop had ended took no connection any more, and its node got no answer of its server.

Change: the loops use kqaccept.Run, as those of the nodes do. The first such error is an event of the report.

No product code is changed.

--- a/io/kqsoak/host.go
+++ b/io/kqsoak/host.go
@@ -17,6 +17,7 @@
 
 	"kumquatlink/core/kqclass"
 	"kumquatlink/core/kqserver"
+	"kumquatlink/io/kqaccept"
 	"kumquatlink/io/kqhttp"
 	"kumquatlink/io/kqmesh"
 	"kumquatlink/io/kqsettings"
@@ -80,7 +81,7 @@
 		}
 	}
 	var err error
-	if h.peerProxy, err = newProxy("", h.settings.PeerAddress); err != nil {
+	if h.peerProxy, err = newProxy("", h.settings.PeerAddress, s.recordAcceptError); err != nil {
 		return nil, err
 	}
 	h.settings.AdvertisedAddress = h.peerProxy.address()
@@ -88,7 +89,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	if h.backendProxy, err = newProxy("", listener.Addr().String()); err != nil {
+	if h.backendProxy, err = newProxy("", listener.Addr().String(), s.recordAcceptError); err != nil {
 		return nil, err
 	}
 	h.settings.BackendAddress = h.backendProxy.address()
@@ -108,13 +109,8 @@
 
 // accept serves each connection with the backend server that is current then.
 func (h *host) accept(l net.Listener) {
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		go h.current().serve(c)
-	}
+	// It ends when the listener is closed.
+	_ = kqaccept.Run(l, func(c net.Conn) { go h.current().serve(c) }, kqaccept.WithObserver(h.soak.recordAcceptError))
 }
 
 // lastFault returns when the last fault of the host ends or ended.
--- a/io/kqsoak/kqsoak.go
+++ b/io/kqsoak/kqsoak.go
@@ -45,6 +45,7 @@
 	"math/rand/v2"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -112,6 +113,8 @@
 	hosts     []*host
 	ledger    *ledger
 	deadly    deadlyRuns
+	// acceptErrors counts how often a stand-in took no connection for a moment.
+	acceptErrors atomic.Int64
 
 	// operator is held while routes are written.
 	operator sync.Mutex
@@ -162,7 +165,7 @@
 func (s *soak) start(ctx context.Context) error {
 	s.startedAt = time.Now()
 	var err error
-	if s.store, err = startStore(s.options, s.addresses); err != nil {
+	if s.store, err = startStore(s.options, s.addresses, s.recordAcceptError); err != nil {
 		return err
 	}
 	if err := s.changeRoutes(ctx); err != nil {
@@ -255,6 +258,14 @@
 	s.events = append(s.events, fmt.Sprintf("%6.2f s ", time.Since(s.startedAt).Seconds())+fmt.Sprintf(format, values...))
 }
 
+// recordAcceptError adds to the report the first error for which a stand-in took no
+// connection for a moment. More of them would hide the faults.
+func (s *soak) recordAcceptError(err error) {
+	if err != nil && s.acceptErrors.Add(1) == 1 {
+		s.recordEvent("a stand-in accepts no connection for a moment: %v", err)
+	}
+}
+
 // sleep waits for d, or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/io/kqsoak/process.go
+++ b/io/kqsoak/process.go
@@ -129,7 +129,7 @@
 	proxy   *proxy
 }
 
-func startStore(o Options, free *addressAllocator) (*storeProcess, error) {
+func startStore(o Options, free *addressAllocator, observe func(err error)) (*storeProcess, error) {
 	address, err := free.allocate()
 	if err != nil {
 		return nil, err
@@ -142,7 +142,7 @@
 	if err := s.start(); err != nil {
 		return nil, err
 	}
-	s.proxy, err = newProxy("", address)
+	s.proxy, err = newProxy("", address, observe)
 	return s, err
 }
 
--- a/io/kqsoak/proxy.go
+++ b/io/kqsoak/proxy.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"kumquatlink/io/kqaccept"
 )
 
 // chunkBytes is the size of the buffer with which a proxy copies one direction.
@@ -34,6 +36,9 @@
 type proxy struct {
 	listenAddress string
 	target        string
+	// observe is called with the first of several errors of Accept in a row, and with
+	// nil after them.
+	observe func(err error)
 
 	mutex       sync.Mutex
 	listener    net.Listener
@@ -50,7 +55,7 @@
 }
 
 // newProxy listens at address, or at a free loopback port if it is empty.
-func newProxy(address, target string) (*proxy, error) {
+func newProxy(address, target string, observe func(err error)) (*proxy, error) {
 	if address == "" {
 		address = "127.0.0.1:0"
 	}
@@ -58,7 +63,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	p := &proxy{listenAddress: l.Addr().String(), listener: l, target: target, connections: map[*connection]struct{}{}}
+	p := &proxy{listenAddress: l.Addr().String(), listener: l, target: target, observe: observe, connections: map[*connection]struct{}{}}
 	go p.accept(l)
 	return p, nil
 }
@@ -87,17 +92,14 @@
 }
 
 func (p *proxy) accept(l net.Listener) {
-	for {
-		client, err := l.Accept()
-		if err != nil {
-			return
-		}
+	// It ends when the listener is closed.
+	_ = kqaccept.Run(l, func(client net.Conn) {
 		if p.currentFault().refuse {
 			_ = client.Close()
-			continue
+			return
 		}
 		go p.forward(client)
-	}
+	}, kqaccept.WithObserver(p.observe))
 }
 
 func (p *proxy) currentFault() proxyFault {
