Test of bytes after an answer: the server keeps its connections

TestBrokenAnswerIsTakenForThatOfTheNextCall closed each connection after its answer, so that the pool had two reasons not to use it again. The server keeps the connections now; what follows the answer is the only reason. Its rows and checks are unchanged.

--- a/io/kqhttp/grammar_test.go
+++ b/io/kqhttp/grammar_test.go
@@ -1,6 +1,9 @@
 package kqhttp_test
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"strings"
 	"testing"
 
@@ -283,15 +286,32 @@
 	}
 }
 
-// TestBrokenAnswerIsTakenForThatOfTheNextCall sends two calls. What follows the first
-// answer on its connection may spoil neither of them.
+// serveKept answers each request of each connection, and keeps the connections open.
+func serveKept(l net.Listener, answer string) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = c.Close() }()
+			r := bufio.NewReader(c)
+			for (&fasthttp.Request{}).Read(r) == nil {
+				_, _ = io.WriteString(c, answer)
+			}
+		}()
+	}
+}
+
+// TestBrokenAnswerIsTakenForThatOfTheNextCall sends two calls to a server that keeps its
+// connections. What follows the first answer on its connection may spoil neither of them.
 func TestBrokenAnswerIsTakenForThatOfTheNextCall(t *testing.T) {
 	const first = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
 	for _, more := range []string{"\r\n", "HTTP/1.1 000 \r\n\r\n", "\x00", "HTTP/1.1 200 OK\r\nX Y: a\r\n\r\n", strings.Repeat("n", 8<<10)} {
 		l := listen(t)
+		go serveKept(l, first+more)
 		p := kqhttp.NewPool(l.Addr().String())
 		for range 2 {
-			serveOnce(l, first+more)
 			response := &fasthttp.Response{}
 			if err := do(p, response); err != nil || string(response.Body()) != "body" {
 				t.Errorf("answer followed by %.20q: got body %q, %v, want the whole body", more, response.Body(), err)
