HEAD: the client alone decides that an answer has no body

The gate also set SkipBody on the response for requests with HEAD, and kqhttp took either for the answer: two places decided about the framing. kqhttp decides by the method of the call alone now.

No caller was affected: the gate set it for HEAD only. TestAnswersWithoutABody sends calls with HEAD in place of setting the field; its rows are unchanged and pass, as do the tests of io/kqmesh about answers.

--- a/io/kqhttp/grammar_test.go
+++ b/io/kqhttp/grammar_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"strings"
@@ -278,8 +279,15 @@
 	} {
 		l := listen(t)
 		serveOnce(l, c.text)
-		response := &fasthttp.Response{SkipBody: c.isHEAD}
-		err := do(kqhttp.NewPool(l.Addr().String()), response)
+		request, response := &fasthttp.Request{}, &fasthttp.Response{}
+		request.SetRequestURI("/")
+		request.Header.SetHost("server")
+		if c.isHEAD {
+			request.Header.SetMethod(fasthttp.MethodHead)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+		err := kqhttp.NewPool(l.Addr().String()).Do(ctx, request, response)
+		cancel()
 		if err != nil || response.StatusCode() != c.status || len(response.Body()) != 0 {
 			t.Errorf("%q: got status %d, body %q, %v, want %d without a body", c.text, response.StatusCode(), response.Body(), err, c.status)
 		}
--- a/io/kqhttp/kqhttp.go
+++ b/io/kqhttp/kqhttp.go
@@ -254,7 +254,7 @@
 // returns the body, or nil if there is none, instead of reading it. A large call may not
 // be written yet when it returns.
 func (p *Pool) exchange(c *connection, request *fasthttp.Request, response *fasthttp.Response) (io.Reader, error) {
-	isHEAD, wantsStream := response.SkipBody || request.Header.IsHead(), response.StreamBody
+	isHEAD, wantsStream := request.Header.IsHead(), response.StreamBody
 	writeErr := c.send(request)
 	// The answer is read even if writing failed: a server may answer before it
 	// has read the whole call and then close the connection.
@@ -270,7 +270,6 @@
 			return body, nil
 		}
 		response.Reset()
-		response.SkipBody = isHEAD
 	}
 	return nil, errors.Newf("gave up after %d answers that belong to other calls", maxStrayAnswers)
 }
--- a/io/kqmesh/gate.go
+++ b/io/kqmesh/gate.go
@@ -389,7 +389,6 @@
 	})
 	g.node.shedder.recordRun(head.Class)
 	g.fillRequest(request, head, body, server.ServerID, ends-begun)
-	response.SkipBody = request.Header.IsHead()
 	handedOver := g.suspects.begin(head, body, server)
 	err := g.pool.Do(ctx, request, response)
 	o := g.readAnswer(ctx, response, err)
