--- a/core/kqanswer/chunk.go
+++ b/core/kqanswer/chunk.go
@@ -13,9 +13,9 @@
 // ParseChunkLine parses the line before the data of a chunk, with its line end, and
 // returns the size of the chunk in bytes. The last chunk has the size 0.
 func ParseChunkLine(line []byte) (int, error) {
-	text, hasEnd := bytes.CutSuffix(line, lineEnd)
-	if !hasEnd {
-		return 0, malformed("line end of a chunk", line)
+	text, err := cutLineEnd(line)
+	if err != nil {
+		return 0, err
 	}
 	digits := 0
 	for digits < len(text) && isHexDigit(text[digits]) {
@@ -99,9 +99,9 @@
 // CheckTrailerLine checks the next line of a trailer, with its line end, and reports
 // whether the trailer is complete. Fields about the framing may not be in a trailer.
 func CheckTrailerLine(line []byte) (isComplete bool, err error) {
-	text, hasEnd := bytes.CutSuffix(line, lineEnd)
-	if !hasEnd {
-		return false, malformed("line end of a trailer", line)
+	text, err := cutLineEnd(line)
+	if err != nil {
+		return false, err
 	}
 	if len(text) == 0 {
 		return true, nil
--- a/core/kqanswer/kqanswer.go
+++ b/core/kqanswer/kqanswer.go
@@ -56,6 +56,15 @@
 // lineEnd ends each line of a head.
 var lineEnd = []byte("\r\n")
 
+// cutLineEnd returns a line without its line end.
+func cutLineEnd(line []byte) ([]byte, error) {
+	text, hasEnd := bytes.CutSuffix(line, lineEnd)
+	if !hasEnd {
+		return nil, malformed("line end", line)
+	}
+	return text, nil
+}
+
 // malformed returns an error, marked [ErrMalformed], that names the malformed part and
 // quotes the line.
 func malformed(what string, line []byte) error {
@@ -97,10 +106,10 @@
 // AddLine adds the next line, with its line end. It reports whether the head is
 // complete. After an error the head must not be used.
 func (h *Head) AddLine(line []byte) (isComplete bool, err error) {
-	text, hasEnd := bytes.CutSuffix(line, lineEnd)
+	text, err := cutLineEnd(line)
 	switch {
-	case !hasEnd:
-		return false, malformed("line end", line)
+	case err != nil:
+		return false, err
 	case h.Status == 0:
 		return false, h.parseStatusLine(text)
 	case len(text) == 0:
