--- a/io/kqmesh/early_test.go
+++ b/io/kqmesh/early_test.go
@@ -14,10 +14,6 @@
 // has read them, and end the connection in several ways, or neither end it nor read on.
 // A caller beside the server and one at another host must get the whole answer or none.
 func TestPartOfAnEarlyAnswerReachesTheCaller(t *testing.T) {
-	reset := func(c net.Conn) {
-		_ = c.(*net.TCPConn).SetLinger(0)
-		_ = c.Close()
-	}
 	release := make(chan struct{})
 	defer close(release)
 	f := newFleet(t)
--- a/io/kqmesh/fleet_test.go
+++ b/io/kqmesh/fleet_test.go
@@ -270,6 +270,12 @@
 	return f
 }
 
+// reset closes a TCP connection without ending its stream.
+func reset(c net.Conn) {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
 // address returns a TCP address that was free a moment ago.
 func address(t *testing.T) string {
 	t.Helper()
--- a/io/kqmesh/path_test.go
+++ b/io/kqmesh/path_test.go
@@ -71,18 +71,14 @@
 		answer func(net.Conn, *fasthttp.Request)
 	}{
 		{"closes without a byte", func(c net.Conn, _ *fasthttp.Request) { _ = c.Close() }},
-		{"resets", func(c net.Conn, _ *fasthttp.Request) {
-			_ = c.(*net.TCPConn).SetLinger(0)
-			_ = c.Close()
-		}},
+		{"resets", func(c net.Conn, _ *fasthttp.Request) { reset(c) }},
 		{"sends nonsense", closing(func(*fasthttp.Request) string { return "nonsense\r\n\r\n" })},
 		{"breaks off within the body", closing(func(q *fasthttp.Request) string { return head(q, "Content-Length: 10\r\n\r\nfive.") })},
 		{"breaks off within the header", closing(func(q *fasthttp.Request) string { return head(q, "Content-Le") })},
 		{"breaks off within a chunk", closing(func(q *fasthttp.Request) string { return head(q, "Transfer-Encoding: chunked\r\n\r\nA\r\nfive.") })},
 		{"resets a body without length", func(c net.Conn, q *fasthttp.Request) {
 			_, _ = io.WriteString(c, head(q, "Connection: close\r\n\r\nfive."))
-			_ = c.(*net.TCPConn).SetLinger(0)
-			_ = c.Close()
+			reset(c)
 		}},
 		{"ends a body without length", closing(func(q *fasthttp.Request) string { return head(q, "Connection: close\r\n\r\nwhole") })},
 		{"answers another request first", func(c net.Conn, q *fasthttp.Request) {
