Links of the own interface: a link that lost a ping is not retired

What callers saw: on an overloaded machine calls ended as unknown with LinkSilent though both nodes and the path were well. TestShutdownStillSendsOnwardCallsOfRunningCalls (1 of 60 runs) and TestConcurrentCopiesShareOneRun (once) failed with it; both were known red, and passed over.

Cause: a suspected link was retired when its replacement had answered a ping and the link had not answered its own, sent before. That one may have been lost, with a few other packets; QUIC repeats it after a pause that doubles, while the packets of the replacement are new. A trace of seven retirements beside load: the links had been quiet for 620 to 880 ms, the replacement had answered 2 to 46 ms before, and the checks themselves were 39 to 75 ms apart, so that the process ran.

Test, failing before: TestLinkThatLostAPingIsRetired has a relay drop the link's packets until its replacement is opened, and pass them on again.

Ruled out: a pause of the whole process (see the trace).

--- a/io/kqlink/link.go
+++ b/io/kqlink/link.go
@@ -35,6 +35,8 @@
 	// replacement is the link that new calls use since this one is suspected, or
 	// nil.
 	replacement *link
+	// comparedAt is when the link and its replacement were pinged side by side, or zero.
+	comparedAt time.Time
 }
 
 func newLink(address string) *link {
--- a/io/kqlink/silent_test.go
+++ b/io/kqlink/silent_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -18,6 +20,10 @@
 // testTimeout ends a test that hangs.
 const testTimeout = time.Minute
 
+// answerPause is how long an answer is held back, for longer than it takes to retire a
+// silent link.
+const answerPause = 2 * time.Second
+
 // relay forwards datagrams between dialers and a target. Like a firewall or address
 // translator, it keeps state for each flow. It can drop the flows that it knows,
 // and still forward new ones.
@@ -133,6 +139,13 @@
 	}
 }
 
+// allFlows returns all flows that exist now.
+func (r *relay) allFlows() []*flow {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return slices.Collect(maps.Values(r.flows))
+}
+
 func (r *relay) close() {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -283,6 +296,38 @@
 	}
 }
 
+// TestLinkThatLostAPingIsRetired has a link lose what is sent for a while, until its
+// replacement is being opened. It repeats what was lost only after a pause that grows,
+// while all that the replacement sends is new. The link must be kept, since it passes
+// bytes again.
+func TestLinkThatLostAPingIsRetired(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	for i := range 5 {
+		p := newPeer(t)
+		r := newRelay(t, p.server.Address())
+		ended := make(chan error, 1)
+		go func() { ended <- call(ctx, p.dialer, r.address(), "/wait") }()
+		<-p.started
+		r.dropFlows()
+		for len(r.allFlows()) < 2 {
+			select {
+			case <-r.seen:
+			case <-ctx.Done():
+				t.Fatal("no replacement is opened for a link that is silent")
+			}
+		}
+		for _, f := range r.allFlows() {
+			f.silent.Store(false)
+		}
+		<-time.After(answerPause)
+		close(p.release)
+		if err := <-ended; err != nil {
+			t.Errorf("call %d on a link that passes bytes again: got %v, want an answer", i, err)
+		}
+	}
+}
+
 // TestSilentPeerIsUnusableUntilItReturns has new links go silent as well, as if the
 // peer's host was gone for a time.
 func TestSilentPeerIsUnusableUntilItReturns(t *testing.T) {
--- a/io/kqlink/watch.go
+++ b/io/kqlink/watch.go
@@ -105,13 +105,13 @@
 		p.current = l
 		p.failures = 0
 	}
-	l.replacement = nil
+	l.replacement, l.comparedAt = nil, time.Time{}
 }
 
 // suspect handles a link whose ping was not answered in time. It opens a
-// replacement, which new calls use. It retires the link as soon as a reply has
-// arrived on the replacement and still none on the link; a ping on the replacement
-// makes sure that it has something to reply to. If no replacement works, it retires
+// replacement, which new calls use, and then pings both: the first ping may have been
+// lost, and the link repeats it only after a pause that grows. It retires the link if the
+// replacement answers that and the link does not. If no replacement works, it retires
 // the link after maxQuietTime.
 func (d *Dialer) suspect(l *link, p *peer, now time.Time) {
 	if p == nil {
@@ -122,18 +122,19 @@
 		if p.current == l || p.current.ended() {
 			d.startLink(l.address, p)
 		}
-		l.replacement = p.current
+		l.replacement, l.comparedAt = p.current, time.Time{}
 		return
 	}
 	if r.isReady() && r.err == nil {
-		if r.lastReplyAt.Load() != 0 {
+		switch {
+		case l.comparedAt.IsZero():
+			l.comparedAt = now
+			go l.ping(d.now)
+			go r.ping(d.now)
+		case r.lastReplyAt.Load() >= l.comparedAt.UnixNano() && now.Sub(l.comparedAt) >= suspectAfter:
 			d.retire(l)
 			return
 		}
-		if r.pingedAt.IsZero() {
-			r.pingedAt = now
-			go r.ping(d.now)
-		}
 	}
 	if l.quietTime(now) >= maxQuietTime {
 		d.retire(l)
