Early answers: a connection that was closed is never taken for usable

Found by reading: if the last bytes of a call were written in the moment in which the client gave it up, finishUpload closed the connection and reported the call as written, so that the pool kept a closed connection. The next call would have found it unusable and opened another, so that no caller was affected. It reports the call as not written now. No test: the moment can't be brought about from outside. The tests of io/kqhttp pass under the race detector.

--- a/io/kqhttp/upload.go
+++ b/io/kqhttp/upload.go
@@ -63,7 +63,7 @@
 		if acknowledged = c.probe.acknowledged(); acknowledged == before {
 			_ = c.Close()
 			<-u.done
-			return u.err == nil
+			return false
 		}
 	}
 }
