Tests of early answers and of lost pings wait for events

The stand-ins of early answers held their connections for 20 s of real time, longer than the tests; they hold them until the call is over now. The test of a lost ping waited for 2 s; it counts the datagrams of pings now, by the same function as TestSlowCallKeepsItsLink, which wrote that out.

No check is changed.

--- a/io/kqhttp/early_test.go
+++ b/io/kqhttp/early_test.go
@@ -49,14 +49,10 @@
 }
 
 // stopReading keeps the connection open and reads nothing more.
-func stopReading(c net.Conn, _ io.Reader) {
-	<-time.After(2 * maxEarlyTime)
-	_ = c.Close()
-}
+func stopReading(net.Conn, io.Reader) {}
 
-func endThenStopReading(c net.Conn, r io.Reader) {
+func endThenStopReading(c net.Conn, _ io.Reader) {
 	_ = c.(*net.TCPConn).CloseWrite()
-	stopReading(c, r)
 }
 
 // earlyAnswers lists answers that are written before the server has read the upload.
@@ -92,12 +88,14 @@
 // far below the deadline of the calls.
 const maxEarlyTime = 10 * time.Second
 
-// serveEarly answers one upload as soon as its head has arrived.
-func serveEarly(l net.Listener, text string, end func(c net.Conn, r io.Reader)) {
+// serveEarly answers one upload as soon as its head has arrived. It closes the connection,
+// if end has not, when ctx ends.
+func serveEarly(ctx context.Context, l net.Listener, text string, end func(c net.Conn, r io.Reader)) {
 	c, err := l.Accept()
 	if err != nil {
 		return
 	}
+	defer func() { _ = c.Close() }()
 	var head fasthttp.RequestHeader
 	r := bufio.NewReader(c)
 	if head.Read(r) != nil {
@@ -105,6 +103,7 @@
 	}
 	_, _ = io.WriteString(c, text)
 	end(c, r)
+	<-ctx.Done()
 }
 
 // newUpload returns a request with a body of earlyUploadBytes.
@@ -123,8 +122,8 @@
 func TestEarlyAnswerThatWasResetIsPassedOn(t *testing.T) {
 	for _, e := range earlyAnswers {
 		l := listen(t)
-		go serveEarly(l, e.text, e.end)
 		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+		go serveEarly(ctx, l, e.text, e.end)
 		response := &fasthttp.Response{}
 		begun := time.Now()
 		err := kqhttp.NewPool(l.Addr().String()).Do(ctx, newUpload(), response)
@@ -138,8 +137,8 @@
 func TestEarlyStreamThatWasResetLooksWhole(t *testing.T) {
 	for _, e := range earlyAnswers {
 		l := listen(t)
-		go serveEarly(l, e.text, e.end)
 		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+		go serveEarly(ctx, l, e.text, e.end)
 		var body []byte
 		begun := time.Now()
 		err := kqhttp.NewPool(l.Addr().String()).Stream(ctx, newUpload(), func(_ *fasthttp.ResponseHeader, r io.Reader) error {
--- a/io/kqlink/silent_test.go
+++ b/io/kqlink/silent_test.go
@@ -20,10 +20,6 @@
 // testTimeout ends a test that hangs.
 const testTimeout = time.Minute
 
-// answerPause is how long an answer is held back, for longer than it takes to retire a
-// silent link.
-const answerPause = 2 * time.Second
-
 // relay forwards datagrams between dialers and a target. Like a firewall or address
 // translator, it keeps state for each flow. It can drop the flows that it knows,
 // and still forward new ones.
@@ -139,6 +135,19 @@
 	}
 }
 
+// awaitPings waits until the datagrams of several pings have passed, which takes far
+// longer than until a link without replies is pinged.
+func (r *relay) awaitPings(ctx context.Context) {
+	r.t.Helper()
+	for range 40 {
+		select {
+		case <-r.seen:
+		case <-ctx.Done():
+			r.t.Fatal("no pings are sent while a call waits for its answer")
+		}
+	}
+}
+
 // allFlows returns all flows that exist now.
 func (r *relay) allFlows() []*flow {
 	r.mutex.Lock()
@@ -278,13 +287,7 @@
 	ended := make(chan error, 1)
 	go func() { ended <- call(ctx, p.dialer, r.address(), "/wait") }()
 	<-p.started
-	for range 40 {
-		select {
-		case <-r.seen:
-		case <-ctx.Done():
-			t.Fatal("no pings are sent while a call waits for its answer")
-		}
-	}
+	r.awaitPings(ctx)
 	close(p.release)
 	if err := <-ended; err != nil {
 		t.Errorf("slow call: got %v, want an answer", err)
@@ -320,7 +323,7 @@
 		for _, f := range r.allFlows() {
 			f.silent.Store(false)
 		}
-		<-time.After(answerPause)
+		r.awaitPings(ctx)
 		close(p.release)
 		if err := <-ended; err != nil {
 			t.Errorf("call %d on a link that passes bytes again: got %v, want an answer", i, err)
