--- a/io/kqhttp/kqhttp.go
+++ b/io/kqhttp/kqhttp.go
@@ -13,9 +13,8 @@
 //
 // An error marked [ErrNotSent] proves that no byte of the call was written.
 // After one marked [ErrLost], also for a malformed answer, the server may or may not have
-// run the call. An
-// error of a connection that stopped passing bytes is marked [ErrSilent] as
-// well. A cancelled call closes its connection, so that the server notices the
+// run the call. An error of a connection that stopped passing bytes is marked [ErrSilent]
+// as well. A cancelled call closes its connection, so that the server notices the
 // cancellation. The pool never retries a call.
 //
 // [Pool.Stream] passes on a body while it arrives, over a connection outside
