Links of the own interface: both pings have the same time

Found by reading once more: a link had 200 ms and four round trips for its first ping, but 200 ms alone for the one beside its replacement. On a path with a round trip of more than 200 ms the link would have been retired if its reply came a moment after that of the replacement.

--- a/io/kqlink/link.go
+++ b/io/kqlink/link.go
@@ -119,6 +119,11 @@
 	return errors.As(err, &reset) && reset.Remote && (reset.ErrorCode == codeRefused || reset.ErrorCode == codeMalformed)
 }
 
+// pingTimeout returns the time within which a ping on the link must be answered.
+func (l *link) pingTimeout() time.Duration {
+	return suspectAfter + suspectRoundTrips*l.conn.ConnectionStats().SmoothedRTT
+}
+
 // ping sends a ping and waits for the peer's reply. Any reply, even a reset of the
 // stream, shows that the link passes bytes both ways and is recorded. Errors are
 // ignored, since a link without replies is detected by its quiet time.
--- a/io/kqlink/watch.go
+++ b/io/kqlink/watch.go
@@ -90,7 +90,7 @@
 			l.pingedAt = now
 			go l.ping(d.now)
 		}
-	case now.Sub(l.pingedAt) >= suspectAfter+suspectRoundTrips*l.conn.ConnectionStats().SmoothedRTT:
+	case now.Sub(l.pingedAt) >= l.pingTimeout():
 		d.suspect(l, p, now)
 	}
 }
@@ -131,7 +131,7 @@
 			l.comparedAt = now
 			go l.ping(d.now)
 			go r.ping(d.now)
-		case r.lastReplyAt.Load() >= l.comparedAt.UnixNano() && now.Sub(l.comparedAt) >= suspectAfter:
+		case r.lastReplyAt.Load() >= l.comparedAt.UnixNano() && now.Sub(l.comparedAt) >= l.pingTimeout():
 			d.retire(l)
 			return
 		}
