Teams: keys, importance, and the order of calls in heads

Change: kqroutes decodes, checks and indexes teams (a team's rank before its route's; keys by digest). The entry refuses unknown keys with 401, removes the key, and sets the team's name. CallHead.Order carries the position of a request among those of its rank, for the quota and the fair share to come; peers of former builds get heads without it.

Ruled out: a field of its own in the head, a CBOR array of fixed length that former builds could not read.

--- a/core/kqadmit/level.go
+++ b/core/kqadmit/level.go
@@ -56,6 +56,12 @@
 	return Level(uint64(rank)<<rankShift | tie)
 }
 
+// OrderedLevel returns the level of a call whose position among those of its rank is
+// given, in place of one that follows from its request ID.
+func OrderedLevel(rank int, order uint32) Level {
+	return Level(uint64(min(max(rank, 0), maxRank))<<rankShift | uint64(order))
+}
+
 // Rank returns the rank part of the level, at most 255.
 func (l Level) Rank() int {
 	return min(int(l>>rankShift), maxRank)
--- a/core/kqcall/kqcall.go
+++ b/core/kqcall/kqcall.go
@@ -117,6 +117,11 @@
 	CauseKeyHomeUnreached Cause = "KeyHomeUnreached"
 	// CauseKeyLedgerFull means that the home can record no more keys.
 	CauseKeyLedgerFull Cause = "KeyLedgerFull"
+	// CauseUnknownKey means that the caller gave no key of a team, or one that no
+	// team holds.
+	CauseUnknownKey Cause = "UnknownKey"
+	// CauseQuota means that the team has used up its quota.
+	CauseQuota Cause = "Quota"
 	// CauseMoved means that another node or backend server is responsible for
 	// the call or its key now.
 	CauseMoved Cause = "Moved"
--- a/core/kqlineage/kqlineage.go
+++ b/core/kqlineage/kqlineage.go
@@ -103,6 +103,8 @@
 	// Class and Rank are those of that request.
 	Class string
 	Rank  int
+	// Order is the position of that request among those of its rank, or 0.
+	Order uint32
 	// Depth is the number of hops above the call.
 	Depth int
 	// Route is the route by which the call came.
--- a/core/kqroutes/kqroutes.go
+++ b/core/kqroutes/kqroutes.go
@@ -6,12 +6,14 @@
 //
 // A [Document] is one version of everything that operators configure about routes.
 // [Document.Check] lists every fault of it, and [NewTable] turns a checked one
-// into the immutable [Table] that finds the route of a request:
+// into the immutable [Table] that finds the route and the [Team] of a request:
 //
 //	if faults := document.Check(); len(faults) > 0 { ... }
 //	table := kqroutes.NewTable(document)
 //	route, found := table.Find("shop.example", "/voices/12")
 //	service := route.ServiceFor(requestID)
+//	team, known := table.Team(key)
+//	rank := table.Rank(team, route)
 //
 // A request uses one table from its start to its end. [Document.Newer] reports
 // whether a document may replace the current one.
@@ -59,6 +61,8 @@
 	MaxAttempts int
 	// Rank is the importance; 0 is the most important.
 	Rank int
+	// Public is set if requests need no key of a team.
+	Public bool `json:",omitempty"`
 }
 
 // ServiceFor returns the service that runs the request. It always returns the
@@ -111,6 +115,9 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Teams lists the teams whose keys are accepted. Without any, no request needs
+	// a key.
+	Teams []Team `json:",omitempty"`
 }
 
 // Newer reports whether the document may replace one with the given version.
@@ -136,7 +143,7 @@
 		}
 		indexes[key] = i
 	}
-	return faults
+	return append(faults, d.checkTeams()...)
 }
 
 func (r Route) check(field string, services map[string]bool) []kqclass.Fault {
@@ -187,11 +194,13 @@
 	document Document
 	hosts    map[string][]*Route
 	services map[string]Service
+	teams    teamIndex
 }
 
 // NewTable returns a table of a document that Check found no fault in.
 func NewTable(d Document) *Table {
 	t := &Table{document: d, hosts: map[string][]*Route{}, services: map[string]Service{}}
+	t.teams = newTeamIndex(&t.document)
 	for i := range d.Routes {
 		r := &d.Routes[i]
 		host := strings.ToLower(r.Host)
--- a/io/kqmesh/dialect.go
+++ b/io/kqmesh/dialect.go
@@ -42,6 +42,11 @@
 	RateLimit string
 	// Leaving is set to "1" on the answers of a backend server that drains.
 	Leaving string
+	// Key carries the key of a team, on requests of callers. It is not forwarded.
+	Key string
+	// Team carries the name of the team that holds the key, on the requests that
+	// backend servers get.
+	Team string
 }
 
 // Dialect holds the header names, paths and codecs of a platform.
@@ -76,6 +81,8 @@
 	HeaderCallerService = "Kumquatlink-Caller-Service"
 	HeaderServerID      = "Kumquatlink-Server-Id"
 	HeaderLoad          = "Kumquatlink-Load"
+	HeaderTeamKey       = "Kumquatlink-Team-Key"
+	HeaderTeam          = "Kumquatlink-Team"
 )
 
 // NativeNotice is a backend server's notice as the native dialect encodes it, in
@@ -98,7 +105,7 @@
 		Headers: Headers{
 			RequestID: kqwire.HeaderRequestID, Deadline: kqwire.HeaderBudget, ExpectServer: HeaderExpectServer,
 			NotRun: kqwire.HeaderShed, CallerService: HeaderCallerService, ServerID: HeaderServerID, Load: HeaderLoad,
-			RateLimit: kqwire.HeaderRateLimit, Leaving: kqwire.HeaderLeaving,
+			RateLimit: kqwire.HeaderRateLimit, Leaving: kqwire.HeaderLeaving, Key: HeaderTeamKey, Team: HeaderTeam,
 		},
 		ReadyPath:  NativeReadyPath,
 		ReadRoutes: readOwnRoutes,
--- a/io/kqmesh/entry.go
+++ b/io/kqmesh/entry.go
@@ -42,6 +42,8 @@
 	head  kqtrunk.CallHead
 	body  []byte
 	route *kqroutes.Route
+	// team is the team whose key the caller gave, or nil if the route needs none.
+	team  *kqroutes.Team
 	state *State
 	// parent is the call, run by the backend server beside this node, for which
 	// the request is an onward call, or nil.
@@ -125,16 +127,23 @@
 	}
 	q.route = route
 	q.head.Route = route.Name
+	if !q.identifyTeam(h.Peek(n.dialect.Headers.Key)) {
+		return q, endOnly(kqcall.NotRun(kqcall.CauseUnknownKey))
+	}
 	q.head.Service = route.ServiceFor(q.head.RequestID)
 	q.head.RunOnce = route.RunOnce
 	timeLeft := parseTimeLeft(string(h.Peek(n.dialect.Headers.Deadline)))
 	q.deadline = e.ReceivedAt.Add(min(route.Timeout.Value(), timeLeft))
 	n.inheritParent(q, e.ReceivedAt.Sub(n.started), timeLeft)
+	hasTeams := q.state.Routes.HasTeams()
 	for k, v := range h.All() {
-		if name := string(k); isEndToEnd(name) && !n.isSetByGate(name) {
+		if name := string(k); isEndToEnd(name) && !n.isSetByGate(name) && (!hasTeams || !n.isTeamHeader(name)) {
 			q.head.Headers = append(q.head.Headers, kqtrunk.Header{Name: name, Value: string(v)})
 		}
 	}
+	if q.team != nil {
+		q.head.Headers = append(q.head.Headers, kqtrunk.Header{Name: n.dialect.Headers.Team, Value: q.team.Name})
+	}
 	if q.body = e.Request.Body(); len(q.body) <= kqbody.SmallBytes {
 		q.body = append([]byte(nil), q.body...)
 	}
@@ -149,13 +158,13 @@
 // An onward call takes them from the call for which it is made; any other
 // request is a root of its own, with the class and rank of its route.
 func (n *Node) inheritParent(q *call, came, timeLeft time.Duration) {
-	q.head.Root, q.head.Class, q.head.Rank = q.head.RequestID, q.route.Name, q.route.Rank
+	q.head.Root, q.head.Class, q.head.Rank = q.head.RequestID, q.route.Name, q.state.Routes.Rank(q.team, q.route)
 	p, found := n.gate.runs.AssignParent(came, q.route.Name, timeLeft)
 	if !found {
 		return
 	}
 	q.parent = &p
-	q.head.Root, q.head.Class, q.head.Rank = p.Root, p.Class, p.Rank
+	q.head.Root, q.head.Class, q.head.Rank, q.head.Order = p.Root, p.Class, p.Rank, p.Order
 	q.head.Depth, q.head.Repeat = p.Depth+1, p.Repeat
 }
 
@@ -169,6 +178,24 @@
 	return time.Duration(milliseconds * float64(time.Millisecond))
 }
 
+// identifyTeam sets the team that holds the caller's key. It returns false if the
+// route needs a key and no team holds this one.
+func (q *call) identifyTeam(key []byte) bool {
+	if q.route.Public || !q.state.Routes.HasTeams() {
+		return true
+	}
+	var known bool
+	q.team, known = q.state.Routes.Team(key)
+	return known
+}
+
+// isTeamHeader reports whether the header field identifies a caller's team. Backend
+// servers get the name that the entry sets, and never a key.
+func (n *Node) isTeamHeader(name string) bool {
+	h := n.dialect.Headers
+	return strings.EqualFold(name, h.Key) || strings.EqualFold(name, h.Team)
+}
+
 // isSetByGate reports whether the gate sets the header field itself.
 func (n *Node) isSetByGate(name string) bool {
 	h := n.dialect.Headers
@@ -192,8 +219,8 @@
 	return !hopByHopHeaders[strings.ToLower(name)]
 }
 
-// writeAnswer writes the final answer to the caller. A refusal with status 503
-// has a Retry-After field.
+// writeAnswer writes the final answer to the caller. A refusal with status 503 or
+// 429 has a Retry-After field.
 func (n *Node) writeAnswer(e *kqedge.Exchange, o *callAnswer) {
 	r := e.Response
 	r.Header.SetNoDefaultContentType(true)
@@ -210,7 +237,7 @@
 	if id := e.Request.Header.Peek(n.dialect.Headers.RequestID); len(id) > 0 {
 		r.Header.SetBytesV(n.dialect.Headers.RequestID, id)
 	}
-	if end.Outcome == kqcall.OutcomeNotRun && r.StatusCode() == fasthttp.StatusServiceUnavailable {
+	if end.Outcome == kqcall.OutcomeNotRun && (r.StatusCode() == fasthttp.StatusServiceUnavailable || r.StatusCode() == fasthttp.StatusTooManyRequests) {
 		after := end.RetryAfter
 		if after <= 0 {
 			after = defaultRetryAfter
@@ -230,6 +257,10 @@
 		return h.Status
 	case end.Outcome == kqcall.OutcomeNotRun && end.Cause == kqcall.CauseNoService:
 		return fasthttp.StatusNotFound
+	case end.Outcome == kqcall.OutcomeNotRun && end.Cause == kqcall.CauseUnknownKey:
+		return fasthttp.StatusUnauthorized
+	case end.Outcome == kqcall.OutcomeNotRun && end.Cause == kqcall.CauseQuota:
+		return fasthttp.StatusTooManyRequests
 	case end.Outcome == kqcall.OutcomeNotRun:
 		return fasthttp.StatusServiceUnavailable
 	case end.Cause == kqcall.CauseDeadline:
--- a/io/kqmesh/gate.go
+++ b/io/kqmesh/gate.go
@@ -241,6 +241,9 @@
 // admits the same requests. A root request has the same level as its onward
 // calls, so that both face the same admission threshold.
 func levelOf(head kqtrunk.CallHead) kqadmit.Level {
+	if head.Order != 0 {
+		return kqadmit.OrderedLevel(head.Rank, head.Order)
+	}
 	return kqadmit.OnwardLevel(kqcall.Head{RequestID: head.Root, Rank: head.Rank})
 }
 
@@ -385,7 +388,7 @@
 	defer fasthttp.ReleaseResponse(response)
 	begun := g.node.clock()
 	run, ends := g.runs.Begin(begun, kqlineage.Run{
-		Root: head.Root, Class: head.Class, Rank: head.Rank, Depth: head.Depth, Route: head.Route, Repeat: head.Repeat, Deadline: g.deadlineOf(ctx),
+		Root: head.Root, Class: head.Class, Rank: head.Rank, Order: head.Order, Depth: head.Depth, Route: head.Route, Repeat: head.Repeat, Deadline: g.deadlineOf(ctx),
 	})
 	g.node.shedder.recordRun(head.Class)
 	g.fillRequest(request, head, body, server.ServerID, ends-begun)
--- a/io/kqtrunk/kqtrunk.go
+++ b/io/kqtrunk/kqtrunk.go
@@ -128,6 +128,11 @@
 	// AskLoad reports whether the call only requests the gate's load; the backend
 	// server is not called then.
 	AskLoad bool
+	// Order is the position, among the requests of the same rank, by which gates
+	// order the call and its onward calls; a lower one is more important. 0 stands
+	// for the position that follows from Root. On the wire it is an element of
+	// Headers.
+	Order uint32 `cbor:"-"`
 }
 
 // Load is the state of a gate, which it reports with every answer. InFlight and
--- a/io/kqtrunk/trunk.go
+++ b/io/kqtrunk/trunk.go
@@ -178,6 +178,7 @@
 	if t.handlers.Call == nil {
 		return errors.Mark(errors.New("received a call, but this end takes none"), ErrFrame)
 	}
+	head = head.decoded()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.mutex.Lock()
 	t.running[f.number] = cancel
@@ -231,7 +232,7 @@
 	if !head.isDecodable(t.version.Load()) {
 		return nil, errors.Mark(errors.New("head of the call is not UTF-8, which this peer can't decode"), ErrNotSent)
 	}
-	payload, err := pack(head, body)
+	payload, err := pack(head.forVersion(t.version.Load()), body)
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
--- a/io/kqtrunk/version.go
+++ b/io/kqtrunk/version.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 	"unicode/utf8"
 
@@ -24,9 +25,18 @@
 	// versionBytes is the first of nodes that decode heads with bytes that are not
 	// UTF-8. Earlier ones close the connection.
 	versionBytes = 5
-	ownVersion   = versionBytes
+	// versionOrder is the first in which heads carry [CallHead.Order].
+	versionOrder = 6
+	ownVersion   = versionOrder
 )
 
+// orderHeader is the name of the element of CallHead.Headers that carries
+// CallHead.Order. No header field has an empty name.
+const orderHeader = ""
+
+// orderBase is the base of the number in that element.
+const orderBase = 36
+
 // limitClass is the class of the element of Load.Deep that carries
 // Load.LimitWithheld. No class of work has an empty name.
 const limitClass = ""
@@ -103,6 +113,28 @@
 	return !slices.ContainsFunc(texts, func(text string) bool { return !utf8.ValidString(text) })
 }
 
+// forVersion returns the call's head as it is encoded for a peer of the version.
+func (h CallHead) forVersion(version uint64) CallHead {
+	if h.Order != 0 && version >= versionOrder {
+		h.Headers = append(slices.Clone(h.Headers), Header{Name: orderHeader, Value: strconv.FormatUint(uint64(h.Order), orderBase)})
+	}
+	return h
+}
+
+// decoded reverses forVersion. An order that is not a number counts as none.
+func (h CallHead) decoded() CallHead {
+	last := len(h.Headers) - 1
+	if last < 0 || h.Headers[last].Name != orderHeader {
+		return h
+	}
+	order, err := strconv.ParseUint(h.Headers[last].Value, orderBase, 32)
+	if err == nil {
+		h.Order = uint32(order)
+	}
+	h.Headers = h.Headers[:last]
+	return h
+}
+
 // forVersion returns the answer as it is encoded for a peer of the version,
 // without what such a peer can't decode.
 func (a AnswerHead) forVersion(version uint64) AnswerHead {
