Teams: a node that may have missed newer keys answers 503, not 401

What callers saw: while the store was away, or its node cut off, a caller with a key that had just been given to its team got 401, after which callers do not ask again.

Cause: the entry looked the key up in the routes that it held, however old they were.

Change: with no word from the store (kqwatch.Evidence) or from a watcher within UpdateTimeout that these routes are the latest, an unknown key ends as OutdatedKeys, 503 with Retry-After. Known keys are accepted as before. No message is added: watchers' updates carry the version already.

Ruled out: refusing known keys as well; that would turn callers away whenever the store is away.

--- a/core/kqcall/kqcall.go
+++ b/core/kqcall/kqcall.go
@@ -120,6 +120,9 @@
 	// CauseUnknownKey means that the caller gave no key of a team, or one that no
 	// team holds.
 	CauseUnknownKey Cause = "UnknownKey"
+	// CauseOutdatedKeys means that no team held the caller's key when the node last
+	// heard of the configuration, too long ago to tell that none does.
+	CauseOutdatedKeys Cause = "OutdatedKeys"
 	// CauseQuota means that the team has used up its quota.
 	CauseQuota Cause = "Quota"
 	// CauseMoved means that another node or backend server is responsible for
--- a/io/kqmesh/entry.go
+++ b/io/kqmesh/entry.go
@@ -128,7 +128,7 @@
 	q.route = route
 	q.head.Route = route.Name
 	if !q.identifyTeam(h.Peek(n.dialect.Headers.Key)) {
-		return q, endOnly(kqcall.NotRun(kqcall.CauseUnknownKey))
+		return q, endOnly(n.endOfUnknownKey())
 	}
 	q.head.Service = route.ServiceFor(q.head.RequestID)
 	q.head.RunOnce = route.RunOnce
@@ -189,6 +189,15 @@
 	return known
 }
 
+// endOfUnknownKey returns the end of a request whose key no team holds. A node that may
+// have missed newer routes does not say that the key is unknown.
+func (n *Node) endOfUnknownKey() kqcall.End {
+	if n.routesAreCurrent() {
+		return kqcall.NotRun(kqcall.CauseUnknownKey)
+	}
+	return kqcall.NotRun(kqcall.CauseOutdatedKeys)
+}
+
 // isTeamHeader reports whether the header field identifies a caller's team. Backend
 // servers get the name that the entry sets, and never a key.
 func (n *Node) isTeamHeader(name string) bool {
--- a/io/kqmesh/kqmesh.go
+++ b/io/kqmesh/kqmesh.go
@@ -198,6 +198,9 @@
 	// routes or node records is open.
 	routesWatched atomic.Bool
 	hostsWatched  atomic.Bool
+	// routesConfirmed is when a watcher last said that the routes in force are the
+	// latest, on the node's clock, or 0.
+	routesConfirmed atomic.Int64
 	// peerRequestPending is set while a request to a peer, for newer routes or
 	// for its list of nodes, is scheduled.
 	peerRequestPending atomic.Bool
--- a/io/kqmesh/news.go
+++ b/io/kqmesh/news.go
@@ -72,6 +72,13 @@
 	return n.evidence().IsSufficient()
 }
 
+// routesAreCurrent reports whether the node has heard lately, from the store or from a
+// watcher, that no newer routes exist.
+func (n *Node) routesAreCurrent() bool {
+	at := time.Duration(n.routesConfirmed.Load())
+	return n.storeWatched() || at > 0 && n.clock()-at <= kqwatch.UpdateTimeout
+}
+
 // publishUpdates sends updates to the nodes of the own failure domain while this
 // node watches the store.
 func (n *Node) publishUpdates(ctx context.Context) {
@@ -195,6 +202,9 @@
 	}
 	c.watch.RecordUpdate(now, e.update.NodeID)
 	c.updatedVersion = max(c.updatedVersion, e.update.RoutesVersion)
+	if e.update.RoutesVersion <= c.node.routesVersion() {
+		c.node.routesConfirmed.Store(int64(now))
+	}
 	if c.node.storeWatched() {
 		// The store itself reports the same changes to this node.
 		return c.advanceWatch(now)
