Restored store: a newer record that comes after the first list is missed too

A node noticed that the store held an older record than it knew only at the report itself, and only if no report of that version had come before. After a restore the order can be another one: the list of the restored store is processed first, and the newer record comes later, with the answer to the node's own write, with an update of a watcher that has not noticed the restore yet, or with a peer's list. The report of the same version in a later list was then taken for a late one, and a peer's list also emptied what was known to be missing. No node wrote the record again.

Each node keeps the newest record that the store has reported of every node, and compares it whenever either side changes.

Ruled out by reading: versions that the store in tests gives out with the wrong era (it refuses calls that cross a restore), writes refused for their era, and a lost wake-up of the writer.

--- a/io/kqmesh/control.go
+++ b/io/kqmesh/control.go
@@ -62,9 +62,9 @@
 	ownRecordSeen time.Duration
 	// listedEra is the era of the store in which the nodes were last listed.
 	listedEra int64
-	// seenVersions holds the newest version of each record that the store has
-	// reported, by node ID, apart from versions that made a record older.
-	seenVersions map[string]string
+	// newestStored holds the newest version of each record that the store has
+	// reported, by node ID.
+	newestStored map[string]storedRecord
 	// departures holds which servers are known to leave.
 	departures *departures
 	// heldNotices are the notices of a ready server that came before the node knew
@@ -84,7 +84,7 @@
 	c := &control{
 		node: n, events: make(chan controlEvent, eventQueueLength), stopped: make(chan struct{}), life: kqserver.New(),
 		stateChanged: make(chan struct{}), removedRecords: map[string]bool{},
-		watch: kqwatch.New(n.clock(), n.settings.NodeID), divergedSince: map[string]time.Duration{}, lastRequest: -requestInterval, listedEra: kqstore.UnknownEra, seenVersions: map[string]string{},
+		watch: kqwatch.New(n.clock(), n.settings.NodeID), divergedSince: map[string]time.Duration{}, lastRequest: -requestInterval, listedEra: kqstore.UnknownEra, newestStored: map[string]storedRecord{},
 		departures: newDepartures(),
 	}
 	c.state = State{Hosts: map[string]HostRecord{}, Behind: map[string]string{}, Upstreams: map[string]*kqroute.Table{}, ServerState: kqserver.Unknown, Starting: true, Recalled: n.settings.FirstStart}
@@ -242,16 +242,16 @@
 		held, found := known[name]
 		older := found && !h.replaces(held)
 		if e.version != "" {
-			_, replace := c.observeStored(name, h)
-			if replace {
-				behind[name] = h.version
-			}
+			c.observeStored(name, h)
 		} else if older {
 			c.checkOwnRecord(name)
 		}
 		if older {
 			h.HostRecord = held
 		}
+		if version, replace := c.storedBefore(name, h.HostRecord); replace && (e.version != "" || c.isWatched()) {
+			behind[name] = version
+		}
 		if h.Address == "" {
 			continue
 		}
@@ -266,9 +266,9 @@
 		_, lost := c.state.Behind[name]
 		lost = lost || restored && h.Life != kqmember.LifeGone
 		// An earlier list lacks the own record because it is a stale read.
-		lost = lost || name == c.node.settings.NodeID && kqstore.LaterVersion(e.version, c.seenVersions[name])
+		lost = lost || name == c.node.settings.NodeID && kqstore.LaterVersion(e.version, c.newestStored[name].version)
 		switch {
-		case e.version != "" && lost:
+		case lost && (e.version != "" || c.isWatched()):
 			hosts[name], behind[name] = h, ""
 		case name == c.node.settings.NodeID && c.node.clock()-c.ownRecordSeen < maxListAge:
 			hosts[name] = h
@@ -316,11 +316,16 @@
 		c.ownRecordSeen = c.node.clock()
 		c.restoreServerState(e.record.HostRecord)
 	}
-	older, behind := false, false
+	older, behind, version := found && !e.removed && !e.record.replaces(held), false, ""
 	if !e.removed {
-		older, behind = c.observeStored(e.name, e.record)
+		c.observeStored(e.name, e.record)
+		newest := e.record.HostRecord
+		if older {
+			newest = held
+		}
+		version, behind = c.storedBefore(e.name, newest)
 	}
-	changed := c.setBehind(e.name, e.record.version, behind)
+	changed := c.setBehind(e.name, version, behind)
 	if older || !e.removed && (e.record.Address == "" || found && held == e.record.HostRecord) {
 		return changed
 	}
--- a/io/kqmesh/news.go
+++ b/io/kqmesh/news.go
@@ -240,6 +240,9 @@
 		}
 		hosts[h.NodeID] = h
 		c.logHost(current, h)
+		if version, behind := c.storedBefore(h.NodeID, h); behind && c.isWatched() {
+			c.setBehind(h.NodeID, version, true)
+		}
 	}
 	for _, name := range m.Removed {
 		if _, found := hosts[name]; found && name != c.node.settings.NodeID {
--- a/io/kqmesh/repair.go
+++ b/io/kqmesh/repair.go
@@ -27,20 +27,27 @@
 	version string
 }
 
-// observeStored compares a record in the store with the one that this node knows.
-// It reports whether the stored one is older, and whether it has to be replaced:
-// a report that is merely late has an earlier version than the newest seen.
-func (c *control) observeStored(name string, stored storedRecord) (older, behind bool) {
-	held, found := c.state.Hosts[name]
-	older = found && !stored.replaces(held)
-	seen, known := c.seenVersions[name]
-	later := !known || kqstore.LaterVersion(stored.version, seen)
-	if !older && later {
-		c.seenVersions[name] = stored.version
+// observeStored records what the store reports of a node, unless the store has reported
+// a later version of it.
+func (c *control) observeStored(name string, stored storedRecord) {
+	newest, found := c.newestStored[name]
+	if !found || kqstore.LaterVersion(stored.version, newest.version) {
+		c.newestStored[name] = stored
 	}
-	return older, older && later
 }
 
+// storedBefore reports whether the newest record that the store has reported of a node
+// is older than the given one, so that it has to be replaced, and returns its version.
+// It does not matter from where and in which order the two became known: the answer to
+// a write and the updates of peers may be from before a restore that was seen already.
+func (c *control) storedBefore(name string, h HostRecord) (version string, behind bool) {
+	newest, found := c.newestStored[name]
+	return newest.version, found && !newest.replaces(h)
+}
+
+// isWatched reports whether this node has to know itself which records the store holds.
+func (c *control) isWatched() bool { return c.state.Watching || c.state.Starting }
+
 // setBehind records whether the object of that version in the store has to be
 // replaced, and reports whether that changed the state. The version is empty if
 // there is no object.
