Teams are held to their quotas over all nodes

A team's quota was read from the configuration and not applied: nothing counted a team's requests over the nodes at which they come.

One node, the home of a team, keeps a token bucket that may be overdrawn. Entries admit requests freely, report what they admitted and what was asked, and get back the part of the demand that they may send, by team, with all other teams that are limited. Without an answer an entry holds the share of the quota that it had of the demand. Requests that no server has run are given back; a further try counts again.

--- a/io/kqmesh/entry.go
+++ b/io/kqmesh/entry.go
@@ -82,7 +82,7 @@
 		o = n.refuseLate(q)
 	}
 	if o == nil {
-		o = n.shedder.refuseAtEntry(q)
+		o = n.refuseCounted(q)
 	}
 	if o == nil {
 		running, end := n.untilEnd(ctx)
@@ -93,6 +93,8 @@
 		end()
 		if o.head.End.Outcome != kqcall.OutcomeNotRun {
 			n.recentTimes.Record(n.clock(), q.head.Route, n.now().Sub(e.ReceivedAt))
+		} else {
+			n.quotas.add(q, -1)
 		}
 	}
 	n.recordDecision(kqlog.Decision{
@@ -107,6 +109,19 @@
 	}
 }
 
+// refuseCounted returns the answer to a call that the quota of its team or the
+// thresholds of other gates refuse, or nil.
+func (n *Node) refuseCounted(q *call) *callAnswer {
+	if o := n.quotas.refuse(q); o != nil {
+		return o
+	}
+	o := n.shedder.refuseAtEntry(q)
+	if o != nil {
+		n.quotas.add(q, -1)
+	}
+	return o
+}
+
 // readCall takes the request out of the connection's buffers and decides its
 // route. A large body has memory of its own and is not copied. The result is nil, or the end of a request that can't be routed or is
 // too late.
--- a/io/kqmesh/events.go
+++ b/io/kqmesh/events.go
@@ -27,6 +27,7 @@
 	fieldStoreVersion = "StoreVersion"
 	fieldRequest      = "RequestID"
 	fieldFingerprint  = "Fingerprint"
+	fieldTeam         = "Team"
 )
 
 // eventKind identifies a kind of event that a node logs. It is the index of the
@@ -95,6 +96,9 @@
 	eventPanic
 	eventAcceptFailed
 	eventAcceptBack
+	eventQuotaReached
+	eventQuotaFree
+	eventQuotaNotReported
 	eventKindCount
 )
 
@@ -160,6 +164,9 @@
 	eventPanic:               {Name: "Panic", Level: zerolog.ErrorLevel, Description: "A call or task ended by a panic, a fault of the node: a caller gets the status 500, and 502 for a call of another node. The message holds the stack."},
 	eventAcceptFailed:        {Name: "AcceptFailed", Level: zerolog.WarnLevel, Description: "A listener could not accept a connection, for example since the process has no descriptor left. It goes on trying.", Fields: []string{fieldSource}},
 	eventAcceptBack:          {Name: "AcceptBack", Level: zerolog.InfoLevel, Description: "A listener accepts connections again.", Fields: []string{fieldSource}},
+	eventQuotaReached:        {Name: "QuotaReached", Level: zerolog.InfoLevel, Description: "A team sends more than its quota, over all nodes together; what is beyond it is answered with 429. Logged by the home of the team, the node that counts its requests.", Fields: []string{fieldTeam, "Rate", "Demand"}},
+	eventQuotaFree:           {Name: "QuotaFree", Level: zerolog.InfoLevel, Description: "A team that was limited has not been so for some seconds. TookMicros is for how long it was.", Fields: []string{fieldTeam, "Rate", "Demand", fieldTook}},
+	eventQuotaNotReported:    {Name: "QuotaNotReported", Level: zerolog.DebugLevel, Description: "The home of teams did not answer a report of what they use. Its uses are reported again, also to the node that takes its place.", Fields: []string{fieldHost}},
 	eventLoadNotAsked:        {Name: "LoadNotAsked", Level: zerolog.DebugLevel, Description: "The load of a gate could not be requested.", Fields: []string{fieldService, fieldHost}},
 }
 
--- a/io/kqmesh/kqmesh.go
+++ b/io/kqmesh/kqmesh.go
@@ -187,6 +187,7 @@
 	shedder  *shedder
 	budget   *kqbudget.Budget
 	stated   *statedServers
+	quotas   *quotas
 	// recentTimes holds how long the requests of callers have taken lately.
 	recentTimes *kqdrain.Recent
 
@@ -256,6 +257,7 @@
 	n.gate = newGate(n)
 	n.shedder = newShedder(n)
 	n.stated = &statedServers{node: n}
+	n.quotas = newQuotas(n)
 	n.recentTimes = kqdrain.New()
 	n.callsCtx, n.giveUpCalls = context.WithCancelCause(context.Background())
 	n.control = newControl(n)
@@ -305,6 +307,7 @@
 	n.startLoop(ctx, n.probeServer)
 	n.startLoop(ctx, n.fetchRecords)
 	n.startLoop(ctx, n.readConvictions)
+	n.startLoop(ctx, n.quotas.run)
 	n.logEvent(eventNodeStarted, "node started at "+n.settings.CallerAddress+" for callers and "+n.peerAddress+" for nodes", nil,
 		kqlog.Text(fieldAddress, n.settings.CallerAddress), kqlog.Text("PeerAddress", n.peerAddress))
 	return nil
--- a/io/kqmesh/place.go
+++ b/io/kqmesh/place.go
@@ -217,6 +217,7 @@
 		return false
 	}
 	n.metrics.Count(kqmetric.Repeats, q.head.Service)
+	n.quotas.add(q, 1)
 	q.head.Repeat = true
 	return true
 }
--- /dev/null
+++ b/io/kqmesh/quota.go
@@ -0,0 +1,258 @@
+package kqmesh
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	"kumquatlink/core/kqcall"
+	"kumquatlink/core/kqmember"
+	"kumquatlink/core/kqrate"
+	"kumquatlink/core/kqroutes"
+	"kumquatlink/io/kqlog"
+	"kumquatlink/io/kqmetric"
+)
+
+// Results of the quotas' decisions in the metrics.
+const (
+	quotaAdmitted = "admitted"
+	quotaRefused  = "refused"
+	// quotaShare is a refusal by the entry's own share, since the home of the quota
+	// is not heard of.
+	quotaShare = "refused_by_share"
+)
+
+// quotas holds teams to their quotas: at the entry for the callers of this node, and
+// as the home of some teams for all entries. mutex guards meter, home and curve.
+type quotas struct {
+	node *Node
+	// order returns the position of a team's request among those of its rank, by the
+	// curve that a home has sent and the team's demand. If it is nil, the request's ID
+	// decides.
+	order func(curve []float32, demand float64, root string) uint32
+
+	mutex sync.Mutex
+	meter *kqrate.Meter
+	home  *kqrate.Home
+	// curve is what a home has sent last.
+	curve []float32
+	// table is the table by which quotaOf was made.
+	table  *kqroutes.Table
+	byName map[string]kqrate.Quota
+	// hostsDigest is that of the hosts that meter knows.
+	hostsDigest uint64
+	// wake has a value when a report is due earlier than before.
+	wake chan struct{}
+}
+
+// quotaReport is the part of a report that concerns quotas: that of an entry, or the
+// answer of a home.
+type quotaReport struct {
+	Quota       *kqrate.Report `cbor:",omitempty"`
+	QuotaAnswer *kqrate.Answer `cbor:",omitempty"`
+}
+
+func (r quotaReport) isEmpty() bool {
+	return r.Quota == nil && r.QuotaAnswer == nil
+}
+
+func newQuotas(n *Node) *quotas {
+	k := &quotas{node: n, wake: make(chan struct{}, 1)}
+	k.home = kqrate.NewHome()
+	k.home.LimitChanged = k.logLimit
+	k.meter = kqrate.NewMeter(n.settings.NodeID, n.random())
+	return k
+}
+
+// refuse returns the answer to a request beyond the quota of its team, or nil. It sets
+// the request's position among those of its rank. Onward calls, and requests without
+// a team, are not counted.
+func (k *quotas) refuse(q *call) *callAnswer {
+	if !q.isCounted() {
+		return nil
+	}
+	now := k.node.clock()
+	k.mutex.Lock()
+	k.follow(k.node.State())
+	v := k.meter.Take(now, q.team.Name, kqrate.Quota{Rate: q.team.Rate, Burst: q.team.Burst})
+	if k.order != nil {
+		q.head.Order = k.order(k.curve, v.Demand, q.head.Root)
+	}
+	k.mutex.Unlock()
+	if v.IsUrgent {
+		k.wakeUp()
+	}
+	switch {
+	case v.Admitted:
+		if q.team.IsLimited() {
+			k.node.metrics.Count(kqmetric.QuotaDecisions, quotaAdmitted)
+		}
+		return nil
+	case v.IsShare:
+		k.node.metrics.Count(kqmetric.QuotaDecisions, quotaShare)
+	default:
+		k.node.metrics.Count(kqmetric.QuotaDecisions, quotaRefused)
+	}
+	k.node.metrics.Count(kqmetric.QuotaRefused, q.team.Name)
+	q.detail = fmt.Sprintf("team %s of %g requests a second: %.2f of its demand of %.0f may be sent, known for %dms", q.team.Name, q.team.Rate, v.Fraction, v.Demand, v.Age.Milliseconds())
+	if v.IsShare {
+		q.detail += "; its home does not answer, this node holds its own share"
+	}
+	end := kqcall.NotRun(kqcall.CauseQuota)
+	end.RetryAfter = v.RetryAfter
+	return endOnly(end)
+}
+
+// isCounted reports whether the call counts against the quota of a team.
+func (q *call) isCounted() bool {
+	return q.team != nil && q.head.Depth == 0
+}
+
+// add counts further requests of the call that are sent to a server, or with a
+// negative number one that no server has run.
+func (k *quotas) add(q *call, count int) {
+	if !q.isCounted() {
+		return
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.meter.Add(k.node.clock(), q.team.Name, count)
+}
+
+func (k *quotas) wakeUp() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+		// A report is about to be sent.
+	}
+}
+
+// run reports to the homes until ctx ends. It waits for a configuration with teams.
+func (k *quotas) run(ctx context.Context) {
+	hasTeams := func(s *State) bool { return s.Routes != nil && s.Routes.HasTeams() }
+	for k.node.WaitFor(ctx, hasTeams) == nil {
+		due, next := k.due()
+		for _, home := range due {
+			k.report(home)
+		}
+		t := time.NewTimer(max(0, next-k.node.clock()))
+		select {
+		case <-t.C:
+		case <-k.wake:
+			t.Stop()
+		case <-ctx.Done():
+			t.Stop()
+			return
+		}
+	}
+}
+
+// due returns the homes to which a report is due, and when the next one will be.
+func (k *quotas) due() ([]string, time.Duration) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.follow(k.node.State())
+	return k.meter.Due(k.node.clock())
+}
+
+// follow takes over the hosts and the configuration of a state. The mutex is held.
+func (k *quotas) follow(s *State) {
+	if k.byName == nil || s.HostsDigest != k.hostsDigest {
+		names := []string{k.node.settings.NodeID}
+		for name, h := range s.Hosts {
+			if h.Life != kqmember.LifeGone && name != k.node.settings.NodeID {
+				names = append(names, name)
+			}
+		}
+		k.hostsDigest = s.HostsDigest
+		k.meter.SetHosts(k.node.clock(), names)
+	}
+	if k.byName != nil && k.table == s.Routes {
+		return
+	}
+	k.table, k.byName = s.Routes, map[string]kqrate.Quota{}
+	if s.Routes == nil {
+		return
+	}
+	for _, t := range s.Routes.Document().Teams {
+		k.byName[t.Name] = kqrate.Quota{Rate: t.Rate, Burst: t.Burst}
+	}
+}
+
+// report sends a report to a home in the background.
+func (k *quotas) report(home string) {
+	k.mutex.Lock()
+	r := k.meter.Report(k.node.clock(), home)
+	k.mutex.Unlock()
+	if home == k.node.settings.NodeID {
+		k.taken(home, r, k.receive(r))
+		return
+	}
+	address := k.node.State().Hosts[home].Address
+	send := func() {
+		answer, err := k.node.sendReport(address, kqrate.ReportTimeout, nodeReport{quotaReport: quotaReport{Quota: &r}})
+		if err != nil || answer.QuotaAnswer == nil {
+			k.failed(home, r, err)
+			return
+		}
+		k.taken(home, r, *answer.QuotaAnswer)
+	}
+	if err := k.node.pool.Submit(send); err != nil {
+		k.failed(home, r, err)
+	}
+}
+
+// taken takes the answer of a home.
+func (k *quotas) taken(home string, r kqrate.Report, a kqrate.Answer) {
+	k.node.metrics.Count(kqmetric.QuotaReports, resultDone)
+	k.mutex.Lock()
+	k.meter.Receive(k.node.clock(), home, r, a)
+	if len(a.Curve) > 0 {
+		k.curve = a.Curve
+	}
+	k.mutex.Unlock()
+	k.wakeUp()
+}
+
+// failed counts a report that was not answered.
+func (k *quotas) failed(home string, r kqrate.Report, err error) {
+	k.node.metrics.Count(kqmetric.QuotaReports, resultFailed)
+	k.node.logEvent(eventQuotaNotReported, "use of quotas can't be reported to "+home, err, kqlog.Text(fieldHost, home))
+	k.mutex.Lock()
+	k.meter.Fail(k.node.clock(), home, r)
+	k.mutex.Unlock()
+	k.wakeUp()
+}
+
+// receive counts the report of an entry and returns the answer.
+func (k *quotas) receive(r kqrate.Report) kqrate.Answer {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	s := k.node.State()
+	k.follow(s)
+	if s.Routes == nil || !k.meter.IsHome() {
+		return kqrate.Answer{}
+	}
+	return k.home.Receive(k.node.clock(), kqrate.HomeView{
+		QuotaOf:  func(team string) (kqrate.Quota, bool) { q, found := k.byName[team]; return q, found },
+		IsHomeOf: k.meter.IsHomeOf, Hosts: k.meter.Hosts(), Since: k.meter.Since(),
+	}, r)
+}
+
+// logLimit logs that a team begins to be limited, or is no longer.
+func (k *quotas) logLimit(c kqrate.LimitChange) {
+	fields := []kqlog.Field{
+		kqlog.Text(fieldTeam, c.Grant.Team), kqlog.Text("Rate", formatRate(c.Quota.Rate)), kqlog.Text("Demand", formatRate(float64(c.Grant.Demand))),
+	}
+	if c.IsBegin {
+		k.node.logEvent(eventQuotaReached, fmt.Sprintf("team %s sends %.0f requests a second and may send %g: the rest is refused", c.Grant.Team, c.Grant.Demand, c.Quota.Rate), nil, fields...)
+		return
+	}
+	k.node.logEvent(eventQuotaFree, "team "+c.Grant.Team+" is within its quota again", nil, append(fields, kqlog.Micros(fieldTook, c.Took))...)
+}
+
+func formatRate(rate float64) string {
+	return strconv.FormatFloat(rate, 'f', 1, 64)
+}
--- a/io/kqmesh/report.go
+++ b/io/kqmesh/report.go
@@ -32,6 +32,7 @@
 // former builds look at the report on requests only, or at nothing.
 type nodeReport struct {
 	suspectReport
+	quotaReport
 	// Departures are records of nodes whose backend servers leave, for the receiver
 	// to keep. KeepsDepartures is set in the answer when it does.
 	Departures      []HostRecord
@@ -42,7 +43,7 @@
 
 // isEmpty reports whether the report says nothing and asks nothing.
 func (r nodeReport) isEmpty() bool {
-	return r.suspectReport.isEmpty() && len(r.Departures) == 0 && !r.KeepsDepartures && r.AskDeparture == ""
+	return r.suspectReport.isEmpty() && r.quotaReport.isEmpty() && len(r.Departures) == 0 && !r.KeepsDepartures && r.AskDeparture == ""
 }
 
 // serviceGates returns the addresses of the other nodes whose servers offer the same
@@ -181,6 +182,10 @@
 	if r.AskDeparture != "" {
 		answer.Departures = n.departureOf(r.AskDeparture)
 	}
+	if r.Quota != nil {
+		quotaAnswer := n.quotas.receive(*r.Quota)
+		answer.QuotaAnswer = &quotaAnswer
+	}
 	if answer.isEmpty() {
 		return head, nil
 	}
--- a/io/kqmetric/kqmetric.go
+++ b/io/kqmetric/kqmetric.go
@@ -92,6 +92,9 @@
 	ServerRateLimit      = Definition{"server_rate_limit", KindGauge, nil, "calls per second", "Limit that the backend server beside this node names in its answers; -1 if it names none."}
 	ServerCrashes        = Definition{"server_crashes", KindCounter, nil, "crashes", "Times that the backend server beside this node ended without notice while it ran requests."}
 	DeadlyRefused        = Definition{"deadly_refused", KindCounter, []string{"service"}, unitCalls, "Calls refused because several servers have crashed while they ran the same request."}
+	QuotaDecisions       = Definition{"quota_decisions", KindCounter, []string{"result"}, unitCalls, "Requests of teams with a quota, by this entry's decision: admitted, refused, or refused by the entry's own share while the home of the team does not answer."}
+	QuotaRefused         = Definition{"quota_refused", KindCounter, []string{"team"}, unitCalls, "Requests beyond the quota of their team that this entry has refused."}
+	QuotaReports         = Definition{"quota_reports", KindCounter, []string{"result"}, "reports", "Reports of the teams' use that this entry has sent to their homes."}
 	Panics               = Definition{"panics", KindCounter, nil, "panics", "Calls and tasks that ended by a panic, a fault of the node. The log holds the stack."}
 	LogDropped           = Definition{"log_dropped", KindGauge, nil, "lines", "Log lines that were not written since the start, because the queue was full or the line budget was spent."}
 )
@@ -101,7 +104,7 @@
 	return []Definition{
 		Answers, AnswerTime, Routes, Admissions, StoreCalls, StoreTime, StoreRestores,
 		ConfigurationVersion, ConfigurationRefused, Members, Suspected, Confirmed, Pauses, Exchanges,
-		QueueTime, RunTime, GateSlots, Upstreams, Repeats, RepeatsRefused, ServerState, ServerRateLimit, ServerCrashes, DeadlyRefused, Panics, LogDropped,
+		QueueTime, RunTime, GateSlots, Upstreams, Repeats, RepeatsRefused, ServerState, ServerRateLimit, ServerCrashes, DeadlyRefused, QuotaDecisions, QuotaRefused, QuotaReports, Panics, LogDropped,
 	}
 }
 
