kqgrammar: the grammar that requests and answers share

The lines of chunks, tokens and field values have one grammar in requests and answers. core/kqanswer has it, and requests are about to be decided by it. It moves to core/kqgrammar, and kqanswer keeps its functions, which make the errors of answers.

Ruled out: requests that import kqanswer, whose errors speak of answers and which copies each field of a head.

The tests of kqanswer, against their reference of regular expressions, and of io/kqhttp pass unchanged.

--- a/core/kqanswer/framing.go
+++ b/core/kqanswer/framing.go
@@ -3,13 +3,8 @@
 import (
 	"strconv"
 	"strings"
-)
 
-// Names of the fields that say how a body ends and what becomes of its connection.
-const (
-	fieldLength   = "Content-Length"
-	fieldEncoding = "Transfer-Encoding"
-	fieldOptions  = "Connection"
+	"kumquatlink/core/kqgrammar"
 )
 
 // Options of a connection.
@@ -18,9 +13,6 @@
 	optionKeep  = "keep-alive"
 )
 
-// codingChunked is the only transfer coding of answers, since calls ask for none.
-const codingChunked = "chunked"
-
 // Statuses of final answers that have no body.
 const (
 	statusNoContent   = 204
@@ -44,21 +36,22 @@
 
 // setFraming decides how the body ends, when all fields are known. Repeated and
 // contradicting fields are errors, since recipients would disagree on the end of the body.
-// So are fields that the version or the status does not allow.
+// So are transfer codings other than chunked, since calls ask for none, and fields that
+// the version or the status does not allow.
 func (h *Head) setFraming() error {
 	lengths, codings := 0, 0
 	for _, f := range h.Fields {
 		var err error
 		switch {
-		case strings.EqualFold(f.Name, fieldLength):
+		case strings.EqualFold(f.Name, kqgrammar.FieldLength):
 			lengths++
 			h.length, err = parseLength(f.Value)
-		case strings.EqualFold(f.Name, fieldEncoding):
+		case strings.EqualFold(f.Name, kqgrammar.FieldEncoding):
 			codings++
-			if !strings.EqualFold(f.Value, codingChunked) {
+			if !strings.EqualFold(f.Value, kqgrammar.CodingChunked) {
 				err = malformed("transfer coding", []byte(f.Value))
 			}
-		case strings.EqualFold(f.Name, fieldOptions):
+		case strings.EqualFold(f.Name, kqgrammar.FieldOptions):
 			h.isClosed = h.isClosed || hasOption(f.Value, optionClose)
 			h.isKept = h.isKept || hasOption(f.Value, optionKeep)
 		}
@@ -68,7 +61,7 @@
 	}
 	switch {
 	case lengths+codings > 1, codings > 0 && h.Minor == 0:
-		return malformed("framing", []byte(fieldLength+", "+fieldEncoding))
+		return malformed("framing", []byte(kqgrammar.FieldLength+", "+kqgrammar.FieldEncoding))
 	case (!h.IsFinal() || h.Status == statusNoContent) && (codings > 0 || h.length > 0):
 		return malformed("framing without a body", []byte(strconv.Itoa(h.Status)))
 	case !h.IsFinal(), h.Status == statusNoContent, h.Status == statusNotModified:
@@ -101,7 +94,7 @@
 // hasOption reports whether a list of options has the option.
 func hasOption(list, option string) bool {
 	for o := range strings.SplitSeq(list, ",") {
-		if strings.EqualFold(strings.Trim(o, " \t"), option) {
+		if strings.EqualFold(strings.Trim(o, kqgrammar.Blanks), option) {
 			return true
 		}
 	}
@@ -111,7 +104,7 @@
 // parseLength parses a length in bytes.
 func parseLength(text string) (int, error) {
 	for i := range len(text) {
-		if !isDigit(text[i]) {
+		if !kqgrammar.IsDigit(text[i]) {
 			return 0, malformed("length", []byte(text))
 		}
 	}
--- a/core/kqanswer/kqanswer.go
+++ b/core/kqanswer/kqanswer.go
@@ -28,10 +28,11 @@
 package kqanswer
 
 import (
-	"bytes"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+
+	"kumquatlink/core/kqgrammar"
 )
 
 // ErrMalformed marks the errors of malformed answers.
@@ -53,12 +54,9 @@
 	reasonAt     = statusAt + statusDigits + len(" ")
 )
 
-// lineEnd ends each line of a head.
-var lineEnd = []byte("\r\n")
-
 // cutLineEnd returns a line without its line end.
 func cutLineEnd(line []byte) ([]byte, error) {
-	text, hasEnd := bytes.CutSuffix(line, lineEnd)
+	text, hasEnd := kqgrammar.CutLineEnd(line)
 	if !hasEnd {
 		return nil, malformed("line end", line)
 	}
@@ -126,12 +124,12 @@
 // parseStatusLine sets the version and the status. The reason may be empty, but the
 // blank before it is required.
 func (h *Head) parseStatusLine(line []byte) error {
-	if len(line) < reasonAt || string(line[:len(protocol)]) != protocol || !isDigit(line[len(protocol)]) ||
+	if len(line) < reasonAt || string(line[:len(protocol)]) != protocol || !kqgrammar.IsDigit(line[len(protocol)]) ||
 		line[statusAt-1] != ' ' || line[reasonAt-1] != ' ' {
 		return malformed("status line", line)
 	}
 	for _, c := range line[reasonAt:] {
-		if !isTextByte(c) {
+		if !kqgrammar.IsTextByte(c) {
 			return malformed("reason", line)
 		}
 	}
