Requests by one grammar: the edge takes only what follows RFC 9112

The edge left it to fasthttp's codec what a request is, which repairs or passes on much: a blank in a field name, folded lines, lines that end with LF alone, HTTP/2.0, a length beside chunks, the coding identity, trailer lines that are none. Backend servers ran such requests, and requests behind them that another recipient would have taken for a part of them.

core/kqrequest decides on the bytes as they come, before the codec gets them: line by line for the head, chunk lines and trailers. What is malformed is refused with 400, a version other than 1.0 and 1.1 with 505, and the connection is closed. Refusals are counted by reason, and no text about them quotes the request; the codec's errors did, in the log. A length that no number holds is answered with 413, before 400, and so is a chunk beyond the limit before its bytes come.

Ruled out: a check of what the codec decoded, which no longer shows line ends and chunks; a reader of our own in place of the codec.

--- a/io/kqedge/connection.go
+++ b/io/kqedge/connection.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -13,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"kumquatlink/core/kqrequest"
 	"kumquatlink/io/kqbody"
 )
 
@@ -200,26 +200,26 @@
 	return len(c.active) > 0
 }
 
-// readRequest reads a request. If its headers do not fit into the buffer of
-// reader, it goes on with a larger one. It returns the reader to use next. The time for
-// a header ends when that is read; a body may take as long as the sender does not pause
-// for longer than an idle connection may, up to maxBodyTime.
+// readRequest reads a request. If its head does not fit into the buffer of reader, it
+// goes on with a larger one. It returns the reader to use next. The time for a head ends
+// when that is read; a body may take as long as the sender does not pause for longer
+// than an idle connection may, up to maxBodyTime.
 func (c *connection) readRequest(in *input, reader *bufio.Reader, e *Exchange, limits Limits) (*bufio.Reader, error) {
-	err := e.Request.Header.Read(reader)
-	var small *fasthttp.ErrSmallBuffer
-	if errors.As(err, &small) && reader.Size() < limits.HeaderBytes {
-		buffered, _ := reader.Peek(reader.Buffered())
-		buffered = bytes.Clone(buffered)
-		reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(buffered), in), limits.HeaderBytes)
-		err = e.Request.Header.Read(reader)
-	}
+	reader, head, err := awaitHead(in, reader, limits)
 	if err != nil {
 		return reader, err
 	}
-	if length := e.Request.Header.ContentLength(); length <= limits.BodyBytes && !c.server.bodyBudget.HasRoom(length) {
+	framing, length := head.Framing()
+	switch {
+	case length > limits.BodyBytes:
+		return reader, errors.Mark(errors.Newf("body of %d bytes", length), kqbody.ErrTooLarge)
+	case !c.server.bodyBudget.HasRoom(length):
 		// Refused before the caller has sent the body.
 		return reader, errors.Mark(errors.Newf("body of %d bytes", length), kqbody.ErrNoRoom)
 	}
+	if err := decodeHead(e.Request, reader); err != nil {
+		return reader, err
+	}
 	if e.Request.MayContinue() {
 		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return reader, err
@@ -227,19 +227,19 @@
 	}
 	in.beginBody(limits.IdleTime)
 	defer in.endBody()
+	if framing == kqrequest.FramingChunks {
+		return reader, c.server.readChunks(reader, e, limits)
+	}
 	return reader, c.server.readBody(reader, e, limits.BodyBytes)
 }
 
-// readBody reads the body of a request, of at most maxBytes. For a body that is
-// large or of unknown length, memory is allocated as bytes arrive, within the
-// server's budget, and counts until the exchange is finished.
+// readBody reads the body of a request, of at most maxBytes, unless it is in chunks. For
+// a large body, memory is allocated as bytes arrive, within the server's budget, and
+// counts until the exchange is finished.
 func (s *Server) readBody(reader *bufio.Reader, e *Exchange, maxBytes int) error {
 	r := e.Request
 	length := r.Header.ContentLength()
-	if length > maxBytes {
-		return fasthttp.ErrBodyTooLarge
-	}
-	if length >= 0 && length <= kqbody.SmallBytes || length < chunkedLength {
+	if length <= kqbody.SmallBytes {
 		return r.ContinueReadBody(reader, maxBytes, false)
 	}
 	if err := r.ContinueReadBodyStream(reader, maxBytes, false); err != nil {
@@ -249,11 +249,23 @@
 	if err == nil && length > len(body) {
 		err = io.ErrUnexpectedEOF
 	}
+	return e.setBody(body, release, err)
+}
+
+// readChunks reads a body in chunks within the limits, like readBody.
+func (s *Server) readChunks(reader *bufio.Reader, e *Exchange, limits Limits) error {
+	chunks := &chunkedBody{reader: reader, room: limits.BodyBytes, trailerRoom: limits.HeaderBytes}
+	return e.setBody(s.bodyBudget.Hold(chunks, -1, limits.BodyBytes))
+}
+
+// setBody sets the body of the request, and what gives its memory back. With an error it
+// gives that back at once.
+func (e *Exchange) setBody(body []byte, release func(), err error) error {
 	if err != nil {
 		release()
 		return err
 	}
-	r.SetBodyRaw(body)
+	e.Request.SetBodyRaw(body)
 	e.releaseRequest = release
 	return nil
 }
--- a/io/kqedge/kqedge.go
+++ b/io/kqedge/kqedge.go
@@ -1,7 +1,8 @@
 // Package kqedge is an HTTP/1.1 server for callers, with support for pipelined
 // requests, cancellation and graceful shutdown.
 //
-// It uses the codec of fasthttp but manages its connections itself. The server
+// It takes a request only if its bytes follow the grammar, by [kqrequest]. Then it uses
+// the codec of fasthttp, but manages its connections itself. The server
 // of fasthttp runs one request of a connection at a time, and does not notice a
 // caller that disconnects meanwhile. This server reads ahead, so that pipelined
 // requests start at once and a closed connection cancels its requests.
@@ -39,6 +40,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"kumquatlink/core/kqrequest"
 	"kumquatlink/io/kqaccept"
 	"kumquatlink/io/kqbody"
 )
@@ -53,9 +55,6 @@
 	initialBufferBytes = 4 << 10
 	// writeTimeout bounds writing an answer to a caller that does not read it.
 	writeTimeout = 10 * time.Second
-	// chunkedLength is the content length that fasthttp reports for a chunked
-	// body. For a body without any length it reports a lower value.
-	chunkedLength = -1
 	// maxBodyMemory bounds the memory in bytes of all large request bodies that
 	// a server reads or holds, until they are answered: a seventh of the memory of the
 	// smallest hosts.
@@ -90,7 +89,8 @@
 
 // Limits bound what a caller may send. A limit of 0 stands for its default.
 type Limits struct {
-	// HeaderBytes bounds the request line and headers, and BodyBytes the body.
+	// HeaderBytes bounds the request line and headers, and the trailer of a body in
+	// chunks, and BodyBytes the body.
 	// The defaults are 16 KiB and 16 MiB.
 	HeaderBytes int
 	BodyBytes   int
@@ -223,20 +223,27 @@
 	return s
 }
 
-// ErrShuttingDown marks requests that were read whole after [Server.Shutdown].
-var ErrShuttingDown = errors.New("server takes no more requests")
+// Errors of requests that can't be read or taken, beside those of [kqrequest] and
+// [kqbody].
+var (
+	// ErrShuttingDown marks requests that were read whole after [Server.Shutdown].
+	ErrShuttingDown = errors.New("server takes no more requests")
+	// ErrHeadTooLarge marks requests whose head or trailer exceeds Limits.HeaderBytes.
+	ErrHeadTooLarge = errors.New("head of the request is too large")
+)
 
 // StatusOf returns the HTTP status for the error of a request that can't be read
 // or taken.
 func StatusOf(err error) int {
-	var small *fasthttp.ErrSmallBuffer
 	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.Is(err, kqbody.ErrTooLarge):
+	case errors.Is(err, kqbody.ErrTooLarge):
 		return fasthttp.StatusRequestEntityTooLarge
 	case errors.Is(err, kqbody.ErrNoRoom) || errors.Is(err, ErrShuttingDown):
 		return fasthttp.StatusServiceUnavailable
-	case errors.As(err, &small):
+	case errors.Is(err, ErrHeadTooLarge):
 		return fasthttp.StatusRequestHeaderFieldsTooLarge
+	case kqrequest.ReasonOf(err) == kqrequest.ReasonVersion:
+		return fasthttp.StatusHTTPVersionNotSupported
 	default:
 		return fasthttp.StatusBadRequest
 	}
--- a/io/kqmesh/entry.go
+++ b/io/kqmesh/entry.go
@@ -12,10 +12,12 @@
 	"kumquatlink/core/kqbudget"
 	"kumquatlink/core/kqcall"
 	"kumquatlink/core/kqlineage"
+	"kumquatlink/core/kqrequest"
 	"kumquatlink/core/kqroutes"
 	"kumquatlink/io/kqbody"
 	"kumquatlink/io/kqedge"
 	"kumquatlink/io/kqlog"
+	"kumquatlink/io/kqmetric"
 	"kumquatlink/io/kqtrunk"
 )
 
@@ -276,5 +278,10 @@
 	if response.StatusCode() == fasthttp.StatusServiceUnavailable {
 		response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(defaultRetryAfter.Seconds(), 'f', 3, 64))
 	}
+	response.Header.SetContentType("text/plain")
+	response.SetBodyString(string(kqcall.OutcomeNotRun) + ": " + err.Error() + "\n")
+	if reason := kqrequest.ReasonOf(err); reason != "" {
+		n.metrics.Count(kqmetric.MalformedRequests, string(reason))
+	}
 	n.recordDecision(kqlog.Decision{Decision: decisionAnswer, Cause: string(kqcall.CauseBadRequest), Outcome: string(kqcall.OutcomeNotRun), Status: response.StatusCode(), Detail: err.Error()})
 }
