Own interface: requests are checked before the codec gets them

fasthttp's server reads from the connection by itself, so that malformed calls were run on the own interface like those at the edge before.

Connections of kqhttp.Listener check what is read with kqrequest.Stream. Bytes are passed on up to the end of the first malformed line, which never comes, so that the codec has no complete call to run; the error after them is answered with 400 or 505, counted and logged by reason, and the connection is closed.

Ruled out: a check of the head in the handler, tried first; it did not see a request line that ended with LF alone, nor the lines of chunks.

--- a/io/kqhttp/gone.go
+++ b/io/kqhttp/gone.go
@@ -8,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"kumquatlink/core/kqrequest"
 )
 
 // TCP keep-alive settings of caller connections. The kernel closes a quiet
@@ -25,7 +27,8 @@
 // disconnects; see [OnDisconnect]. The fasthttp server does not notice this, as
 // it reads nothing while a handler runs. Listener uses epoll, which reports the
 // disconnect even while pipelined requests are still unread, and reads no bytes
-// that belong to the server.
+// that belong to the server. The bytes that the server reads are checked by
+// [kqrequest]: it never gets a complete request that does not follow the grammar.
 type Listener struct {
 	net.Listener
 	events *os.File
@@ -40,6 +43,10 @@
 	net.Conn
 	listener *Listener
 	id       uint64
+	// requests checks what is read, and malformed is the error that ends the reading.
+	// Only the server's reading goroutine uses them.
+	requests  kqrequest.Stream
+	malformed error
 
 	mutex        sync.Mutex
 	disconnected bool
@@ -157,6 +164,24 @@
 	}
 }
 
+// Read reads what the caller has sent. From a malformed request on, it returns an error of
+// [kqrequest].
+func (w *watchedConn) Read(p []byte) (int, error) {
+	if w.malformed != nil {
+		return 0, w.malformed
+	}
+	n, err := w.Conn.Read(p)
+	valid, malformed := w.requests.Check(p[:n])
+	if malformed == nil {
+		return n, err
+	}
+	w.malformed = malformed
+	if valid == 0 {
+		err = malformed
+	}
+	return valid, err
+}
+
 // Close closes the connection and stops watching it.
 func (w *watchedConn) Close() error {
 	w.listener.remove(w.id)
--- a/io/kqnode/kqnode.go
+++ b/io/kqnode/kqnode.go
@@ -45,6 +45,7 @@
 	"kumquatlink/core/kqclass"
 	"kumquatlink/core/kqconfig"
 	"kumquatlink/core/kqmember"
+	"kumquatlink/core/kqrequest"
 	"kumquatlink/core/kqretry"
 	"kumquatlink/io/kqhttp"
 	"kumquatlink/io/kqlink"
@@ -289,7 +290,7 @@
 		CloseOnShutdown:       true,
 		MaxRequestBodySize:    maxBodyBytes,
 		ReadBufferSize:        readBufferBytes,
-		ErrorHandler:          handleMalformed,
+		ErrorHandler:          n.handleMalformed,
 		Logger:                serverLog{log: n.log},
 	}
 }
@@ -304,15 +305,23 @@
 	l.log.Event(zerolog.DebugLevel, fmt.Sprintf(format, values...), nil)
 }
 
-// handleMalformed answers a call whose HTTP request can't be parsed or exceeds
-// a size limit.
-func handleMalformed(c *fasthttp.RequestCtx, err error) {
+// handleMalformed answers a call whose HTTP request does not follow the grammar or
+// exceeds a size limit.
+func (n *Node) handleMalformed(c *fasthttp.RequestCtx, err error) {
 	cause := kqcall.CauseBadRequest
 	var small *fasthttp.ErrSmallBuffer
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &small) {
 		cause = kqcall.CauseTooLarge
 	}
+	reason := kqrequest.ReasonOf(err)
+	if reason != "" {
+		n.metrics.Count(kqmetric.MalformedRequests, string(reason))
+	}
+	n.recordDecision(kqlog.Decision{Decision: decisionAnswer, Cause: string(cause), Outcome: string(kqcall.OutcomeNotRun), Detail: string(reason)})
 	writeAnswer(c, "", &callAnswer{end: kqcall.NotRun(cause)})
+	if reason == kqrequest.ReasonVersion {
+		c.SetStatusCode(fasthttp.StatusHTTPVersionNotSupported)
+	}
 }
 
 // listen serves s at the address and returns the address that was opened, which
