--- a/io/kqmetric/kqmetric.go
+++ b/io/kqmetric/kqmetric.go
@@ -95,6 +95,7 @@
 	QuotaDecisions       = Definition{"quota_decisions", KindCounter, []string{"result"}, unitCalls, "Requests of teams with a quota, by this entry's decision: admitted, refused, or refused by the entry's own share while the home of the team does not answer."}
 	QuotaRefused         = Definition{"quota_refused", KindCounter, []string{"team"}, unitCalls, "Requests beyond the quota of their team that this entry has refused."}
 	QuotaReports         = Definition{"quota_reports", KindCounter, []string{"result"}, "reports", "Reports of the teams' use that this entry has sent to their homes."}
+	MalformedRequests    = Definition{"malformed_requests", KindCounter, []string{"reason"}, "requests", "Requests of callers that were refused because they do not follow the grammar of HTTP/1.1, by what is malformed."}
 	Panics               = Definition{"panics", KindCounter, nil, "panics", "Calls and tasks that ended by a panic, a fault of the node. The log holds the stack."}
 	LogDropped           = Definition{"log_dropped", KindGauge, nil, "lines", "Log lines that were not written since the start, because the queue was full or the line budget was spent."}
 )
@@ -104,7 +105,7 @@
 	return []Definition{
 		Answers, AnswerTime, Routes, Admissions, StoreCalls, StoreTime, StoreRestores,
 		ConfigurationVersion, ConfigurationRefused, Members, Suspected, Confirmed, Pauses, Exchanges,
-		QueueTime, RunTime, GateSlots, Upstreams, Repeats, RepeatsRefused, ServerState, ServerRateLimit, ServerCrashes, DeadlyRefused, QuotaDecisions, QuotaRefused, QuotaReports, Panics, LogDropped,
+		QueueTime, RunTime, GateSlots, Upstreams, Repeats, RepeatsRefused, ServerState, ServerRateLimit, ServerCrashes, DeadlyRefused, QuotaDecisions, QuotaRefused, QuotaReports, MalformedRequests, Panics, LogDropped,
 	}
 }
 
