Fair shares: teams within their share keep away from a threshold that varies

Cause: a gate's threshold varies by chance.

Change: kqfair.Room averages the thresholds that gates report for a class and places the requests of teams within their shares two standard deviations ahead.

--- a/core/kqfair/kqfair.go
+++ b/core/kqfair/kqfair.go
@@ -11,6 +11,11 @@
 //	curve := kqfair.NewCurve([]float64{900, 120, 40, 2})
 //	head.Order = kqfair.Order(curve, 120, head.Root)
 //
+// An entry that keeps a [Room] for a class uses that of the class:
+//
+//	room.Record(now, threshold, downstream) // with each answer of a gate
+//	head.Order = room.Order(now, curve, 120, head.Root, head.Rank)
+//
 // # Shares
 //
 // A request has a number u between 0 and 1 that follows from the ID of its root. If the
