Merge part fair: the order of requests by the demand of their team

The home of quotas makes the curve of all teams' demands, and entries give each request of a team its position by it (kqfair.NewCurve, kqfair.Order).

--- a/io/kqmesh/quota.go
+++ b/io/kqmesh/quota.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"kumquatlink/core/kqcall"
+	"kumquatlink/core/kqfair"
 	"kumquatlink/core/kqmember"
 	"kumquatlink/core/kqrate"
 	"kumquatlink/core/kqroutes"
@@ -28,11 +29,6 @@
 // as the home of some teams for all entries. mutex guards meter, home and curve.
 type quotas struct {
 	node *Node
-	// order returns the position of a team's request among those of its rank, by the
-	// curve that a home has sent and the team's demand. If it is nil, the request's ID
-	// decides.
-	order func(curve []float32, demand float64, root string) uint32
-
 	mutex sync.Mutex
 	meter *kqrate.Meter
 	home  *kqrate.Home
@@ -61,6 +57,7 @@
 func newQuotas(n *Node) *quotas {
 	k := &quotas{node: n, wake: make(chan struct{}, 1)}
 	k.home = kqrate.NewHome()
+	k.home.CurveOf = kqfair.NewCurve
 	k.home.LimitChanged = k.logLimit
 	k.meter = kqrate.NewMeter(n.settings.NodeID, n.random())
 	return k
@@ -77,9 +74,7 @@
 	k.mutex.Lock()
 	k.follow(k.node.State())
 	v := k.meter.Take(now, q.team.Name, kqrate.Quota{Rate: q.team.Rate, Burst: q.team.Burst})
-	if k.order != nil {
-		q.head.Order = k.order(k.curve, v.Demand, q.head.Root)
-	}
+	q.head.Order = kqfair.Order(k.curve, v.Demand, q.head.Root)
 	k.mutex.Unlock()
 	if v.IsUrgent {
 		k.wakeUp()
