Soak: keys of teams are rotated, and a team sends far more than its quota

Cause: the soak knew no teams, so that no run checked keys and quotas while nodes are killed, paused and cut off and the store misbehaves.

Change: each host gets a caller with keys: one that rotates with the routes, a withdrawn one, one that no team ever held, and that of a team whose quota alternates between 20 and 12 requests a second. Checked: no key at a server, the team's name, no run with a key that was never held or was withdrawn more than 10 s before, no more runs in any 5 s than the quota's bound, and after the faults each node denies the withdrawn key and accepts the newest. Former callers' routes are public; their schedules of faults are unchanged, since teams have random streams of their own.

Ruled out: checking a withdrawn key against the bound of a configuration while faults last; a restored store may hand out an older configuration to a node that starts.

--- a/io/kqsoak/call.go
+++ b/io/kqsoak/call.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"kumquatlink/io/kqhttp"
+	"kumquatlink/io/kqmesh"
 	"kumquatlink/io/kqwire"
 )
 
@@ -42,6 +43,8 @@
 	fromRepeat bool
 	// budgetMillis is the time budget header, in milliseconds; empty sends none.
 	budgetMillis string
+	// key is the key of a team, or empty.
+	key string
 	// origin is the host whose node it is sent to.
 	origin *host
 }
@@ -76,6 +79,9 @@
 	if c.onward {
 		request.Header.Set(headerOnward, "1")
 	}
+	if c.key != "" {
+		request.Header.Set(kqmesh.HeaderTeamKey, c.key)
+	}
 	request.SetBodyString(c.body)
 	err := pool.Do(ctx, request, response)
 	if err != nil {
@@ -84,18 +90,23 @@
 		return answer{err: err, body: err.Error()}
 	}
 	a := answer{status: response.StatusCode(), body: string(response.Body())}
-	ledger.recordAnswer(c.id, a.status, a.status == fasthttp.StatusServiceUnavailable || a.status == fasthttp.StatusTooManyRequests)
+	ledger.recordAnswer(c.id, a.status, saysNotRun(a.status))
 	if a.status == fasthttp.StatusOK {
 		if want := expectedBody(c.id, request); a.body != want {
 			ledger.recordViolation("%s got body %q, want %q", c.id, a.body, want)
 		}
 	}
-	if a.status == fasthttp.StatusServiceUnavailable && len(response.Header.Peek(fasthttp.HeaderRetryAfter)) == 0 {
-		ledger.recordViolation("%s was answered 503 without a Retry-After header", c.id)
+	if saysWhen := a.status == fasthttp.StatusServiceUnavailable || a.status == fasthttp.StatusTooManyRequests; saysWhen && len(response.Header.Peek(fasthttp.HeaderRetryAfter)) == 0 {
+		ledger.recordViolation("%s was answered %d without a Retry-After header", c.id, a.status)
 	}
 	return a
 }
 
+// saysNotRun reports whether a status tells the caller that its request was not run.
+func saysNotRun(status int) bool {
+	return status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests || status == fasthttp.StatusUnauthorized
+}
+
 // checkLostAnswer records a violation if a request had run and its connection
 // ended without an answer while no injected fault could have broken it.
 func (h *host) checkLostAnswer(ctx context.Context, c call, startedAt time.Time, err error) {
--- a/io/kqsoak/faults.go
+++ b/io/kqsoak/faults.go
@@ -293,6 +293,7 @@
 	if err := s.writeRoutes(ctx, value); err != nil {
 		return err
 	}
+	s.teams.recordWritten(version)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.routes = max(s.routes, version)
@@ -301,7 +302,7 @@
 
 // routesOf returns the version of the routes.
 func routesOf(version int64) kqroutes.Document {
-	d := kqroutes.Document{Version: version}
+	d := kqroutes.Document{Version: version, Teams: teamsOf(version), Routes: []kqroutes.Route{teamRoute()}}
 	for _, service := range services {
 		d.Services = append(d.Services, kqroutes.Service{Name: service, HealthPath: healthPath})
 		d.Routes = append(d.Routes, soakRoute(oncePath(service), service, true))
@@ -315,7 +316,7 @@
 func soakRoute(prefix, service string, runOnce bool) kqroutes.Route {
 	return kqroutes.Route{
 		Name: prefix, Host: hostName, Prefix: prefix, RunOnce: runOnce, MaxAttempts: 2, Rank: 1,
-		Parts: []kqroutes.Part{{Service: service, Weight: 1}}, Timeout: kqclass.Duration(requestTimeout),
+		Parts: []kqroutes.Part{{Service: service, Weight: 1}}, Timeout: kqclass.Duration(requestTimeout), Public: true,
 	}
 }
 
--- a/io/kqsoak/host.go
+++ b/io/kqsoak/host.go
@@ -298,6 +298,7 @@
 		v.host.soak.ledger.recordViolation("%s reached server %s of %s after it had drained", id, v.id, v.host.name)
 	}
 	v.host.soak.ledger.recordRun(id, v.id)
+	v.host.soak.teams.checkRun(v.host.soak.ledger, q, id)
 	if isDeadly(q) {
 		v.host.crash()
 		return false
--- a/io/kqsoak/kqsoak.go
+++ b/io/kqsoak/kqsoak.go
@@ -19,7 +19,9 @@
 //     and end them, while other faults affect their hosts;
 //   - a request that comes again and again crashes each server that runs it;
 //   - the routes change;
-//   - the store is restored from a copy, and makes writes late.
+//   - the store is restored from a copy, and makes writes late;
+//   - keys of teams are given and withdrawn, quotas change, and a team sends far
+//     more than its quota.
 //
 // Faults overlap and follow each other. Timing differs between runs, so a seed
 // fixes the schedule of faults but is not an exact replay.
@@ -36,6 +38,9 @@
 //   - the repeats of all nodes together stay within the bound;
 //   - a backend server that names a limit gets no more requests than that allows;
 //   - the request that crashes servers is soon kept from them;
+//   - no key reaches a backend server, which learns the name of the team that holds
+//     it, and a key that no team holds runs nothing;
+//   - a team runs no more than its quota allows, on all nodes together;
 //   - once the faults are over, every node serves the newest routes.
 package kqsoak
 
@@ -113,6 +118,7 @@
 	hosts     []*host
 	ledger    *ledger
 	deadly    deadlyRuns
+	teams     teams
 	// acceptErrors counts how often a stand-in took no connection for a moment.
 	acceptErrors atomic.Int64
 
@@ -151,6 +157,7 @@
 	s.runLoad(ctx)
 	s.ledger.checkRepeats(repeatRatio, repeatSlack, repeatWindow)
 	s.checkLimits()
+	s.teams.checkQuotas(s.ledger)
 	r := s.report()
 	if temporary && len(r.Broken) == 0 {
 		if err := os.RemoveAll(o.Directory); err != nil {
@@ -197,11 +204,15 @@
 		}
 	}
 	callers.Go(func() { s.runOperator(calling) })
+	for i, h := range s.hosts {
+		callers.Go(func() { s.runTeamCaller(calling, h, rand.New(rand.NewPCG(s.options.Seed, uint64(teamStream+i)))) })
+	}
 	sleep(ctx, warmupTime)
 	s.inject(ctx)
 	if missing := s.awaitService(ctx, recoveryTimeout); missing != "" && ctx.Err() == nil {
 		s.ledger.recordViolation("not all nodes serve %s after the last fault: %s", recoveryTimeout, missing)
 	}
+	s.checkKeys(ctx)
 	stop()
 	callers.Wait()
 }
--- a/io/kqsoak/ledger.go
+++ b/io/kqsoak/ledger.go
@@ -23,6 +23,9 @@
 	arrived    bool
 	// origin is the host whose node its caller sent it to.
 	origin *host
+	// key is the key that its caller sent, and sentAt when.
+	key    string
+	sentAt time.Time
 }
 
 // arrival is a request that was sent to a service, or that one of its backend
@@ -81,7 +84,7 @@
 	defer l.mutex.Unlock()
 	l.requests++
 	r := l.recordOf(c.id)
-	r.runOnce, r.fromRepeat, r.origin = c.runOnce, c.fromRepeat, c.origin
+	r.runOnce, r.fromRepeat, r.origin, r.key, r.sentAt = c.runOnce, c.fromRepeat, c.origin, c.key, time.Now()
 	l.sends = append(l.sends, arrival{at: time.Now(), service: c.service})
 }
 
@@ -97,6 +100,14 @@
 	return repeat
 }
 
+// keyOf returns the key that the caller of a request sent, and when.
+func (l *ledger) keyOf(id string) (key string, sentAt time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	r := l.recordOf(id)
+	return r.key, r.sentAt
+}
+
 // originOf returns the host whose node a request was sent to, or nil.
 func (l *ledger) originOf(id string) *host {
 	l.mutex.Lock()
