--- a/io/kqsettings/mesh.go
+++ b/io/kqsettings/mesh.go
@@ -14,6 +14,10 @@
 	defaultRepeatSlack  = 48
 	defaultShutdownTime = 6 * time.Second
 	defaultDrainTime    = 2500 * time.Millisecond
+	// defaultMemoryMegabytes is the memory of the smallest hosts.
+	defaultMemoryMegabytes = 284
+	// minMemoryMegabytes is the least memory in which a node serves.
+	minMemoryMegabytes = 96
 )
 
 // Mesh holds the settings of a mesh node, which finds the other nodes through the
@@ -54,6 +58,9 @@
 	// draining. Defaults "6s", "2.5s".
 	ShutdownTime kqclass.Duration `json:",omitempty"`
 	DrainTime    kqclass.Duration `json:",omitempty"`
+	// MemoryMegabytes is the memory in MiB that the node's process may take on its
+	// host. Default 284.
+	MemoryMegabytes int `json:",omitempty"`
 	// FirstStart reports whether the whole fleet starts for the first time. Then
 	// the first routes may be read from a stale replica of the store, and the
 	// budget of repeats has its slack from the start.
@@ -66,6 +73,7 @@
 	m := &Mesh{
 		RepeatRatio: defaultRepeatRatio, RepeatWindow: kqclass.Duration(defaultRepeatWindow), RepeatSlack: defaultRepeatSlack,
 		ShutdownTime: kqclass.Duration(defaultShutdownTime), DrainTime: kqclass.Duration(defaultDrainTime),
+		MemoryMegabytes: defaultMemoryMegabytes,
 	}
 	return m, read(path, m, m.Check)
 }
@@ -111,5 +119,8 @@
 			faults = append(faults, kqclass.Fault{Field: f.field, Value: f.value.Value().String(), Expect: "a duration above 0"})
 		}
 	}
+	if m.MemoryMegabytes < minMemoryMegabytes {
+		faults = append(faults, kqclass.Fault{Field: "MemoryMegabytes", Value: fmt.Sprint(m.MemoryMegabytes), Expect: fmt.Sprintf("at least %d", minMemoryMegabytes)})
+	}
 	return faults
 }
