Budgets of bodies: shares, waiting, and a signal of shortage

Cause: the budgets of bodies were separate, one for the uploads of callers, one for the calls at a gate, one for the answers being read, and no body could wait for room.

Change: a budget may be a share of another one, a body may wait for room, in the order of arrival, a body larger than the budget may be taken alone, and a function is told when bytes find no room. Small bodies can be counted. Nothing uses it yet.

--- a/io/kqbody/kqbody.go
+++ b/io/kqbody/kqbody.go
@@ -22,13 +22,21 @@
 //
 // Small bodies, whose buffer takes no more than [SmallBytes] bytes, are read even
 // if the budget is spent. Reading a larger body fails with [ErrNoRoom] if the
-// budget does not cover its buffer. A body that exceeds its own limit fails with
-// [ErrTooLarge].
+// budget does not cover its buffer, or waits for room for a time. A body that exceeds its
+// own limit fails with [ErrTooLarge].
+//
+// A budget may be a share of another one, which all shares draw on:
+//
+//	memory := kqbody.NewBudget(112<<20, kqbody.WithShortage(closeSlowReaders))
+//	uploads := kqbody.NewBudget(40<<20, kqbody.WithParent(memory))
 package kqbody
 
 import (
+	"context"
 	"io"
-	"sync/atomic"
+	"slices"
+	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -44,31 +52,105 @@
 
 // Sizes of buffers, in bytes.
 const (
-	// SmallBytes is the buffer size up to which a body does not count against
-	// the budget; most bodies are smaller.
+	// SmallBytes is the buffer size up to which a body is read without room in the
+	// budget; most bodies are smaller.
 	SmallBytes = 64 << 10
 	// firstBytes is the size of the first buffer for a body of unknown length.
 	firstBytes = 4 << 10
+	// freePart is the part of a budget, as a divisor, that is to be free after a shortage.
+	freePart = 4
 )
 
-// Budget bounds the memory that the bodies being read may take together, apart
-// from small ones. It is safe for concurrent use.
+// Budget bounds the memory that bodies may take together. It is safe for concurrent use.
 type Budget struct {
-	limit int64
-	inUse atomic.Int64
+	limit  int64
+	parent *Budget
+	// takesLone reports whether a body of any size fits while nothing else is in use.
+	takesLone bool
+	// short is called, without the mutex, when bytes find no room.
+	short func()
+
+	mutex sync.Mutex
+	inUse int64
+	// waiting holds those that wait for room, in the order in which they came.
+	waiting []*reservation
+}
+
+// reservation waits until its bytes fit. The channel is closed then.
+type reservation struct {
+	bytes, held int64
+	granted     chan struct{}
+}
+
+// Option configures a [Budget].
+type Option func(*Budget)
+
+// WithParent makes the budget a share of another one: what it covers counts in both.
+func WithParent(parent *Budget) Option {
+	return func(b *Budget) { b.parent = parent }
+}
+
+// WithLoneBodies lets a body of any size into the budget while nothing else is in use.
+func WithLoneBodies() Option {
+	return func(b *Budget) { b.takesLone = true }
+}
+
+// WithShortage sets a function that is called each time that bytes find no room in the
+// budget, or are counted beyond it. It must not block.
+func WithShortage(short func()) Option {
+	return func(b *Budget) { b.short = short }
 }
 
 // NewBudget returns a budget of limit bytes.
-func NewBudget(limit int) *Budget {
-	return &Budget{limit: int64(limit)}
+func NewBudget(limit int, options ...Option) *Budget {
+	b := &Budget{limit: int64(limit), short: func() {}}
+	for _, o := range options {
+		o(b)
+	}
+	return b
+}
+
+// InUse returns the number of bytes that the bodies take.
+func (b *Budget) InUse() int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return int(b.inUse)
 }
 
-// InUse returns the number of bytes that the large bodies being read take.
-func (b *Budget) InUse() int { return int(b.inUse.Load()) }
+// Missing returns the number of bytes that have to be given back so that those that wait
+// fit and a part of the budget is free. It is negative if that is so.
+func (b *Budget) Missing() int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	missing := b.inUse - b.limit + b.limit/freePart
+	for _, w := range b.waiting {
+		missing += w.bytes
+	}
+	return int(missing)
+}
+
+// Excess returns the part of the budget by which it is exceeded, 0 if it is not.
+func (b *Budget) Excess() float64 {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return max(0, float64(b.inUse-b.limit)/float64(b.limit))
+}
 
 // HasRoom reports whether a body of that many bytes fits into the budget now.
 func (b *Budget) HasRoom(bytes int) bool {
-	return bytes <= SmallBytes || b.inUse.Load()+int64(bytes) <= b.limit
+	if bytes <= SmallBytes {
+		return true
+	}
+	b.mutex.Lock()
+	fits := b.fits(int64(bytes), 0)
+	b.mutex.Unlock()
+	return fits && (b.parent == nil || b.parent.HasRoom(bytes))
+}
+
+// fits reports whether bytes fit beside what is in use. The held ones belong to the same
+// body. The mutex is held.
+func (b *Budget) fits(bytes, held int64) bool {
+	return b.inUse+bytes <= b.limit || b.takesLone && b.inUse == held
 }
 
 // Reserve counts a body of that many bytes, unless it is small, and returns the function
@@ -77,30 +159,129 @@
 	if bytes <= SmallBytes {
 		return func() {}, nil
 	}
-	if !b.reserve(bytes) {
+	if !b.reserve(int64(bytes), 0) {
 		return func() {}, errors.Mark(errors.Newf("body of %d bytes", bytes), ErrNoRoom)
 	}
-	return func() { b.inUse.Add(-int64(bytes)) }, nil
+	return func() { b.release(int64(bytes)) }, nil
 }
 
-// Charge counts a body like [Budget.Reserve], even if the budget is spent: it can't be
-// refused, but others are.
-func (b *Budget) Charge(bytes int) (release func()) {
+// Await counts a body like [Budget.Reserve], and waits until there is room or ctx ends.
+func (b *Budget) Await(ctx context.Context, bytes int) (release func(), err error) {
 	if bytes <= SmallBytes {
+		return func() {}, nil
+	}
+	if !b.await(ctx, int64(bytes), 0) {
+		return func() {}, errors.Mark(errors.Newf("body of %d bytes", bytes), ErrNoRoom)
+	}
+	return func() { b.release(int64(bytes)) }, nil
+}
+
+// Charge counts a body like [Budget.Reserve], even if it is small or the budget is spent:
+// it can't be refused, but others are.
+func (b *Budget) Charge(bytes int) (release func()) {
+	if bytes == 0 {
 		return func() {}
 	}
-	b.inUse.Add(int64(bytes))
-	return func() { b.inUse.Add(-int64(bytes)) }
+	b.charge(int64(bytes))
+	return func() { b.release(int64(bytes)) }
 }
 
-// reserve takes bytes from the budget and reports whether they fit. The caller
-// gives them back by subtracting them from inUse.
-func (b *Budget) reserve(bytes int) bool {
-	if b.inUse.Add(int64(bytes)) <= b.limit {
-		return true
+func (b *Budget) charge(bytes int64) {
+	if b.parent != nil {
+		b.parent.charge(bytes)
+	}
+	b.mutex.Lock()
+	b.inUse += bytes
+	isShort := b.inUse > b.limit
+	b.mutex.Unlock()
+	if isShort {
+		b.short()
+	}
+}
+
+// reserve takes bytes from the budget, for a body that holds some already, and reports
+// whether they fit. Nobody who waits is overtaken, except by bodies that have begun.
+func (b *Budget) reserve(bytes, held int64) bool {
+	b.mutex.Lock()
+	fits := b.fits(bytes, held) && (held > 0 || len(b.waiting) == 0)
+	if fits {
+		b.inUse += bytes
+	}
+	b.mutex.Unlock()
+	if !fits {
+		b.short()
+		return false
+	}
+	if b.parent != nil && !b.parent.reserve(bytes, held) {
+		b.giveBack(bytes)
+		return false
+	}
+	return true
+}
+
+// await reserves bytes and waits until they fit or ctx ends.
+func (b *Budget) await(ctx context.Context, bytes, held int64) bool {
+	b.mutex.Lock()
+	if b.fits(bytes, held) && (held > 0 || len(b.waiting) == 0) {
+		b.inUse += bytes
+		b.mutex.Unlock()
+	} else {
+		w := &reservation{bytes: bytes, held: held, granted: make(chan struct{})}
+		b.waiting = append(b.waiting, w)
+		b.mutex.Unlock()
+		b.short()
+		select {
+		case <-w.granted:
+		case <-ctx.Done():
+			if b.withdraw(w) {
+				return false
+			}
+		}
+	}
+	if b.parent != nil && !b.parent.await(ctx, bytes, held) {
+		b.giveBack(bytes)
+		return false
+	}
+	return true
+}
+
+// withdraw ends the wait of a reservation. It returns false if that was granted already.
+func (b *Budget) withdraw(w *reservation) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	i := slices.Index(b.waiting, w)
+	if i < 0 {
+		return false
+	}
+	b.waiting = slices.Delete(b.waiting, i, i+1)
+	b.grant()
+	return true
+}
+
+// release gives bytes back to the budget and to its parent.
+func (b *Budget) release(bytes int64) {
+	b.giveBack(bytes)
+	if b.parent != nil {
+		b.parent.release(bytes)
+	}
+}
+
+// giveBack gives bytes back to this budget alone.
+func (b *Budget) giveBack(bytes int64) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.inUse -= bytes
+	b.grant()
+}
+
+// grant lets those go on that wait and fit now, in their order. The mutex is held.
+func (b *Budget) grant() {
+	for len(b.waiting) > 0 && b.fits(b.waiting[0].bytes, b.waiting[0].held) {
+		w := b.waiting[0]
+		b.waiting = b.waiting[1:]
+		b.inUse += w.bytes
+		close(w.granted)
 	}
-	b.inUse.Add(-int64(bytes))
-	return false
 }
 
 // Read reads r to its end. The announced length is in bytes, negative if the
@@ -118,10 +299,27 @@
 // Hold reads like [Budget.Read]. The body counts against the budget until the function
 // is called that it returns, also with an error.
 func (b *Budget) Hold(r io.Reader, announced, limit int) (body []byte, release func(), err error) {
-	reserved := 0
-	release = func() { b.inUse.Add(-int64(reserved)) }
+	return b.hold(b.reserve, r, announced, limit)
+}
+
+// HoldPatiently reads like [Budget.Hold], but waits for room, each time until ctx ends or
+// for patience. Meanwhile it does not read r.
+func (b *Budget) HoldPatiently(ctx context.Context, patience time.Duration, r io.Reader, announced, limit int) (body []byte, release func(), err error) {
+	reserve := func(bytes, held int64) bool {
+		if b.reserve(bytes, held) {
+			return true
+		}
+		waiting, cancel := context.WithTimeout(ctx, patience)
+		defer cancel()
+		return b.await(waiting, bytes, held)
+	}
+	return b.hold(reserve, r, announced, limit)
+}
+
+func (b *Budget) hold(reserve func(bytes, held int64) bool, r io.Reader, announced, limit int) (body []byte, release func(), err error) {
+	h := &holding{budget: b, reserve: reserve}
 	if announced > limit {
-		return nil, release, errors.Mark(errors.Newf("body of %d bytes, at most %d are read", announced, limit), ErrTooLarge)
+		return nil, h.release, errors.Mark(errors.Newf("body of %d bytes, at most %d are read", announced, limit), ErrTooLarge)
 	}
 	initial, largest := firstBytes, limit+1
 	if announced >= 0 {
@@ -134,30 +332,53 @@
 			if cap(body) < largest {
 				grown = min(grown, largest)
 			}
-			if grown > SmallBytes {
-				if !b.reserve(grown) {
-					return nil, release, errors.Mark(errors.Newf("body of more than %d bytes", len(body)), ErrNoRoom)
-				}
-				reserved += grown
-			}
-			former := reserved - grown
-			body = append(make([]byte, 0, grown), body...)
-			if grown > SmallBytes && former > 0 {
-				// The buffer before is not used any more.
-				b.inUse.Add(-int64(former))
-				reserved = grown
+			if body, err = h.grow(body, grown); err != nil {
+				return nil, h.release, err
 			}
 		}
 		n, err := r.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		if len(body) > limit {
-			return nil, release, errors.Mark(errors.Newf("body of more than %d bytes", limit), ErrTooLarge)
+			return nil, h.release, errors.Mark(errors.Newf("body of more than %d bytes", limit), ErrTooLarge)
 		}
 		if err == io.EOF {
-			return body, release, nil
+			return body, h.release, nil
 		}
 		if err != nil {
-			return nil, release, err
+			return nil, h.release, err
+		}
+	}
+}
+
+// holding is the memory that one body takes from a budget.
+type holding struct {
+	budget  *Budget
+	reserve func(bytes, held int64) bool
+	bytes   int64
+}
+
+// grow returns the body in a buffer of the given size. An error is marked [ErrNoRoom].
+func (h *holding) grow(body []byte, size int) ([]byte, error) {
+	former := h.bytes
+	if size > SmallBytes {
+		if !h.reserve(int64(size), former) {
+			return nil, errors.Mark(errors.Newf("body of more than %d bytes", len(body)), ErrNoRoom)
 		}
+		h.bytes += int64(size)
+	}
+	body = append(make([]byte, 0, size), body...)
+	if former > 0 {
+		// The buffer before is not used any more.
+		h.budget.release(former)
+		h.bytes -= former
+	}
+	return body, nil
+}
+
+// release gives the memory back.
+func (h *holding) release() {
+	if h.bytes > 0 {
+		h.budget.release(h.bytes)
+		h.bytes = 0
 	}
 }
