Answers of backend servers count until they are given back

Cause: an answer counted against the budget of its pool only while it was read, though the caller of the pool held it on.

Change: Pool.DoHeld returns the function that gives the memory back, and a pool may draw on a budget of its owner. When memory is short, the answer is not read further for a time, so that its server is slowed down; the kernel holds 256 KB of it at most. Answers may be longer than 16 MiB by an option.

--- a/io/kqhttp/kqhttp.go
+++ b/io/kqhttp/kqhttp.go
@@ -63,6 +63,9 @@
 	maxBodyMemory = 32 << 20
 	dialTimeout   = time.Second
 	bufferSize    = 4 << 10
+	// receiveBuffer bounds what the kernel holds, in bytes, of an answer whose reading
+	// pauses.
+	receiveBuffer = 256 << 10
 	// maxStrayAnswers is the number of answers to other calls after which a
 	// call fails and its connection is closed.
 	maxStrayAnswers = 4
@@ -75,8 +78,10 @@
 	maxIdle      int
 	maxAge       time.Duration
 	maxBodyBytes int
-	// bodyBudget bounds the memory of all answer bodies that are being read.
+	// bodyBudget bounds the memory of all answer bodies that are being read or held, and
+	// patience how long reading one pauses for room.
 	bodyBudget *kqbody.Budget
+	patience   time.Duration
 	dial       func(ctx context.Context, address string) (net.Conn, error)
 	now        func() time.Time
 	// matches reports whether the answer belongs to the call.
@@ -96,6 +101,8 @@
 	probe     *socketProbe
 	// head is the head that is being read.
 	head kqanswer.Head
+	// releaseBody gives the memory of the body that was read back to the pool's budget.
+	releaseBody func()
 	// upload is the body of the call that is still being written, nil if there is none.
 	upload *upload
 	// broken is the error with which the connection failed, other than the end of
@@ -110,7 +117,7 @@
 }
 
 func newConnection(raw net.Conn) *connection {
-	c := &connection{Conn: raw, probe: newSocketProbe(raw)}
+	c := &connection{Conn: raw, probe: newSocketProbe(raw), releaseBody: func() {}}
 	c.reader = bufio.NewReaderSize(c, bufferSize)
 	c.writer = bufio.NewWriterSize(c, bufferSize)
 	return c
@@ -184,6 +191,18 @@
 	return func(p *Pool) { p.matches = matches }
 }
 
+// WithBodyBudget sets the budget of the memory of answer bodies, and how long reading one
+// pauses for room in it. The default is a budget of 32 MiB of the pool's own, and no pause.
+func WithBodyBudget(budget *kqbody.Budget, patience time.Duration) Option {
+	return func(p *Pool) { p.bodyBudget, p.patience = budget, patience }
+}
+
+// WithMaxBodyBytes sets the length in bytes of the largest answer body; the default is
+// 16 MiB.
+func WithMaxBodyBytes(n int) Option {
+	return func(p *Pool) { p.maxBodyBytes = n }
+}
+
 // NewPool returns a pool of connections to the address. It opens none yet.
 func NewPool(address string, options ...Option) *Pool {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
@@ -198,7 +217,15 @@
 		now:          time.Now,
 		matches:      func(*fasthttp.Request, *fasthttp.Response) bool { return true },
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp", address)
+			c, err := dialer.DialContext(ctx, "tcp", address)
+			if err != nil {
+				return nil, err
+			}
+			if err := c.(*net.TCPConn).SetReadBuffer(receiveBuffer); err != nil {
+				_ = c.Close()
+				return nil, err
+			}
+			return c, nil
 		},
 	}
 	for _, o := range options {
@@ -212,29 +239,38 @@
 // answer that comes before the call is written counts. Do sends the rest of the call then,
 // as long as the server receives it. An error is marked with [ErrNotSent] or [ErrLost].
 func (p *Pool) Do(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response) error {
+	release, err := p.DoHeld(ctx, request, response)
+	release()
+	return err
+}
+
+// DoHeld sends the call like [Pool.Do]. The body of the answer counts against the budget
+// until the function is called that it returns, also with an error.
+func (p *Pool) DoHeld(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response) (release func(), err error) {
 	c, err := p.acquire(ctx)
 	if err != nil {
-		return errors.Mark(errors.Wrapf(err, "connect to %s", p.address), ErrNotSent)
+		return func() {}, errors.Mark(errors.Wrapf(err, "connect to %s", p.address), ErrNotSent)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	if ctx.Err() != nil {
 		_ = c.Close()
-		return errors.Mark(errors.Wrap(ctx.Err(), "call was cancelled before it was sent"), ErrNotSent)
+		return func() {}, errors.Mark(errors.Wrap(ctx.Err(), "call was cancelled before it was sent"), ErrNotSent)
 	}
 	c.startWatchdog()
-	_, err = p.exchange(c, request, response)
+	_, err = p.exchange(ctx, c, request, response)
+	release, c.releaseBody = c.releaseBody, func() {}
 	isWritten := err == nil && c.finishUpload()
 	c.stopWatchdog()
 	if err != nil {
 		stop()
-		return p.wrapExchangeError(c, errors.CombineErrors(err, c.abortUpload()))
+		return release, p.wrapExchangeError(c, errors.CombineErrors(err, c.abortUpload()))
 	}
 	if !stop() || !isWritten || response.ConnectionClose() || request.ConnectionClose() {
 		_ = c.Close()
-		return nil
+		return release, nil
 	}
 	p.release(c)
-	return nil
+	return release, nil
 }
 
 // wrapExchangeError marks the error of a failed exchange. If the connection
@@ -252,13 +288,14 @@
 // exchange writes the call and reads its answer. If the response has StreamBody set, it
 // returns the body, or nil if there is none, instead of reading it. A large call may not
 // be written yet when it returns.
-func (p *Pool) exchange(c *connection, request *fasthttp.Request, response *fasthttp.Response) (io.Reader, error) {
+func (p *Pool) exchange(ctx context.Context, c *connection, request *fasthttp.Request, response *fasthttp.Response) (io.Reader, error) {
 	isHEAD, wantsStream := request.Header.IsHead(), response.StreamBody
 	writeErr := c.send(request)
 	// The answer is read even if writing failed: a server may answer before it
 	// has read the whole call and then close the connection.
 	for range maxStrayAnswers {
-		body, err := p.readAnswer(c, response, isHEAD, wantsStream)
+		c.releaseBody()
+		body, err := p.readAnswer(ctx, c, response, isHEAD, wantsStream)
 		if err != nil {
 			return nil, errors.CombineErrors(errors.Wrap(writeErr, "write call"), errors.Wrap(err, "read answer"))
 		}
@@ -274,7 +311,7 @@
 }
 
 // readAnswer reads an answer. It returns the body if that is to be a stream.
-func (p *Pool) readAnswer(c *connection, response *fasthttp.Response, isHEAD, wantsStream bool) (io.Reader, error) {
+func (p *Pool) readAnswer(ctx context.Context, c *connection, response *fasthttp.Response, isHEAD, wantsStream bool) (io.Reader, error) {
 	if err := c.readAnswerHead(response); err != nil {
 		return nil, err
 	}
@@ -282,7 +319,8 @@
 	if body == nil || wantsStream {
 		return body, nil
 	}
-	content, err := p.bodyBudget.Read(body, length, p.maxBodyBytes)
+	content, release, err := p.bodyBudget.HoldPatiently(ctx, p.patience, body, length, p.maxBodyBytes)
+	c.releaseBody = release
 	response.SetBodyRaw(content)
 	return nil, err
 }
--- a/io/kqhttp/stream.go
+++ b/io/kqhttp/stream.go
@@ -22,7 +22,7 @@
 	defer func() { _ = c.Close() }()
 	defer context.AfterFunc(ctx, func() { _ = c.Close() })()
 	response := &fasthttp.Response{StreamBody: true}
-	body, err := p.exchange(c, request, response)
+	body, err := p.exchange(ctx, c, request, response)
 	if err != nil {
 		return errors.Mark(errors.Wrapf(errors.CombineErrors(err, c.abortUpload()), "call %s", p.address), ErrLost)
 	}
