Links between nodes: long answers are offered before they are sent

Cause: a node took every answer off a link, whatever its caller had read before, and each was copied for its frame.

A call without room is answered as not run. Large bodies are not copied into a payload, and are sent in pieces that count as signs of life, so that a long frame does not seem to be silence. A peer of version 6 or earlier is sent its answers as before.

Ruled out: a window of bytes for each call. An entry passes on whole answers, since a call may be repeated until its answer is whole; the offer bounds the same memory with one round trip for long answers alone.

--- a/io/kqtrunk/frame.go
+++ b/io/kqtrunk/frame.go
@@ -26,6 +26,9 @@
 	frameAnswerCompressed frameKind = 8
 	// Known from versionUpdate on.
 	frameUpdate frameKind = 9
+	// Known from versionOffer on.
+	frameOffer frameKind = 10
+	frameGrant frameKind = 11
 )
 
 // prefixBytes is the size of the fields before a payload: the length of the
@@ -35,24 +38,36 @@
 // headLengthBytes is the size of the field that holds the length of a head.
 const headLengthBytes = 4
 
+// pieceBytes is the size of the pieces in which large payloads are sent and received.
+const pieceBytes = 256 << 10
+
 // frame is a unit of transfer between two nodes. The number identifies a call among
 // those of one end of a connection; an answer has the number of its call.
 type frame struct {
 	kind    frameKind
 	number  uint64
 	payload []byte
+	// rest is the end of the payload of a frame that is sent, which is not copied.
+	rest []byte
+	// release gives the memory of a received payload back, nil if it is not counted.
+	release func()
+	// dropped reports whether the payload was not kept, since there was no memory for it.
+	dropped bool
 }
 
-// pack encodes a head and a body as a payload.
-func pack(head any, body []byte) ([]byte, error) {
+// pack encodes a head and a body as a payload. The body of a large one is its rest.
+func pack(head any, body []byte) (payload, rest []byte, err error) {
 	data, err := cbor.Marshal(head)
 	if err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "encode head"), ErrFrame)
+		return nil, nil, errors.Mark(errors.Wrap(err, "encode head"), ErrFrame)
 	}
 	if len(data)+len(body)+headLengthBytes > MaxFrameBytes {
-		return nil, errors.Mark(errors.Newf("body of %d bytes and its head exceed the %d bytes of a frame", len(body), MaxFrameBytes), ErrFrame)
+		return nil, nil, errors.Mark(errors.Newf("body of %d bytes and its head exceed the %d bytes of a frame", len(body), MaxFrameBytes), ErrFrame)
+	}
+	if len(body) > kqbody.SmallBytes {
+		return join(data, nil), body, nil
 	}
-	return join(data, body), nil
+	return join(data, body), nil, nil
 }
 
 // join builds a payload from an encoded head and a body.
@@ -102,9 +117,10 @@
 	return mode
 }
 
-func writeFrame(w *bufio.Writer, f frame) error {
+// writeFrame writes a frame. It calls progress before each piece of a large one.
+func writeFrame(w *bufio.Writer, f frame, progress func() error) error {
 	var prefix [prefixBytes]byte
-	binary.BigEndian.PutUint32(prefix[:], uint32(len(f.payload)))
+	binary.BigEndian.PutUint32(prefix[:], uint32(len(f.payload)+len(f.rest)))
 	prefix[4] = byte(f.kind)
 	binary.BigEndian.PutUint64(prefix[5:], f.number)
 	if _, err := w.Write(prefix[:]); err != nil {
@@ -113,10 +129,23 @@
 	if _, err := w.Write(f.payload); err != nil {
 		return err
 	}
+	for rest := f.rest; len(rest) > 0; {
+		piece := rest[:min(len(rest), pieceBytes)]
+		rest = rest[len(piece):]
+		if err := progress(); err != nil {
+			return err
+		}
+		if _, err := w.Write(piece); err != nil {
+			return err
+		}
+	}
 	return w.Flush()
 }
 
-func readFrame(r *bufio.Reader) (frame, error) {
+// readFrame reads a frame. Its large payload counts with hold, which reports whether there
+// is memory for it; it is dropped if there is none. progress is called when a part of it
+// has arrived.
+func readFrame(r *bufio.Reader, hold func(f frame, bytes int) (release func(), ok bool), progress func()) (frame, error) {
 	var prefix [prefixBytes]byte
 	if _, err := io.ReadFull(r, prefix[:]); err != nil {
 		return frame{}, err
@@ -128,16 +157,7 @@
 	f := frame{kind: frameKind(prefix[4]), number: binary.BigEndian.Uint64(prefix[5:])}
 	switch {
 	case length > kqbody.SmallBytes:
-		// A faulty peer may announce more than it ever sends, so the buffer grows
-		// with the bytes that arrive.
-		body, err := kqbody.NewBudget(2*MaxFrameBytes).Read(io.LimitReader(r, int64(length)), int(length), int(length))
-		if err == nil && len(body) < int(length) {
-			err = io.ErrUnexpectedEOF
-		}
-		if err != nil {
-			return frame{}, err
-		}
-		f.payload = body
+		return f.readLarge(&progressReader{io.LimitReader(r, int64(length)), progress}, int(length), hold)
 	case length > 0:
 		f.payload = make([]byte, length)
 		if _, err := io.ReadFull(r, f.payload); err != nil {
@@ -146,3 +166,43 @@
 	}
 	return f, nil
 }
+
+// readLarge reads a large payload, or drops it.
+func (f frame) readLarge(r io.Reader, length int, hold func(f frame, bytes int) (release func(), ok bool)) (frame, error) {
+	release, ok := hold(f, length)
+	if !ok {
+		f.dropped = true
+		n, err := io.Copy(io.Discard, r)
+		if err == nil && n < int64(length) {
+			err = io.ErrUnexpectedEOF
+		}
+		return f, err
+	}
+	// A faulty peer may announce more than it ever sends, so the buffer grows
+	// with the bytes that arrive.
+	payload, err := kqbody.NewBudget(2*MaxFrameBytes).Read(r, length, length)
+	if err == nil && len(payload) < length {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		release()
+		return frame{}, err
+	}
+	f.payload, f.release = payload, release
+	return f, nil
+}
+
+// progressReader calls progress when bytes have arrived.
+type progressReader struct {
+	io.Reader
+	progress func()
+}
+
+// Read reads the next bytes.
+func (r *progressReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p[:min(len(p), pieceBytes)])
+	if n > 0 {
+		r.progress()
+	}
+	return n, err
+}
--- a/io/kqtrunk/kqtrunk.go
+++ b/io/kqtrunk/kqtrunk.go
@@ -20,6 +20,9 @@
 // call, and the payload. The payload of a call or an answer consists of the
 // length of the head, the head in CBOR, and the body.
 //
+// A long answer is offered first, with its length, and sent when the peer has granted it.
+// So a peer takes no more answers than it has memory for, while other calls go on.
+//
 // # Failure detection
 //
 // A connection on which calls wait and no frame arrives is pinged. If the peer
@@ -48,6 +51,7 @@
 	"golang.org/x/sys/unix"
 
 	"kumquatlink/core/kqcall"
+	"kumquatlink/io/kqbody"
 )
 
 // Errors of this package.
@@ -174,6 +178,16 @@
 	Run   time.Duration
 	// RoutesVersion is the version of the routes that the answering node holds.
 	RoutesVersion int64
+	// Release gives the memory of the body back that is counted, nil if none is. It is
+	// not sent. Whoever takes an answer calls it when the body is not used any more.
+	Release func() `cbor:"-"`
+}
+
+// Discard gives the memory of the body back.
+func (h AnswerHead) Discard() {
+	if h.Release != nil {
+		h.Release()
+	}
 }
 
 // Answer is the answer to a call.
@@ -200,6 +214,11 @@
 	// failed to, or has lost one; err says why if up is false. It must not call
 	// the dialer, which holds a lock on the peer's connection.
 	ConnectionChanged func(peer string, up bool, err error)
+	// Memory bounds the memory of large payloads that arrive, nil stands for no bound. A
+	// call without room for it is answered as not run. A long answer of a peer that
+	// offers it first waits there for room until the call ends; any other answer is lost
+	// if the budget is far exceeded.
+	Memory *kqbody.Budget
 	// AcceptFailed is called with the first of several errors in a row of a server
 	// that accepts no connections for the moment, and with nil when it does again.
 	AcceptFailed func(err error)
--- a/io/kqtrunk/squeeze.go
+++ b/io/kqtrunk/squeeze.go
@@ -80,7 +80,7 @@
 // that and compression is on for it. The caller holds writeMutex.
 func (t *trunk) compressHead(f frame) (frame, error) {
 	kind, has := compressedKinds[f.kind]
-	if !has || !t.compress.Load() || t.version.Load() < versionCompression {
+	if !has || len(f.rest) > 0 || !t.compress.Load() || t.version.Load() < versionCompression {
 		return f, nil
 	}
 	head, body, err := split(f.payload)
@@ -110,5 +110,5 @@
 	if err != nil {
 		return f, err
 	}
-	return frame{kind: kind, number: f.number, payload: join(head, body)}, nil
+	return frame{kind: kind, number: f.number, payload: join(head, body), release: f.release}, nil
 }
--- a/io/kqtrunk/trunk.go
+++ b/io/kqtrunk/trunk.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"cmp"
 	"context"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"kumquatlink/core/kqcall"
+	"kumquatlink/io/kqbody"
 )
 
 // bufferBytes is the size of a connection's read and write buffers; most frames
@@ -21,9 +23,18 @@
 // callResult is the payload of an answer, or the error with which a call ends.
 type callResult struct {
 	payload []byte
+	// release gives the memory of the payload back, nil if it is not counted.
+	release func()
 	err     error
 }
 
+// discard gives the memory of the payload back.
+func (r callResult) discard() {
+	if r.release != nil {
+		r.release()
+	}
+}
+
 // waiter is a call that waits for its answer. One with runOnce set keeps waiting
 // when the connection is retired, since it can't be run elsewhere.
 type waiter struct {
@@ -50,6 +61,8 @@
 	// goroutine only.
 	sent     dictionary
 	received dictionary
+	// memory bounds the memory of large payloads that arrive.
+	memory *kqbody.Budget
 
 	// mutex guards the fields below.
 	mutex sync.Mutex
@@ -58,7 +71,12 @@
 	// waiting holds the calls from this end, and running those from the peer.
 	waiting map[uint64]waiter
 	running map[uint64]context.CancelFunc
-	// lastReceived is when a frame last arrived or calls began to wait. pingedAt
+	// offers holds the answers of this end that the peer has not granted yet, and grants
+	// those of the peer that wait for memory or are on their way.
+	offers map[uint64]chan struct{}
+	grants map[uint64]*grant
+	// lastReceived is when a frame or a piece of a large one last passed, or calls
+	// began to wait. pingedAt
 	// is when a ping was sent after which no frame has arrived yet, or zero.
 	lastReceived time.Time
 	pingedAt     time.Time
@@ -75,8 +93,12 @@
 }
 
 func newTrunk(peer string, conn net.Conn, handlers Handlers) *trunk {
+	memory := handlers.Memory
+	if memory == nil {
+		memory = kqbody.NewBudget(math.MaxInt)
+	}
 	return &trunk{
-		peer: peer, conn: conn, handlers: handlers, now: time.Now, writer: bufio.NewWriterSize(conn, bufferBytes),
+		peer: peer, conn: conn, handlers: handlers, now: time.Now, memory: memory, offers: map[uint64]chan struct{}{}, grants: map[uint64]*grant{}, writer: bufio.NewWriterSize(conn, bufferBytes),
 		waiting: map[uint64]waiter{}, running: map[uint64]context.CancelFunc{}, done: make(chan struct{}),
 		onRetire: func() {}, onFirstFrame: func() {},
 	}
@@ -93,7 +115,10 @@
 	if err != nil {
 		return err
 	}
-	return writeFrame(t.writer, f)
+	return writeFrame(t.writer, f, func() error {
+		t.recordProgress()
+		return t.conn.SetWriteDeadline(t.now().Add(writeTimeout))
+	})
 }
 
 // run advertises this node's version, then reads and handles frames until the
@@ -104,12 +129,12 @@
 	}
 	reader := bufio.NewReaderSize(t.conn, bufferBytes)
 	for {
-		f, err := readFrame(reader)
+		f, err := readFrame(reader, t.hold, t.recordProgress)
 		if err != nil {
 			return t.fail(errors.Mark(err, ErrLost))
 		}
+		t.recordProgress()
 		t.mutex.Lock()
-		t.lastReceived, t.pingedAt = t.now(), time.Time{}
 		onFirstFrame := t.onFirstFrame
 		t.onFirstFrame = func() {}
 		t.mutex.Unlock()
@@ -122,6 +147,9 @@
 
 // handleFrame acts on a frame of the peer. An error closes the connection.
 func (t *trunk) handleFrame(f frame) error {
+	if f.dropped {
+		return t.handleDropped(f)
+	}
 	f, err := t.decompressHead(f)
 	if err != nil {
 		return err
@@ -130,7 +158,17 @@
 	case frameCall:
 		return t.handleCall(f)
 	case frameAnswer:
-		t.deliver(f.number, callResult{payload: f.payload})
+		t.deliver(f.number, callResult{payload: f.payload, release: f.release})
+	case frameOffer:
+		return t.handleOffer(f)
+	case frameGrant:
+		t.mutex.Lock()
+		granted := t.offers[f.number]
+		delete(t.offers, f.number)
+		t.mutex.Unlock()
+		if granted != nil {
+			close(granted)
+		}
 	case frameCancel:
 		t.mutex.Lock()
 		cancel := t.running[f.number]
@@ -139,10 +177,12 @@
 			cancel()
 		}
 	case frameMessage:
+		defer f.discard()
 		if t.handlers.Message != nil {
 			t.handlers.Message(t.peer, f.payload, t.sendMessage)
 		}
 	case frameUpdate:
+		defer f.discard()
 		if t.handlers.Update != nil {
 			t.handlers.Update(t.peer, f.payload, t.sendMessage)
 		}
@@ -156,6 +196,7 @@
 			t.version.Store(f.number)
 		}
 	default:
+		f.discard()
 		return errors.Mark(errors.Newf("frame of unknown kind %d", f.kind), ErrFrame)
 	}
 	return nil
@@ -172,10 +213,12 @@
 	var head CallHead
 	body, err := unpack(f.payload, &head)
 	if err != nil {
+		f.discard()
 		// The frame is whole, so only its call is lost.
-		return t.answer(f.number, AnswerHead{End: kqcall.NotRun(kqcall.CauseBadRequest)}, nil)
+		return t.answer(context.Background(), f.number, AnswerHead{End: kqcall.NotRun(kqcall.CauseBadRequest)}, nil)
 	}
 	if t.handlers.Call == nil {
+		f.discard()
 		return errors.Mark(errors.New("received a call, but this end takes none"), ErrFrame)
 	}
 	head = head.decoded()
@@ -185,37 +228,47 @@
 	t.mutex.Unlock()
 	task := func() {
 		defer t.finishCall(f.number, cancel)
+		defer f.discard()
 		hasEnded := false
 		defer func() {
 			if !hasEnded {
 				// A panic of the handler. The peer would wait until its deadline.
-				_ = t.answer(f.number, AnswerHead{End: kqcall.Unknown(kqcall.CausePanic)}, nil)
+				_ = t.answer(ctx, f.number, AnswerHead{End: kqcall.Unknown(kqcall.CausePanic)}, nil)
 			}
 		}()
 		answer, data := t.handlers.Call(ctx, t.peer, head, body)
 		hasEnded = true
-		if err := t.answer(f.number, answer, data); err != nil {
+		defer answer.Discard()
+		if err := t.answer(ctx, f.number, answer, data); err != nil {
 			_ = t.fail(errors.Mark(err, ErrLost))
 		}
 	}
 	if err := t.handlers.submit(task); err != nil {
-		t.finishCall(f.number, cancel)
-		return t.answer(f.number, AnswerHead{End: kqcall.NotRun(kqcall.CausePoolFull)}, nil)
+		defer t.finishCall(f.number, cancel)
+		f.discard()
+		return t.answer(ctx, f.number, AnswerHead{End: kqcall.NotRun(kqcall.CausePoolFull)}, nil)
 	}
 	return nil
 }
 
 // answer sends the answer to a call of the peer. An answer that can't be encoded, or
-// is too large for a frame, is sent as a lost one.
-func (t *trunk) answer(number uint64, head AnswerHead, body []byte) error {
-	payload, err := pack(head.forVersion(t.version.Load()), body)
+// is too large for a frame, is sent as a lost one. A long one is offered first, and not sent
+// if ctx ends, since the peer has given up the call then.
+func (t *trunk) answer(ctx context.Context, number uint64, head AnswerHead, body []byte) error {
+	payload, rest, err := pack(head.forVersion(t.version.Load()), body)
 	if err != nil {
-		payload, err = pack(AnswerHead{End: kqcall.Unknown(kqcall.CauseTooLarge), ServerID: head.ServerID}, nil)
+		payload, rest, err = pack(AnswerHead{End: kqcall.Unknown(kqcall.CauseTooLarge), ServerID: head.ServerID}, nil)
 	}
 	if err != nil {
 		return err
 	}
-	return t.send(frame{kind: frameAnswer, number: number, payload: payload})
+	if len(rest) > offerBytes && t.version.Load() >= versionOffer {
+		isGranted, err := t.offer(ctx, number, len(payload)+len(rest))
+		if err != nil || !isGranted {
+			return err
+		}
+	}
+	return t.send(frame{kind: frameAnswer, number: number, payload: payload, rest: rest})
 }
 
 // finishCall releases what handleCall keeps for a call of the peer.
@@ -232,7 +285,7 @@
 	if !head.isDecodable(t.version.Load()) {
 		return nil, errors.Mark(errors.New("head of the call is not UTF-8, which this peer can't decode"), ErrNotSent)
 	}
-	payload, err := pack(head.forVersion(t.version.Load()), body)
+	payload, rest, err := pack(head.forVersion(t.version.Load()), body)
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
@@ -241,7 +294,7 @@
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
-	if err := t.send(frame{kind: frameCall, number: number, payload: payload}); err != nil {
+	if err := t.send(frame{kind: frameCall, number: number, payload: payload, rest: rest}); err != nil {
 		// The peer acts on whole frames only. Still the call counts as lost, not
 		// as not sent: the kernel's buffers may hold the rest of the frame and
 		// deliver it.
@@ -251,7 +304,10 @@
 	case r := <-answered:
 		return readAnswer(r)
 	case <-ctx.Done():
-		t.unregister(number)
+		if _, found := t.removeWaiter(number); !found {
+			// The answer has just arrived.
+			(<-answered).discard()
+		}
 		_ = t.send(frame{kind: frameCancel, number: number})
 		return nil, errors.Mark(errors.Wrap(ctx.Err(), "wait for an answer"), ErrLost)
 	}
@@ -265,9 +321,11 @@
 	a := &Answer{}
 	body, err := unpack(r.payload, &a.Head)
 	if err != nil {
+		r.discard()
 		return nil, errors.Mark(err, ErrLost)
 	}
 	a.Head, a.Body = a.Head.decoded(), body
+	a.Head.Release = r.release
 	return a, nil
 }
 
@@ -293,17 +351,13 @@
 	return t.lastNumber, nil
 }
 
-// unregister removes a call whose answer is no longer wanted.
-func (t *trunk) unregister(number uint64) {
-	_, _ = t.removeWaiter(number)
-}
-
 // removeWaiter removes a call from those that wait and reports whether it was one
 // of them. A retired connection on which no other call waits is closed.
 func (t *trunk) removeWaiter(number uint64) (waiter, bool) {
 	t.mutex.Lock()
 	w, found := t.waiting[number]
 	delete(t.waiting, number)
+	t.withdrawGrant(number)
 	closeReason := t.silent
 	if len(t.waiting) > 0 {
 		closeReason = nil
@@ -317,9 +371,12 @@
 
 // deliver hands an answer to the call that waits for it, if it still does.
 func (t *trunk) deliver(number uint64, r callResult) {
-	if w, found := t.removeWaiter(number); found {
-		w.answered <- r
+	w, found := t.removeWaiter(number)
+	if !found {
+		r.discard()
+		return
 	}
+	w.answered <- r
 }
 
 // check pings the peer if calls wait and nothing has arrived for pingDelay, and
@@ -366,6 +423,7 @@
 		if !w.runOnce {
 			abandoned = append(abandoned, number)
 			delete(t.waiting, number)
+			t.withdrawGrant(number)
 			w.answered <- callResult{err: err}
 		}
 	}
@@ -417,6 +475,9 @@
 	t.failed = err
 	waiting, running := t.waiting, t.running
 	t.waiting, t.running = map[uint64]waiter{}, map[uint64]context.CancelFunc{}
+	for number := range t.grants {
+		t.withdrawGrant(number)
+	}
 	if t.timer != nil {
 		t.timer.Stop()
 	}
--- a/io/kqtrunk/version.go
+++ b/io/kqtrunk/version.go
@@ -27,7 +27,9 @@
 	versionBytes = 5
 	// versionOrder is the first in which heads carry [CallHead.Order].
 	versionOrder = 6
-	ownVersion   = versionOrder
+	// versionOffer is the first in which long answers are offered before they are sent.
+	versionOffer = 7
+	ownVersion   = versionOffer
 )
 
 // orderHeader is the name of the element of CallHead.Headers that carries
