Callers that do not read their answers are closed when memory is short

Cause: an answer counted only while it was written, not while it waited behind others of its connection, and nothing was done when answers exceeded the budget.

Change: each request and its answer count from the request's head until the answer is written. While memory is short, callers that have taken no 64 KB of their answer for 2 s are closed, those that hold most first, and after 100 ms if the budget is exceeded. If it is exceeded by an eighth, requests are refused with 503 before they run, and a caller whose answers queue up behind one that it does not read is closed. The body of a request is given back once it has run. The time for writing an answer stays 10 s.

--- a/io/kqedge/connection.go
+++ b/io/kqedge/connection.go
@@ -38,6 +38,11 @@
 	reading      bool
 	// idleSince is when the connection was opened or its last answer written.
 	idleSince time.Time
+	// held is the number of bytes of answers that are ready and not yet written.
+	held atomic.Int64
+	// progressAt is when the writing of an answer began or the caller took a piece of it,
+	// in Unix nanoseconds, or 0 if no answer is being written.
+	progressAt atomic.Int64
 }
 
 // input reads from a connection. While a body is read, its sender may take a pause of
@@ -118,7 +123,7 @@
 		limits = c.server.limits().WithDefaults()
 		e := &Exchange{
 			Request: fasthttp.AcquireRequest(), Response: fasthttp.AcquireResponse(), done: make(chan struct{}),
-			releaseRequest: func() {}, releaseResponse: func() {},
+			releaseRequest: func() {}, releaseResponse: func() {}, releaseExchange: func() {},
 		}
 		e.ctx, e.cancel = context.WithCancel(context.Background())
 		_ = c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTime))
@@ -216,6 +221,9 @@
 	if err != nil {
 		return reader, err
 	}
+	if c.server.memory.Excess() > maxExcess {
+		return reader, errors.Mark(errors.New("memory is short"), kqbody.ErrNoRoom)
+	}
 	if length := e.Request.Header.ContentLength(); length <= limits.BodyBytes && !c.server.bodyBudget.HasRoom(length) {
 		// Refused before the caller has sent the body.
 		return reader, errors.Mark(errors.Newf("body of %d bytes", length), kqbody.ErrNoRoom)
@@ -299,6 +307,7 @@
 	if c.closing.Load() || c.shuttingDown && !e.refused {
 		return false
 	}
+	e.releaseExchange = c.server.memory.Charge(exchangeBytes)
 	c.server.inFlight.Add(1)
 	c.server.lastReceived.Store(e.ReceivedAt.UnixNano())
 	if c.active == nil {
@@ -321,6 +330,7 @@
 	c.answers <- e
 	err := c.server.submit(func() {
 		defer close(e.done)
+		defer c.holdAnswer(e)
 		isAnswered := false
 		defer func() {
 			if !isAnswered {
@@ -400,13 +410,10 @@
 
 // writeAnswers writes the answers in the order of their requests.
 func (c *connection) writeAnswers() {
-	writer := bufio.NewWriterSize(c.raw, initialBufferBytes)
+	writer := bufio.NewWriterSize(output{c}, initialBufferBytes)
 	ended := false
 	for e := range c.answers {
 		<-e.done
-		if !e.Response.IsBodyStream() {
-			e.releaseResponse = c.server.bodyBudget.Charge(len(e.Response.Body()))
-		}
 		if !ended && !c.writeAnswer(writer, e) {
 			ended = true
 			// No later request gets an answer: for the caller they count as
@@ -460,7 +467,10 @@
 		e.Response.SetConnectionClose()
 	}
 	e.Response.SkipBody = e.Request.Header.IsHead()
-	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
+	now := time.Now()
+	c.progressAt.Store(now.UnixNano())
+	defer c.progressAt.Store(0)
+	_ = c.raw.SetWriteDeadline(now.Add(writeTimeout))
 	if err := e.Response.Write(writer); err != nil {
 		return false
 	}
@@ -497,4 +507,6 @@
 	fasthttp.ReleaseResponse(e.Response)
 	e.releaseRequest()
 	e.releaseResponse()
+	e.releaseExchange()
+	c.held.Add(-e.held)
 }
--- a/io/kqedge/kqedge.go
+++ b/io/kqedge/kqedge.go
@@ -63,6 +63,22 @@
 	// maxBodyTime is how long a body may take to arrive, unless an idle connection may
 	// pause for longer.
 	maxBodyTime = time.Minute
+	// pieceBytes is the size of the pieces in which answers are written. A caller makes
+	// progress when it has taken one.
+	pieceBytes = 64 << 10
+	// stallTime is how long a caller may take no piece of its answer before it is closed
+	// while memory is short, and excessStallTime if more is in use than the budget covers.
+	stallTime       = 2 * time.Second
+	excessStallTime = 100 * time.Millisecond
+	// reclaimPeriod is the time between two checks for stalled callers while memory is
+	// short.
+	reclaimPeriod = 50 * time.Millisecond
+	// maxExcess is the part of the budget of memory by which it may be exceeded before
+	// requests are refused.
+	maxExcess = 0.125
+	// exchangeBytes is about what a request takes, beside bodies, until it is answered:
+	// its head, the buffers of the codec and the stacks of its goroutines.
+	exchangeBytes = 16 << 10
 	// backlogTime is how long a server that shuts down accepts the connections
 	// that wait in the listener's backlog.
 	backlogTime = 20 * time.Millisecond
@@ -130,10 +146,16 @@
 	Abort bool
 	// refused reports whether the request is answered without the handler.
 	refused bool
+	// ReleaseBody gives the memory of the response's body back once it has been written.
+	// The handler may set it if that memory is counted already.
+	ReleaseBody func()
 	// releaseRequest and releaseResponse give the memory of the bodies back to the
-	// server's budget.
+	// server's budget, and releaseExchange that of the rest.
 	releaseRequest  func()
 	releaseResponse func()
+	releaseExchange func()
+	// held is the number of bytes that the answer takes until it has been written.
+	held int64
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -161,9 +183,14 @@
 	maxConnections int
 	// acceptFailed is told of errors of the listener that pass.
 	acceptFailed func(err error)
-	// bodyBudget bounds the memory of all large request bodies. Answers that are being
-	// written count as well.
+	// memory bounds the memory of request bodies and answers. bodyBudget is its share for
+	// large request bodies.
+	memory     *kqbody.Budget
 	bodyBudget *kqbody.Budget
+	// reclaiming reports whether stalled callers are being closed. reclaimed is called for
+	// each of them.
+	reclaiming atomic.Bool
+	reclaimed  func(Stalled)
 	inFlight   atomic.Int64
 	// reading counts the requests that are being read. lastReceived is in Unix
 	// nanoseconds.
@@ -193,6 +220,22 @@
 	return func(s *Server) { s.maxConnections = count }
 }
 
+// WithMemory sets the budget that bounds the memory of request bodies and answers, beside
+// others that draw on it. While it is short, [Server.Reclaim] has to be called. The default
+// is a budget of 40 MiB of the server's own.
+func WithMemory(memory *kqbody.Budget) Option {
+	return func(s *Server) {
+		s.memory = memory
+		s.bodyBudget = kqbody.NewBudget(maxBodyMemory, kqbody.WithParent(memory), kqbody.WithLoneBodies(), kqbody.WithShortage(s.Reclaim))
+	}
+}
+
+// WithReclaimObserver sets a function that is called for each caller that is closed because
+// it stalled while memory was short.
+func WithReclaimObserver(observe func(Stalled)) Option {
+	return func(s *Server) { s.reclaimed = observe }
+}
+
 // WithAcceptObserver sets a function that is called with the first of several errors
 // in a row of the listener, and with nil when it accepts connections again.
 func WithAcceptObserver(observe func(err error)) Option {
@@ -210,13 +253,15 @@
 func New(handle func(ctx context.Context, e *Exchange), options ...Option) *Server {
 	s := &Server{
 		handle: handle, limits: func() Limits { return Limits{} }, connections: map[*connection]struct{}{},
-		acceptFailed: func(error) {},
-		submit:       func(task func()) error { go task(); return nil }, bodyBudget: kqbody.NewBudget(maxBodyMemory),
+		acceptFailed: func(error) {}, reclaimed: func(Stalled) {},
+		submit: func(task func()) error { go task(); return nil },
 		refused: func(r *fasthttp.Response, err error) {
 			r.SetStatusCode(StatusOf(err))
 			r.SetBodyString(err.Error() + "\n")
 		},
 	}
+	s.memory = kqbody.NewBudget(maxBodyMemory, kqbody.WithShortage(s.Reclaim))
+	s.bodyBudget = s.memory
 	for _, o := range options {
 		o(s)
 	}
