One budget bounds all bodies that a node holds

Cause: answers were not bounded in sum. A crowd of callers that read long answers slowly took the entry's node to 559 MiB on a machine of 128.

Change: the node has one budget, 40% of the memory of its machine, which the new setting MemoryMegabytes names and memoryMb of the platform's settings file. Uploads, answers that are read from the backend server, answers and calls on links, and answers that wait for callers draw on it. Garbage is collected without pause from 70% of the machine's memory on. The metrics stalled_callers and body_memory and the event CallersStalled show it at work.

--- a/io/kqcli/mesh.go
+++ b/io/kqcli/mesh.go
@@ -38,9 +38,9 @@
 // node. GOGC in the environment takes precedence.
 const gcPercent = 50
 
-// memoryLimit is the memory in bytes from which on a node collects garbage as often as
-// it takes to stay below. The smallest hosts end a process at 284 MB.
-const memoryLimit = 200 << 20
+// collectShare is the part of the memory of a node's process from which on it collects
+// garbage as often as it takes to stay below.
+const collectShare = 0.7
 
 type meshCommand struct {
 	MetricsPort int    `placeholder:"PORT" help:"TCP port on the address of the host at which metrics are served, at /metrics."`
@@ -101,7 +101,7 @@
 		NodeID: m.NodeID, Region: m.Region, FailureDomain: m.FailureDomain, Service: m.Service,
 		BackendAddress: m.BackendAddress, CallerAddress: m.CallerAddress, NoticeAddress: m.NoticeAddress,
 		ReadyAddress: m.ReadyAddress, PeerAddress: m.PeerAddress, AdvertisedAddress: m.AdvertisedAddress, MetricsAddress: m.MetricsAddress,
-		RoutesKind: kqmesh.NativeRoutesKind, RoutesName: kqmesh.NativeRoutesName, FirstStart: m.FirstStart,
+		RoutesKind: kqmesh.NativeRoutesKind, RoutesName: kqmesh.NativeRoutesName, FirstStart: m.FirstStart, MemoryMegabytes: m.MemoryMegabytes,
 		Tunables: tunablesOf(m),
 	}
 	read := func() (reloadable, error) {
@@ -131,7 +131,7 @@
 		debug.SetGCPercent(gcPercent)
 	}
 	if os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(memoryLimit)
+		debug.SetMemoryLimit(int64(collectShare * float64(settings.MemoryMegabytes<<20)))
 	}
 	log := kqlog.New(e.output, kqlog.WithNode(settings.NodeID, settings.FailureDomain), kqlog.WithLevel(zerolog.InfoLevel),
 		kqlog.WithQueueLength(logQueue), kqlog.WithBudget(logLinesPerSecond))
--- a/io/kqmesh/answer.go
+++ b/io/kqmesh/answer.go
@@ -33,6 +33,7 @@
 	default:
 		return o
 	}
+	spoiled.discard()
 	spoiled.head.End = kqcall.Unknown(kqcall.CauseBackendLost)
 	spoiled.head.Status, spoiled.head.Headers, spoiled.body = 0, nil, nil
 	return &spoiled
--- a/io/kqmesh/entry.go
+++ b/io/kqmesh/entry.go
@@ -231,6 +231,7 @@
 			r.Header.Add(f.Name, f.Value)
 		}
 		r.SetBodyRaw(o.body)
+		e.ReleaseBody = o.head.Release
 		return
 	}
 	r.SetStatusCode(statusOf(o.head))
--- a/io/kqmesh/events.go
+++ b/io/kqmesh/events.go
@@ -95,6 +95,7 @@
 	eventPanic
 	eventAcceptFailed
 	eventAcceptBack
+	eventCallersStalled
 	eventKindCount
 )
 
@@ -160,6 +161,7 @@
 	eventPanic:               {Name: "Panic", Level: zerolog.ErrorLevel, Description: "A call or task ended by a panic, a fault of the node: a caller gets the status 500, and 502 for a call of another node. The message holds the stack."},
 	eventAcceptFailed:        {Name: "AcceptFailed", Level: zerolog.WarnLevel, Description: "A listener could not accept a connection, for example since the process has no descriptor left. It goes on trying.", Fields: []string{fieldSource}},
 	eventAcceptBack:          {Name: "AcceptBack", Level: zerolog.InfoLevel, Description: "A listener accepts connections again.", Fields: []string{fieldSource}},
+	eventCallersStalled:      {Name: "CallersStalled", Level: zerolog.WarnLevel, Description: "Callers were closed since they did not read their answers while the memory for bodies was short. Logged once a second at most, with the number of callers, the bytes that waited for them, and the address of the last one, which had taken nothing for TookMicros.", Fields: []string{"Callers", "Bytes", fieldAddress, fieldTook}},
 	eventLoadNotAsked:        {Name: "LoadNotAsked", Level: zerolog.DebugLevel, Description: "The load of a gate could not be requested.", Fields: []string{fieldService, fieldHost}},
 }
 
--- a/io/kqmesh/gate.go
+++ b/io/kqmesh/gate.go
@@ -78,8 +78,9 @@
 func newGate(n *Node) *gate {
 	return &gate{
 		node: n, queue: kqadmit.New(), waiting: map[uint64]chan kqadmit.Verdict{}, runs: kqlineage.New(), suspects: newSuspects(n),
-		bodies: kqbody.NewBudget(maxGateBodyMemory),
-		pool:   kqhttp.NewPool(n.settings.BackendAddress, kqhttp.WithMaxAge(maxIdleTime), kqhttp.WithAnswerMatcher(n.answerMatches)),
+		bodies: kqbody.NewBudget(maxGateBodyMemory, kqbody.WithLoneBodies()),
+		pool: kqhttp.NewPool(n.settings.BackendAddress, kqhttp.WithMaxAge(maxIdleTime), kqhttp.WithAnswerMatcher(n.answerMatches),
+			kqhttp.WithBodyBudget(n.memory, answerPatience), kqhttp.WithMaxBodyBytes(maxAnswerBytes)),
 	}
 }
 
@@ -105,6 +106,12 @@
 	shedBy kqshed.Reason
 }
 
+// discard gives the memory of the body back.
+func (o *callAnswer) discard() {
+	o.head.Discard()
+	o.head.Release = nil
+}
+
 // endOnly returns a callAnswer for a call that ended without an answer of a
 // backend server.
 func endOnly(end kqcall.End) *callAnswer {
@@ -393,8 +400,11 @@
 	g.node.shedder.recordRun(head.Class)
 	g.fillRequest(request, head, body, server.ServerID, ends-begun)
 	handedOver := g.suspects.begin(head, body, server)
-	err := g.pool.Do(ctx, request, response)
+	release, err := g.pool.DoHeld(ctx, request, response)
 	o := g.readAnswer(ctx, response, err)
+	if o.head.Release = release; len(o.body) == 0 {
+		o.discard()
+	}
 	g.suspects.end(handedOver, o.head.End)
 	if err == nil && o.head.End.Cause != kqcall.CauseMoved && o.head.End.Cause != kqcall.CauseBackendLost {
 		g.observeStatement(&response.Header, server)
@@ -458,7 +468,7 @@
 	}
 	o := endOnly(kqcall.Ran())
 	o.head.Status = status
-	o.body = append([]byte(nil), response.Body()...)
+	o.body = response.Body()
 	for k, v := range response.Header.All() {
 		if isEndToEnd(string(k)) {
 			o.head.Headers = append(o.head.Headers, kqtrunk.Header{Name: string(k), Value: string(v)})
--- a/io/kqmesh/kqmesh.go
+++ b/io/kqmesh/kqmesh.go
@@ -49,6 +49,7 @@
 	"kumquatlink/core/kqroute"
 	"kumquatlink/core/kqroutes"
 	"kumquatlink/core/kqserver"
+	"kumquatlink/io/kqbody"
 	"kumquatlink/io/kqedge"
 	"kumquatlink/io/kqlog"
 	"kumquatlink/io/kqmetric"
@@ -91,6 +92,9 @@
 	RoutesName string
 	// Tunables may be changed later with Retune.
 	Tunables
+	// MemoryMegabytes is the memory in MiB that the process may take on its host, 0 for
+	// that of the smallest hosts.
+	MemoryMegabytes int
 	// FirstStart reports whether the whole fleet starts for the first time.
 	// Then the first routes may be read from a stale replica of the store.
 	// Otherwise the budget of repeats spends no slack during its first window,
@@ -171,6 +175,10 @@
 	random   func() uint64
 	started  time.Time
 
+	// memory bounds the memory of all bodies that the node holds.
+	memory  *kqbody.Budget
+	stalled *stalledCallers
+
 	pool         *ants.Pool
 	callerServer *kqedge.Server
 	noticeServer *kqedge.Server
@@ -252,7 +260,12 @@
 	}
 	n.budget = kqbudget.New(settings.repeatBound(), budgetOptions...)
 	n.tunables.Store(&settings.Tunables)
-	n.dialer = kqtrunk.NewDialer(kqtrunk.Handlers{Message: n.handleMessage, ConnectionChanged: n.logPeerChange}, kqtrunk.WithCompression(n.isInOtherRegion))
+	n.stalled = &stalledCallers{node: n}
+	n.memory = kqbody.NewBudget(settings.bodyMemory(), kqbody.WithLoneBodies(), kqbody.WithShortage(func() { n.callerServer.Reclaim() }))
+	n.callerServer = kqedge.New(n.handleCaller, kqedge.WithLimits(n.callerLimits), kqedge.WithSubmit(n.pool.Submit), kqedge.WithErrorHandler(n.answerUnreadable),
+		kqedge.WithMaxConnections(maxCallerConnections()), kqedge.WithAcceptObserver(n.acceptObserver("callers")),
+		kqedge.WithMemory(n.memory), kqedge.WithReclaimObserver(n.stalled.record))
+	n.dialer = kqtrunk.NewDialer(kqtrunk.Handlers{Message: n.handleMessage, ConnectionChanged: n.logPeerChange, Memory: n.memory}, kqtrunk.WithCompression(n.isInOtherRegion))
 	n.gate = newGate(n)
 	n.shedder = newShedder(n)
 	n.stated = &statedServers{node: n}
@@ -271,14 +284,12 @@
 	var err error
 	n.server, err = kqtrunk.Listen(n.settings.PeerAddress, kqtrunk.Handlers{
 		Call: n.handleCall, Message: n.handleMessage, Update: n.handleUpdate, Submit: n.pool.Submit,
-		AcceptFailed: n.acceptObserver("peers"),
+		AcceptFailed: n.acceptObserver("peers"), Memory: n.memory,
 	})
 	if err != nil {
 		return errors.Mark(err, ErrNode)
 	}
 	n.peerAddress = cmp.Or(n.settings.AdvertisedAddress, n.server.Address())
-	n.callerServer = kqedge.New(n.handleCaller, kqedge.WithLimits(n.callerLimits), kqedge.WithSubmit(n.pool.Submit), kqedge.WithErrorHandler(n.answerUnreadable),
-		kqedge.WithMaxConnections(maxCallerConnections()), kqedge.WithAcceptObserver(n.acceptObserver("callers")))
 	n.noticeServer = kqedge.New(n.handleNotice, kqedge.WithLimits(noticeLimits), kqedge.WithAcceptObserver(n.acceptObserver("notices")))
 	n.ready = kqedge.New(n.handleReady, kqedge.WithLimits(noticeLimits), kqedge.WithAcceptObserver(n.acceptObserver("readiness probes")))
 	for _, s := range []struct {
--- a/io/kqmesh/observe.go
+++ b/io/kqmesh/observe.go
@@ -112,6 +112,7 @@
 	n.metrics.Set(kqmetric.ConfigurationVersion, float64(n.routesVersion()))
 	n.metrics.Set(kqmetric.LogDropped, float64(n.log.Dropped()))
 	n.metrics.Set(kqmetric.ServerRateLimit, n.gate.namedLimit())
+	n.metrics.Set(kqmetric.BodyMemory, float64(n.memory.InUse()))
 	l := n.gate.load()
 	n.metrics.Set(kqmetric.GateSlots, float64(l.Limit), "all")
 	n.metrics.Set(kqmetric.GateSlots, float64(l.InFlight), "running")
--- a/io/kqmesh/place.go
+++ b/io/kqmesh/place.go
@@ -77,6 +77,9 @@
 		})
 		last = o
 		if o.head.End.Outcome != kqcall.OutcomeNotRun {
+			if lastBegun != nil {
+				lastBegun.discard()
+			}
 			lastBegun = o
 		}
 		if ctx.Err() != nil || !n.mayTryNext(q, o) {
@@ -119,8 +122,12 @@
 		return endOnly(endOfLinkError(ctx, err))
 	}
 	n.observePeerVersion(u.Record.Address, answer.Head.RoutesVersion)
+	o := &callAnswer{head: answer.Head, body: answer.Body, fromGate: true}
+	if o.head.End.Outcome != kqcall.OutcomeRan {
+		o.discard()
+	}
 	// A gate of a former build passes on what its server spoils.
-	return n.rejectSpoiled(&callAnswer{head: answer.Head, body: answer.Body, fromGate: true})
+	return n.rejectSpoiled(o)
 }
 
 // endOfLinkError returns the end of a call whose connection to the peer failed.
--- a/io/kqmetric/kqmetric.go
+++ b/io/kqmetric/kqmetric.go
@@ -92,6 +92,8 @@
 	ServerRateLimit      = Definition{"server_rate_limit", KindGauge, nil, "calls per second", "Limit that the backend server beside this node names in its answers; -1 if it names none."}
 	ServerCrashes        = Definition{"server_crashes", KindCounter, nil, "crashes", "Times that the backend server beside this node ended without notice while it ran requests."}
 	DeadlyRefused        = Definition{"deadly_refused", KindCounter, []string{"service"}, unitCalls, "Calls refused because several servers have crashed while they ran the same request."}
+	StalledCallers       = Definition{"stalled_callers", KindCounter, nil, "callers", "Callers that were closed because they did not read their answers while the memory for bodies was short."}
+	BodyMemory           = Definition{"body_memory", KindGauge, nil, "bytes", "Memory that the bodies of requests and answers take."}
 	Panics               = Definition{"panics", KindCounter, nil, "panics", "Calls and tasks that ended by a panic, a fault of the node. The log holds the stack."}
 	LogDropped           = Definition{"log_dropped", KindGauge, nil, "lines", "Log lines that were not written since the start, because the queue was full or the line budget was spent."}
 )
@@ -101,7 +103,7 @@
 	return []Definition{
 		Answers, AnswerTime, Routes, Admissions, StoreCalls, StoreTime, StoreRestores,
 		ConfigurationVersion, ConfigurationRefused, Members, Suspected, Confirmed, Pauses, Exchanges,
-		QueueTime, RunTime, GateSlots, Upstreams, Repeats, RepeatsRefused, ServerState, ServerRateLimit, ServerCrashes, DeadlyRefused, Panics, LogDropped,
+		QueueTime, RunTime, GateSlots, Upstreams, Repeats, RepeatsRefused, ServerState, ServerRateLimit, ServerCrashes, DeadlyRefused, StalledCallers, BodyMemory, Panics, LogDropped,
 	}
 }
 
--- a/io/kqsettings/mesh.go
+++ b/io/kqsettings/mesh.go
@@ -14,12 +14,13 @@
 	defaultRepeatSlack  = 48
 	defaultShutdownTime = 6 * time.Second
 	defaultDrainTime    = 2500 * time.Millisecond
-	// defaultMemoryMegabytes is the memory of the smallest hosts.
-	defaultMemoryMegabytes = 284
 	// minMemoryMegabytes is the least memory in which a node serves.
 	minMemoryMegabytes = 96
 )
 
+// DefaultMemoryMegabytes is the memory in MiB of the smallest hosts.
+const DefaultMemoryMegabytes = 284
+
 // Mesh holds the settings of a mesh node, which finds the other nodes through the
 // store.
 type Mesh struct {
@@ -73,7 +74,7 @@
 	m := &Mesh{
 		RepeatRatio: defaultRepeatRatio, RepeatWindow: kqclass.Duration(defaultRepeatWindow), RepeatSlack: defaultRepeatSlack,
 		ShutdownTime: kqclass.Duration(defaultShutdownTime), DrainTime: kqclass.Duration(defaultDrainTime),
-		MemoryMegabytes: defaultMemoryMegabytes,
+		MemoryMegabytes: DefaultMemoryMegabytes,
 	}
 	return m, read(path, m, m.Check)
 }
