Memory shortage: its own cause, and tests of budgets, offers and reclaiming

Cause: an answer without memory ended as a lost connection. Its server counted as faulty, its request as one that crashes servers, and an idempotent call was repeated elsewhere, which only adds load. A node that ended did not wait for answers that peers had not granted yet.

A shutdown waits for offered answers.

--- a/core/kqcall/kqcall.go
+++ b/core/kqcall/kqcall.go
@@ -96,7 +96,9 @@
 	CauseCrashesServers Cause = "CrashesServers"
 	// CauseBackendSilent means that the backend server stopped answering.
 	CauseBackendSilent Cause = "BackendSilent"
-	CauseKeyMissing    Cause = "KeyMissing"
+	// CauseNoMemory means that a node had no memory to hold the answer.
+	CauseNoMemory   Cause = "NoMemory"
+	CauseKeyMissing Cause = "KeyMissing"
 	// CauseKeyRunning means that a call with the same idempotency key is still
 	// running.
 	CauseKeyRunning Cause = "KeyRunning"
--- a/io/kqmesh/place.go
+++ b/io/kqmesh/place.go
@@ -135,6 +135,8 @@
 func endOfLinkError(ctx context.Context, err error) kqcall.End {
 	cause := kqcall.CauseLinkLost
 	switch {
+	case errors.Is(err, kqtrunk.ErrNoMemory):
+		cause = kqcall.CauseNoMemory
 	case ctx.Err() != nil:
 		cause = causeOfContext(ctx)
 	case errors.Is(err, kqtrunk.ErrSilent):
@@ -175,7 +177,7 @@
 		a.Verdict = kqroute.Draining
 	case end.Cause == kqcall.CauseBackendShed:
 		a.Verdict = kqroute.Faulty
-	case end.Cause == kqcall.CauseCallerGone || end.Cause == kqcall.CauseCrashesServers:
+	case end.Cause == kqcall.CauseCallerGone || end.Cause == kqcall.CauseCrashesServers || end.Cause == kqcall.CauseNoMemory:
 		a.Verdict = kqroute.Inconclusive
 	case end.Outcome == kqcall.OutcomeNotRun && o.fromGate && end.Cause != kqcall.CauseBackendLost:
 		a.Verdict = kqroute.Full
@@ -200,6 +202,9 @@
 	switch {
 	case end.Cause == kqcall.CauseCallerGone || end.Cause == kqcall.CauseDeadline || end.Cause == kqcall.CauseCrashesServers:
 		return false
+	case end.Cause == kqcall.CauseNoMemory:
+		// Another answer of that length would find no room either.
+		return false
 	case end.Outcome == kqcall.OutcomeRan && o.head.Status < fasthttp.StatusInternalServerError:
 		return false
 	case end.Outcome == kqcall.OutcomeNotRun:
--- a/io/kqmesh/shutdown.go
+++ b/io/kqmesh/shutdown.go
@@ -149,7 +149,7 @@
 
 // isBusy reports whether a request or a call is in flight.
 func (n *Node) isBusy() bool {
-	return n.callerServer.InFlight() > 0 || n.gate.activeCalls() > 0
+	return n.callerServer.InFlight() > 0 || n.gate.activeCalls() > 0 || n.server.OfferedAnswers() > 0
 }
 
 // isQuiet reports whether nothing is in flight, no request arrived for a while,
--- a/io/kqsettings/kqsettings_test.go
+++ b/io/kqsettings/kqsettings_test.go
@@ -107,3 +107,22 @@
 		t.Errorf("example of the README: differs from _fixtures/settings/node.json, want the same text")
 	}
 }
+
+// TestTooLittleMemoryIsAFault reads the example settings of a mesh node with several
+// values of the memory.
+func TestTooLittleMemoryIsAFault(t *testing.T) {
+	text, err := os.ReadFile(filepath.Join("..", "..", "_fixtures", "settings", "mesh.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for value, want := range map[string]bool{"96": true, "184": true, "95": false, "-1": false, `"284"`: false} {
+		path := filepath.Join(t.TempDir(), "mesh.json")
+		changed := strings.Replace(string(text), "{", `{"MemoryMegabytes": `+value+",", 1)
+		if err := os.WriteFile(path, []byte(changed), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := kqsettings.ReadMesh(path); (err == nil) != want {
+			t.Errorf("MemoryMegabytes %s: got %v, want valid %t", value, err, want)
+		}
+	}
+}
--- a/io/kqtrunk/kqtrunk.go
+++ b/io/kqtrunk/kqtrunk.go
@@ -65,6 +65,9 @@
 	// ErrSilent marks errors of calls whose connection delivered no frame and
 	// no answer to a ping. They are marked ErrLost as well.
 	ErrSilent = errors.New("connection went silent")
+	// ErrNoMemory marks errors of calls for whose answer this node had no memory. They
+	// are marked ErrLost as well.
+	ErrNoMemory = errors.New("no memory for the answer")
 	// ErrFrame marks frames that can't be encoded or decoded, or are too large.
 	ErrFrame = errors.New("frame is malformed")
 )
--- a/io/kqtrunk/offer.go
+++ b/io/kqtrunk/offer.go
@@ -21,9 +21,6 @@
 	offerPayloadBytes = 8
 )
 
-// errNoMemory marks answers for which this node had no memory. They are marked ErrLost too.
-var errNoMemory = errors.New("no memory for the answer")
-
 // grant is an answer of the peer that waits for memory or is on its way.
 type grant struct {
 	cancel context.CancelFunc
@@ -144,13 +141,21 @@
 	return t.memory.Charge(bytes), true
 }
 
+// awaitsMemory reports whether the answer to a call was offered and waits for memory.
+func (t *trunk) awaitsMemory(number uint64) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	g := t.grants[number]
+	return g != nil && g.release == nil
+}
+
 // handleDropped ends the call of a frame that was not kept.
 func (t *trunk) handleDropped(f frame) error {
 	switch f.kind {
 	case frameCall, frameCallCompressed:
 		return t.answer(context.Background(), f.number, AnswerHead{End: kqcall.NotRun(kqcall.CauseShedGate)}, nil)
 	default:
-		t.deliver(f.number, callResult{err: errors.Mark(errors.Mark(errors.Newf("answer %d", f.number), errNoMemory), ErrLost)})
+		t.deliver(f.number, callResult{err: errors.Mark(errors.Mark(errors.New("answer was dropped"), ErrNoMemory), ErrLost)})
 	}
 	return nil
 }
--- /dev/null
+++ b/io/kqtrunk/offer_test.go
@@ -0,0 +1,160 @@
+package kqtrunk_test
+
+import (
+	"context"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"kumquatlink/core/kqcall"
+	"kumquatlink/io/kqbody"
+	"kumquatlink/io/kqtrunk"
+)
+
+// longBytes is the size of a long answer, and memoryBytes the budget of the calling end.
+const (
+	longBytes   = 3 << 20
+	memoryBytes = 4 << 20
+)
+
+// newLongPeer returns a server whose answers are of longBytes for the service "long", of
+// 256 KB for "medium", and short otherwise. ended receives a value when the memory of an
+// answer is given back.
+func newLongPeer(t *testing.T, memory *kqbody.Budget) (address string, ended chan struct{}) {
+	t.Helper()
+	ended = make(chan struct{}, 16)
+	server, err := kqtrunk.Listen("127.0.0.1:0", kqtrunk.Handlers{
+		Memory: memory,
+		Call: func(_ context.Context, _ string, head kqtrunk.CallHead, body []byte) (kqtrunk.AnswerHead, []byte) {
+			size := map[string]int{"long": longBytes, "medium": 256 << 10}[head.Service]
+			return kqtrunk.AnswerHead{End: kqcall.Ran(), Status: 200, Release: func() { ended <- struct{}{} }}, make([]byte, max(size, 5))
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = server.Close() })
+	return server.Address(), ended
+}
+
+// TestLongAnswerWaitsForMemory takes the memory of the calling end. A long answer must stay
+// at its server until there is memory for it, while shorter ones pass, and must not be
+// held any more when its call has been given up.
+func TestLongAnswerWaitsForMemory(t *testing.T) {
+	address, ended := newLongPeer(t, nil)
+	memory := kqbody.NewBudget(memoryBytes)
+	d := kqtrunk.NewDialer(kqtrunk.Handlers{Memory: memory})
+	defer d.Close()
+	call := func(ctx context.Context, service string) (*kqtrunk.Answer, error) {
+		return d.Call(ctx, address, kqtrunk.CallHead{Service: service, RequestID: service, RunOnce: true, Budget: time.Minute}, nil)
+	}
+	expectAnswer := func(service string, want int) {
+		t.Helper()
+		answer, err := call(testContext(t), service)
+		if err != nil || len(answer.Body) != want {
+			t.Fatalf("%s answer: got %v, want %d bytes", service, err, want)
+		}
+		if want > kqbody.SmallBytes && memory.InUse() < want {
+			t.Errorf("memory beside a %s answer: got %d bytes in use, want %d at least", service, memory.InUse(), want)
+		}
+		answer.Head.Discard()
+		<-ended
+	}
+	expectAnswer("short", 5)
+	expectAnswer("long", longBytes)
+	release, err := memory.Reserve(memoryBytes / 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	awaitLong := func(ctx context.Context) chan error {
+		missing, done := memory.Missing(), make(chan error, 1)
+		go func() {
+			answer, err := call(ctx, "long")
+			if err == nil {
+				answer.Head.Discard()
+			}
+			done <- err
+		}()
+		for memory.Missing() == missing {
+			runtime.Gosched()
+		}
+		return done
+	}
+	ctx, cancel := context.WithCancel(testContext(t))
+	givenUp, waiting := awaitLong(ctx), awaitLong(testContext(t))
+	expectAnswer("short", 5)
+	expectAnswer("medium", 256<<10)
+	cancel()
+	if err := <-givenUp; !errors.Is(err, kqtrunk.ErrLost) || !errors.Is(err, kqtrunk.ErrNoMemory) {
+		t.Errorf("call that was given up: got %v, want errors marked ErrLost and ErrNoMemory", err)
+	}
+	<-ended
+	release()
+	if err := <-waiting; err != nil {
+		t.Errorf("call after there is memory: got %v, want its answer", err)
+	}
+	<-ended
+	if got := memory.InUse(); got != 0 {
+		t.Errorf("memory at the end: got %d bytes in use, want 0", got)
+	}
+}
+
+// TestAnswerWithoutMemoryIsDropped exceeds the memory of the calling end by more than
+// answers may. One that is too short to be offered must be lost, and the link go on.
+func TestAnswerWithoutMemoryIsDropped(t *testing.T) {
+	address, _ := newLongPeer(t, nil)
+	memory := kqbody.NewBudget(memoryBytes)
+	d := kqtrunk.NewDialer(kqtrunk.Handlers{Memory: memory})
+	defer d.Close()
+	release := memory.Charge(2 * memoryBytes)
+	for _, c := range []struct {
+		service string
+		want    error
+	}{{"medium", kqtrunk.ErrNoMemory}, {"short", nil}} {
+		_, err := d.Call(testContext(t), address, kqtrunk.CallHead{Service: c.service, RunOnce: true, Budget: time.Minute}, nil)
+		if !errors.Is(err, c.want) || (err != nil) != errors.Is(err, kqtrunk.ErrLost) {
+			t.Errorf("%s answer: got %v, want %v", c.service, err, c.want)
+		}
+	}
+	release()
+	answer, err := d.Call(testContext(t), address, kqtrunk.CallHead{Service: "medium", RunOnce: true, Budget: time.Minute}, nil)
+	if err != nil {
+		t.Fatalf("answer with memory: got %v, want one", err)
+	}
+	answer.Head.Discard()
+	if got := memory.InUse(); got != 0 {
+		t.Errorf("memory at the end: got %d bytes in use, want 0", got)
+	}
+}
+
+// TestCallWithoutMemoryIsNotRun sends a large call to a server without memory for it.
+func TestCallWithoutMemoryIsNotRun(t *testing.T) {
+	memory := kqbody.NewBudget(memoryBytes)
+	address, _ := newLongPeer(t, memory)
+	d := kqtrunk.NewDialer(kqtrunk.Handlers{})
+	defer d.Close()
+	release, err := memory.Reserve(memoryBytes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	upload := func() kqcall.End {
+		t.Helper()
+		answer, err := d.Call(testContext(t), address, kqtrunk.CallHead{Service: "short", RunOnce: true, Budget: time.Minute}, make([]byte, longBytes))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return answer.Head.End
+	}
+	if got, want := upload(), kqcall.NotRun(kqcall.CauseShedGate); got != want {
+		t.Errorf("call without memory: got %+v, want %+v", got, want)
+	}
+	release()
+	if got, want := upload(), kqcall.Ran(); got != want {
+		t.Errorf("call with memory: got %+v, want %+v", got, want)
+	}
+	for memory.InUse() > 0 {
+		runtime.Gosched()
+	}
+}
--- a/io/kqtrunk/server.go
+++ b/io/kqtrunk/server.go
@@ -87,6 +87,17 @@
 	}
 }
 
+// OfferedAnswers returns the number of long answers that peers have not taken whole.
+func (s *Server) OfferedAnswers() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	count := 0
+	for t := range s.trunks {
+		count += int(t.offered.Load())
+	}
+	return count
+}
+
 // Close stops listening and closes all connections. Calls on them end.
 func (s *Server) Close() error {
 	err := s.listener.Close()
--- a/io/kqtrunk/trunk.go
+++ b/io/kqtrunk/trunk.go
@@ -61,8 +61,10 @@
 	// goroutine only.
 	sent     dictionary
 	received dictionary
-	// memory bounds the memory of large payloads that arrive.
-	memory *kqbody.Budget
+	// memory bounds the memory of large payloads that arrive. offered is the number of
+	// answers that are offered or being sent after an offer.
+	memory  *kqbody.Budget
+	offered atomic.Int64
 
 	// mutex guards the fields below.
 	mutex sync.Mutex
@@ -263,6 +265,8 @@
 		return err
 	}
 	if len(rest) > offerBytes && t.version.Load() >= versionOffer {
+		t.offered.Add(1)
+		defer t.offered.Add(-1)
 		isGranted, err := t.offer(ctx, number, len(payload)+len(rest))
 		if err != nil || !isGranted {
 			return err
@@ -304,12 +308,16 @@
 	case r := <-answered:
 		return readAnswer(r)
 	case <-ctx.Done():
+		err := errors.Mark(errors.Wrap(ctx.Err(), "wait for an answer"), ErrLost)
+		if t.awaitsMemory(number) {
+			err = errors.Mark(err, ErrNoMemory)
+		}
 		if _, found := t.removeWaiter(number); !found {
 			// The answer has just arrived.
 			(<-answered).discard()
 		}
 		_ = t.send(frame{kind: frameCancel, number: number})
-		return nil, errors.Mark(errors.Wrap(ctx.Err(), "wait for an answer"), ErrLost)
+		return nil, err
 	}
 }
 
