--- a/io/kqmesh/quota.go
+++ b/io/kqmesh/quota.go
@@ -28,7 +28,7 @@
 // quotas holds teams to their quotas: at the entry for the callers of this node, and
 // as the home of some teams for all entries. mutex guards meter, home and curve.
 type quotas struct {
-	node *Node
+	node  *Node
 	mutex sync.Mutex
 	meter *kqrate.Meter
 	home  *kqrate.Home
