Teams for operators: who was refused, for which key, quota or share

Cause: nothing told a refusal for a fair share from any other, decisions did not name a team, and no page said what a team is or how a key is withdrawn.

Ruled out: a series for each team without a bound (10,000 teams); the figures as free text in Detail, which carries other remarks.

--- a/core/kqfair/kqfair.go
+++ b/core/kqfair/kqfair.go
@@ -155,3 +155,15 @@
 	}
 	return (float64(k) + part) / float64(len(curve))
 }
+
+// demandAt returns the largest demand that is admitted in full when the share of all
+// requests is admitted.
+func demandAt(curve []float32, share float64) float64 {
+	at := min(max(share, 0), 1) * float64(len(curve))
+	k := min(int(at), len(curve)-1)
+	low := 0.0
+	if k > 0 {
+		low = float64(curve[k-1])
+	}
+	return low + (float64(curve[k])-low)*(at-float64(k))
+}
--- a/core/kqfair/room.go
+++ b/core/kqfair/room.go
@@ -75,14 +75,25 @@
 	return min(1, float64(within)/math.MaxUint32)
 }
 
+// Limit returns the largest demand that is admitted in full, or 0 if all requests of the
+// rank are admitted or nothing is known.
+func (r *Room) Limit(now time.Duration, curve []float32, rank int) float64 {
+	if !r.tells(now, curve, rank) {
+		return 0
+	}
+	return demandAt(curve, r.mean)
+}
+
+// tells reports whether the room says anything about requests of the rank.
+func (r *Room) tells(now time.Duration, curve []float32, rank int) bool {
+	return r.known && now-r.at <= roomTTL && rank == r.rank && r.mean > 0 && r.mean <= fullRoom && len(curve) > 0
+}
+
 // Order returns the position of a request as [Order] does, or a more important one if
 // its team is within its share of the room.
 func (r *Room) Order(now time.Duration, curve []float32, demand float64, root string, rank int) uint32 {
 	order := Order(curve, demand, root)
-	if !r.known || now-r.at > roomTTL || rank != r.rank || r.mean > fullRoom || r.mean <= 0 || len(curve) == 0 {
-		return order
-	}
-	if demand <= 0 || shareAt(curve, demand) > r.mean {
+	if !r.tells(now, curve, rank) || demand <= 0 || shareAt(curve, demand) > r.mean {
 		return order
 	}
 	margin := min(maxMargin, marginDeviations*deviationFactor*r.deviation/r.mean)
--- a/core/kqfair/room_test.go
+++ b/core/kqfair/room_test.go
@@ -94,3 +94,21 @@
 		}
 	})
 }
+
+// TestLimitOfRoom checks that the limit separates the teams that a threshold admits in full
+// from the others.
+func TestLimitOfRoom(t *testing.T) {
+	demands := []float64{900, 100, 60, 20}
+	curve := kqfair.NewCurve(demands)
+	room := varied()
+	// Half of 1080 requests are admitted: 180 of the small teams, and 360 of the large one.
+	if got, low, high := room.Limit(lastRecorded, curve, 1), 300.0, 420.0; got < low || got > high {
+		t.Errorf("limit: got %.0f, want %.0f to %.0f", got, low, high)
+	}
+	if got, want := room.Limit(lastRecorded, curve, 0), 0.0; got != want {
+		t.Errorf("limit of a more important rank: got %v, want %v", got, want)
+	}
+	if got, want := room.Limit(lastRecorded, nil, 1), 0.0; got != want {
+		t.Errorf("limit without a curve: got %v, want %v", got, want)
+	}
+}
--- a/io/kqlog/kqlog.go
+++ b/io/kqlog/kqlog.go
@@ -73,6 +73,14 @@
 	Age    time.Duration
 	// Detail is the text of an error, a further reason, or empty.
 	Detail string
+	// Team is the team whose key the caller gave, or empty.
+	Team string
+	// Demand is how many requests a second the team sends through all nodes, if the call
+	// was refused because that is more than its share. Share is how many a second
+	// would be served, and DemandAge the age of the figures.
+	Demand    float64
+	Share     float64
+	DemandAge time.Duration
 }
 
 // FieldDescription describes a field of a log line, for the reference page.
@@ -113,6 +121,10 @@
 		{"Behind", "the downstream service whose gates refuse calls like this one, if it was refused for that reason"},
 		{"AgeMicros", "time since one of those gates reported that"},
 		{"Detail", "the text of an error, or why the call was not sent to another backend server"},
+		{"Team", "the team whose key the caller gave; never the key"},
+		{"Demand", "requests a second that the team sends through all nodes, if it was refused for more than its fair share"},
+		{"Share", "requests a second of a team that are served in full while so few are"},
+		{"DemandAgeMicros", "age of these figures"},
 	}
 }
 
@@ -142,6 +154,12 @@
 	if d.Detail != "" {
 		e = e.Str("Detail", d.Detail)
 	}
+	if d.Team != "" {
+		e = e.Str("Team", d.Team)
+	}
+	if d.Share > 0 {
+		e = e.Float64("Demand", d.Demand).Float64("Share", d.Share).Int64("DemandAgeMicros", d.DemandAge.Microseconds())
+	}
 	return e
 }
 
--- a/io/kqmesh/entry.go
+++ b/io/kqmesh/entry.go
@@ -56,6 +56,10 @@
 	detail string
 	// attempts counts the failed tries that may have reached a backend server.
 	attempts int
+	// demand is what was known of the demand of teams when the call was ordered, and
+	// fairShare how much of a team's was served in full then, or 0.
+	demand    teamDemand
+	fairShare float64
 }
 
 // budgetCall returns the service and depth under which the budget of repeats
@@ -95,12 +99,14 @@
 			n.recentTimes.Record(n.clock(), q.head.Route, n.now().Sub(e.ReceivedAt))
 		}
 	}
-	n.recordDecision(kqlog.Decision{
+	d := kqlog.Decision{
 		RequestID: q.head.RequestID, Root: q.head.Root, Class: q.head.Class, Service: q.head.Service, Decision: decisionAnswer,
 		Cause: string(o.head.End.Cause), Outcome: string(o.head.End.Outcome), Chosen: o.head.ServerID, Others: q.tries,
 		Took: n.now().Sub(e.ReceivedAt), Left: q.deadline.Sub(n.now()), Version: q.head.RoutesVersion, Status: statusOf(o.head),
 		Behind: o.shedBy.Service, Age: o.shedBy.Age, Detail: q.detail,
-	})
+	}
+	q.addTeam(&d)
+	n.recordDecision(d)
 	n.writeAnswer(e, o)
 	if q.parent != nil {
 		n.gate.runs.Answered(n.clock(), *q.parent)
--- a/io/kqmesh/observe.go
+++ b/io/kqmesh/observe.go
@@ -43,6 +43,9 @@
 	case decisionAnswer:
 		n.metrics.Count(kqmetric.Answers, d.Outcome, d.Cause)
 		n.metrics.Time(kqmetric.AnswerTime, d.Took)
+		if d.Team != "" {
+			n.metrics.Count(kqmetric.TeamAnswers, d.Team, teamResult(d))
+		}
 	case decisionRoute:
 		n.metrics.Count(kqmetric.Routes, d.Outcome, d.Cause)
 	case decisionAdmit:
--- a/io/kqmesh/shed.go
+++ b/io/kqmesh/shed.go
@@ -22,13 +22,14 @@
 // backend server runs a call whose onward calls would be refused. mutex guards
 // table.
 type shedder struct {
-	node  *Node
-	mutex sync.Mutex
-	table *kqshed.Table
+	node   *Node
+	mutex  sync.Mutex
+	table  *kqshed.Table
+	shares *shares
 }
 
 func newShedder(n *Node) *shedder {
-	return &shedder{node: n, table: kqshed.New()}
+	return &shedder{node: n, table: kqshed.New(), shares: newShares(n)}
 }
 
 // refuseAtEntry returns the answer to a call that is refused before it is sent,
@@ -121,6 +122,9 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.table.RecordAnswer(s.node.clock(), a)
+	if q.team != nil {
+		s.shares.record(q.head.Class, a)
+	}
 }
 
 // shedAnswer converts the load report of an upstream to its thresholds.
@@ -182,9 +186,11 @@
 		s.node.logEvent(eventLoadNotAsked, "ask "+u.NodeID+" for its load: request failed", err, kqlog.Text(fieldService, service), kqlog.Text(fieldHost, u.NodeID))
 		return
 	}
+	a := s.shedAnswer(service, u.NodeID, l)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.table.RecordAnswer(s.node.clock(), s.shedAnswer(service, u.NodeID, l))
+	s.table.RecordAnswer(s.node.clock(), a)
+	s.shares.recordAll(a)
 }
 
 // fetchLoad returns the load report of a gate, which may be this node's own.
--- a/io/kqmetric/kqmetric.go
+++ b/io/kqmetric/kqmetric.go
@@ -36,6 +36,9 @@
 // Overflow.
 const maxSeries = 128
 
+// maxTeamSeries is the same for metrics by team: four results of 128 teams.
+const maxTeamSeries = 512
+
 // timeBuckets holds the upper bounds of the buckets of timers, in seconds.
 var timeBuckets = []float64{0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4}
 
@@ -69,6 +72,7 @@
 // The metrics of a node.
 var (
 	Answers              = Definition{"answers", KindCounter, []string{"outcome", "cause"}, unitCalls, "Calls answered by this node's entry."}
+	TeamAnswers          = Definition{"team_answers", KindCounter, []string{"team", "result"}, unitCalls, "Calls answered by this node's entry, by team. Results: served; quota, over the team's quota; shed, refused since a service was short; failed."}
 	AnswerTime           = Definition{"answer_time", KindTimer, nil, "seconds", "Time from taking a call at the entry to its answer."}
 	Routes               = Definition{"routes", KindCounter, []string{"outcome", "cause"}, "tries", "Tries that this entry sent to an upstream."}
 	Admissions           = Definition{"admissions", KindCounter, []string{"outcome", "cause"}, unitCalls, "Calls that this node's gate decided on."}
@@ -96,10 +100,18 @@
 	LogDropped           = Definition{"log_dropped", KindGauge, nil, "lines", "Log lines that were not written since the start, because the queue was full or the line budget was spent."}
 )
 
+// maxSeriesOf returns the maximum number of series of a metric.
+func maxSeriesOf(d Definition) int {
+	if d.Name == TeamAnswers.Name {
+		return maxTeamSeries
+	}
+	return maxSeries
+}
+
 // Definitions lists every metric, in the order of the reference page.
 func Definitions() []Definition {
 	return []Definition{
-		Answers, AnswerTime, Routes, Admissions, StoreCalls, StoreTime, StoreRestores,
+		Answers, TeamAnswers, AnswerTime, Routes, Admissions, StoreCalls, StoreTime, StoreRestores,
 		ConfigurationVersion, ConfigurationRefused, Members, Suspected, Confirmed, Pauses, Exchanges,
 		QueueTime, RunTime, GateSlots, Upstreams, Repeats, RepeatsRefused, ServerState, ServerRateLimit, ServerCrashes, DeadlyRefused, Panics, LogDropped,
 	}
@@ -185,6 +197,7 @@
 func (m *Metrics) addSeries(d Definition, key string, values []string) tally.Scope {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	limit := maxSeriesOf(d)
 	series := m.scopes[d.Name]
 	if series == nil {
 		series = map[string]tally.Scope{}
@@ -196,7 +209,7 @@
 	tags := map[string]string{}
 	for i, t := range d.Tags {
 		tags[t] = Overflow
-		if i < len(values) && values[i] != "" && len(series) < maxSeries {
+		if i < len(values) && values[i] != "" && len(series) < limit {
 			tags[t] = values[i]
 		}
 	}
@@ -204,7 +217,7 @@
 	if len(tags) > 0 {
 		s = m.scope.Tagged(tags)
 	}
-	if len(series) < maxSeries {
+	if len(series) < limit {
 		series[key] = s
 	}
 	return s
--- a/io/kqmetric/kqmetric_test.go
+++ b/io/kqmetric/kqmetric_test.go
@@ -67,3 +67,25 @@
 		}
 	})
 }
+
+// TestTeamsHaveMoreSeries counts answers of more teams than a node keeps series for.
+func TestTeamsHaveMoreSeries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, err := kqmetric.New()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := range 10_000 {
+			m.Count(kqmetric.TeamAnswers, fmt.Sprintf("team-%d", i), "served")
+		}
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		series := len(regexp.MustCompile(`(?m)^kumquatlink_team_answers\{`).FindAllString(scrape(m), -1))
+		if want := 513; series != want {
+			t.Errorf("series: got %d, want %d", series, want)
+		}
+		if err := m.Close(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- a/io/kqstory/kqstory.go
+++ b/io/kqstory/kqstory.go
@@ -32,6 +32,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"kumquatlink/core/kqcall"
 )
 
 // ErrRead marks errors of reading a log.
@@ -82,6 +84,11 @@
 	Behind        string
 	AgeMicros     int64
 	Detail        string
+	Team          string
+	// Demand and Share are requests a second.
+	Demand          float64
+	Share           float64
+	DemandAgeMicros int64
 }
 
 // Read reads log lines, and counts the lines that it skips because they hold no
@@ -251,7 +258,11 @@
 		fmt.Fprintf(w, "%s%s: no entry has logged its answer\n", indent, c.RequestID)
 	}
 	for _, l := range c.Answers {
-		fmt.Fprintf(w, "%s%s, class %s: %s answered %d after %s (%s), by routes %d\n", indent, c.RequestID, l.Class, l.Node, l.Status, microseconds(l.TookMicros), formatOutcome(l), l.RoutesVersion)
+		caller := "class " + l.Class
+		if l.Team != "" {
+			caller += ", team " + l.Team
+		}
+		fmt.Fprintf(w, "%s%s, %s: %s answered %d after %s (%s), by routes %d\n", indent, c.RequestID, caller, l.Node, l.Status, microseconds(l.TookMicros), formatOutcome(l), l.RoutesVersion)
 	}
 	for _, l := range c.Routes {
 		fmt.Fprintf(w, "%s  sent to %s for %s with %s left: %s after %s, load %s\n", indent, l.Chosen, l.Service, microseconds(l.LeftMicros), formatOutcome(l), microseconds(l.TookMicros), l.Load)
@@ -264,12 +275,24 @@
 	}
 }
 
+// keyReasons explains the causes that concern the keys of teams.
+var keyReasons = map[string]string{
+	string(kqcall.CauseUnknownKey): "no team holds the key by these routes",
+	string(kqcall.CauseQuota):      "the team is over its quota",
+}
+
 // formatOutcome returns the outcome and cause of a decision and their details.
 func formatOutcome(l Line) string {
 	text := l.Outcome + " " + l.Cause
 	if l.Behind != "" {
 		text += ", for " + l.Behind + " as reported " + microseconds(l.AgeMicros).String() + " ago"
 	}
+	if l.Share > 0 {
+		text += fmt.Sprintf(", the team sends %.0f requests/s and its fair share is %.0f, as known %s ago", l.Demand, l.Share, microseconds(l.DemandAgeMicros))
+	}
+	if reason, found := keyReasons[l.Cause]; found {
+		text += ", " + reason
+	}
 	if l.Detail != "" {
 		text += ", " + l.Detail
 	}
--- a/io/kqstory/kqstory_test.go
+++ b/io/kqstory/kqstory_test.go
@@ -135,3 +135,15 @@
 		t.Errorf("trace: got %q, want it to contain %q", got, want)
 	}
 }
+
+// TestTracesTellRefusalsOfTeamsApart builds the traces of requests that ended with 401,
+// with 429 and for a share, which the operations page shows.
+func TestTracesTellRefusalsOfTeamsApart(t *testing.T) {
+	var text strings.Builder
+	for _, id := range []string{"key-1", "quota-1", "share-1", "room-1"} {
+		if err := kqstory.BuildTrace(readLines(t, "teams"), id).Write(&text); err != nil {
+			t.Fatal(err)
+		}
+	}
+	golden(t, "teams.txt", text.String(), true)
+}
