--- a/io/kqlog/kqlog_test.go
+++ b/io/kqlog/kqlog_test.go
@@ -31,6 +31,7 @@
 	log.Decision(kqlog.Decision{
 		RequestID: "request-1", Class: "purchase", Service: "orders", Decision: "Route", Cause: "Done",
 		Outcome: "ran", Chosen: "orders-2", Others: []string{"orders-1", "orders-3"},
+		Team: "harbour-shop", Demand: 742.5, Share: 301.25, DemandAge: 410 * time.Millisecond,
 	})
 	log.Event(zerolog.WarnLevel, "something", errors.New("odd \"bytes\"\n"))
 	log.Event(zerolog.DebugLevel, "not written", nil)
@@ -46,6 +47,7 @@
 	for name, want := range map[string]any{
 		"Node": "node-1", "FailureDomain": "lothian-a", "RequestID": "request-1", "Class": "purchase", "Service": "orders",
 		"Decision": "Route", "Cause": "Done", "Outcome": "ran", "Chosen": "orders-2",
+		"Team": "harbour-shop", "Demand": 742.5, "Share": 301.25, "DemandAgeMicros": 410_000.0,
 	} {
 		if got := fields[name]; got != want {
 			t.Errorf("%s: got %v, want %v", name, got, want)
