Entries place requests of teams by what is known of their demand

Cause: nothing called shares.order.

Change: shares.demandOf is the seam for the exchange of demand; while it is nil, positions remain hashes. An entry places the requests that callers of a team send, not onward calls, which have the position of the request that they belong to.

Ruled out: a test of two teams under a load that lasts. What it shows depends on the machine's speed; core/kqfair plays it in virtual time.

--- a/io/kqmesh/entry.go
+++ b/io/kqmesh/entry.go
@@ -86,6 +86,7 @@
 		o = n.refuseLate(q)
 	}
 	if o == nil {
+		n.shedder.shares.place(q)
 		o = n.shedder.refuseAtEntry(q)
 	}
 	if o == nil {
--- a/io/kqmesh/share.go
+++ b/io/kqmesh/share.go
@@ -26,9 +26,12 @@
 
 // shares orders the requests of teams by their fair shares. mutex guards rooms.
 type shares struct {
-	node  *Node
-	mutex sync.Mutex
-	rooms map[roomKey]*kqfair.Room
+	node *Node
+	// demandOf returns what is known of the demand of a team, and false if nothing is. If
+	// it is nil, positions follow from the IDs of requests alone.
+	demandOf func(team string) (teamDemand, bool)
+	mutex    sync.Mutex
+	rooms    map[roomKey]*kqfair.Room
 }
 
 // roomKey identifies the requests of a class to a service.
@@ -77,6 +80,17 @@
 	s.rooms[k].Record(s.node.clock(), a.Cut, downstream)
 }
 
+// place sets the position of a request that a caller of a team sent. Onward calls have
+// that of the request that they belong to.
+func (s *shares) place(q *call) {
+	if q.team == nil || q.head.Depth > 0 || s.demandOf == nil {
+		return
+	}
+	if d, known := s.demandOf(q.team.Name); known {
+		s.order(q, d)
+	}
+}
+
 // order sets the position of a request among those of its rank by the fair share of its
 // team.
 func (s *shares) order(q *call, d teamDemand) {
--- a/io/kqmesh/teamlog_test.go
+++ b/io/kqmesh/teamlog_test.go
@@ -35,21 +35,27 @@
 	return response.StatusCode()
 }
 
+// writeTeamRoutes writes the first routes to the store: one to the service orders, whose
+// requests must not run twice, and teams.
+func (f *fleet) writeTeamRoutes(teams ...kqroutes.Team) {
+	f.t.Helper()
+	value, err := json.Marshal(kqroutes.Document{
+		Version: 1, Routes: []kqroutes.Route{route("/buy/", "orders", true)},
+		Services: []kqroutes.Service{{Name: "orders", HealthPath: "/health"}}, Teams: teams,
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.putRoutes(value)
+}
+
 // TestLogsNameTeamsAndNeverKeys sends requests with a key that a team holds and with one
 // that no team holds, and checks what the server and the logs have of them.
 func TestLogsNameTeamsAndNeverKeys(t *testing.T) {
 	const key, unknown = "key-of-harbour-shop", "key-of-nobody"
 	f := newFleet(t)
 	near, far := f.add("catalog-1", "catalog"), f.add("orders-1", "orders")
-	value, err := json.Marshal(kqroutes.Document{
-		Version: 1, Routes: []kqroutes.Route{route("/buy/", "orders", false)},
-		Services: []kqroutes.Service{{Name: "orders", HealthPath: "/health"}},
-		Teams:    []kqroutes.Team{{Name: "harbour-shop", Keys: []string{key}}},
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	f.putRoutes(value)
+	f.writeTeamRoutes(kqroutes.Team{Name: "harbour-shop", Keys: []string{key}})
 	near.reportState(kqserver.Ready)
 	far.reportState(kqserver.Ready)
 	f.awaitConvergence(1, 2)
