--- a/io/kqmesh/shareorder_test.go
+++ b/io/kqmesh/shareorder_test.go
@@ -1,6 +1,7 @@
 package kqmesh_test
 
 import (
+	"math"
 	"strconv"
 	"testing"
 	"time"
@@ -35,33 +36,29 @@
 	near.reportState(kqserver.Ready)
 	far.reportState(kqserver.Ready)
 	f.awaitConvergence(1, 2)
-	demands := map[string]float64{"large": 900, "small": 20}
-	curve := kqfair.NewCurve([]float64{900, 20})
-	near.node.SetDemand(curve, demands)
+	near.node.SetDemand(kqfair.NewCurve([]float64{900, 20}), map[string]float64{"large": 900, "small": 20})
 
 	release := make(chan struct{})
 	far.holdAnswers(release)
 	results := make(chan int, slots+large+small)
-	send := func(team, prefix string, n int) {
-		// A request of the large team may precede those of the small one as far as its
-		// share goes; these do not.
-		sent := 0
-		for i := 0; sent < n; i++ {
+	send := func(team, prefix string, n int, low, high float64) {
+		for i, sent := 0, 0; sent < n; i++ {
 			id := prefix + strconv.Itoa(i)
-			if team == "large" && kqfair.Order(curve, demands[team], id) < 1<<31 {
+			if hash := float64(kqfair.Order(nil, 0, id)) / math.MaxUint32; hash < low || hash >= high {
 				continue
 			}
 			sent++
 			go func() { results <- near.requestWithKey(team+"-key", id) }()
 		}
 	}
-	send("large", "holder-", slots)
+	send("large", "holder-", slots, 0, 1)
 	for range slots {
 		<-far.begun
 	}
-	send("large", "large-", large)
+	// By their hashes, all of the large team would come before all of the small one.
+	send("large", "large-", large, 0.5, 0.8)
 	far.awaitQueued(large)
-	send("small", "small-", small)
+	send("small", "small-", small, 0.8, 1)
 	far.awaitQueued(large + small)
 	for i := range large + small {
 		release <- struct{}{}
