Fair shares: the same positions on machines of different architectures

Cause: on some architectures the compiler fuses a product with a sum, which rounds otherwise.

Change: explicit conversions where products are summed.

Not run on arm64.

--- a/core/kqfair/fleet_test.go
+++ b/core/kqfair/fleet_test.go
@@ -329,7 +329,7 @@
 // when half of its work is done, if there is a back service.
 func (f *fleet) serve(g *node, r *request) {
 	begun := f.now
-	work := time.Duration((0.8 + 0.4*f.random.Float64()) * r.team.slower * float64(f.work))
+	work := time.Duration((0.8 + float64(0.4*f.random.Float64())) * r.team.slower * float64(f.work))
 	g.table.RecordRun(f.now, r.class.name)
 	end := func(served bool) {
 		f.apply(g, g.queue.Done(f.now, kqadmit.Completion{Level: r.level, Class: r.class.name, Took: f.now - begun, IsSample: true}))
--- a/core/kqfair/kqfair.go
+++ b/core/kqfair/kqfair.go
@@ -2,6 +2,9 @@
 // that an admission threshold refuses first what a team sends beyond its share. The
 // order is a 32-bit position; a lower one is more important.
 //
+// Conversions keep products from being fused with sums, so that nodes on machines of
+// different architectures place requests alike.
+//
 // # Usage
 //
 // A node that knows the demand of all teams summarizes it as a curve. An entry that
@@ -117,7 +120,7 @@
 	within, _ := slices.BinarySearch(d.demands, limit)
 	above, _ := slices.BinarySearch(d.demands, limit/least)
 	above = max(above, within)
-	return d.sums[within] + limit*float64(above-within) + least*(d.total()-d.sums[above])
+	return d.sums[within] + float64(limit*float64(above-within)) + float64(least*(d.total()-d.sums[above]))
 }
 
 // Order returns the position of a request among those of its rank; it is never 0. The
@@ -165,5 +168,5 @@
 	if k > 0 {
 		low = float64(curve[k-1])
 	}
-	return low + (float64(curve[k])-low)*(at-float64(k))
+	return low + float64((float64(curve[k])-low)*(at-float64(k)))
 }
--- a/core/kqfair/room.go
+++ b/core/kqfair/room.go
@@ -65,8 +65,8 @@
 	}
 	weight := 1 - math.Exp(-float64(now-r.at)/float64(roomDecay))
 	r.at = now
-	r.deviation += (math.Abs(share-r.mean) - r.deviation) * weight
-	r.mean += (share - r.mean) * weight
+	r.deviation += float64((math.Abs(share-r.mean) - r.deviation) * weight)
+	r.mean += float64((share - r.mean) * weight)
 }
 
 // shareBelow returns the share of the positions of a rank that a threshold admits.
