FuzzStream: the second decider refuses a broken end of a chunk at its first byte

In a first run FuzzStream failed after 2 s: the stream refuses data that is followed by another byte than CR at once, and the second decider waited for two bytes. The decider is the looser one, and refuses there too now.

--- a/core/kqrequest/kqrequest_test.go
+++ b/core/kqrequest/kqrequest_test.go
@@ -157,10 +157,10 @@
 		}
 		body += string(rest[:size])
 		rest = rest[size:]
-		if len(rest) < 2 {
-			return wait
-		}
-		if string(rest[:2]) != "\r\n" {
+		if !bytes.HasPrefix(rest, []byte("\r\n")) {
+			if len(rest) == 0 || string(rest) == "\r" {
+				return wait
+			}
 			return verdict{status: malformed}
 		}
 		rest = rest[2:]
@@ -245,10 +245,10 @@
 		}
 		body += string(rest[:size])
 		rest = rest[size:]
-		if len(rest) < 2 {
+		if len(rest) == 0 || string(rest) == "\r" {
 			return wait
 		}
-		if err := kqrequest.CheckChunkEnd(rest[:2]); err != nil {
+		if err := kqrequest.CheckChunkEnd(rest[:min(2, len(rest))]); err != nil {
 			return refused(err)
 		}
 		rest = rest[2:]
