A spoiled answer that a former home of a key stored is not replayed

The home of a key stores the answer to a call and hands it over with the key's bucket. One of a former build stores what its server wrote, also the status 000, malformed fields or an interim answer. The next home replayed that without the check that answers over links get, and the status 0 went to the caller as 200.

A replay passes the same check as a peer's answer now; what does not pass is lost.

Three of four rows of TestSpoiledAnswerOfAFormerHomeIsReplayed failed before. Ruled out by tests, which passed before as well: final, interim and early answers with the status 000 on both interfaces, beside the caller's node and at another one.

--- a/io/kqhttp/status_test.go
+++ b/io/kqhttp/status_test.go
@@ -33,6 +33,8 @@
 		{"HTTP/1.1 000\r\n" + rest, 0},
 		{"\r\nHTTP/1.1  000 OK\r\n" + rest, 0},
 		{"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 000 \r\n" + rest, 0},
+		{"HTTP/1.1 000 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\n" + rest, 0},
+		{"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 \r\n\r\nHTTP/1.1 200 OK\r\n" + rest, 0},
 		{"HTTP/1.1 001 Odd\r\n" + rest, 0},
 		{"HTTP/1.1 099 Odd\r\n" + rest, 0},
 		{"HTTP/1.1 100 Continue\r\n" + rest, 0},
--- a/io/kqmesh/early_test.go
+++ b/io/kqmesh/early_test.go
@@ -53,3 +53,31 @@
 		}
 	}
 }
+
+// TestEarlyAnswerWithStatus000ReachesTheCaller lets a backend server answer uploads with
+// the status 000 before it has read them: as the final answer, in place of an interim one
+// and after one.
+func TestEarlyAnswerWithStatus000ReachesTheCaller(t *testing.T) {
+	f := newFleet(t)
+	near, far := f.add("orders-1", "orders"), f.add("packs-1", "packs")
+	f.startServing(near, far, route("/buy/", "orders", true), route("/look/", "orders", false))
+	body := strings.Repeat("b", 8<<20)
+	for i, heads := range []string{
+		"HTTP/1.1 000 \r\n",
+		"HTTP/1.1 000 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\n",
+		"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 000 \r\n",
+	} {
+		for _, entry := range []*host{near, far} {
+			near.setEarlyAnswer(func(c net.Conn, q *fasthttp.Request) {
+				_, _ = io.WriteString(c, heads+"X-Stamp: s\r\n"+idHeader(string(q.Header.Peek("Kumquatlink-Request-Id")))+"Content-Length: 5\r\n\r\nwrong")
+				_, _ = io.Copy(io.Discard, io.LimitReader(c, int64(len(body))))
+			})
+			got := entry.request("POST", "/buy/", fmt.Sprintf("%s-%d", entry.settings.NodeID, i), body)
+			near.setEarlyAnswer(nil)
+			entry.awaitUpstream(f)
+			if want := (result{status: 502, body: "unknown: BackendLost\n"}); got != want {
+				t.Errorf("%q at %s: got %+v, want %+v", heads, entry.settings.NodeID, got, want)
+			}
+		}
+	}
+}
--- a/io/kqmesh/path_test.go
+++ b/io/kqmesh/path_test.go
@@ -113,6 +113,10 @@
 			_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n")
 			withStatus("000 ")(c, q)
 		}},
+		{"sends an interim answer with status 000", func(c net.Conn, q *fasthttp.Request) {
+			_, _ = io.WriteString(c, "HTTP/1.1 000 Early Hints\r\nLink: x\r\n\r\n")
+			echo(c, q)
+		}},
 		{"has a blank in the name of a field", closing(func(q *fasthttp.Request) string { return head(q, "X Odd: a\r\nContent-Length: 5\r\n\r\nbytes") })},
 		{"has a blank in the name of the length", closing(func(q *fasthttp.Request) string { return head(q, "Content Length: 3\r\n\r\nbytes") })},
 		{"has a blank after the name of a field", closing(func(q *fasthttp.Request) string { return head(q, "Content-Length : 3\r\n\r\nbytes") })},
--- a/io/kqnode/keyed.go
+++ b/io/kqnode/keyed.go
@@ -270,8 +270,8 @@
 }
 
 // resultOfVerdict returns the result of a call that the home neither runs nor lets
-// wait. The answer of a replay is decoded from the ledger; if that fails, the
-// outcome is unknown.
+// wait. The answer of a replay is decoded from the ledger; if that fails, or the answer
+// is malformed, the outcome is unknown.
 func resultOfVerdict(q *call, v kqhome.Verdict) *callAnswer {
 	r := &callAnswer{end: v.End, retriesLeft: q.head.Retries}
 	if v.End.Cause == kqcall.CauseMoved {
@@ -285,8 +285,10 @@
 		r.end = kqcall.Unknown(kqcall.CauseKeyForgotten)
 		return r
 	}
-	r.status, r.headers, r.body = a.Status, a.Headers, a.Body
-	return r
+	// The key may have come from a home of a former build.
+	replayed := readPeerAnswer(kqlink.AnswerHead{End: r.end, Status: a.Status, Headers: a.Headers, RetriesLeft: r.retriesLeft}, a.Body)
+	replayed.token = r.token
+	return replayed
 }
 
 // waitForRun waits for the copy of the call that runs, and returns its result. It
--- a/io/kqnode/spoiled_test.go
+++ b/io/kqnode/spoiled_test.go
@@ -3,7 +3,11 @@
 import (
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"kumquatlink/core/kqcall"
+	"kumquatlink/core/kqhome"
+	"kumquatlink/core/kqledger"
 	"kumquatlink/io/kqlink"
 )
 
@@ -34,3 +38,26 @@
 		t.Errorf("refusal of a peer: got %+v, want %+v", got.end, refused.End)
 	}
 }
+
+// TestSpoiledAnswerOfAFormerHomeIsReplayed guards against answers that a home of a former
+// build has stored with a key, and handed over with the key's bucket.
+func TestSpoiledAnswerOfAFormerHomeIsReplayed(t *testing.T) {
+	for _, c := range []struct {
+		stored storedAnswer
+		want   kqcall.End
+	}{
+		{storedAnswer{Status: 201, Body: []byte("body")}, kqcall.Ran()},
+		{storedAnswer{Status: 0, Body: []byte("body")}, kqcall.Unknown(kqcall.CauseBackendLost)},
+		{storedAnswer{Status: 103, Body: []byte("body")}, kqcall.Unknown(kqcall.CauseBackendLost)},
+		{storedAnswer{Status: 200, Headers: []kqlink.Header{{Name: "X Odd", Value: "a"}}, Body: []byte("body")}, kqcall.Unknown(kqcall.CauseBackendLost)},
+	} {
+		text, err := cbor.Marshal(c.stored)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := resultOfVerdict(&call{}, kqhome.Verdict{Verdict: kqledger.Verdict{End: kqcall.Ran(), Action: kqledger.ActionReplay, Answer: text}})
+		if got.end != c.want || (string(got.body) == "body") != (c.want == kqcall.Ran()) {
+			t.Errorf("stored status %d: got %+v, body %q, want %+v", c.stored.Status, got.end, got.body, c.want)
+		}
+	}
+}
