--- a/core/kqcall/kqcall.go
+++ b/core/kqcall/kqcall.go
@@ -96,7 +96,9 @@
 	CauseCrashesServers Cause = "CrashesServers"
 	// CauseBackendSilent means that the backend server stopped answering.
 	CauseBackendSilent Cause = "BackendSilent"
-	CauseKeyMissing    Cause = "KeyMissing"
+	// CauseNoMemory means that a node had no memory to hold the answer.
+	CauseNoMemory   Cause = "NoMemory"
+	CauseKeyMissing Cause = "KeyMissing"
 	// CauseKeyRunning means that a call with the same idempotency key is still
 	// running.
 	CauseKeyRunning Cause = "KeyRunning"
@@ -120,6 +122,9 @@
 	// CauseUnknownKey means that the caller gave no key of a team, or one that no
 	// team holds.
 	CauseUnknownKey Cause = "UnknownKey"
+	// CauseOutdatedKeys means that no team held the caller's key when the node last
+	// heard of the configuration, too long ago to tell that none does.
+	CauseOutdatedKeys Cause = "OutdatedKeys"
 	// CauseQuota means that the team has used up its quota.
 	CauseQuota Cause = "Quota"
 	// CauseMoved means that another node or backend server is responsible for
--- a/io/kqmesh/entry.go
+++ b/io/kqmesh/entry.go
@@ -84,7 +84,7 @@
 		o = n.refuseLate(q)
 	}
 	if o == nil {
-		o = n.shedder.refuseAtEntry(q)
+		o = n.refuseCounted(q)
 	}
 	if o == nil {
 		running, end := n.untilEnd(ctx)
@@ -95,6 +95,8 @@
 		end()
 		if o.head.End.Outcome != kqcall.OutcomeNotRun {
 			n.recentTimes.Record(n.clock(), q.head.Route, n.now().Sub(e.ReceivedAt))
+		} else {
+			n.quotas.add(q, -1)
 		}
 	}
 	n.recordDecision(kqlog.Decision{
@@ -109,6 +111,19 @@
 	}
 }
 
+// refuseCounted returns the answer to a call that the quota of its team or the
+// thresholds of other gates refuse, or nil.
+func (n *Node) refuseCounted(q *call) *callAnswer {
+	if o := n.quotas.refuse(q); o != nil {
+		return o
+	}
+	o := n.shedder.refuseAtEntry(q)
+	if o != nil {
+		n.quotas.add(q, -1)
+	}
+	return o
+}
+
 // readCall takes the request out of the connection's buffers and decides its
 // route. A large body has memory of its own and is not copied. The result is nil, or the end of a request that can't be routed or is
 // too late.
@@ -130,7 +145,7 @@
 	q.route = route
 	q.head.Route = route.Name
 	if !q.identifyTeam(h.Peek(n.dialect.Headers.Key)) {
-		return q, endOnly(kqcall.NotRun(kqcall.CauseUnknownKey))
+		return q, endOnly(n.endOfUnknownKey())
 	}
 	q.head.Service = route.ServiceFor(q.head.RequestID)
 	q.head.RunOnce = route.RunOnce
@@ -191,6 +206,15 @@
 	return known
 }
 
+// endOfUnknownKey returns the end of a request whose key no team holds. A node that may
+// have missed newer routes does not say that the key is unknown.
+func (n *Node) endOfUnknownKey() kqcall.End {
+	if n.routesAreCurrent() {
+		return kqcall.NotRun(kqcall.CauseUnknownKey)
+	}
+	return kqcall.NotRun(kqcall.CauseOutdatedKeys)
+}
+
 // isTeamHeader reports whether the header field identifies a caller's team. Backend
 // servers get the name that the entry sets, and never a key.
 func (n *Node) isTeamHeader(name string) bool {
@@ -233,6 +257,7 @@
 			r.Header.Add(f.Name, f.Value)
 		}
 		r.SetBodyRaw(o.body)
+		e.ReleaseBody = o.head.Release
 		return
 	}
 	r.SetStatusCode(statusOf(o.head))
--- a/io/kqmesh/kqmesh.go
+++ b/io/kqmesh/kqmesh.go
@@ -49,6 +49,7 @@
 	"kumquatlink/core/kqroute"
 	"kumquatlink/core/kqroutes"
 	"kumquatlink/core/kqserver"
+	"kumquatlink/io/kqbody"
 	"kumquatlink/io/kqedge"
 	"kumquatlink/io/kqlog"
 	"kumquatlink/io/kqmetric"
@@ -91,6 +92,9 @@
 	RoutesName string
 	// Tunables may be changed later with Retune.
 	Tunables
+	// MemoryMegabytes is the memory in MiB that the process may take on its host, 0 for
+	// that of the smallest hosts.
+	MemoryMegabytes int
 	// FirstStart reports whether the whole fleet starts for the first time.
 	// Then the first routes may be read from a stale replica of the store.
 	// Otherwise the budget of repeats spends no slack during its first window,
@@ -171,6 +175,10 @@
 	random   func() uint64
 	started  time.Time
 
+	// memory bounds the memory of all bodies that the node holds.
+	memory  *kqbody.Budget
+	stalled *stalledCallers
+
 	pool         *ants.Pool
 	callerServer *kqedge.Server
 	noticeServer *kqedge.Server
@@ -187,6 +195,7 @@
 	shedder  *shedder
 	budget   *kqbudget.Budget
 	stated   *statedServers
+	quotas   *quotas
 	// recentTimes holds how long the requests of callers have taken lately.
 	recentTimes *kqdrain.Recent
 
@@ -198,6 +207,9 @@
 	// routes or node records is open.
 	routesWatched atomic.Bool
 	hostsWatched  atomic.Bool
+	// routesConfirmed is when a watcher last said that the routes in force are the
+	// latest, on the node's clock, or 0.
+	routesConfirmed atomic.Int64
 	// peerRequestPending is set while a request to a peer, for newer routes or
 	// for its list of nodes, is scheduled.
 	peerRequestPending atomic.Bool
@@ -252,10 +264,16 @@
 	}
 	n.budget = kqbudget.New(settings.repeatBound(), budgetOptions...)
 	n.tunables.Store(&settings.Tunables)
-	n.dialer = kqtrunk.NewDialer(kqtrunk.Handlers{Message: n.handleMessage, ConnectionChanged: n.logPeerChange}, kqtrunk.WithCompression(n.isInOtherRegion))
+	n.stalled = &stalledCallers{node: n}
+	n.memory = kqbody.NewBudget(settings.bodyMemory(), kqbody.WithLoneBodies(), kqbody.WithShortage(func() { n.callerServer.Reclaim() }))
+	n.callerServer = kqedge.New(n.handleCaller, kqedge.WithLimits(n.callerLimits), kqedge.WithSubmit(n.pool.Submit), kqedge.WithErrorHandler(n.answerUnreadable),
+		kqedge.WithMaxConnections(maxCallerConnections()), kqedge.WithAcceptObserver(n.acceptObserver("callers")),
+		kqedge.WithMemory(n.memory), kqedge.WithReclaimObserver(n.stalled.record))
+	n.dialer = kqtrunk.NewDialer(kqtrunk.Handlers{Message: n.handleMessage, ConnectionChanged: n.logPeerChange, Memory: n.memory}, kqtrunk.WithCompression(n.isInOtherRegion))
 	n.gate = newGate(n)
 	n.shedder = newShedder(n)
 	n.stated = &statedServers{node: n}
+	n.quotas = newQuotas(n)
 	n.recentTimes = kqdrain.New()
 	n.callsCtx, n.giveUpCalls = context.WithCancelCause(context.Background())
 	n.control = newControl(n)
@@ -271,14 +289,12 @@
 	var err error
 	n.server, err = kqtrunk.Listen(n.settings.PeerAddress, kqtrunk.Handlers{
 		Call: n.handleCall, Message: n.handleMessage, Update: n.handleUpdate, Submit: n.pool.Submit,
-		AcceptFailed: n.acceptObserver("peers"),
+		AcceptFailed: n.acceptObserver("peers"), Memory: n.memory,
 	})
 	if err != nil {
 		return errors.Mark(err, ErrNode)
 	}
 	n.peerAddress = cmp.Or(n.settings.AdvertisedAddress, n.server.Address())
-	n.callerServer = kqedge.New(n.handleCaller, kqedge.WithLimits(n.callerLimits), kqedge.WithSubmit(n.pool.Submit), kqedge.WithErrorHandler(n.answerUnreadable),
-		kqedge.WithMaxConnections(maxCallerConnections()), kqedge.WithAcceptObserver(n.acceptObserver("callers")))
 	n.noticeServer = kqedge.New(n.handleNotice, kqedge.WithLimits(noticeLimits), kqedge.WithAcceptObserver(n.acceptObserver("notices")))
 	n.ready = kqedge.New(n.handleReady, kqedge.WithLimits(noticeLimits), kqedge.WithAcceptObserver(n.acceptObserver("readiness probes")))
 	for _, s := range []struct {
@@ -305,6 +321,7 @@
 	n.startLoop(ctx, n.probeServer)
 	n.startLoop(ctx, n.fetchRecords)
 	n.startLoop(ctx, n.readConvictions)
+	n.startLoop(ctx, n.quotas.run)
 	n.logEvent(eventNodeStarted, "node started at "+n.settings.CallerAddress+" for callers and "+n.peerAddress+" for nodes", nil,
 		kqlog.Text(fieldAddress, n.settings.CallerAddress), kqlog.Text("PeerAddress", n.peerAddress))
 	return nil
--- a/io/kqmesh/place.go
+++ b/io/kqmesh/place.go
@@ -77,6 +77,9 @@
 		})
 		last = o
 		if o.head.End.Outcome != kqcall.OutcomeNotRun {
+			if lastBegun != nil {
+				lastBegun.discard()
+			}
 			lastBegun = o
 		}
 		if ctx.Err() != nil || !n.mayTryNext(q, o) {
@@ -119,8 +122,12 @@
 		return endOnly(endOfLinkError(ctx, err))
 	}
 	n.observePeerVersion(u.Record.Address, answer.Head.RoutesVersion)
+	o := &callAnswer{head: answer.Head, body: answer.Body, fromGate: true}
+	if o.head.End.Outcome != kqcall.OutcomeRan {
+		o.discard()
+	}
 	// A gate of a former build passes on what its server spoils.
-	return n.rejectSpoiled(&callAnswer{head: answer.Head, body: answer.Body, fromGate: true})
+	return n.rejectSpoiled(o)
 }
 
 // endOfLinkError returns the end of a call whose connection to the peer failed.
@@ -128,6 +135,8 @@
 func endOfLinkError(ctx context.Context, err error) kqcall.End {
 	cause := kqcall.CauseLinkLost
 	switch {
+	case errors.Is(err, kqtrunk.ErrNoMemory):
+		cause = kqcall.CauseNoMemory
 	case ctx.Err() != nil:
 		cause = causeOfContext(ctx)
 	case errors.Is(err, kqtrunk.ErrSilent):
@@ -168,7 +177,7 @@
 		a.Verdict = kqroute.Draining
 	case end.Cause == kqcall.CauseBackendShed:
 		a.Verdict = kqroute.Faulty
-	case end.Cause == kqcall.CauseCallerGone || end.Cause == kqcall.CauseCrashesServers:
+	case end.Cause == kqcall.CauseCallerGone || end.Cause == kqcall.CauseCrashesServers || end.Cause == kqcall.CauseNoMemory:
 		a.Verdict = kqroute.Inconclusive
 	case end.Outcome == kqcall.OutcomeNotRun && o.fromGate && end.Cause != kqcall.CauseBackendLost:
 		a.Verdict = kqroute.Full
@@ -193,6 +202,9 @@
 	switch {
 	case end.Cause == kqcall.CauseCallerGone || end.Cause == kqcall.CauseDeadline || end.Cause == kqcall.CauseCrashesServers:
 		return false
+	case end.Cause == kqcall.CauseNoMemory:
+		// Another answer of that length would find no room either.
+		return false
 	case end.Outcome == kqcall.OutcomeRan && o.head.Status < fasthttp.StatusInternalServerError:
 		return false
 	case end.Outcome == kqcall.OutcomeNotRun:
@@ -217,6 +229,7 @@
 		return false
 	}
 	n.metrics.Count(kqmetric.Repeats, q.head.Service)
+	n.quotas.add(q, 1)
 	q.head.Repeat = true
 	return true
 }
--- a/io/kqmesh/team_test.go
+++ b/io/kqmesh/team_test.go
@@ -24,20 +24,6 @@
 	goldTeam = "Gold"
 )
 
-// writeTeams writes a document with the routes and two teams, of which the second one
-// holds the given keys.
-func (f *fleet) writeTeams(version int64, ironKeys []string, routes ...kqroutes.Route) {
-	f.t.Helper()
-	value, err := json.Marshal(kqroutes.Document{
-		Version: version, Routes: routes, Services: []kqroutes.Service{{Name: "orders", HealthPath: "/health"}},
-		Teams: []kqroutes.Team{{Name: goldTeam, Keys: []string{goldKey, "gold-spare"}}, {Name: "Iron", Keys: ironKeys, Rank: 1}},
-	})
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	f.putRoutes(value)
-}
-
 // teamFleet is a fleet with two teams: near has the backend server of the routes, and
 // callers of far reach it over a link. seen holds the heads and bodies that it got.
 type teamFleet struct {
@@ -54,7 +40,7 @@
 	f.near, f.far = f.add("orders-1", "orders"), f.add("packs-1", "packs")
 	open := route("/open/", "orders", false)
 	open.Public = true
-	f.writeTeams(1, []string{ironKey}, route("/look/", "orders", false), open)
+	f.writeKeys(1, []string{ironKey}, route("/look/", "orders", false), open)
 	f.near.reportState(kqserver.Ready)
 	f.far.reportState(kqserver.Ready)
 	f.awaitConvergence(1, 2)
@@ -71,6 +57,20 @@
 	return f
 }
 
+// writeKeys writes a document with the routes and two teams, of which the second one
+// holds the given keys.
+func (f *teamFleet) writeKeys(version int64, ironKeys []string, routes ...kqroutes.Route) {
+	f.t.Helper()
+	value, err := json.Marshal(kqroutes.Document{
+		Version: version, Routes: routes, Services: []kqroutes.Service{{Name: "orders", HealthPath: "/health"}},
+		Teams: []kqroutes.Team{{Name: goldTeam, Keys: []string{goldKey, "gold-spare"}}, {Name: "Iron", Keys: ironKeys, Rank: 1}},
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.putRoutes(value)
+}
+
 // callerConn is the connection of a caller.
 type callerConn struct {
 	t *testing.T
@@ -252,7 +252,7 @@
 			t.Fatalf("key before it is withdrawn, at %s: got %d, want 200", entry.settings.NodeID, got)
 		}
 	}
-	f.writeTeams(2, []string{"iron-new"}, route("/look/", "orders", false))
+	f.writeKeys(2, []string{"iron-new"}, route("/look/", "orders", false))
 	f.awaitConvergence(2, 2)
 	for entry, conn := range kept {
 		id := entry.settings.NodeID
