--- a/core/kqrate/meter.go
+++ b/core/kqrate/meter.go
@@ -32,16 +32,21 @@
 	unheardTime = 1500 * time.Millisecond
 	// shareTime is how long after an answer the share follows what the entry has had
 	// of the fleet's demand.
-	shareTime = 15 * time.Second
+	shareTime = 3 * time.Second
 	// usedShare is the part of the quota that all entries use together by their share
 	// of the demand, and evenShare the part that those use whose share is unknown.
-	usedShare = 0.85
+	usedShare = 0.75
 	evenShare = 0.25
 	// lateShare is the part of the quota that all entries use together once the
 	// shares of the demand are out of date.
 	lateShare = 0.5
-	// shareBurstTime is how long the unused share of an entry accumulates.
+	// shareBurstTime is how long the unused share of an entry accumulates, and
+	// firstShareTime the time whose share it may use at once.
 	shareBurstTime = time.Second
+	firstShareTime = 250 * time.Millisecond
+	// demandShareWeight is the weight of the latest sample in the entry's share of the
+	// demand.
+	demandShareWeight = 0.3
 )
 
 // urgentUses is the least number of requests of a team that make a report urgent.
@@ -77,6 +82,11 @@
 	grant     Grant
 	grantedAt time.Duration
 	isGranted bool
+	// settled is the last fraction of a home that was not young, at settledAt, if
+	// isSettled is set.
+	settled   float32
+	settledAt time.Duration
+	isSettled bool
 	// credit is the part of a request that earlier ones have left.
 	credit float64
 	// demand is what callers send to this entry, and demandShare the part that it is
@@ -272,7 +282,7 @@
 func (m *Meter) keepsShare(now time.Duration, t *teamMeter, s *homeState) bool {
 	keeps := s == nil || s.failures > 0 || now-s.answeredAt > max(unheardTime, 2*m.period())
 	if keeps && !t.isShare {
-		t.shareTokens, t.shareFilledAt = 1, now
+		t.shareTokens, t.shareFilledAt = max(1, firstShareTime.Seconds()*m.shareOf(now, t, s)), now
 	}
 	return keeps
 }
@@ -366,7 +376,8 @@
 func (m *Meter) Report(now time.Duration, home string) Report {
 	s := m.states[home]
 	s.isWaiting, s.isUrgent, s.sentAt = true, false, now
-	r := Report{Entry: m.self, Period: now - s.reportedAt}
+	r := Report{Entry: m.self}
+	since := s.reportedAt
 	if m.silent[home] {
 		return r
 	}
@@ -376,8 +387,10 @@
 		}
 		r.Uses = append(r.Uses, Use{Team: name, Admitted: t.admitted, Asked: t.asked})
 		t.admitted, t.asked = 0, 0
+		since = min(since, t.pendingSince)
 		delete(m.pending, name)
 	}
+	r.Period = now - since
 	slices.SortFunc(r.Uses, func(a, b Use) int { return cmp.Compare(a.Team, b.Team) })
 	return r
 }
@@ -389,7 +402,7 @@
 	}
 	s := m.states[home]
 	if s == nil {
-		m.restore(now, r.Uses)
+		m.restore(now, r.Period, r.Uses)
 		return
 	}
 	s.isWaiting, s.failures = false, 0
@@ -398,23 +411,26 @@
 		m.chooseHomes(now)
 	}
 	if !a.IsHome {
-		m.restore(now, r.Uses)
+		m.restore(now, r.Period, r.Uses)
 		return
 	}
 	s.answeredAt = now
+	// A home that has become that of further teams does not know their demand yet.
+	isYoung := a.Young || m.since > 0 && now-m.since < youngTime
 	granted := make(map[string]bool, len(a.Grants))
 	for _, g := range a.Grants {
 		granted[g.Team] = true
-		m.receiveGrant(now, home, g, a.Young)
+		m.receiveGrant(now, home, g, isYoung)
 	}
 	for name, t := range m.limited {
-		if t.home == home && !granted[name] {
+		if t.home == home && !granted[name] && !(isYoung && now-t.grantedAt < maxReportTime) {
 			t.grant.Fraction, t.grantedAt = 1, now
+			t.settled, t.settledAt, t.isSettled = 1, now, true
 			delete(m.limited, name)
 		}
 	}
 	refused := slices.DeleteFunc(slices.Clone(r.Uses), func(u Use) bool { return granted[u.Team] })
-	m.restore(now, refused)
+	m.restore(now, r.Period, refused)
 	if len(refused) == 0 {
 		s.reportedAt = s.sentAt
 	}
@@ -428,14 +444,20 @@
 		return
 	}
 	t = m.team(now, g.Team)
-	if isYoung && t.isGranted && now-t.grantedAt < maxReportTime {
-		g.Fraction = min(g.Fraction, t.grant.Fraction)
+	if !isYoung {
+		t.settled, t.settledAt, t.isSettled = g.Fraction, now, true
+	} else if t.isSettled && now-t.settledAt < maxReportTime {
+		g.Fraction = min(g.Fraction, t.settled)
 	}
 	t.grant, t.grantedAt, t.isGranted = g, now, true
-	t.demandShare = 0
+	share := 0.0
 	if g.Demand > 0 {
-		t.demandShare = min(1, t.demand.rate(now)/float64(g.Demand))
+		share = min(1, t.demand.rate(now)/float64(g.Demand))
 	}
+	if t.demandShare == 0 {
+		t.demandShare = share
+	}
+	t.demandShare += demandShareWeight * (share - t.demandShare)
 	delete(m.limited, g.Team)
 	if g.Fraction < 1 {
 		m.limited[g.Team] = t
@@ -444,24 +466,32 @@
 
 // Fail counts a report that was not answered. Its uses are reported again.
 func (m *Meter) Fail(now time.Duration, home string, r Report) {
-	m.restore(now, r.Uses)
+	m.restore(now, r.Period, r.Uses)
 	s := m.states[home]
 	if s == nil {
 		return
 	}
-	s.isWaiting = false
+	s.isWaiting, s.isUrgent = false, true
 	s.failures++
 	if s.failures >= maxFailures && home != m.self && !m.silent[home] {
 		m.silent[home] = true
+		former := m.homes.names
 		m.chooseHomes(now)
+		for _, name := range m.homes.names {
+			if !slices.Contains(former, name) {
+				// The entry holds its share until the next home has answered.
+				m.states[name].answeredAt, m.states[name].failures = s.answeredAt, 1
+			}
+		}
 	}
 }
 
-// restore counts uses again that no home has taken.
-func (m *Meter) restore(now time.Duration, uses []Use) {
+// restore counts uses of a period again that no home has taken.
+func (m *Meter) restore(now, period time.Duration, uses []Use) {
 	for _, u := range uses {
 		t := m.team(now, u.Team)
 		m.count(now, t)
+		t.pendingSince = min(t.pendingSince, now-period)
 		t.admitted += u.Admitted
 		t.asked += u.Asked
 	}
--- a/core/kqrate/quota.go
+++ b/core/kqrate/quota.go
@@ -17,8 +17,14 @@
 	// pauseTime is the time without any report after which a home may have been
 	// stopped, so that another one may have counted in its place.
 	pauseTime = 1500 * time.Millisecond
+	// skipTime is how long a home that was stopped takes no reports, since their
+	// senders have given up those that waited meanwhile.
+	skipTime = 200 * time.Millisecond
 	// youngTime is how long a home takes to hear of the demand of all entries.
 	youngTime = 2 * time.Second
+	// youngShare is the part of the quotas that a home uses meanwhile, since entries
+	// may still follow another one.
+	youngShare = 0.9
 	// heardTime is how long an entry counts as in touch after its last report.
 	heardTime = 3 * time.Second
 	// minHeardShare is the share of the fleet's entries that a home has to hear of to
@@ -119,6 +125,7 @@
 	heard      map[string]time.Duration
 	begunAt    time.Duration
 	reportedAt time.Duration
+	skipUntil  time.Duration
 	sweptAt    time.Duration
 	isBegun    bool
 }
@@ -153,16 +160,26 @@
 // Receive counts the uses of a report and returns the answer.
 func (h *Home) Receive(now time.Duration, v HomeView, r Report) Answer {
 	period := min(max(r.Period, 0), maxReportTime)
-	if !h.isBegun || now-h.reportedAt > pauseTime {
-		h.begin(now)
+	if now-h.reportedAt > pauseTime {
+		h.skipUntil = now + skipTime
+	}
+	wasStopped := h.isBegun && now < h.skipUntil
+	if !h.isBegun || wasStopped {
+		h.begin(now, period)
 	}
 	h.reportedAt = now
+	if wasStopped {
+		return Answer{}
+	}
 	h.heard[r.Entry] = now
 	if now-h.sweptAt > heardTime {
 		h.sweep(now)
 	}
 	share := h.heardShare(now, v.Hosts)
-	answer := Answer{IsHome: true, Young: now-h.begunAt < youngTime}
+	answer := Answer{IsHome: true, Young: now-max(h.begunAt, v.Since) < youngTime}
+	if answer.Young {
+		share = min(share, youngShare)
+	}
 	reported := make(map[string]bool, len(r.Uses))
 	for _, u := range r.Uses {
 		q, known := v.QuotaOf(u.Team)
@@ -174,7 +191,7 @@
 			a = &account{tokens: spareCalls, filledAt: min(now-period, max(h.begunAt, v.Since))}
 			h.accounts[u.Team] = a
 		} else if v.Since > a.usedAt {
-			a.reset(now)
+			a.reset(now - period)
 		}
 		a.setQuota(now, q, share)
 		a.usedAt = now
@@ -192,12 +209,13 @@
 	return answer
 }
 
-// begin forgets unused bursts, since another home may have granted them.
-func (h *Home) begin(now time.Duration) {
+// begin forgets unused bursts, since another home may have granted them. The first
+// report covers a period.
+func (h *Home) begin(now, period time.Duration) {
 	h.isBegun, h.begunAt = true, now
 	clear(h.heard)
 	for _, a := range h.accounts {
-		a.reset(now)
+		a.reset(now - period)
 	}
 }
 
@@ -287,9 +305,10 @@
 	}
 }
 
-// reset forgets an unused burst and the demand.
-func (a *account) reset(now time.Duration) {
-	a.tokens, a.filledAt, a.demand = min(a.tokens, spareCalls), now, estimate{}
+// reset forgets an unused burst and the demand. The bucket is filled from a time on,
+// which is when the uses have begun that no other home has counted.
+func (a *account) reset(since time.Duration) {
+	a.tokens, a.filledAt, a.demand = min(a.tokens, spareCalls), since, estimate{}
 }
 
 // setQuota fills the bucket up to now at the former rate, and sets the quota.
