--- a/core/kqrate/meter.go
+++ b/core/kqrate/meter.go
@@ -272,7 +272,7 @@
 		t.credit = min(t.credit, 1)
 	}
 	if !v.Admitted && v.RetryAfter == 0 {
-		v.RetryAfter = m.retryAfter(now, t, v)
+		v.RetryAfter = m.retryAfter(t, v)
 	}
 	return v
 }
@@ -314,7 +314,7 @@
 
 // retryAfter returns when the team's bucket will hold a request, and later for a part
 // of the refused callers, so that they don't all return at once.
-func (m *Meter) retryAfter(now time.Duration, t *teamMeter, v Verdict) time.Duration {
+func (m *Meter) retryAfter(t *teamMeter, v Verdict) time.Duration {
 	wait := max(float64(t.grant.Wait)-v.Age.Seconds(), 1/t.quota.Rate)
 	wait += t.credit * (1 - v.Fraction) * spreadTime.Seconds()
 	return min(time.Duration(wait*float64(time.Second)), maxReportTime)
@@ -423,7 +423,7 @@
 		m.receiveGrant(now, home, g, isYoung)
 	}
 	for name, t := range m.limited {
-		if t.home == home && !granted[name] && !(isYoung && now-t.grantedAt < maxReportTime) {
+		if t.home == home && !granted[name] && (!isYoung || now-t.grantedAt >= maxReportTime) {
 			t.grant.Fraction, t.grantedAt = 1, now
 			t.settled, t.settledAt, t.isSettled = 1, now, true
 			delete(m.limited, name)
--- a/core/kqrate/quota.go
+++ b/core/kqrate/quota.go
@@ -51,7 +51,7 @@
 
 // Use is what an entry has seen of a team since its former report.
 type Use struct {
-	_    struct{} `cbor:",toarray"` //nolint:unused // sets the encoding
+	_    struct{} `cbor:",toarray"`
 	Team string
 	// Admitted is the number of requests that were sent to servers, less those that
 	// no server has run. It may be negative.
@@ -71,7 +71,7 @@
 
 // Grant is what a home grants a team.
 type Grant struct {
-	_    struct{} `cbor:",toarray"` //nolint:unused // sets the encoding
+	_    struct{} `cbor:",toarray"`
 	Team string
 	// Fraction is the part of the team's requests that entries may send now.
 	Fraction float32
--- a/core/kqrate/world_test.go
+++ b/core/kqrate/world_test.go
@@ -27,7 +27,6 @@
 	name  string
 	meter *kqrate.Meter
 	home  *kqrate.Home
-	clock time.Duration
 	// isDown, isFrozen and isCut report that the node is killed, stopped, or that its
 	// messages are lost.
 	isDown, isFrozen, isCut bool
