An entry sends no more of a team than the whole quota before its home answers

Some hundred milliseconds pass until a home's first answer, or until a home that has ended is found silent.

--- a/core/kqrate/meter.go
+++ b/core/kqrate/meter.go
@@ -93,6 +93,11 @@
 	// of the fleet's demand.
 	demand      estimate
 	demandShare float64
+	// ownTokens is a bucket of the whole quota for this entry alone, which bounds what
+	// it sends before a home has answered.
+	ownTokens   float64
+	ownFilledAt time.Duration
+	hasOwn      bool
 	// shareTokens is the bucket of the entry's own share.
 	shareTokens   float64
 	shareFilledAt time.Duration
@@ -226,6 +231,7 @@
 	t := m.team(now, name)
 	m.count(now, t)
 	t.admitted += count
+	t.ownTokens -= float64(count)
 }
 
 func (m *Meter) team(now time.Duration, name string) *teamMeter {
@@ -271,12 +277,32 @@
 		}
 		t.credit = min(t.credit, 1)
 	}
+	if v.Admitted && !t.takeOwn(now) {
+		v.Admitted, v.RetryAfter = false, min(time.Duration((1-t.ownTokens)/t.quota.Rate*float64(time.Second)), maxReportTime)
+	}
 	if !v.Admitted && v.RetryAfter == 0 {
 		v.RetryAfter = m.retryAfter(t, v)
 	}
 	return v
 }
 
+// takeOwn reports whether the team would be within its quota if it sent requests to
+// this entry alone, and counts one.
+func (t *teamMeter) takeOwn(now time.Duration) bool {
+	size := t.quota.Burst + spareCalls
+	if !t.hasOwn {
+		t.ownTokens, t.hasOwn = size, true
+	} else {
+		t.ownTokens = min(size, t.ownTokens+t.quota.Rate*(now-t.ownFilledAt).Seconds())
+	}
+	t.ownFilledAt = now
+	if t.ownTokens < 1 {
+		return false
+	}
+	t.ownTokens--
+	return true
+}
+
 // keepsShare reports whether the entry holds its own share, since the home has not
 // answered lately.
 func (m *Meter) keepsShare(now time.Duration, t *teamMeter, s *homeState) bool {
--- a/core/kqrate/quota_test.go
+++ b/core/kqrate/quota_test.go
@@ -186,3 +186,23 @@
 		w.check(t, fmt.Sprintf("entry cut off, team of %g/s", rate), 0.5)
 	}
 }
+
+// TestEntryHoldsTheQuotaBeforeAnAnswer sends many requests at one entry before its
+// first report.
+func TestEntryHoldsTheQuotaBeforeAnAnswer(t *testing.T) {
+	q := kqrate.Quota{Rate: 1, Burst: 1}
+	m := kqrate.NewMeter("node-0", 1)
+	m.SetHosts(0, []string{"node-0", "node-1"})
+	admitted := 0
+	for i := range 1000 {
+		v := m.Take(time.Duration(i)*time.Millisecond, "team", q)
+		if v.Admitted {
+			admitted++
+		} else if v.RetryAfter <= 0 {
+			t.Fatalf("refused request %d: got RetryAfter %v, want more than 0", i, v.RetryAfter)
+		}
+	}
+	if want := bound(q); admitted > want {
+		t.Errorf("requests admitted before an answer: got %d, want at most %d", admitted, want)
+	}
+}
