--- a/io/kqmesh/entry.go
+++ b/io/kqmesh/entry.go
@@ -123,6 +123,7 @@
 	if o := n.quotas.refuse(q); o != nil {
 		return o
 	}
+	n.shedder.shares.place(q)
 	o := n.shedder.refuseAtEntry(q)
 	if o != nil {
 		n.quotas.add(q, -1)
--- a/io/kqmesh/kqmesh.go
+++ b/io/kqmesh/kqmesh.go
@@ -274,6 +274,7 @@
 	n.shedder = newShedder(n)
 	n.stated = &statedServers{node: n}
 	n.quotas = newQuotas(n)
+	n.shedder.shares.demandOf = n.quotas.demandOf
 	n.recentTimes = kqdrain.New()
 	n.callsCtx, n.giveUpCalls = context.WithCancelCause(context.Background())
 	n.control = newControl(n)
--- a/io/kqmesh/quota.go
+++ b/io/kqmesh/quota.go
@@ -63,9 +63,8 @@
 	return k
 }
 
-// refuse returns the answer to a request beyond the quota of its team, or nil. It sets
-// the request's position among those of its rank. Onward calls, and requests without
-// a team, are not counted.
+// refuse returns the answer to a request beyond the quota of its team, or nil. Onward
+// calls, and requests without a team, are not counted.
 func (k *quotas) refuse(q *call) *callAnswer {
 	if !q.isCounted() {
 		return nil
@@ -74,7 +73,6 @@
 	k.mutex.Lock()
 	k.follow(k.node.State())
 	v := k.meter.Take(now, q.team.Name, kqrate.Quota{Rate: q.team.Rate, Burst: q.team.Burst})
-	q.head.Order = kqfair.Order(k.curve, v.Demand, q.head.Root)
 	k.mutex.Unlock()
 	if v.IsUrgent {
 		k.wakeUp()
@@ -100,6 +98,15 @@
 	return endOnly(end)
 }
 
+// demandOf returns what the homes have answered of the demand of a team, for its fair
+// share.
+func (k *quotas) demandOf(team string) (teamDemand, bool) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	demand, age, known := k.meter.Demand(k.node.clock(), team)
+	return teamDemand{curve: k.curve, requests: demand, age: age}, known || len(k.curve) > 0
+}
+
 // isCounted reports whether the call counts against the quota of a team.
 func (q *call) isCounted() bool {
 	return q.team != nil && q.head.Depth == 0
