A large body is taken beside little others, and a reader of metrics has 10 s

Cause: a body larger than the budget was taken while nothing else was in use, but each request counts 16 KB now, so that none was ever alone. On machines of 184 MB that refuses an upload of 64 MiB in calm. A reader of metrics that does not read held its connection for ever.

Change: other bodies may take an eighth of the budget. The server of metrics has 10 s to write an answer.

--- a/io/kqbody/kqbody.go
+++ b/io/kqbody/kqbody.go
@@ -59,13 +59,16 @@
 	firstBytes = 4 << 10
 	// freePart is the part of a budget, as a divisor, that is to be free after a shortage.
 	freePart = 4
+	// lonePart is the part of a budget, as a divisor, that may be in use beside a body
+	// that is larger than the rest.
+	lonePart = 8
 )
 
 // Budget bounds the memory that bodies may take together. It is safe for concurrent use.
 type Budget struct {
 	limit  int64
 	parent *Budget
-	// takesLone reports whether a body of any size fits while nothing else is in use.
+	// takesLone reports whether a body of any size fits while little else is in use.
 	takesLone bool
 	// short is called, without the mutex, when bytes find no room.
 	short func()
@@ -90,7 +93,8 @@
 	return func(b *Budget) { b.parent = parent }
 }
 
-// WithLoneBodies lets a body of any size into the budget while nothing else is in use.
+// WithLoneBodies lets a body of any size into the budget while other bodies take no more
+// than an eighth of it.
 func WithLoneBodies() Option {
 	return func(b *Budget) { b.takesLone = true }
 }
@@ -150,7 +154,7 @@
 // fits reports whether bytes fit beside what is in use. The held ones belong to the same
 // body. The mutex is held.
 func (b *Budget) fits(bytes, held int64) bool {
-	return b.inUse+bytes <= b.limit || b.takesLone && b.inUse == held
+	return b.inUse+bytes <= b.limit || b.takesLone && b.inUse-held <= b.limit/lonePart
 }
 
 // Reserve counts a body of that many bytes, unless it is small, and returns the function
--- a/io/kqmesh/observe.go
+++ b/io/kqmesh/observe.go
@@ -25,6 +25,9 @@
 // metricsHeaderTime bounds reading the headers of a request for metrics.
 const metricsHeaderTime = 2 * time.Second
 
+// metricsAnswerTime bounds writing an answer to a reader of metrics.
+const metricsAnswerTime = 10 * time.Second
+
 // Results of store calls in the metrics. A refused call was answered with a
 // refusal, a failed one was not answered.
 const (
@@ -84,7 +87,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(metricsPath, n.metrics.Handler())
-	n.metricsServer = &http.Server{Handler: mux, ReadHeaderTimeout: metricsHeaderTime}
+	n.metricsServer = &http.Server{Handler: mux, ReadHeaderTimeout: metricsHeaderTime, WriteTimeout: metricsAnswerTime}
 	go func() {
 		if err := n.metricsServer.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			n.logEvent(eventMetricsEnded, "metrics server ended: metrics are no longer served", err)
