Frames, version 7: a head may ask the gate to hand the call back

Entries choose from reports that are a little old, so a call may arrive at a gate without a free slot while another gate of the service has room. The entry had no way to say that it would rather be told.

CallHead.HandBack travels in the element of Headers that carries Order, so peers of earlier versions are sent what they were. Queue.WouldQueue tells a gate whether an arrival would wait although the threshold admits all, and CauseHandedBack is the cause of a call that was returned for it, not run.

Ruled out: a header of its own for each call (bytes on every call), and a gate that hands back without being asked (entries of former builds would take it for a refusal).

--- a/core/kqadmit/kqadmit.go
+++ b/core/kqadmit/kqadmit.go
@@ -111,6 +111,12 @@
 // Waiting returns how many calls wait.
 func (q *Queue) Waiting() int { return len(q.waiting) }
 
+// WouldQueue reports whether a call that arrives now would wait although the
+// threshold admits all: other gates may have free slots then.
+func (q *Queue) WouldQueue(now time.Duration) bool {
+	return q.threshold.level == AdmitAll && (len(q.waiting) > 0 || !q.hasRoom(now))
+}
+
 // Threshold returns the highest level that is admitted at present.
 func (q *Queue) Threshold() Level { return q.threshold.level }
 
--- a/core/kqcall/kqcall.go
+++ b/core/kqcall/kqcall.go
@@ -64,6 +64,9 @@
 	// CauseShedGate means that the gate, the part that admits calls to a
 	// backend server, refused it.
 	CauseShedGate Cause = "ShedAtGate"
+	// CauseHandedBack means that the gate had no free slot and handed the call back,
+	// as its entry had asked for. The entry tries another gate.
+	CauseHandedBack Cause = "HandedBack"
 	// CauseDisplaced means that the call was removed from a full queue for a
 	// more important one.
 	CauseDisplaced Cause = "Displaced"
--- a/io/kqtrunk/kqtrunk.go
+++ b/io/kqtrunk/kqtrunk.go
@@ -133,6 +133,9 @@
 	// for the position that follows from Root. On the wire it is an element of
 	// Headers.
 	Order uint32 `cbor:"-"`
+	// HandBack asks the gate to hand the call back, as not run, instead of having it
+	// wait for a slot. On the wire it is part of the element for Order.
+	HandBack bool `cbor:"-"`
 }
 
 // Load is the state of a gate, which it reports with every answer. InFlight and
--- a/io/kqtrunk/version.go
+++ b/io/kqtrunk/version.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 	"unicode/utf8"
 
@@ -27,15 +28,21 @@
 	versionBytes = 5
 	// versionOrder is the first in which heads carry [CallHead.Order].
 	versionOrder = 6
-	ownVersion   = versionOrder
+	// versionHandBack is the first in which heads carry [CallHead.HandBack].
+	versionHandBack = 7
+	ownVersion      = versionHandBack
 )
 
 // orderHeader is the name of the element of CallHead.Headers that carries
 // CallHead.Order. No header field has an empty name.
 const orderHeader = ""
 
-// orderBase is the base of the number in that element.
-const orderBase = 36
+// orderBase is the base of the number in that element, and handBackMark follows the
+// number if CallHead.HandBack is set.
+const (
+	orderBase    = 36
+	handBackMark = "+"
+)
 
 // limitClass is the class of the element of Load.Deep that carries
 // Load.LimitWithheld. No class of work has an empty name.
@@ -115,8 +122,12 @@
 
 // forVersion returns the call's head as it is encoded for a peer of the version.
 func (h CallHead) forVersion(version uint64) CallHead {
-	if h.Order != 0 && version >= versionOrder {
-		h.Headers = append(slices.Clone(h.Headers), Header{Name: orderHeader, Value: strconv.FormatUint(uint64(h.Order), orderBase)})
+	mark := ""
+	if h.HandBack && version >= versionHandBack {
+		mark = handBackMark
+	}
+	if version >= versionOrder && (h.Order != 0 || mark != "") {
+		h.Headers = append(slices.Clone(h.Headers), Header{Name: orderHeader, Value: strconv.FormatUint(uint64(h.Order), orderBase) + mark})
 	}
 	return h
 }
@@ -127,7 +138,9 @@
 	if last < 0 || h.Headers[last].Name != orderHeader {
 		return h
 	}
-	order, err := strconv.ParseUint(h.Headers[last].Value, orderBase, 32)
+	text, handBack := strings.CutSuffix(h.Headers[last].Value, handBackMark)
+	h.HandBack = handBack
+	order, err := strconv.ParseUint(text, orderBase, 32)
 	if err == nil {
 		h.Order = uint32(order)
 	}
