kqroute: even routing among servers of unequal speed

Two upstreams are drawn uniformly and compared by the entry's own calls.

With PickInfo.Even the two are drawn in proportion to limit and pace. An upstream that fails many of its last 32 calls is passed over while a sound one has room, and one that fails most is not sent what a sound one has refused. What a server states of itself only lowers its share. Without Even each pick is as before (TestPickMatchesReference is unchanged).

--- a/core/kqroute/kqroute.go
+++ b/core/kqroute/kqroute.go
@@ -10,6 +10,10 @@
 // of them would be ejected, all stay in use. Upstreams that have become slow get
 // calls only when no other upstream has capacity, apart from occasional probes.
 //
+// With [PickInfo.Even], for servers of unequal speed, the two are drawn in
+// proportion to their limits and paces, and upstreams whose calls often fail get
+// calls only when the others are full.
+//
 // # Usage
 //
 // A [Table] holds the upstreams of one service as one entry sees them. A new
@@ -93,10 +97,16 @@
 	Avoid func(u *Upstream) bool
 	// Bandwidth limits the traffic to other regions; nil means no limit.
 	Bandwidth *BandwidthLimiter
+	// Even draws the upstreams that are compared in proportion to their capacity,
+	// and avoids those whose calls often fail.
+	Even bool
 	// ignoreWarmup treats warming upstreams like any other.
 	ignoreWarmup bool
 	// strict excludes slow upstreams and those to avoid.
 	strict bool
+	// maxFailures excludes upstreams with at least this share of faults; 0 means
+	// that it excludes none.
+	maxFailures float64
 }
 
 // Table holds the upstreams of one service, nearest first.
@@ -164,6 +174,11 @@
 // A slow upstream, or one to avoid, is passed over only while another one has
 // capacity, and a warming one only while another one is eligible.
 func (t *Table) Pick(info PickInfo) *Upstream {
+	if info.Even && t.AnyFailing(info.Now) {
+		if u, refused := t.pickSound(info); u != nil || refused {
+			return u
+		}
+	}
 	if info.Avoid != nil || t.anyAvoided(info.Now) {
 		strict := info
 		strict.strict = true
@@ -263,6 +278,9 @@
 		start = t.ends[distance-1]
 	}
 	candidates := t.upstreams[start:t.ends[distance]]
+	if info.Even {
+		return pickEvenFrom(candidates, info, ignoreEjection)
+	}
 	count := 0
 	for _, u := range candidates {
 		if u.isEligible(info, ignoreEjection) {
--- a/core/kqroute/pace.go
+++ b/core/kqroute/pace.go
@@ -54,9 +54,9 @@
 	return b, found
 }
 
-// record adds a call to the baseline of its class; start is the baseline of a
-// class that had no call yet.
-func (l *latencyBaseline) record(result CallResult, logSeconds float64, start classBaseline, slow bool) {
+// record adds a call to the baseline of its class, and returns the mean with it;
+// start is the baseline of a class that had no call yet.
+func (l *latencyBaseline) record(result CallResult, logSeconds float64, start classBaseline, slow bool) float64 {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	b, found := l.classes[result.Class]
@@ -64,7 +64,9 @@
 		l.evictOldest()
 		b = start
 	}
-	l.classes[result.Class] = b.update(result.Now, logSeconds, slow)
+	b = b.update(result.Now, logSeconds, slow)
+	l.classes[result.Class] = b
+	return b.logMean
 }
 
 // evictOldest drops the class whose last call is the longest ago, if the map is
@@ -123,7 +125,8 @@
 	}
 	if result.Verdict == Good {
 		u.baseline.record(result, logSeconds, own, u.isSlow())
-		u.serviceBaseline.record(result, logSeconds, classBaseline{}, false)
+		usual := u.serviceBaseline.record(result, logSeconds, classBaseline{}, false)
+		u.recordPace(logSeconds - usual)
 	}
 	if !found || result.Verdict != Good && logSeconds < own.logMean {
 		return
--- a/core/kqroute/upstream.go
+++ b/core/kqroute/upstream.go
@@ -108,6 +108,14 @@
 	slowness    ewma
 	slowAt      atomic.Int64
 	slowProbeAt atomic.Int64
+	// pace is the logarithm of the ratio of call times to those of the service,
+	// and paceFactor the bits of that ratio.
+	pace       ewma
+	paceFactor atomic.Uint64
+	failures   failureShare
+	// stretch is what the backend server has stated last, in percent.
+	stretch     atomic.Int64
+	stretchedAt atomic.Int64
 }
 
 func newUpstream(own, r kqmember.Record, known *upstreamState, serviceBaseline *latencyBaseline, now time.Time) *Upstream {
@@ -142,6 +150,9 @@
 	if result.Run > 0 {
 		u.recordLatency(result)
 	}
+	if result.Verdict == Good || result.Verdict == Faulty {
+		u.failures.record(now, result.Verdict == Faulty)
+	}
 	switch result.Verdict {
 	case Inconclusive:
 	case Good:
@@ -256,6 +267,9 @@
 	if info.Usable != nil && !info.Usable(u) {
 		return false
 	}
+	if info.maxFailures > 0 && u.failures.value(info.Now.UnixNano()) >= info.maxFailures {
+		return false
+	}
 	if info.strict && (u.isAvoided(info.Now) || info.Avoid != nil && info.Avoid(u)) {
 		return false
 	}
