Mesh: route evenly where servers state how long work takes

A node routes evenly once an answer that it passes on states a fourth figure in the load header; until then it serves as before. A gate without a free slot hands back the calls of such entries, not run, at most twice for a request, and not while its threshold is down or upstreams are failing. Route lines say by which figures, and of which age, the choice was made, and the gauge upstream_use shows the spread. No message is added to servers.

The slots of a server were read from a load header of exactly three figures, so a node that was started again beside a server that states four took it for one of 8 slots until its next notice.

Ruled out: a setting, and a switch for each service (the calls that wait end at services whose servers state nothing).

--- a/io/kqmesh/events.go
+++ b/io/kqmesh/events.go
@@ -92,6 +92,7 @@
 	eventServerLeaves
 	eventStatementUnreadable
 	eventServerStated
+	eventEvenRouting
 	eventPanic
 	eventAcceptFailed
 	eventAcceptBack
@@ -157,6 +158,7 @@
 	eventServerLeaves:        {Name: "ServerLeaves", Level: zerolog.InfoLevel, Description: "An answer of the backend server beside the node says that the server leaves; it gets no new calls.", Fields: []string{fieldServer, fieldVerdict}},
 	eventStatementUnreadable: {Name: "StatementUnreadable", Level: zerolog.WarnLevel, Description: "What an answer of the backend server says about the server can't be decoded and is ignored. Logged at the first such answer after a readable one.", Fields: []string{fieldServer}},
 	eventServerStated:        {Name: "ServerStated", Level: zerolog.InfoLevel, Description: "An answer that the entry passed on states another limit than the one before, or that the server of another node leaves.", Fields: []string{fieldServer, fieldHost, "Limit", "Leaving"}},
+	eventEvenRouting:         {Name: "EvenRouting", Level: zerolog.InfoLevel, Description: "A backend server has stated how long work takes on its host. From now on the node routes calls by expected delay and free capacity.", Fields: []string{fieldServer, fieldService}},
 	eventPanic:               {Name: "Panic", Level: zerolog.ErrorLevel, Description: "A call or task ended by a panic, a fault of the node: a caller gets the status 500, and 502 for a call of another node. The message holds the stack."},
 	eventAcceptFailed:        {Name: "AcceptFailed", Level: zerolog.WarnLevel, Description: "A listener could not accept a connection, for example since the process has no descriptor left. It goes on trying.", Fields: []string{fieldSource}},
 	eventAcceptBack:          {Name: "AcceptBack", Level: zerolog.InfoLevel, Description: "A listener accepts connections again.", Fields: []string{fieldSource}},
--- a/io/kqmesh/gate.go
+++ b/io/kqmesh/gate.go
@@ -213,6 +213,10 @@
 	g.mutex.Lock()
 	g.setSlots(now, server.Slots)
 	g.forgetFormer(now, server)
+	if head.HandBack && g.queue.WouldQueue(now) {
+		g.mutex.Unlock()
+		return kqcall.NotRun(kqcall.CauseHandedBack), false
+	}
 	g.nextID++
 	item.ID = g.nextID
 	g.waiting[item.ID] = answer
--- a/io/kqmesh/kqmesh.go
+++ b/io/kqmesh/kqmesh.go
@@ -187,6 +187,7 @@
 	shedder  *shedder
 	budget   *kqbudget.Budget
 	stated   *statedServers
+	even     evenRouting
 	// recentTimes holds how long the requests of callers have taken lately.
 	recentTimes *kqdrain.Recent
 
--- a/io/kqmesh/notice.go
+++ b/io/kqmesh/notice.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -150,26 +149,12 @@
 	}
 	v := n.ApplyNotice(kqserver.Notice{
 		ServerID: id, Service: n.settings.Service, Address: n.settings.BackendAddress, State: kqserver.Ready,
-		Slots: parseSlots(string(response.Header.Peek(n.dialect.Headers.Load))),
+		Slots: statedSlots(string(response.Header.Peek(n.dialect.Headers.Load))),
 	})
 	n.logEvent(eventServerHealthy, "server "+id+" is healthy, verdict on a notice that says so: "+string(v), nil, kqlog.Text(fieldServer, id), kqlog.Text(fieldVerdict, string(v)))
 	return true
 }
 
-// parseSlots returns the number of slots in a load header, or 0 if the header is
-// malformed.
-func parseSlots(load string) int {
-	parts := strings.Split(load, ",")
-	if len(parts) != 3 {
-		return 0
-	}
-	slots, err := strconv.Atoi(strings.TrimSpace(parts[2]))
-	if err != nil || slots < 0 {
-		return 0
-	}
-	return slots
-}
-
 // handleReady answers whether callers may be sent to this node: 200, or 503
 // while it lacks routes or the list of nodes, or is draining.
 func (n *Node) handleReady(_ context.Context, e *kqedge.Exchange) {
--- a/io/kqmesh/observe.go
+++ b/io/kqmesh/observe.go
@@ -118,6 +118,7 @@
 	n.metrics.Set(kqmetric.GateSlots, float64(l.Queued), "waiting")
 	for service, t := range s.Upstreams {
 		n.metrics.Set(kqmetric.Upstreams, float64(len(t.Upstreams())), service)
+		n.setSpread(service, t)
 	}
 	for _, state := range []kqserver.State{kqserver.Unknown, kqserver.Ready, kqserver.Draining, kqserver.Gone} {
 		value := 0.0
--- a/io/kqmesh/place.go
+++ b/io/kqmesh/place.go
@@ -1,6 +1,7 @@
 package kqmesh
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -16,7 +17,8 @@
 
 // Limits on the tries of one request.
 const (
-	// maxTries is the largest number of gates that one request is sent to.
+	// maxTries is the largest number of gates that one request is sent to, apart
+	// from those that hand it back.
 	maxTries = 4
 	// minTimeLeft is the least time left with which a call is sent to a further
 	// gate.
@@ -37,7 +39,8 @@
 	var lastBegun *callAnswer
 	// avoid is set once a server's limit has kept the call from it.
 	var avoid func(*kqroute.Upstream) bool
-	for range maxTries {
+	var returned handBacks
+	for try := 0; try < maxTries+returned.count; try++ {
 		now := n.now()
 		q.head.Budget = q.deadline.Sub(now)
 		if len(q.tries) > 0 && q.head.Budget < minTimeLeft {
@@ -49,7 +52,9 @@
 		}
 		u := table.Pick(kqroute.PickInfo{
 			Now: now, Random: n.random(), Tried: tried, AllowOtherRegion: true, AllowProbe: !q.head.RunOnce, Usable: n.isUsable, Avoid: avoid,
+			Even: n.even.on.Load(),
 		})
+		u, q.head.HandBack = returned.choose(u, n.mayHandBack(table, now))
 		if u == nil {
 			break
 		}
@@ -58,12 +63,14 @@
 			continue
 		}
 		q.tries = append(q.tries, u.Record.NodeID)
+		sight := n.formatSight(u, now)
 		u.MarkProbe(now)
 		u.Begin()
 		o := n.sendTo(ctx, q, u)
 		a := routeResult(n.now(), ctx, o)
 		a.Class, a.Run = q.head.Route, ownRunTime(o)
 		u.End(a)
+		n.observeLoad(u, o)
 		n.shedder.recordLoad(q, u.Record.NodeID, o)
 		n.stated.record(u.Record.NodeID, o)
 		if o.head.End.Outcome == kqcall.OutcomeNotRun && n.stated.isLimited(u) {
@@ -72,9 +79,10 @@
 		n.recordDecision(kqlog.Decision{
 			RequestID: q.head.RequestID, Root: q.head.Root, Class: q.head.Class, Service: q.head.Service, Decision: decisionRoute,
 			Cause: string(o.head.End.Cause), Outcome: string(o.head.End.Outcome), Chosen: u.Record.NodeID,
-			Took: n.now().Sub(now), Left: q.head.Budget, Queued: o.head.Queue, Load: formatLoad(o.head.Load), Version: q.head.RoutesVersion, Status: o.head.Status,
-			Detail: o.detail,
+			Took: n.now().Sub(now), Queued: o.head.Queue, Load: formatLoad(o.head.Load), Version: q.head.RoutesVersion, Status: o.head.Status,
+			Detail: cmp.Or(o.detail, sight),
 		})
+		returned.record(u, o)
 		last = o
 		if o.head.End.Outcome != kqcall.OutcomeNotRun {
 			lastBegun = o
@@ -168,7 +176,8 @@
 		a.Verdict = kqroute.Draining
 	case end.Cause == kqcall.CauseBackendShed:
 		a.Verdict = kqroute.Faulty
-	case end.Cause == kqcall.CauseCallerGone || end.Cause == kqcall.CauseCrashesServers:
+	case end.Cause == kqcall.CauseCallerGone || end.Cause == kqcall.CauseCrashesServers || end.Cause == kqcall.CauseHandedBack:
+		// A gate that hands a call back reports its load with it.
 		a.Verdict = kqroute.Inconclusive
 	case end.Outcome == kqcall.OutcomeNotRun && o.fromGate && end.Cause != kqcall.CauseBackendLost:
 		a.Verdict = kqroute.Full
--- a/io/kqmetric/kqmetric.go
+++ b/io/kqmetric/kqmetric.go
@@ -66,6 +66,9 @@
 // unitCalls is the unit of metrics that count calls.
 const unitCalls = "calls"
 
+// tagService is the tag of metrics that are kept for each service.
+const tagService = "service"
+
 // The metrics of a node.
 var (
 	Answers              = Definition{"answers", KindCounter, []string{"outcome", "cause"}, unitCalls, "Calls answered by this node's entry."}
@@ -85,13 +88,14 @@
 	QueueTime            = Definition{"queue_time", KindTimer, nil, "seconds", "Time that calls waited for a slot at this node's gate."}
 	RunTime              = Definition{"run_time", KindTimer, nil, "seconds", "Time that calls were at the backend server."}
 	GateSlots            = Definition{"gate_slots", KindGauge, []string{"use"}, unitCalls, "Slots of the backend server by use: all, running, and calls that wait for a slot."}
-	Upstreams            = Definition{"upstreams", KindGauge, []string{"service"}, "nodes", "Upstreams that accept calls, by service."}
-	Repeats              = Definition{"repeats", KindCounter, []string{"service"}, unitCalls, "Calls that this entry repeated at a further backend server."}
-	RepeatsRefused       = Definition{"repeats_refused", KindCounter, []string{"service"}, unitCalls, "Calls that were not repeated because the repeat budget was spent."}
+	Upstreams            = Definition{"upstreams", KindGauge, []string{tagService}, "nodes", "Upstreams that accept calls, by service."}
+	UpstreamUse          = Definition{"upstream_use", KindGauge, []string{tagService, "of"}, "share of the limit", "Least, mean and largest load of the upstreams of a service relative to their limits, as this entry knows it. Set while calls are routed evenly."}
+	Repeats              = Definition{"repeats", KindCounter, []string{tagService}, unitCalls, "Calls that this entry repeated at a further backend server."}
+	RepeatsRefused       = Definition{"repeats_refused", KindCounter, []string{tagService}, unitCalls, "Calls that were not repeated because the repeat budget was spent."}
 	ServerState          = Definition{"server_state", KindGauge, []string{"state"}, "0 or 1", "State of the backend server beside this node."}
 	ServerRateLimit      = Definition{"server_rate_limit", KindGauge, nil, "calls per second", "Limit that the backend server beside this node names in its answers; -1 if it names none."}
 	ServerCrashes        = Definition{"server_crashes", KindCounter, nil, "crashes", "Times that the backend server beside this node ended without notice while it ran requests."}
-	DeadlyRefused        = Definition{"deadly_refused", KindCounter, []string{"service"}, unitCalls, "Calls refused because several servers have crashed while they ran the same request."}
+	DeadlyRefused        = Definition{"deadly_refused", KindCounter, []string{tagService}, unitCalls, "Calls refused because several servers have crashed while they ran the same request."}
 	Panics               = Definition{"panics", KindCounter, nil, "panics", "Calls and tasks that ended by a panic, a fault of the node. The log holds the stack."}
 	LogDropped           = Definition{"log_dropped", KindGauge, nil, "lines", "Log lines that were not written since the start, because the queue was full or the line budget was spent."}
 )
@@ -101,7 +105,7 @@
 	return []Definition{
 		Answers, AnswerTime, Routes, Admissions, StoreCalls, StoreTime, StoreRestores,
 		ConfigurationVersion, ConfigurationRefused, Members, Suspected, Confirmed, Pauses, Exchanges,
-		QueueTime, RunTime, GateSlots, Upstreams, Repeats, RepeatsRefused, ServerState, ServerRateLimit, ServerCrashes, DeadlyRefused, Panics, LogDropped,
+		QueueTime, RunTime, GateSlots, Upstreams, UpstreamUse, Repeats, RepeatsRefused, ServerState, ServerRateLimit, ServerCrashes, DeadlyRefused, Panics, LogDropped,
 	}
 }
 
