--- a/io/kqmesh/kqmesh.go
+++ b/io/kqmesh/kqmesh.go
@@ -196,6 +196,7 @@
 	budget   *kqbudget.Budget
 	stated   *statedServers
 	quotas   *quotas
+	even     evenRouting
 	// recentTimes holds how long the requests of callers have taken lately.
 	recentTimes *kqdrain.Recent
 
--- a/io/kqmetric/kqmetric.go
+++ b/io/kqmetric/kqmetric.go
@@ -69,14 +69,20 @@
 // unitCalls is the unit of metrics that count calls.
 const unitCalls = "calls"
 
+// tagService is the tag of metrics that are kept for each service.
+const (
+	tagService = "service"
+	tagResult  = "result"
+)
+
 // The metrics of a node.
 var (
 	Answers              = Definition{"answers", KindCounter, []string{"outcome", "cause"}, unitCalls, "Calls answered by this node's entry."}
-	TeamAnswers          = Definition{"team_answers", KindCounter, []string{"team", "result"}, unitCalls, "Calls answered by this node's entry, by team. Results: served; quota, over the team's quota; shed, refused since a service was short; failed."}
+	TeamAnswers          = Definition{"team_answers", KindCounter, []string{"team", tagResult}, unitCalls, "Calls answered by this node's entry, by team. Results: served; quota, over the team's quota; shed, refused since a service was short; failed."}
 	AnswerTime           = Definition{"answer_time", KindTimer, nil, "seconds", "Time from taking a call at the entry to its answer."}
 	Routes               = Definition{"routes", KindCounter, []string{"outcome", "cause"}, "tries", "Tries that this entry sent to an upstream."}
 	Admissions           = Definition{"admissions", KindCounter, []string{"outcome", "cause"}, unitCalls, "Calls that this node's gate decided on."}
-	StoreCalls           = Definition{"store_calls", KindCounter, []string{"operation", "result"}, unitCalls, "Calls of the object API, and calls that were suppressed while it failed."}
+	StoreCalls           = Definition{"store_calls", KindCounter, []string{"operation", tagResult}, unitCalls, "Calls of the object API, and calls that were suppressed while it failed."}
 	StoreTime            = Definition{"store_time", KindTimer, []string{"operation"}, "seconds", "Time of a call of the object API."}
 	StoreRestores        = Definition{"store_restores", KindCounter, nil, "restores", "Restores of the store from a copy that this node has noticed."}
 	ConfigurationVersion = Definition{"configuration_version", KindGauge, nil, "version", "Version of the configuration in force."}
@@ -85,20 +91,21 @@
 	Suspected            = Definition{"suspected", KindGauge, nil, "nodes", "Nodes in this node's view that have not refuted a suspicion yet."}
 	Confirmed            = Definition{"confirmed", KindGauge, nil, "0 or 1", "Whether other nodes have answered since the start or the last pause."}
 	Pauses               = Definition{"pauses", KindGauge, nil, "pauses", "Pauses of this node's process or host since its start."}
-	Exchanges            = Definition{"exchanges", KindCounter, []string{"result"}, "exchanges", "Control messages that this node sent to other nodes."}
+	Exchanges            = Definition{"exchanges", KindCounter, []string{tagResult}, "exchanges", "Control messages that this node sent to other nodes."}
 	QueueTime            = Definition{"queue_time", KindTimer, nil, "seconds", "Time that calls waited for a slot at this node's gate."}
 	RunTime              = Definition{"run_time", KindTimer, nil, "seconds", "Time that calls were at the backend server."}
 	GateSlots            = Definition{"gate_slots", KindGauge, []string{"use"}, unitCalls, "Slots of the backend server by use: all, running, and calls that wait for a slot."}
-	Upstreams            = Definition{"upstreams", KindGauge, []string{"service"}, "nodes", "Upstreams that accept calls, by service."}
-	Repeats              = Definition{"repeats", KindCounter, []string{"service"}, unitCalls, "Calls that this entry repeated at a further backend server."}
-	RepeatsRefused       = Definition{"repeats_refused", KindCounter, []string{"service"}, unitCalls, "Calls that were not repeated because the repeat budget was spent."}
+	Upstreams            = Definition{"upstreams", KindGauge, []string{tagService}, "nodes", "Upstreams that accept calls, by service."}
+	UpstreamUse          = Definition{"upstream_use", KindGauge, []string{tagService, "of"}, "share of the limit", "Least, mean and largest load of the upstreams of a service relative to their limits, as this entry knows it. Set while calls are routed evenly."}
+	Repeats              = Definition{"repeats", KindCounter, []string{tagService}, unitCalls, "Calls that this entry repeated at a further backend server."}
+	RepeatsRefused       = Definition{"repeats_refused", KindCounter, []string{tagService}, unitCalls, "Calls that were not repeated because the repeat budget was spent."}
 	ServerState          = Definition{"server_state", KindGauge, []string{"state"}, "0 or 1", "State of the backend server beside this node."}
 	ServerRateLimit      = Definition{"server_rate_limit", KindGauge, nil, "calls per second", "Limit that the backend server beside this node names in its answers; -1 if it names none."}
 	ServerCrashes        = Definition{"server_crashes", KindCounter, nil, "crashes", "Times that the backend server beside this node ended without notice while it ran requests."}
-	DeadlyRefused        = Definition{"deadly_refused", KindCounter, []string{"service"}, unitCalls, "Calls refused because several servers have crashed while they ran the same request."}
-	QuotaDecisions       = Definition{"quota_decisions", KindCounter, []string{"result"}, unitCalls, "Requests of teams with a quota, by this entry's decision: admitted, refused, or refused by the entry's own share while the home of the team does not answer."}
+	DeadlyRefused        = Definition{"deadly_refused", KindCounter, []string{tagService}, unitCalls, "Calls refused because several servers have crashed while they ran the same request."}
+	QuotaDecisions       = Definition{"quota_decisions", KindCounter, []string{tagResult}, unitCalls, "Requests of teams with a quota, by this entry's decision: admitted, refused, or refused by the entry's own share while the home of the team does not answer."}
 	QuotaRefused         = Definition{"quota_refused", KindCounter, []string{"team"}, unitCalls, "Requests beyond the quota of their team that this entry has refused."}
-	QuotaReports         = Definition{"quota_reports", KindCounter, []string{"result"}, "reports", "Reports of the teams' use that this entry has sent to their homes."}
+	QuotaReports         = Definition{"quota_reports", KindCounter, []string{tagResult}, "reports", "Reports of the teams' use that this entry has sent to their homes."}
 	MalformedRequests    = Definition{"malformed_requests", KindCounter, []string{"reason"}, "requests", "Requests of callers that were refused because they do not follow the grammar of HTTP/1.1, by what is malformed."}
 	StalledCallers       = Definition{"stalled_callers", KindCounter, nil, "callers", "Callers that were closed because they did not read their answers while the memory for bodies was short."}
 	BodyMemory           = Definition{"body_memory", KindGauge, nil, "bytes", "Memory that the bodies of requests and answers take."}
@@ -119,7 +126,7 @@
 	return []Definition{
 		Answers, TeamAnswers, AnswerTime, Routes, Admissions, StoreCalls, StoreTime, StoreRestores,
 		ConfigurationVersion, ConfigurationRefused, Members, Suspected, Confirmed, Pauses, Exchanges,
-		QueueTime, RunTime, GateSlots, Upstreams, Repeats, RepeatsRefused, ServerState, ServerRateLimit, ServerCrashes, DeadlyRefused, QuotaDecisions, QuotaRefused, QuotaReports, MalformedRequests, StalledCallers, BodyMemory, Panics, LogDropped,
+		QueueTime, RunTime, GateSlots, Upstreams, UpstreamUse, Repeats, RepeatsRefused, ServerState, ServerRateLimit, ServerCrashes, DeadlyRefused, QuotaDecisions, QuotaRefused, QuotaReports, MalformedRequests, StalledCallers, BodyMemory, Panics, LogDropped,
 	}
 }
 
