--- a/io/kqmetric/kqmetric.go
+++ b/io/kqmetric/kqmetric.go
@@ -69,7 +69,7 @@
 // unitCalls is the unit of metrics that count calls.
 const unitCalls = "calls"
 
-// tagService is the tag of metrics that are kept for each service.
+// Names of tags that several metrics have.
 const (
 	tagService = "service"
 	tagResult  = "result"
