Tests of even routing: gates of the former build hand nothing back

In the simulated mixed fleet only the entries were of the former build: their calls were handed back as well, by gates that know nothing of it. Now half of the gates hand nothing back, and calls of former entries stay where they arrive.

--- a/core/kqroute/even_test.go
+++ b/core/kqroute/even_test.go
@@ -76,7 +76,8 @@
 	failing bool
 	// forgets makes a quarter of the entries forget what they know each second.
 	forgets bool
-	// former is the share of the entries that choose by two choices.
+	// former is the share of the nodes of the former build: their entries choose by
+	// two choices, and their gates hand nothing back.
 	former float64
 	// silentAfter is when the reports stop, or 0.
 	silentAfter time.Duration
@@ -288,9 +289,10 @@
 		return
 	}
 	table := f.tables[entry]
+	former := float64(entry) < f.former*float64(len(f.entries))
 	info := kqroute.PickInfo{
 		Now: startTime.Add(f.now), Random: f.random.Uint64(), Tried: tried, AllowOtherRegion: true, AllowProbe: true,
-		Even: f.even && float64(entry) >= f.former*float64(len(f.entries)),
+		Even: f.even && !former,
 	}
 	pick := f.pick
 	if pick == nil {
@@ -306,7 +308,8 @@
 	tried.Add(u)
 	s, way := f.serverOf(u), ways[u.Distance]
 	f.at(way, func() {
-		handBack := try <= f.handBacks && !table.AnyFailing(info.Now)
+		formerGate := float64(s.index) < f.former*float64(len(f.servers))
+		handBack := try <= f.handBacks && !former && !formerGate && !table.AnyFailing(info.Now)
 		f.arrive(s, handBack, func(v kqroute.Verdict, run time.Duration) {
 			report := f.reportOf(s)
 			f.at(way, func() {
@@ -433,7 +436,7 @@
 		{name: "server 0 fails calls", failing: true},
 		{name: "every third server fails all calls", outage: true},
 		{name: "entries restart", forgets: true},
-		{name: "half of the entries are older", former: 0.5},
+		{name: "half of the nodes are older", former: 0.5},
 		{name: "reports stop", silentAfter: 3 * time.Second},
 		{name: "server 1 frozen for 2 s", frozen: true},
 		{name: "server 0 back under its former ID", reused: true},
