Links: a frame with a compressed head is never dropped

Cause: a body of up to 64 KiB goes with a compressed head, and such a frame may exceed SmallBytes by its head. hold then dropped it when its call had been given up or memory was short, without adding the head to the dictionary. All later heads on the link were decoded against other bytes: they failed, or were those of other calls (a call ran with the path of another one, an answer got another one's fields). Only between regions, where heads are compressed, and with bodies of about 65,300 to 65,536 bytes.

Change: such frames are kept and counted, like small ones.

Ruled out: a lower bound of bodies with compressed heads at the sender alone, since peers of former builds send these frames. Reading just the head of a dropped frame: more code for at most 80 KB.

--- a/io/kqtrunk/offer.go
+++ b/io/kqtrunk/offer.go
@@ -119,10 +119,12 @@
 // is no memory for it, or nobody waits for it.
 func (t *trunk) hold(f frame, bytes int) (release func(), ok bool) {
 	switch f.kind {
-	case frameCall, frameCallCompressed:
+	case frameCall:
 		release, err := t.memory.Reserve(bytes)
 		return release, err == nil
-	case frameAnswer, frameAnswerCompressed:
+	case frameCallCompressed, frameAnswerCompressed:
+		// The dictionary needs the head. Such frames hardly exceed SmallBytes.
+	case frameAnswer:
 		t.mutex.Lock()
 		g := t.grants[f.number]
 		delete(t.grants, f.number)
@@ -152,7 +154,7 @@
 // handleDropped ends the call of a frame that was not kept.
 func (t *trunk) handleDropped(f frame) error {
 	switch f.kind {
-	case frameCall, frameCallCompressed:
+	case frameCall:
 		return t.answer(context.Background(), f.number, AnswerHead{End: kqcall.NotRun(kqcall.CauseShedGate)}, nil)
 	default:
 		t.deliver(f.number, callResult{err: errors.Mark(errors.Mark(errors.New("answer was dropped"), ErrNoMemory), ErrLost)})
--- a/io/kqtrunk/offer_test.go
+++ b/io/kqtrunk/offer_test.go
@@ -158,3 +158,89 @@
 		runtime.Gosched()
 	}
 }
+
+// TestDroppedCompressedHeadKeepsTheDictionary has no memory for a call with a body of
+// 64 KiB and a compressed head. The heads after it must be those that were sent.
+func TestDroppedCompressedHeadKeepsTheDictionary(t *testing.T) {
+	memory := kqbody.NewBudget(memoryBytes)
+	server, err := kqtrunk.Listen("127.0.0.1:0", kqtrunk.Handlers{
+		Memory: memory,
+		Call: func(_ context.Context, _ string, head kqtrunk.CallHead, _ []byte) (kqtrunk.AnswerHead, []byte) {
+			return kqtrunk.AnswerHead{End: kqcall.Ran(), Status: 200}, []byte(head.Path)
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = server.Close() }()
+	d := kqtrunk.NewDialer(kqtrunk.Handlers{}, kqtrunk.WithCompression(func(string) bool { return true }))
+	defer d.Close()
+	call := func(path string, body []byte) *kqtrunk.Answer {
+		t.Helper()
+		answer, err := d.Call(testContext(t), server.Address(), kqtrunk.CallHead{Path: path, RequestID: path, Budget: time.Minute, Headers: headers(path)}, body)
+		if err != nil {
+			t.Fatalf("call of %s: got %v, want an answer", path, err)
+		}
+		return answer
+	}
+	// The first answer shows that the server's version, which comes before it, is known.
+	call("/first", nil)
+	release := memory.Charge(memoryBytes)
+	call("/large", make([]byte, kqbody.SmallBytes))
+	release()
+	for _, want := range []string{"/after", "/large", "/first"} {
+		if got := string(call(want, nil).Body); got != want {
+			t.Errorf("path at the server: got %q, want %q", got, want)
+		}
+	}
+}
+
+// TestCancelledCompressedAnswerKeepsTheDictionary gives up a call whose answer has a body
+// of 64 KiB and comes nevertheless. The heads after it must be those that were sent.
+func TestCancelledCompressedAnswerKeepsTheDictionary(t *testing.T) {
+	begun := make(chan struct{})
+	server, err := kqtrunk.Listen("127.0.0.1:0", kqtrunk.Handlers{
+		Call: func(ctx context.Context, _ string, head kqtrunk.CallHead, _ []byte) (kqtrunk.AnswerHead, []byte) {
+			answer := kqtrunk.AnswerHead{End: kqcall.Ran(), Status: 200, Headers: headers(head.RequestID)}
+			if head.Path != "/large" {
+				return answer, nil
+			}
+			close(begun)
+			<-ctx.Done()
+			return answer, make([]byte, kqbody.SmallBytes)
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = server.Close() }()
+	d := kqtrunk.NewDialer(kqtrunk.Handlers{}, kqtrunk.WithCompression(func(string) bool { return true }))
+	defer d.Close()
+	call := func(ctx context.Context, path string) (*kqtrunk.Answer, error) {
+		return d.Call(ctx, server.Address(), kqtrunk.CallHead{Path: path, RequestID: path, Budget: time.Minute, Headers: headers(path)}, nil)
+	}
+	// Each end compresses once it has a frame of the other one.
+	for range 2 {
+		if _, err := call(testContext(t), "/first"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ctx, cancel := context.WithCancel(testContext(t))
+	go func() {
+		<-begun
+		cancel()
+	}()
+	if _, err := call(ctx, "/large"); !errors.Is(err, kqtrunk.ErrLost) {
+		t.Fatalf("call that was given up: got %v, want an error marked ErrLost", err)
+	}
+	// The answer may come before or after the first of these.
+	for _, want := range []string{"/after", "/large2", "/first", "/other"} {
+		answer, err := call(testContext(t), want)
+		if err != nil {
+			t.Fatalf("call of %s: got %v, want an answer", want, err)
+		}
+		if got := answer.Head.Headers[1].Value; got != want {
+			t.Errorf("ID in the answer: got %q, want %q", got, want)
+		}
+	}
+}
