Links: frames that carry no body give their memory back

Cause: a large payload counts whatever the kind of its frame, and cancels, pings, pongs, offers and grants were never discarded, nor a call whose compressed head is malformed. A second offer of the same answer replaced a grant that held memory. A faulty peer could take the whole budget of a node for good.

Change: all frames but calls and answers are discarded when they have been handled; a second offer withdraws the first one's grant.

Ruled out: refusing such frames before they are read: peers of later versions may give them payloads.

Measured: the test fails before (131079 bytes in use after a cancel), passes after. The second offer has no test.

--- a/io/kqtrunk/offer.go
+++ b/io/kqtrunk/offer.go
@@ -68,6 +68,8 @@
 	t.mutex.Lock()
 	_, isWaiting := t.waiting[f.number]
 	if isWaiting {
+		// A faulty peer may offer an answer twice.
+		t.withdrawGrant(f.number)
 		t.grants[f.number] = g
 	}
 	t.mutex.Unlock()
--- a/io/kqtrunk/offer_test.go
+++ b/io/kqtrunk/offer_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"runtime"
 	"testing"
 	"time"
@@ -244,3 +246,27 @@
 		}
 	}
 }
+
+// TestOddFramesGiveTheirMemoryBack sends frames with large payloads that are none for their
+// kind, and one with a malformed compressed head.
+func TestOddFramesGiveTheirMemoryBack(t *testing.T) {
+	memory := kqbody.NewBudget(memoryBytes)
+	address, _ := newLongPeer(t, memory)
+	const kindCancel, kindPing, kindPong, kindOffer, kindGrant = 3, 5, 6, 10, 11
+	for _, kind := range []byte{kindCancel, kindPing, kindPong, kindOffer, kindGrant, kindCallCompressed, kindAnswerCompressed} {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Write(rawFrame(kind, 1, []byte{1, 2, 3}, make([]byte, 2*kqbody.SmallBytes))); err != nil {
+			t.Fatal(err)
+		}
+		_ = c.(*net.TCPConn).CloseWrite()
+		// The server closes the connection when it has handled the frame.
+		_, _ = io.Copy(io.Discard, c)
+		_ = c.Close()
+		if got := memory.InUse(); got != 0 {
+			t.Fatalf("memory after a frame of kind %d: got %d bytes in use, want 0", kind, got)
+		}
+	}
+}
--- a/io/kqtrunk/trunk.go
+++ b/io/kqtrunk/trunk.go
@@ -154,6 +154,7 @@
 	}
 	f, err := t.decompressHead(f)
 	if err != nil {
+		f.discard()
 		return err
 	}
 	switch f.kind {
@@ -161,6 +162,10 @@
 		return t.handleCall(f)
 	case frameAnswer:
 		t.deliver(f.number, callResult{payload: f.payload, release: f.release})
+		return nil
+	}
+	defer f.discard()
+	switch f.kind {
 	case frameOffer:
 		return t.handleOffer(f)
 	case frameGrant:
@@ -179,12 +184,10 @@
 			cancel()
 		}
 	case frameMessage:
-		defer f.discard()
 		if t.handlers.Message != nil {
 			t.handlers.Message(t.peer, f.payload, t.sendMessage)
 		}
 	case frameUpdate:
-		defer f.discard()
 		if t.handlers.Update != nil {
 			t.handlers.Update(t.peer, f.payload, t.sendMessage)
 		}
@@ -198,7 +201,6 @@
 			t.version.Store(f.number)
 		}
 	default:
-		f.discard()
 		return errors.Mark(errors.Newf("frame of unknown kind %d", f.kind), ErrFrame)
 	}
 	return nil
