Budgets of bodies: growing bodies wait before those that hold nothing

Cause: waits were granted strictly in their order. An offer of a long answer may wait until its call's deadline; a body that was half read waited behind it, with the memory that the offer needed, and was lost after 2 s though there was room for it.

Change: bodies that hold memory wait first, in their order; they give it back when they are read or given up.

Ruled out: overtaking by anything that fits: long answers would never get room.

Measured: the test fails before (it waits for room), passes 10 times after, with the other tests of the package.

--- a/io/kqbody/budget_test.go
+++ b/io/kqbody/budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"runtime"
 	"strings"
 	"sync/atomic"
@@ -158,3 +159,54 @@
 		cancel()
 	}
 }
+
+// TestGrowingBodyGoesFirst has a body wait that is larger than what others give back, and a
+// growing one behind it, which holds memory: it must not wait for the former one.
+func TestGrowingBodyGoesFirst(t *testing.T) {
+	waits := make(chan struct{}, 8)
+	budget := kqbody.NewBudget(4*mebibyte, kqbody.WithShortage(func() { waits <- struct{}{} }))
+	release, err := budget.Reserve(3 * mebibyte)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	reader, writer := io.Pipe()
+	text := strings.Repeat("b", mebibyte)
+	read := make(chan error, 1)
+	go func() {
+		body, releaseBody, err := budget.HoldPatiently(ctx, time.Minute, reader, len(text), len(text))
+		releaseBody()
+		if err == nil && string(body) != text {
+			err = errors.Newf("body of %d bytes, want %d", len(body), len(text))
+		}
+		read <- err
+	}()
+	// The body holds some 512 KB when its first half has been read, and waits for 1 MB.
+	if _, err := io.WriteString(writer, text[:mebibyte/4]); err != nil {
+		t.Fatal(err)
+	}
+	large := make(chan error, 1)
+	go func() {
+		_, err := budget.Await(ctx, 4*mebibyte)
+		large <- err
+	}()
+	<-waits
+	go func() {
+		_, err := io.WriteString(writer, text[mebibyte/4:])
+		_ = writer.CloseWithError(err)
+	}()
+	<-waits
+	<-waits
+	release()
+	select {
+	case err = <-read:
+	case <-time.After(10 * time.Second):
+		err = errors.New("it waits for room")
+	}
+	if err != nil {
+		t.Errorf("growing body with room for it: got %v, want it whole", err)
+	}
+	cancel()
+	<-large
+}
--- a/io/kqbody/kqbody.go
+++ b/io/kqbody/kqbody.go
@@ -75,7 +75,8 @@
 
 	mutex sync.Mutex
 	inUse int64
-	// waiting holds those that wait for room, in the order in which they came.
+	// waiting holds those that wait for room, in the order in which they came, first those
+	// whose bodies hold memory.
 	waiting []*reservation
 }
 
@@ -231,7 +232,7 @@
 		b.mutex.Unlock()
 	} else {
 		w := &reservation{bytes: bytes, held: held, granted: make(chan struct{})}
-		b.waiting = append(b.waiting, w)
+		b.enqueue(w)
 		b.mutex.Unlock()
 		b.short()
 		select {
@@ -249,6 +250,18 @@
 	return true
 }
 
+// enqueue lets a reservation wait. A body that holds memory goes before those that hold
+// none, since its memory may be what they wait for. The mutex is held.
+func (b *Budget) enqueue(w *reservation) {
+	i := len(b.waiting)
+	if w.held > 0 {
+		if first := slices.IndexFunc(b.waiting, func(other *reservation) bool { return other.held == 0 }); first >= 0 {
+			i = first
+		}
+	}
+	b.waiting = slices.Insert(b.waiting, i, w)
+}
+
 // withdraw ends the wait of a reservation. It returns false if that was granted already.
 func (b *Budget) withdraw(w *reservation) bool {
 	b.mutex.Lock()
