Shutdown waits for all answers to peers that are being sent

Cause: only offered answers counted as in flight. Those of up to 1 MiB, and all to peers of former builds, did not count from the end of their run, nor did long ones until they were offered. A gate that ended closed their links while they waited behind a long frame or a slow link, and their calls were lost though they had run.

Change: calls of peers count until their answers have been sent whole.

Ruled out: a count beside the handlers in kqmesh: it would end before the answer is sent.

--- a/io/kqmesh/shutdown.go
+++ b/io/kqmesh/shutdown.go
@@ -147,9 +147,9 @@
 	}
 }
 
-// isBusy reports whether a request or a call is in flight.
+// isBusy reports whether a request or a call is in flight, or an answer is being sent.
 func (n *Node) isBusy() bool {
-	return n.callerServer.InFlight() > 0 || n.gate.activeCalls() > 0 || n.server.OfferedAnswers() > 0
+	return n.callerServer.InFlight() > 0 || n.gate.activeCalls() > 0 || n.server.UnansweredCalls() > 0
 }
 
 // isQuiet reports whether nothing is in flight, no request arrived for a while,
--- a/io/kqtrunk/offer_test.go
+++ b/io/kqtrunk/offer_test.go
@@ -270,3 +270,37 @@
 		}
 	}
 }
+
+// TestAnswerCountsUntilItIsSent has a peer of a former version read a long answer late: it
+// is not offered, but its call must count until the answer has been sent.
+func TestAnswerCountsUntilItIsSent(t *testing.T) {
+	const size = 48 << 20
+	begun := make(chan struct{})
+	server, err := kqtrunk.Listen("127.0.0.1:0", kqtrunk.Handlers{
+		Call: func(context.Context, string, kqtrunk.CallHead, []byte) (kqtrunk.AnswerHead, []byte) {
+			defer close(begun)
+			return kqtrunk.AnswerHead{End: kqcall.Ran(), Status: 200}, make([]byte, size)
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = server.Close() }()
+	c, err := net.Dial("tcp", server.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	writeRawFrame(t, c, kindCall, 1, kqtrunk.CallHead{Budget: time.Minute})
+	<-begun
+	// The answer does not fit into the kernel's buffers.
+	if got := server.UnansweredCalls(); got != 1 {
+		t.Errorf("calls while the answer is sent: got %d, want 1", got)
+	}
+	if _, err := io.CopyN(io.Discard, c, size); err != nil {
+		t.Fatal(err)
+	}
+	for server.UnansweredCalls() > 0 {
+		runtime.Gosched()
+	}
+}
--- a/io/kqtrunk/server.go
+++ b/io/kqtrunk/server.go
@@ -87,13 +87,14 @@
 	}
 }
 
-// OfferedAnswers returns the number of long answers that peers have not taken whole.
-func (s *Server) OfferedAnswers() int {
+// UnansweredCalls returns the number of calls of peers whose answers have not been sent
+// whole.
+func (s *Server) UnansweredCalls() int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	count := 0
 	for t := range s.trunks {
-		count += int(t.offered.Load())
+		count += t.runningCount()
 	}
 	return count
 }
--- a/io/kqtrunk/trunk.go
+++ b/io/kqtrunk/trunk.go
@@ -61,10 +61,8 @@
 	// goroutine only.
 	sent     dictionary
 	received dictionary
-	// memory bounds the memory of large payloads that arrive. offered is the number of
-	// answers that are offered or being sent after an offer.
-	memory  *kqbody.Budget
-	offered atomic.Int64
+	// memory bounds the memory of large payloads that arrive.
+	memory *kqbody.Budget
 
 	// mutex guards the fields below.
 	mutex sync.Mutex
@@ -267,8 +265,6 @@
 		return err
 	}
 	if len(rest) > offerBytes && t.version.Load() >= versionOffer {
-		t.offered.Add(1)
-		defer t.offered.Add(-1)
 		isGranted, err := t.offer(ctx, number, len(payload)+len(rest))
 		if err != nil || !isGranted {
 			return err
@@ -510,6 +506,14 @@
 	return len(t.waiting) + len(t.running)
 }
 
+// runningCount returns the number of calls of the peer that run or whose answers have not
+// been sent whole.
+func (t *trunk) runningCount() int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return len(t.running)
+}
+
 // acceptsCalls reports whether the connection is neither closed nor retired.
 func (t *trunk) acceptsCalls() bool {
 	t.mutex.Lock()
