--- a/io/kqtrunk/trunk.go
+++ b/io/kqtrunk/trunk.go
@@ -61,10 +61,8 @@
 	// goroutine only.
 	sent     dictionary
 	received dictionary
-	// memory bounds the memory of large payloads that arrive. offered is the number of
-	// answers that are offered or being sent after an offer.
-	memory  *kqbody.Budget
-	offered atomic.Int64
+	// memory bounds the memory of large payloads that arrive.
+	memory *kqbody.Budget
 
 	// mutex guards the fields below.
 	mutex sync.Mutex
@@ -130,8 +128,10 @@
 		return t.fail(errors.Mark(err, ErrLost))
 	}
 	reader := bufio.NewReaderSize(t.conn, bufferBytes)
+	// The method value is allocated once, not for each frame.
+	progress := t.recordProgress
 	for {
-		f, err := readFrame(reader, t.hold, t.recordProgress)
+		f, err := readFrame(reader, t.hold, progress)
 		if err != nil {
 			return t.fail(errors.Mark(err, ErrLost))
 		}
@@ -154,6 +154,7 @@
 	}
 	f, err := t.decompressHead(f)
 	if err != nil {
+		f.discard()
 		return err
 	}
 	switch f.kind {
@@ -161,6 +162,10 @@
 		return t.handleCall(f)
 	case frameAnswer:
 		t.deliver(f.number, callResult{payload: f.payload, release: f.release})
+		return nil
+	}
+	defer f.discard()
+	switch f.kind {
 	case frameOffer:
 		return t.handleOffer(f)
 	case frameGrant:
@@ -179,12 +184,10 @@
 			cancel()
 		}
 	case frameMessage:
-		defer f.discard()
 		if t.handlers.Message != nil {
 			t.handlers.Message(t.peer, f.payload, t.sendMessage)
 		}
 	case frameUpdate:
-		defer f.discard()
 		if t.handlers.Update != nil {
 			t.handlers.Update(t.peer, f.payload, t.sendMessage)
 		}
@@ -198,7 +201,6 @@
 			t.version.Store(f.number)
 		}
 	default:
-		f.discard()
 		return errors.Mark(errors.Newf("frame of unknown kind %d", f.kind), ErrFrame)
 	}
 	return nil
@@ -265,8 +267,6 @@
 		return err
 	}
 	if len(rest) > offerBytes && t.version.Load() >= versionOffer {
-		t.offered.Add(1)
-		defer t.offered.Add(-1)
 		isGranted, err := t.offer(ctx, number, len(payload)+len(rest))
 		if err != nil || !isGranted {
 			return err
@@ -508,6 +508,14 @@
 	return len(t.waiting) + len(t.running)
 }
 
+// runningCount returns the number of calls of the peer that run or whose answers have not
+// been sent whole.
+func (t *trunk) runningCount() int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return len(t.running)
+}
+
 // acceptsCalls reports whether the connection is neither closed nor retired.
 func (t *trunk) acceptsCalls() bool {
 	t.mutex.Lock()
