Memory shortage: a call whose deadline passed meanwhile ended by its deadline

What callers saw: 502 NoMemory in place of 504, or of an answer to nobody, for a call whose time was over or whose caller had gone while its answer waited for memory. Found in review.

Cause: the error of the budget was looked at before the context of the call.

Change: the context goes first, as for other errors of the backend connection.

--- a/io/kqmesh/gate.go
+++ b/io/kqmesh/gate.go
@@ -486,10 +486,10 @@
 func endOfBackendError(ctx context.Context, err error) kqcall.End {
 	cause := kqcall.CauseBackendLost
 	switch {
-	case errors.Is(err, kqbody.ErrNoRoom):
-		cause = kqcall.CauseNoMemory
 	case ctx.Err() != nil:
 		cause = causeOfContext(ctx)
+	case errors.Is(err, kqbody.ErrNoRoom):
+		cause = kqcall.CauseNoMemory
 	case errors.Is(err, kqhttp.ErrSilent):
 		cause = kqcall.CauseBackendSilent
 	}
