Memory budget: answers to the node's own requests give their memory back

Cause: reports, requests for a gate's load and announcements of routes did not discard their answers. An answer of more than 64 KB would have stayed in the budget for good. Found in review by reading; such answers are smaller today.

Change: each of the three discards the answer once it has been read.

Ruled out: a finalizer in kqtrunk, which would hide such faults.

Measured: builds; no test, since no answer of that size can be brought about here.

--- a/io/kqmesh/announce.go
+++ b/io/kqmesh/announce.go
@@ -70,7 +70,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
 	defer cancel()
 	head := kqtrunk.CallHead{Service: n.settings.Service, Budget: announceTimeout, AskLoad: true, RoutesVersion: version}
-	if _, err := n.dialer.Call(ctx, address, head, nil); err != nil {
+	answer, err := n.dialer.Call(ctx, address, head, nil)
+	if err != nil {
 		n.logEvent(eventNotAnnounced, "routes are not announced to "+address, err, kqlog.Text(fieldPeer, address), kqlog.Number(fieldRoutes, version))
+		return
 	}
+	answer.Head.Discard()
 }
--- a/io/kqmesh/report.go
+++ b/io/kqmesh/report.go
@@ -157,9 +157,13 @@
 	}
 	head := kqtrunk.CallHead{Service: n.settings.Service, Budget: timeout, AskLoad: true, RoutesVersion: n.routesVersion()}
 	got, err := n.dialer.Call(ctx, address, head, body)
-	if err != nil || len(got.Body) == 0 {
+	if err != nil {
 		return answer, err
 	}
+	defer got.Head.Discard()
+	if len(got.Body) == 0 {
+		return answer, nil
+	}
 	return answer, cbor.Unmarshal(got.Body, &answer)
 }
 
--- a/io/kqmesh/shed.go
+++ b/io/kqmesh/shed.go
@@ -204,5 +204,6 @@
 	if err != nil {
 		return kqtrunk.Load{}, err
 	}
+	defer answer.Head.Discard()
 	return answer.Head.Load, nil
 }
