Callers that do not read: one that has gone on meanwhile is not closed

Cause: stalled callers are collected under the mutex, then sorted and closed. One that took a piece of its answer in between was closed all the same, and a request that it had begun was cancelled. Found in review by reading.

Change: a caller whose progress has changed since is left out.

Ruled out: closing under the mutex, which would hold up new connections.

Measured: the tests of stalled callers pass; the window is too small for a test of its own.

--- a/io/kqedge/reclaim.go
+++ b/io/kqedge/reclaim.go
@@ -105,6 +105,7 @@
 func (s *Server) closeStalled(now time.Time, limit time.Duration, missing int) {
 	type candidate struct {
 		connection *connection
+		progressAt int64
 		Stalled
 	}
 	var found []candidate
@@ -113,7 +114,7 @@
 		progressAt := c.progressAt.Load()
 		stalled := now.Sub(time.Unix(0, progressAt))
 		if progressAt > 0 && stalled >= limit {
-			found = append(found, candidate{c, Stalled{Address: c.raw.RemoteAddr().String(), Bytes: int(c.held.Load()), Time: stalled}})
+			found = append(found, candidate{c, progressAt, Stalled{Address: c.raw.RemoteAddr().String(), Bytes: int(c.held.Load()), Time: stalled}})
 		}
 	}
 	s.mutex.Unlock()
@@ -124,6 +125,9 @@
 		if missing <= 0 {
 			return
 		}
+		if f.connection.progressAt.Load() != f.progressAt {
+			continue
+		}
 		missing -= f.Bytes
 		f.connection.closeStalled(f.Stalled)
 	}
