Tests of teams: close the connection and pause before the next try

Ruled out: a leak of the node's (the descriptors are the test's own sockets). Run: go test -race -run 'Key|Team' -count 2 in io/kqmesh passes.

--- a/io/kqmesh/team_test.go
+++ b/io/kqmesh/team_test.go
@@ -82,6 +82,8 @@
 		if isSame {
 			return
 		}
+		_ = c.Close()
+		<-time.After(10 * time.Millisecond)
 	}
 	f.t.Fatalf("answers to %q: got 503, want 401 within the test timeout", text)
 }
