Quotas: an answer of a node that is no home does not end the entry's share

After two failed reports the entry asks the next node, which may not have found the former home silent yet. Its answer reset the failures, so that the entry admitted freely for up to 1.5 s. Found by reading, tested without a network.

--- a/core/kqrate/meter.go
+++ b/core/kqrate/meter.go
@@ -461,7 +461,7 @@
 		m.restore(now, r.Period, r.Uses)
 		return
 	}
-	s.isWaiting, s.failures = false, 0
+	s.isWaiting = false
 	if m.silent[home] {
 		delete(m.silent, home)
 		m.chooseHomes(now)
@@ -470,7 +470,7 @@
 		m.restore(now, r.Period, r.Uses)
 		return
 	}
-	s.answeredAt = now
+	s.answeredAt, s.failures = now, 0
 	// A home that has become that of further teams does not know their demand yet.
 	isYoung := a.Young || m.since > 0 && now-m.since < youngTime
 	granted := make(map[string]bool, len(a.Grants))
--- a/core/kqrate/quota_test.go
+++ b/core/kqrate/quota_test.go
@@ -232,3 +232,33 @@
 		t.Error("first request after a report: got IsUrgent false, want true")
 	}
 }
+
+// TestShareIsHeldUntilAHomeHasAnswered lets the home of a team fail, and the next node
+// answer that it is none.
+func TestShareIsHeldUntilAHomeHasAnswered(t *testing.T) {
+	q := kqrate.Quota{Rate: 10, Burst: 100}
+	hosts := []string{"node-0", "node-1", "node-2", "node-3"}
+	m := kqrate.NewMeter("node-0", 1)
+	m.SetHosts(0, hosts)
+	m.Take(0, "team", q)
+	var tried []string
+	now := time.Duration(0)
+	for range 2 {
+		due, _ := m.Due(now)
+		tried = append(tried, due...)
+		m.Fail(now, due[0], m.Report(now, due[0]))
+		now += kqrate.ReportTimeout
+	}
+	due, _ := m.Due(now)
+	if len(due) != 1 || due[0] == tried[0] {
+		t.Fatalf("reports due after %v have failed: got %v, want another node", tried, due)
+	}
+	m.Receive(now, due[0], m.Report(now, due[0]), kqrate.Answer{})
+	if v := m.Take(now, "team", q); !v.IsShare {
+		t.Errorf("after a node has answered that it is no home: got verdict %+v, want IsShare", v)
+	}
+	m.Receive(now, due[0], m.Report(now, due[0]), kqrate.Answer{IsHome: true, Grants: []kqrate.Grant{{Team: "team", Fraction: 1, Demand: 1}}})
+	if v := m.Take(now, "team", q); v.IsShare || !v.Admitted {
+		t.Errorf("after a home has answered: got verdict %+v, want admitted without IsShare", v)
+	}
+}
