Even routing: a low stretch lowers no other server's share

A server's own figure is to lower its share only. Servers were compared with the mean of the others, so that one that states little lowers theirs: where it is one of two or three of a distance, and handover has one or two in each, the others were above 1.5 times the mean. Of three servers one that states 1 got 0.512 of the calls, of two 0.756, and with 60, which may be true, 0.633 (4,000 picks each, the test on the code before). The test had four servers, where the ratio is 1.49.

A stretch now counts above 1.5 times the usual 100 as well. Ruled out: the median of the others, which is the same for two and three servers. The rows of four servers are unchanged. go test ./core/kqroute passed.

--- a/core/kqroute/even.go
+++ b/core/kqroute/even.go
@@ -38,8 +38,9 @@
 	queuedUtilization = 2.0
 	// stretchTTL is how long a stretch that a backend server states counts,
 	// stretchFactor how far above the usual one must be to count, and maxStretch
-	// how far it counts.
+	// how far it counts. usualStretch is that of a host as it usually is.
 	stretchTTL    = 500 * time.Millisecond
+	usualStretch  = 100.0
 	stretchFactor = 1.5
 	maxStretch    = 3.0
 	// firstMixer and secondMixer derive bits from PickInfo.Random, as randomMixer
@@ -240,8 +241,8 @@
 	return lessLoaded(first, second, medianUtilization(upstreams, info), info.Now)
 }
 
-// weigh sets the weights. A stretch that is far above the mean of the others lowers
-// the weight; none raises it.
+// weigh sets the weights. A stretch that is far above the mean of the others, and above
+// the usual, lowers the weight; none raises it, nor lowers that of the others.
 func (c *candidates) weigh(now time.Time) {
 	limits, stated, stretches, stretched := 0.0, 0, 0.0, 0
 	for _, u := range c.upstreams[:c.count] {
@@ -265,7 +266,9 @@
 		}
 		c.weights[i] = limit / u.Pace()
 		if stretch := u.currentStretch(now); stretched > 1 && stretch > 0 {
-			if ratio := stretch * float64(stretched-1) / max(stretches-stretch, 1); ratio > stretchFactor {
+			// A low stretch must not draw calls by lowering the shares of the others.
+			usual := max((stretches-stretch)/float64(stretched-1), usualStretch)
+			if ratio := stretch / usual; ratio > stretchFactor {
 				c.weights[i] /= min(ratio, maxStretch)
 			}
 		}
--- a/core/kqroute/even_test.go
+++ b/core/kqroute/even_test.go
@@ -593,10 +593,21 @@
 // stretches, true or not, while the others state 100.
 func TestStretchOnlyLowersTheShare(t *testing.T) {
 	for _, z := range []struct {
-		percent     int
-		least, most float64
-	}{{1, 0.2, 0.3}, {100, 0.2, 0.3}, {140, 0.2, 0.3}, {250, 0.05, 0.18}, {1_000_000, 0.05, 0.18}} {
-		table, random := newLocalTable(4), rand.New(rand.NewPCG(7, 47))
+		upstreams, percent int
+		least, most        float64
+	}{
+		{4, 1, 0.2, 0.3},
+		{4, 100, 0.2, 0.3},
+		{4, 140, 0.2, 0.3},
+		{4, 250, 0.05, 0.18},
+		{4, 1_000_000, 0.05, 0.18},
+		{3, 1, 0.28, 0.38},
+		{3, 250, 0.08, 0.24},
+		{2, 1, 0.45, 0.55},
+		{2, 60, 0.45, 0.55},
+		{2, 250, 0.15, 0.37},
+	} {
+		table, random := newLocalTable(z.upstreams), rand.New(rand.NewPCG(7, 47))
 		calls := 0
 		for range 4000 {
 			for _, u := range table.Upstreams() {
@@ -608,7 +619,7 @@
 			}
 		}
 		if got := float64(calls) / 4000; got < z.least || got > z.most {
-			t.Errorf("stretch of %d: got a share of %.3f, want %.2f to %.2f", z.percent, got, z.least, z.most)
+			t.Errorf("stretch of %d among %d upstreams: got a share of %.3f, want %.2f to %.2f", z.percent, z.upstreams, got, z.least, z.most)
 		}
 	}
 }
