Hand-backs: a gate keeps a call that is more important than one that waits there

A full gate handed back every call that may be, also one of a more important rank than those that wait: calls that were handed back twice, or came from a node of the former build. These got the next slots, and the important call went on to up to two other gates, 40 ms each across regions, before it queued by its rank anywhere. A guard sees that no gate refuses a more important call than one that it runs; a hand-back does the same without being a refusal.

A gate now keeps a call of a more important rank than one that waits: it gets the next slot. Within a rank calls are handed back as before; ruled out was to keep every call that would be first in the queue, as most would be kept in a rank whose order is a hash.

--- a/core/kqadmit/kqadmit.go
+++ b/core/kqadmit/kqadmit.go
@@ -111,10 +111,15 @@
 // Waiting returns how many calls wait.
 func (q *Queue) Waiting() int { return len(q.waiting) }
 
-// WouldQueue reports whether a call that arrives now would wait although the
-// threshold admits all: other gates may have free slots then.
-func (q *Queue) WouldQueue(now time.Duration) bool {
-	return q.threshold.level == AdmitAll && (len(q.waiting) > 0 || !q.hasRoom(now))
+// HandsBack reports whether a call that arrives now is handed back if it may be: it would
+// wait although the threshold admits all, so other gates may have free slots. A call of a
+// more important rank than one that waits is kept, since the less important one would
+// get the next slot.
+func (q *Queue) HandsBack(now time.Duration, l Level) bool {
+	if q.threshold.level != AdmitAll || len(q.waiting) == 0 && q.hasRoom(now) {
+		return false
+	}
+	return len(q.waiting) == 0 || q.waiting[len(q.waiting)-1].Level.Rank() <= l.Rank()
 }
 
 // Threshold returns the highest level that is admitted at present.
--- a/io/kqmesh/gate.go
+++ b/io/kqmesh/gate.go
@@ -220,7 +220,7 @@
 	g.mutex.Lock()
 	g.setSlots(now, server.Slots)
 	g.forgetFormer(now, server)
-	if head.HandBack && g.queue.WouldQueue(now) {
+	if head.HandBack && g.queue.HandsBack(now, item.Level) {
 		g.mutex.Unlock()
 		return kqcall.NotRun(kqcall.CauseHandedBack), false
 	}
