Hand-backs: each gate that handed a call back gets it again, if it still may

When no other gate was left, a call went once more to the first gate that had handed it back, whatever had become of it: also when its server left meanwhile, its record was gone, or its link was down. Such a call waited for a dial, or got the outcome unknown from a link that is silent, in place of a refusal at once. And the second gate never was asked to queue it: with two servers, both full, a call that the first refused was refused for good, where each of them had decided on it before.

Now every gate that handed the call back gets it once more, unless the table would not pick it (Table.Again); the tries are bounded as before, four and the hand-backs. Ruled out: to ask the second one at the first pass to queue, which would put two in three calls into queues while others have free slots. Only two hand-backs are counted, so that a gate that hands back what it was not asked to can't extend the tries.

TestOnlyServerIsFull did not test what it says: its calls came through a node that had not seen a stretch, and nothing was handed back. They come through the entry now, and the test waits until one was.

--- a/core/kqroute/even.go
+++ b/core/kqroute/even.go
@@ -204,6 +204,18 @@
 	return nil, false
 }
 
+// Again returns the table's entry of an upstream that a call was sent to, if the call
+// may be sent there once more, or nil.
+func (t *Table) Again(u *Upstream, info PickInfo) *Upstream {
+	info.Tried, info.ignoreWarmup = Tried{}, true
+	for _, current := range t.upstreams {
+		if current.upstreamState == u.upstreamState && current.isEligible(&info, t.tooManyEjected(info.Now)) {
+			return current
+		}
+	}
+	return nil
+}
+
 // candidates holds the upstreams among which two are drawn, and their weights.
 type candidates struct {
 	upstreams [maxCandidates]*Upstream
--- a/io/kqmesh/even.go
+++ b/io/kqmesh/even.go
@@ -79,33 +79,38 @@
 // have no free slot.
 const maxHandBacks = 2
 
-// handBacks holds which gates have handed a call back.
+// handBacks holds which gates have handed a call back, and have not got it again.
 type handBacks struct {
-	first *kqroute.Upstream
+	gates [maxHandBacks]*kqroute.Upstream
 	count int
 }
 
 // choose returns the upstream of the next try, given the one that was picked or nil,
 // and reports whether its gate may hand the call back. When none was picked the call
-// is sent once more to the first gate that handed it back, and waits there.
-func (h *handBacks) choose(picked *kqroute.Upstream, allowed bool) (*kqroute.Upstream, bool) {
+// is sent once more to each gate that handed it back and may still get it, and waits
+// there.
+func (h *handBacks) choose(table *kqroute.Table, info kqroute.PickInfo, picked *kqroute.Upstream, allowed bool) (*kqroute.Upstream, bool) {
 	if picked != nil {
 		return picked, allowed && h.count < maxHandBacks
 	}
-	first := h.first
-	h.first = nil
-	return first, false
+	for i, u := range h.gates {
+		h.gates[i] = nil
+		if u == nil {
+			continue
+		}
+		if again := table.Again(u, info); again != nil {
+			return again, false
+		}
+	}
+	return nil, false
 }
 
 // record records the answer of the upstream.
 func (h *handBacks) record(u *kqroute.Upstream, o *callAnswer) {
-	if o.head.End.Cause != kqcall.CauseHandedBack {
-		return
-	}
-	if h.count == 0 {
-		h.first = u
+	if o.head.End.Cause == kqcall.CauseHandedBack && h.count < maxHandBacks {
+		h.gates[h.count] = u
+		h.count++
 	}
-	h.count++
 }
 
 // statedSlots returns the number of slots in a load header, or 0 if the header is
--- a/io/kqmesh/even_test.go
+++ b/io/kqmesh/even_test.go
@@ -75,7 +75,7 @@
 	var held sync.WaitGroup
 	for _, id := range requestIDs("held-", slots+1) {
 		held.Go(func() {
-			if got := server.request("GET", "/look/", id, ""); got.status != fasthttp.StatusOK {
+			if got := entry.request("GET", "/look/", id, ""); got.status != fasthttp.StatusOK {
 				t.Errorf("request %s: got %+v, want 200 once a slot is free", id, got)
 			}
 		})
@@ -83,6 +83,8 @@
 	for range slots {
 		<-server.begun
 	}
+	f.awaitLogged(`"HandedBack"`)
+	server.awaitQueued(1)
 	close(release)
 	held.Wait()
 }
--- a/io/kqmesh/place.go
+++ b/io/kqmesh/place.go
@@ -50,11 +50,12 @@
 		if table == nil {
 			break
 		}
-		u := table.Pick(kqroute.PickInfo{
+		info := kqroute.PickInfo{
 			Now: now, Random: n.random(), Tried: tried, AllowOtherRegion: true, AllowProbe: !q.head.RunOnce, Usable: n.isUsable, Avoid: avoid,
 			Even: n.even.on.Load(),
-		})
-		u, q.head.HandBack = returned.choose(u, n.mayHandBack(table, now))
+		}
+		u, mayHandBack := returned.choose(table, info, table.Pick(info), n.mayHandBack(table, now))
+		q.head.HandBack = mayHandBack
 		if u == nil {
 			break
 		}
