Hand-backs that end a call: a refusal with a Retry-After of its own

A call that is handed back when less than 20 ms are left, or that no gate may get again, ends as HandedBack. Its answer then had the Retry-After of a refusal without one, 0.5 s for every caller, so that they return together; the metrics by team counted it as failed, and a team beyond its share saw no figures in the log.

The gate now sets the time by the call's level, as a refusal does, and the cause counts as a want of room.

--- a/io/kqmesh/gate.go
+++ b/io/kqmesh/gate.go
@@ -222,7 +222,7 @@
 	g.forgetFormer(now, server)
 	if head.HandBack && g.queue.HandsBack(now, item.Level) {
 		g.mutex.Unlock()
-		return kqcall.NotRun(kqcall.CauseHandedBack), false
+		return refusalEnd(head, kqcall.CauseHandedBack), false
 	}
 	g.nextID++
 	item.ID = g.nextID
--- a/io/kqmesh/handback_test.go
+++ b/io/kqmesh/handback_test.go
@@ -1,13 +1,18 @@
 package kqmesh
 
 import (
+	"context"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
 	"kumquatlink/core/kqcall"
 	"kumquatlink/core/kqmember"
 	"kumquatlink/core/kqroute"
+	"kumquatlink/core/kqserver"
+	"kumquatlink/io/kqstore"
+	"kumquatlink/io/kqtrunk"
 )
 
 // TestGatesThatHandedACallBackGetItAgain has all gates hand a call back, and checks which
@@ -80,3 +85,33 @@
 		t.Errorf("hand-backs that allow a further try: got %d, want %d", got, want)
 	}
 }
+
+// TestCallersOfHandedBackCallsReturnAtDifferentTimes has a full gate hand back calls. If
+// no time is left to send them elsewhere, that is the answer to their callers.
+func TestCallersOfHandedBackCallsReturnAtDifferentTimes(t *testing.T) {
+	n, err := New(Settings{NodeID: "orders-1", Service: "orders", BackendAddress: "10.0.0.1:80"}, NativeDialect(), &kqstore.Client{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	head := kqtrunk.CallHead{Service: "orders", Class: "browse", Route: "browse", Rank: 3, Budget: time.Minute}
+	if _, admitted := n.gate.admit(context.Background(), head, kqserver.Notice{Slots: 1}); !admitted {
+		t.Fatal("first call: refused")
+	}
+	head.HandBack = true
+	times := map[time.Duration]bool{}
+	const calls = 50
+	for i := range calls {
+		head.Root = "r" + strconv.Itoa(i)
+		end, admitted := n.gate.admit(context.Background(), head, kqserver.Notice{Slots: 1})
+		if got, want := end.Cause, kqcall.CauseHandedBack; got != want || admitted {
+			t.Fatalf("call %s: got %v, admitted %t, want %s", head.Root, end, admitted, want)
+		}
+		if got, want := end.RetryAfter, 500*time.Millisecond; got < want {
+			t.Errorf("call %s: retry after %s, want at least %s", head.Root, got, want)
+		}
+		times[end.RetryAfter] = true
+	}
+	if got, want := len(times), calls; got != want {
+		t.Errorf("times after which callers return: got %d, want %d", got, want)
+	}
+}
--- a/io/kqmesh/share.go
+++ b/io/kqmesh/share.go
@@ -119,7 +119,7 @@
 
 // isShed reports whether a call was refused for want of room.
 func isShed(cause kqcall.Cause) bool {
-	return cause == kqcall.CauseShedEntry || cause == kqcall.CauseShedGate || cause == kqcall.CauseDisplaced
+	return cause == kqcall.CauseShedEntry || cause == kqcall.CauseShedGate || cause == kqcall.CauseDisplaced || cause == kqcall.CauseHandedBack
 }
 
 // Results of calls in the metrics by team.
--- a/io/kqmesh/share_test.go
+++ b/io/kqmesh/share_test.go
@@ -81,6 +81,7 @@
 		{kqcall.NotRun(kqcall.CauseQuota), "quota"},
 		{kqcall.NotRun(kqcall.CauseShedEntry), "shed"},
 		{kqcall.NotRun(kqcall.CauseDisplaced), "shed"},
+		{kqcall.NotRun(kqcall.CauseHandedBack), "shed"},
 		{kqcall.NotRun(kqcall.CauseDeadline), "failed"},
 		{kqcall.End{Outcome: kqcall.OutcomeUnknown, Cause: kqcall.CauseBackendLost}, "failed"},
 	} {
