Fair shares: a team's demand is what its quota admits

A team beyond its quota was so refused twice: by its quota, and of the rest what its surplus would be refused by a share.

Meter.Demand and the curve now count demand times the granted fraction. Ruled out: the smaller of demand and rate, which leaves out bursts that are being spent.

--- a/core/kqrate/meter.go
+++ b/core/kqrate/meter.go
@@ -225,14 +225,15 @@
 	return v
 }
 
-// Demand returns the fleet's demand of a team in requests a second, as its home has
-// answered last, and the age of that. It returns false if no home has answered.
+// Demand returns the fleet's demand of a team in requests a second, as far as the quota
+// admits it, as its home has answered last, and the age of that. It returns false if no
+// home has answered.
 func (m *Meter) Demand(now time.Duration, name string) (demand float64, age time.Duration, known bool) {
 	t := m.teams[name]
 	if t == nil || !t.isGranted {
 		return 0, 0, false
 	}
-	return float64(t.grant.Demand), now - t.grantedAt, true
+	return t.grant.admitted(), now - t.grantedAt, true
 }
 
 // Add counts requests of a team that Take has not decided on: a further try of an
--- a/core/kqrate/quota.go
+++ b/core/kqrate/quota.go
@@ -85,6 +85,11 @@
 	Wait float32
 }
 
+// admitted returns how many of the team's requests a second entries may send.
+func (g Grant) admitted() float64 {
+	return float64(g.Demand) * float64(min(g.Fraction, 1))
+}
+
 // Answer is the answer of a home to a report.
 type Answer struct {
 	// IsHome reports whether the node is a home in its own view.
@@ -116,8 +121,8 @@
 // which part of their requests entries may send. Each limited team has a token bucket
 // that entries may overdraw: a debt is repaid before the team gets its rate again.
 type Home struct {
-	// CurveOf returns a curve of the demands of all teams, in requests a second, that
-	// answers carry. If it is nil, they carry none.
+	// CurveOf returns a curve of the demands of all teams, in requests a second and as far
+	// as quotas admit them, that answers carry. If it is nil, they carry none.
 	CurveOf func(demands []float64) []float32
 	// LimitChanged is told when a team begins to be limited, and when it has not been
 	// for some time. It may be nil.
@@ -210,16 +215,16 @@
 	}
 	answer.Grants = append(answer.Grants, h.limited(now, v, share, reported)...)
 	if h.CurveOf != nil {
-		answer.Curve = h.latestCurve(now)
+		answer.Curve = h.latestCurve(now, share)
 	}
 	return answer
 }
 
 // latestCurve returns the curve of the teams' demands, at most curveTime old. It takes
 // time in proportion to the number of teams, so it is not computed for each report.
-func (h *Home) latestCurve(now time.Duration) []float32 {
+func (h *Home) latestCurve(now time.Duration, share float64) []float32 {
 	if h.curve == nil || now-h.curveAt >= curveTime {
-		h.curve, h.curveAt = h.CurveOf(h.demands(now)), now
+		h.curve, h.curveAt = h.CurveOf(h.demands(now, share)), now
 	}
 	return h.curve
 }
@@ -279,11 +284,12 @@
 	return grants[:min(len(grants), maxListed)]
 }
 
-// demands returns the demands of all teams.
-func (h *Home) demands(now time.Duration) []float64 {
+// demands returns the demands of all teams, as far as their quotas admit them: what a
+// quota refuses takes no room, and must not count against the rest.
+func (h *Home) demands(now time.Duration, share float64) []float64 {
 	demands := make([]float64, 0, len(h.accounts))
-	for _, a := range h.accounts {
-		demands = append(demands, a.demand.rate(now))
+	for team, a := range h.accounts {
+		demands = append(demands, a.grant(now, team, share).admitted())
 	}
 	slices.Sort(demands)
 	return demands
