Even routing: a warming server is preferred to those that fail most calls

While every server in full use failed half of its calls or more, a warming one was passed over as before: it got its share, 5% at first, and the failing ones the rest. A server that comes back during an outage was so left idle for most of its first 10 s.

After the sound ones and those that answer most calls, a warming one is taken whatever its share. A full sound one still comes first; its gate refuses what a cold server can't run.

--- a/core/kqroute/even.go
+++ b/core/kqroute/even.go
@@ -181,7 +181,8 @@
 // pickSound picks among the upstreams that are not failing. When those are so full
 // that they will refuse calls, it also picks failing ones that answer most calls. If
 // it returns nil, refused reports whether the call has been at a gate of an upstream
-// that answers most calls, so that it is not worth sending to the others.
+// that answers most calls, so that it is not worth sending to the others. A warming
+// upstream gets more than its share before one that fails most calls gets any.
 func (t *Table) pickSound(info PickInfo) (u *Upstream, refused bool) {
 	info.maxFailures = failingShare
 	info.strict = info.Avoid != nil || t.anyAvoided(info.Now)
@@ -196,6 +197,10 @@
 	if sound != nil {
 		return sound, false
 	}
+	info.ignoreWarmup = true
+	if u := t.pick(info); u != nil {
+		return u, false
+	}
 	for _, tried := range info.Tried.upstreams[:info.Tried.count] {
 		if tried.failures.value(info.Now.UnixNano()) < mostlyFailing {
 			return nil, true
--- a/core/kqroute/even_test.go
+++ b/core/kqroute/even_test.go
@@ -560,6 +560,31 @@
 	}
 }
 
+// TestWarmingUpstreamIsPreferredToFailingOnes has all upstreams but one that is warming fail
+// two calls of three, so that none is ejected.
+func TestWarmingUpstreamIsPreferredToFailingOnes(t *testing.T) {
+	table := kqroute.NewTable(own, []kqmember.Record{
+		record(0, "lothian", "lothian-a", kqmember.LifeServing), record(1, "lothian", "lothian-a", kqmember.LifeServing),
+		record(2, "lothian", "lothian-a", kqmember.LifeWarming),
+	}, nil, startTime)
+	for i := range 60 {
+		verdict := kqroute.Faulty
+		if i%3 == 2 {
+			verdict = kqroute.Good
+		}
+		for _, u := range table.Upstreams()[:2] {
+			finishCall(u, startTime, verdict, &kqroute.Load{Limit: 20})
+		}
+	}
+	random := rand.New(rand.NewPCG(9, 47))
+	for range 100 {
+		info := kqroute.PickInfo{Now: startTime, Random: random.Uint64(), Even: true}
+		if got, want := table.Pick(info), table.Upstreams()[2]; got != want {
+			t.Fatalf("pick: got %s, want the warming upstream", got.Record.NodeID)
+		}
+	}
+}
+
 // TestCallsFollowLimitAndPace has one upstream take half as long as the others, and
 // one report half of their limit.
 func TestCallsFollowLimitAndPace(t *testing.T) {
