--- a/core/kqroute/even.go
+++ b/core/kqroute/even.go
@@ -38,8 +38,9 @@
 	queuedUtilization = 2.0
 	// stretchTTL is how long a stretch that a backend server states counts,
 	// stretchFactor how far above the usual one must be to count, and maxStretch
-	// how far it counts.
+	// how far it counts. usualStretch is that of a host as it usually is.
 	stretchTTL    = 500 * time.Millisecond
+	usualStretch  = 100.0
 	stretchFactor = 1.5
 	maxStretch    = 3.0
 	// firstMixer and secondMixer derive bits from PickInfo.Random, as randomMixer
@@ -180,7 +181,8 @@
 // pickSound picks among the upstreams that are not failing. When those are so full
 // that they will refuse calls, it also picks failing ones that answer most calls. If
 // it returns nil, refused reports whether the call has been at a gate of an upstream
-// that answers most calls, so that it is not worth sending to the others.
+// that answers most calls, so that it is not worth sending to the others. A warming
+// upstream gets more than its share before one that fails most calls gets any.
 func (t *Table) pickSound(info PickInfo) (u *Upstream, refused bool) {
 	info.maxFailures = failingShare
 	info.strict = info.Avoid != nil || t.anyAvoided(info.Now)
@@ -195,6 +197,10 @@
 	if sound != nil {
 		return sound, false
 	}
+	info.ignoreWarmup = true
+	if u := t.pick(info); u != nil {
+		return u, false
+	}
 	for _, tried := range info.Tried.upstreams[:info.Tried.count] {
 		if tried.failures.value(info.Now.UnixNano()) < mostlyFailing {
 			return nil, true
@@ -203,6 +209,18 @@
 	return nil, false
 }
 
+// Again returns the table's entry of an upstream that a call was sent to, if the call
+// may be sent there once more, or nil.
+func (t *Table) Again(u *Upstream, info PickInfo) *Upstream {
+	info.Tried, info.ignoreWarmup = Tried{}, true
+	for _, current := range t.upstreams {
+		if current.upstreamState == u.upstreamState && current.isEligible(&info, t.tooManyEjected(info.Now)) {
+			return current
+		}
+	}
+	return nil
+}
+
 // candidates holds the upstreams among which two are drawn, and their weights.
 type candidates struct {
 	upstreams [maxCandidates]*Upstream
@@ -240,8 +258,8 @@
 	return lessLoaded(first, second, medianUtilization(upstreams, info), info.Now)
 }
 
-// weigh sets the weights. A stretch that is far above the mean of the others lowers
-// the weight; none raises it.
+// weigh sets the weights. A stretch that is far above the mean of the others, and above
+// the usual, lowers the weight; none raises it, nor lowers that of the others.
 func (c *candidates) weigh(now time.Time) {
 	limits, stated, stretches, stretched := 0.0, 0, 0.0, 0
 	for _, u := range c.upstreams[:c.count] {
@@ -265,7 +283,9 @@
 		}
 		c.weights[i] = limit / u.Pace()
 		if stretch := u.currentStretch(now); stretched > 1 && stretch > 0 {
-			if ratio := stretch * float64(stretched-1) / max(stretches-stretch, 1); ratio > stretchFactor {
+			// A low stretch must not draw calls by lowering the shares of the others.
+			usual := max((stretches-stretch)/float64(stretched-1), usualStretch)
+			if ratio := stretch / usual; ratio > stretchFactor {
 				c.weights[i] /= min(ratio, maxStretch)
 			}
 		}
--- a/core/kqroute/even_test.go
+++ b/core/kqroute/even_test.go
@@ -560,6 +560,31 @@
 	}
 }
 
+// TestWarmingUpstreamIsPreferredToFailingOnes has all upstreams but one that is warming fail
+// two calls of three, so that none is ejected.
+func TestWarmingUpstreamIsPreferredToFailingOnes(t *testing.T) {
+	table := kqroute.NewTable(own, []kqmember.Record{
+		record(0, "lothian", "lothian-a", kqmember.LifeServing), record(1, "lothian", "lothian-a", kqmember.LifeServing),
+		record(2, "lothian", "lothian-a", kqmember.LifeWarming),
+	}, nil, startTime)
+	for i := range 60 {
+		verdict := kqroute.Faulty
+		if i%3 == 2 {
+			verdict = kqroute.Good
+		}
+		for _, u := range table.Upstreams()[:2] {
+			finishCall(u, startTime, verdict, &kqroute.Load{Limit: 20})
+		}
+	}
+	random := rand.New(rand.NewPCG(9, 47))
+	for range 100 {
+		info := kqroute.PickInfo{Now: startTime, Random: random.Uint64(), Even: true}
+		if got, want := table.Pick(info), table.Upstreams()[2]; got != want {
+			t.Fatalf("pick: got %s, want the warming upstream", got.Record.NodeID)
+		}
+	}
+}
+
 // TestCallsFollowLimitAndPace has one upstream take half as long as the others, and
 // one report half of their limit.
 func TestCallsFollowLimitAndPace(t *testing.T) {
@@ -593,10 +618,21 @@
 // stretches, true or not, while the others state 100.
 func TestStretchOnlyLowersTheShare(t *testing.T) {
 	for _, z := range []struct {
-		percent     int
-		least, most float64
-	}{{1, 0.2, 0.3}, {100, 0.2, 0.3}, {140, 0.2, 0.3}, {250, 0.05, 0.18}, {1_000_000, 0.05, 0.18}} {
-		table, random := newLocalTable(4), rand.New(rand.NewPCG(7, 47))
+		upstreams, percent int
+		least, most        float64
+	}{
+		{4, 1, 0.2, 0.3},
+		{4, 100, 0.2, 0.3},
+		{4, 140, 0.2, 0.3},
+		{4, 250, 0.05, 0.18},
+		{4, 1_000_000, 0.05, 0.18},
+		{3, 1, 0.28, 0.38},
+		{3, 250, 0.08, 0.24},
+		{2, 1, 0.45, 0.55},
+		{2, 60, 0.45, 0.55},
+		{2, 250, 0.15, 0.37},
+	} {
+		table, random := newLocalTable(z.upstreams), rand.New(rand.NewPCG(7, 47))
 		calls := 0
 		for range 4000 {
 			for _, u := range table.Upstreams() {
@@ -608,7 +644,7 @@
 			}
 		}
 		if got := float64(calls) / 4000; got < z.least || got > z.most {
-			t.Errorf("stretch of %d: got a share of %.3f, want %.2f to %.2f", z.percent, got, z.least, z.most)
+			t.Errorf("stretch of %d among %d upstreams: got a share of %.3f, want %.2f to %.2f", z.percent, z.upstreams, got, z.least, z.most)
 		}
 	}
 }
--- a/io/kqmesh/gate.go
+++ b/io/kqmesh/gate.go
@@ -220,9 +220,9 @@
 	g.mutex.Lock()
 	g.setSlots(now, server.Slots)
 	g.forgetFormer(now, server)
-	if head.HandBack && g.queue.WouldQueue(now) {
+	if head.HandBack && g.queue.HandsBack(now, item.Level) {
 		g.mutex.Unlock()
-		return kqcall.NotRun(kqcall.CauseHandedBack), false
+		return refusalEnd(head, kqcall.CauseHandedBack), false
 	}
 	g.nextID++
 	item.ID = g.nextID
