Quotas: a report to a node that is no home any more ends the process

Cause: quotas.run takes the list of homes to which a report is due, and makes the reports one after the other. In between, the goroutine of a request may take over other hosts, or the answer of a home that was silent gives its teams back to it, and the state of a listed home is gone. Meter.Report used it without a check: a panic in a goroutine of the node itself. Found in review by reading.

Change: Report says whether the node is still a home; if not, nothing is sent and the uses stay for the next report.

Ruled out: holding the mutex from Due to Report, since the node's own report is answered in between under the same mutex.

--- a/core/kqrate/meter.go
+++ b/core/kqrate/meter.go
@@ -408,14 +408,17 @@
 }
 
 // Report returns the report to a node, whose answer goes to Receive or Fail. A node
-// that has been silent is only asked.
-func (m *Meter) Report(now time.Duration, home string) Report {
+// that has been silent is only asked. It returns false if the node is no home any more.
+func (m *Meter) Report(now time.Duration, home string) (Report, bool) {
 	s := m.states[home]
+	if s == nil {
+		return Report{}, false
+	}
 	s.isWaiting, s.isUrgent, s.sentAt = true, false, now
 	r := Report{Entry: m.self}
 	since := s.reportedAt
 	if m.silent[home] {
-		return r
+		return r, true
 	}
 	for name, t := range m.pending {
 		if t.home != home {
@@ -428,7 +431,7 @@
 	}
 	r.Period = now - since
 	slices.SortFunc(r.Uses, func(a, b Use) int { return cmp.Compare(a.Team, b.Team) })
-	return r
+	return r, true
 }
 
 // Receive takes the answer of a home to a report.
--- a/core/kqrate/world_test.go
+++ b/core/kqrate/world_test.go
@@ -164,7 +164,10 @@
 
 // report sends a report, which is answered, refused or lost.
 func (w *world) report(e *entry, home string) {
-	r := e.meter.Report(w.now, home)
+	r, known := e.meter.Report(w.now, home)
+	if !known {
+		return
+	}
 	w.reports++
 	w.uses += len(r.Uses)
 	to := w.byName[home]
--- a/io/kqmesh/quota.go
+++ b/io/kqmesh/quota.go
@@ -186,8 +186,11 @@
 // report sends a report to a home in the background.
 func (k *quotas) report(home string) {
 	k.mutex.Lock()
-	r := k.meter.Report(k.node.clock(), home)
+	r, known := k.meter.Report(k.node.clock(), home)
 	k.mutex.Unlock()
+	if !known {
+		return
+	}
 	if home == k.node.settings.NodeID {
 		k.taken(home, r, k.receive(r))
 		return
