Quotas: a team that gets a quota starts without a debt

Cause: the home took what a team without a quota sends out of its bucket, which is never filled at a rate of 0. Once the team got a quota, all that it had sent since the home began was a debt, and the home granted nothing until the new rate had repaid it. Found in review.

Ruled out: a full bucket at the begin, since the team may just have sent its burst.

--- a/core/kqrate/meter_test.go
+++ b/core/kqrate/meter_test.go
@@ -7,6 +7,24 @@
 	"kumquatlink/core/kqrate"
 )
 
+// answerAll has a home answer all reports that are due.
+func answerAll(now time.Duration, m *kqrate.Meter, h *kqrate.Home, v kqrate.HomeView) {
+	due, _ := m.Due(now)
+	for _, home := range due {
+		if r, known := m.Report(now, home); known {
+			m.Receive(now, home, r, h.Receive(now, v, r))
+		}
+	}
+}
+
+// viewOf returns the view of a lone home of all teams that the configuration has.
+func viewOf(quotas map[string]kqrate.Quota) kqrate.HomeView {
+	return kqrate.HomeView{
+		QuotaOf:  func(team string) (kqrate.Quota, bool) { q, known := quotas[team]; return q, known },
+		IsHomeOf: func(string) bool { return true }, Hosts: 1,
+	}
+}
+
 // TestReportToAFormerHomeIsNotMade changes the hosts after a report was due. Another
 // goroutine of a node may do so.
 func TestReportToAFormerHomeIsNotMade(t *testing.T) {
@@ -21,3 +39,35 @@
 		t.Errorf("report to %s, which is no home any more: got one, want none", due[0])
 	}
 }
+
+// play sends requests of teams to a lone node at even times, and returns how many of each
+// were admitted between two times.
+func play(m *kqrate.Meter, h *kqrate.Home, quotas map[string]kqrate.Quota, rates map[string]float64, from, until time.Duration) map[string]int {
+	admitted, sums := map[string]int{}, map[string]float64{}
+	for now := from; now < until; now += time.Millisecond {
+		for team, rate := range rates {
+			for sums[team] += rate / 1000; sums[team] >= 1; sums[team]-- {
+				if m.Take(now, team, quotas[team]).Admitted {
+					admitted[team]++
+				}
+			}
+		}
+		answerAll(now, m, h, viewOf(quotas))
+	}
+	return admitted
+}
+
+// TestTeamGetsAQuotaWithADebt gives a quota to a team that had none, and that sends less.
+// What it sent before must not count.
+func TestTeamGetsAQuotaWithADebt(t *testing.T) {
+	quotas := map[string]kqrate.Quota{"team": {}}
+	m, h := kqrate.NewMeter("node-0", 1), kqrate.NewHome()
+	m.SetHosts(0, []string{"node-0"})
+	rates := map[string]float64{"team": 100}
+	play(m, h, quotas, rates, 0, 20*time.Second)
+	quotas["team"] = kqrate.Quota{Rate: 200, Burst: 200}
+	got := play(m, h, quotas, rates, 20*time.Second, 25*time.Second)["team"]
+	if want := 490; got < want {
+		t.Errorf("requests admitted at half of the new quota: got %d of 500, want at least %d", got, want)
+	}
+}
--- a/core/kqrate/quota.go
+++ b/core/kqrate/quota.go
@@ -201,7 +201,9 @@
 		}
 		a.setQuota(now, q, share)
 		a.usedAt = now
-		a.tokens = min(a.tokens-float64(u.Admitted), a.size(share))
+		if q.Rate > 0 {
+			a.tokens = min(a.tokens-float64(u.Admitted), a.size(share))
+		}
 		a.demand.add(now, float64(max(u.Asked, 0)), period)
 		reported[u.Team] = true
 		g := a.grant(now, u.Team, share)
@@ -326,7 +328,8 @@
 	a.tokens, a.filledAt, a.demand = min(a.tokens, spareCalls), since, estimate{}
 }
 
-// setQuota fills the bucket up to now at the former rate, and sets the quota.
+// setQuota fills the bucket up to now at the former rate, and sets the quota. What a team
+// sends without a quota is no debt of a later one.
 func (a *account) setQuota(now time.Duration, q Quota, share float64) {
 	if a.quota == (Quota{}) {
 		a.quota = q
@@ -336,6 +339,9 @@
 		a.filledAt = now
 	}
 	a.quota = q
+	if q.Rate <= 0 {
+		a.tokens = spareCalls
+	}
 	a.tokens = min(a.tokens, a.size(share))
 }
 
