Quotas: uses of a team that the home does not know no longer spoil the others' demand

Cause: an entry keeps uses that the home has not taken, and took the time since the last report without any such use for the period of the next one, for all teams. Uses of a team that a new configuration no longer has are never taken: they were reported for ever, each period counted as 5 s, and the home saw a seventh of each team's demand from that entry. The same held while an entry knew a new team and its home did not. Found in review.

Change: the period is the time since the last report that the home has answered as such, and uses of teams that the configuration does not have are dropped.

Ruled out: a period for each use, which former builds can't decode.

--- a/core/kqrate/meter.go
+++ b/core/kqrate/meter.go
@@ -121,6 +121,10 @@
 // Meter is the entry's side of quotas: it decides on requests by what the homes of
 // their teams have granted, and counts them for the next report.
 type Meter struct {
+	// IsKnown reports whether the configuration has a team. Uses of others are not
+	// reported. If it is nil, all are.
+	IsKnown func(team string) bool
+
 	// phase is a random number that sets the first credit of each team.
 	phase  uint64
 	self   string
@@ -424,6 +428,11 @@
 		if t.home != home {
 			continue
 		}
+		if m.IsKnown != nil && !m.IsKnown(name) {
+			t.admitted, t.asked = 0, 0
+			delete(m.pending, name)
+			continue
+		}
 		r.Uses = append(r.Uses, Use{Team: name, Admitted: t.admitted, Asked: t.asked})
 		t.admitted, t.asked = 0, 0
 		since = min(since, t.pendingSince)
@@ -468,11 +477,11 @@
 			delete(m.limited, name)
 		}
 	}
+	// The home does not know their teams, or is not their home. The period of the next
+	// report is that of the teams whose uses it has taken.
 	refused := slices.DeleteFunc(slices.Clone(r.Uses), func(u Use) bool { return granted[u.Team] })
-	m.restore(now, r.Period, refused)
-	if len(refused) == 0 {
-		s.reportedAt = s.sentAt
-	}
+	m.restore(now, 0, refused)
+	s.reportedAt = s.sentAt
 }
 
 // receiveGrant takes what a home grants a team. A home that is young may only lower
--- a/core/kqrate/meter_test.go
+++ b/core/kqrate/meter_test.go
@@ -71,3 +71,38 @@
 		t.Errorf("requests admitted at half of the new quota: got %d of 500, want at least %d", got, want)
 	}
 }
+
+// TestTeamThatIsRemovedSpoilsTheReports removes a team from the configuration while its
+// last requests are not reported yet. The others' demand must be known as before.
+func TestTeamThatIsRemovedSpoilsTheReports(t *testing.T) {
+	quotas := map[string]kqrate.Quota{"kept": {Rate: 100, Burst: 100}, "removed": {Rate: 100, Burst: 100}}
+	m, h := kqrate.NewMeter("node-0", 1), kqrate.NewHome()
+	m.SetHosts(0, []string{"node-0"})
+	m.IsKnown = func(team string) bool { _, known := quotas[team]; return known }
+	play(m, h, quotas, map[string]float64{"kept": 50, "removed": 50}, 0, 10*time.Second)
+	delete(quotas, "removed")
+	play(m, h, quotas, map[string]float64{"kept": 50}, 10*time.Second, 20*time.Second)
+	got, _, _ := m.Demand(20*time.Second, "kept")
+	if want := 50.0; got < 0.8*want || got > 1.2*want {
+		t.Errorf("demand of the team that was kept: got %.1f requests a second, want %.0f", got, want)
+	}
+	r, _ := m.Report(20*time.Second, "node-0")
+	for _, u := range r.Uses {
+		if u.Team == "removed" {
+			t.Errorf("report ten seconds after the team was removed: got uses of it, want none")
+		}
+	}
+}
+
+// TestTeamThatItsHomeDoesNotKnowSpoilsTheReports adds a team to the configuration of the
+// entry, not yet to that of the home. The others' demand must be known as before.
+func TestTeamThatItsHomeDoesNotKnowSpoilsTheReports(t *testing.T) {
+	quotas := map[string]kqrate.Quota{"known": {Rate: 100, Burst: 100}}
+	m, h := kqrate.NewMeter("node-0", 1), kqrate.NewHome()
+	m.SetHosts(0, []string{"node-0"})
+	play(m, h, quotas, map[string]float64{"known": 50, "new": 10}, 0, 10*time.Second)
+	got, _, _ := m.Demand(10*time.Second, "known")
+	if want := 50.0; got < 0.8*want || got > 1.2*want {
+		t.Errorf("demand of the team that the home knows: got %.1f requests a second, want %.0f", got, want)
+	}
+}
--- a/io/kqmesh/quota.go
+++ b/io/kqmesh/quota.go
@@ -60,6 +60,7 @@
 	k.home.CurveOf = kqfair.NewCurve
 	k.home.LimitChanged = k.logLimit
 	k.meter = kqrate.NewMeter(n.settings.NodeID, n.random())
+	k.meter.IsKnown = func(team string) bool { _, found := k.byName[team]; return found }
 	return k
 }
 
