--- a/core/kqrate/meter.go
+++ b/core/kqrate/meter.go
@@ -125,6 +125,10 @@
 // Meter is the entry's side of quotas: it decides on requests by what the homes of
 // their teams have granted, and counts them for the next report.
 type Meter struct {
+	// IsKnown reports whether the configuration has a team. Uses of others are not
+	// reported. If it is nil, all are.
+	IsKnown func(team string) bool
+
 	// phase is a random number that sets the first credit of each team.
 	phase  uint64
 	self   string
@@ -428,20 +432,28 @@
 }
 
 // Report returns the report to a node, whose answer goes to Receive or Fail. A node
-// that has been silent is only asked.
-func (m *Meter) Report(now time.Duration, home string) Report {
+// that has been silent is only asked. It returns false if the node is no home any more.
+func (m *Meter) Report(now time.Duration, home string) (Report, bool) {
 	s := m.states[home]
+	if s == nil {
+		return Report{}, false
+	}
 	s.isWaiting, s.isUrgent, s.sentAt = true, false, now
 	s.hasUses, s.isUrgentTold = false, false
 	r := Report{Entry: m.self}
 	since := s.reportedAt
 	if m.silent[home] {
-		return r
+		return r, true
 	}
 	for name, t := range m.pending {
 		if t.home != home {
 			continue
 		}
+		if m.IsKnown != nil && !m.IsKnown(name) {
+			t.admitted, t.asked = 0, 0
+			delete(m.pending, name)
+			continue
+		}
 		r.Uses = append(r.Uses, Use{Team: name, Admitted: t.admitted, Asked: t.asked})
 		t.admitted, t.asked = 0, 0
 		since = min(since, t.pendingSince)
@@ -449,7 +461,7 @@
 	}
 	r.Period = now - since
 	slices.SortFunc(r.Uses, func(a, b Use) int { return cmp.Compare(a.Team, b.Team) })
-	return r
+	return r, true
 }
 
 // Receive takes the answer of a home to a report.
@@ -486,11 +498,11 @@
 			delete(m.limited, name)
 		}
 	}
+	// The home does not know their teams, or is not their home. The period of the next
+	// report is that of the teams whose uses it has taken.
 	refused := slices.DeleteFunc(slices.Clone(r.Uses), func(u Use) bool { return granted[u.Team] })
-	m.restore(now, r.Period, refused)
-	if len(refused) == 0 {
-		s.reportedAt = s.sentAt
-	}
+	m.restore(now, 0, refused)
+	s.reportedAt = s.sentAt
 }
 
 // receiveGrant takes what a home grants a team. A home that is young may only lower
--- a/io/kqmesh/quota.go
+++ b/io/kqmesh/quota.go
@@ -60,6 +60,7 @@
 	k.home.CurveOf = kqfair.NewCurve
 	k.home.LimitChanged = k.logLimit
 	k.meter = kqrate.NewMeter(n.settings.NodeID, n.random())
+	k.meter.IsKnown = func(team string) bool { _, found := k.byName[team]; return found }
 	return k
 }
 
@@ -109,7 +110,7 @@
 
 // isCounted reports whether the call counts against the quota of a team.
 func (q *call) isCounted() bool {
-	return q.team != nil && q.head.Depth == 0
+	return q.team != nil
 }
 
 // add counts further requests of the call that are sent to a server, or with a
@@ -186,8 +187,11 @@
 // report sends a report to a home in the background.
 func (k *quotas) report(home string) {
 	k.mutex.Lock()
-	r := k.meter.Report(k.node.clock(), home)
+	r, known := k.meter.Report(k.node.clock(), home)
 	k.mutex.Unlock()
+	if !known {
+		return
+	}
 	if home == k.node.settings.NodeID {
 		k.taken(home, r, k.receive(r))
 		return
