Links: replies are sent away from the reading goroutine

Cause: the reading goroutine of a link sent refusals itself, where there was no memory for a call, the pool was full or a head was malformed; pongs and replies to messages too. If the peer does not read either, both ends wait for each other until a write fails after 2 s, and all calls on the link are lost.

Queued answers count as unanswered calls.

--- a/io/kqtrunk/offer.go
+++ b/io/kqtrunk/offer.go
@@ -157,7 +157,7 @@
 func (t *trunk) handleDropped(f frame) error {
 	switch f.kind {
 	case frameCall:
-		return t.answer(context.Background(), f.number, AnswerHead{End: kqcall.NotRun(kqcall.CauseShedGate)}, nil)
+		return t.refuse(f.number, kqcall.CauseShedGate)
 	default:
 		t.deliver(f.number, callResult{err: errors.Mark(errors.Mark(errors.New("answer was dropped"), ErrNoMemory), ErrLost)})
 	}
--- a/io/kqtrunk/trunk.go
+++ b/io/kqtrunk/trunk.go
@@ -75,6 +75,11 @@
 	// those of the peer that wait for memory or are on their way.
 	offers map[uint64]chan struct{}
 	grants map[uint64]*grant
+	// replies holds the frames that wait to be sent in the background, and replyBytes the
+	// size of their payloads. replySent is signalled when one has been sent.
+	replies    []frame
+	replyBytes int
+	replySent  *sync.Cond
 	// lastReceived is when a frame or a piece of a large one last passed, or calls
 	// began to wait. pingedAt
 	// is when a ping was sent after which no frame has arrived yet, or zero.
@@ -97,11 +102,13 @@
 	if memory == nil {
 		memory = kqbody.NewBudget(math.MaxInt)
 	}
-	return &trunk{
+	t := &trunk{
 		peer: peer, conn: conn, handlers: handlers, now: time.Now, memory: memory, offers: map[uint64]chan struct{}{}, grants: map[uint64]*grant{}, writer: bufio.NewWriterSize(conn, bufferBytes),
 		waiting: map[uint64]waiter{}, running: map[uint64]context.CancelFunc{}, done: make(chan struct{}),
 		onRetire: func() {}, onFirstFrame: func() {},
 	}
+	t.replySent = sync.NewCond(&t.mutex)
+	return t
 }
 
 // send writes one frame. An error may leave a part of it written.
@@ -192,8 +199,7 @@
 			t.handlers.Update(t.peer, f.payload, t.sendMessage)
 		}
 	case framePing:
-		// If the write fails, reading from the connection fails too and ends it.
-		_ = t.send(frame{kind: framePong, number: f.number})
+		t.reply(frame{kind: framePong, number: f.number})
 	case framePong:
 		// Pings and their pongs have the number 0; any other number is the
 		// version that the peer advertises.
@@ -206,10 +212,9 @@
 	return nil
 }
 
-// sendMessage sends a message to the peer. If the write fails, reading from the
-// connection fails too and ends it.
+// sendMessage sends a message to the peer in reply to one of it.
 func (t *trunk) sendMessage(payload []byte) {
-	_ = t.send(frame{kind: frameMessage, payload: payload})
+	t.reply(frame{kind: frameMessage, payload: payload})
 }
 
 // handleCall runs a call of the peer in the background and answers it.
@@ -219,7 +224,7 @@
 	if err != nil {
 		f.discard()
 		// The frame is whole, so only its call is lost.
-		return t.answer(context.Background(), f.number, AnswerHead{End: kqcall.NotRun(kqcall.CauseBadRequest)}, nil)
+		return t.refuse(f.number, kqcall.CauseBadRequest)
 	}
 	if t.handlers.Call == nil {
 		f.discard()
@@ -250,7 +255,7 @@
 	if err := t.handlers.submit(task); err != nil {
 		defer t.finishCall(f.number, cancel)
 		f.discard()
-		return t.answer(ctx, f.number, AnswerHead{End: kqcall.NotRun(kqcall.CausePoolFull)}, nil)
+		return t.refuse(f.number, kqcall.CausePoolFull)
 	}
 	return nil
 }
@@ -481,6 +486,7 @@
 		return t.failed
 	}
 	t.failed = err
+	t.replySent.Broadcast()
 	waiting, running := t.waiting, t.running
 	t.waiting, t.running = map[uint64]waiter{}, map[uint64]context.CancelFunc{}
 	for number := range t.grants {
@@ -505,7 +511,7 @@
 func (t *trunk) callCount() int {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return len(t.waiting) + len(t.running)
+	return len(t.waiting) + len(t.running) + t.unsentAnswers()
 }
 
 // runningCount returns the number of calls of the peer that run or whose answers have not
@@ -513,7 +519,7 @@
 func (t *trunk) runningCount() int {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return len(t.running)
+	return len(t.running) + t.unsentAnswers()
 }
 
 // acceptsCalls reports whether the connection is neither closed nor retired.
