--- a/core/kqrate/quota_test.go
+++ b/core/kqrate/quota_test.go
@@ -227,7 +227,7 @@
 	if len(due) != 1 || due[0] != home {
 		t.Fatalf("reports due after the fleet is known: got %v, want %s", due, home)
 	}
-	m.Receive(6*time.Millisecond, home, m.Report(5*time.Millisecond, home), kqrate.Answer{IsHome: true})
+	m.Receive(6*time.Millisecond, home, reportTo(m, 5*time.Millisecond, home), kqrate.Answer{IsHome: true})
 	if !m.Take(7*time.Millisecond, "team", q).IsUrgent {
 		t.Error("first request after a report: got IsUrgent false, want true")
 	}
@@ -246,19 +246,25 @@
 	for range 2 {
 		due, _ := m.Due(now)
 		tried = append(tried, due...)
-		m.Fail(now, due[0], m.Report(now, due[0]))
+		m.Fail(now, due[0], reportTo(m, now, due[0]))
 		now += kqrate.ReportTimeout
 	}
 	due, _ := m.Due(now)
 	if len(due) != 1 || due[0] == tried[0] {
 		t.Fatalf("reports due after %v have failed: got %v, want another node", tried, due)
 	}
-	m.Receive(now, due[0], m.Report(now, due[0]), kqrate.Answer{})
+	m.Receive(now, due[0], reportTo(m, now, due[0]), kqrate.Answer{})
 	if v := m.Take(now, "team", q); !v.IsShare {
 		t.Errorf("after a node has answered that it is no home: got verdict %+v, want IsShare", v)
 	}
-	m.Receive(now, due[0], m.Report(now, due[0]), kqrate.Answer{IsHome: true, Grants: []kqrate.Grant{{Team: "team", Fraction: 1, Demand: 1}}})
+	m.Receive(now, due[0], reportTo(m, now, due[0]), kqrate.Answer{IsHome: true, Grants: []kqrate.Grant{{Team: "team", Fraction: 1, Demand: 1}}})
 	if v := m.Take(now, "team", q); v.IsShare || !v.Admitted {
 		t.Errorf("after a home has answered: got verdict %+v, want admitted without IsShare", v)
 	}
 }
+
+// reportTo returns the report to a home.
+func reportTo(m *kqrate.Meter, now time.Duration, home string) kqrate.Report {
+	r, _ := m.Report(now, home)
+	return r
+}
