Fair shares: a team that is within its quota again has no old surplus

An answer that no longer lists a team as limited set its fraction to 1, so that its demand was again all that it had asked for: 500 requests a second in place of the 100 that its quota admitted (the new test).

The meter keeps what the home has admitted apart from the grant, whose demand the quota goes on to use. go test ./core/kqrate, and the tests of quotas, shares and teams of ./io/kqmesh with -race, passed.

--- a/core/kqrate/demand_test.go
+++ b/core/kqrate/demand_test.go
@@ -43,3 +43,25 @@
 		check("demand in the curve", curve[i], want)
 	}
 }
+
+// TestDemandAfterTheLimit has a home limit a team, and no longer.
+func TestDemandAfterTheLimit(t *testing.T) {
+	const rate = 100.0
+	m := kqrate.NewMeter("a", 1)
+	m.SetHosts(0, []string{"a", "b"})
+	home, now := kqrate.ChooseHomes([]string{"a", "b"}).Of("hot"), 10*time.Second
+	m.Take(now, "hot", kqrate.Quota{Rate: rate})
+	receive := func(grants ...kqrate.Grant) {
+		now += time.Second
+		m.Receive(now, home, m.Report(now, home), kqrate.Answer{IsHome: true, Grants: grants})
+	}
+	receive(kqrate.Grant{Team: "hot", Fraction: 0.2, Demand: 5 * rate})
+	receive()
+	got, age, known := m.Demand(now, "hot")
+	if want := rate; !known || got < 0.99*want || got > 1.01*want {
+		t.Errorf("demand of a team that is within its quota again: got %.0f, want at most the %.0f that the quota admits", got, want)
+	}
+	if age != 0 {
+		t.Errorf("age of the demand: got %s, want 0", age)
+	}
+}
--- a/core/kqrate/meter.go
+++ b/core/kqrate/meter.go
@@ -82,6 +82,8 @@
 	grant     Grant
 	grantedAt time.Duration
 	isGranted bool
+	// fairDemand is the demand that home has admitted with its last grant.
+	fairDemand float64
 	// settled is the last fraction of a home that was not young, at settledAt, if
 	// isSettled is set.
 	settled   float32
@@ -233,7 +235,7 @@
 	if t == nil || !t.isGranted {
 		return 0, 0, false
 	}
-	return t.grant.admitted(), now - t.grantedAt, true
+	return t.fairDemand, now - t.grantedAt, true
 }
 
 // Add counts requests of a team that Take has not decided on: a further try of an
@@ -486,7 +488,7 @@
 	} else if t.isSettled && now-t.settledAt < maxReportTime {
 		g.Fraction = min(g.Fraction, t.settled)
 	}
-	t.grant, t.grantedAt, t.isGranted = g, now, true
+	t.grant, t.grantedAt, t.isGranted, t.fairDemand = g, now, true, g.admitted()
 	share := 0.0
 	if g.Demand > 0 {
 		share = min(1, t.demand.rate(now)/float64(g.Demand))
