Fair shares: the figures of a home that has just begun are not used

A home that takes over knows the demand of one entry at first, and answers all with a curve of that for 200 ms. Entries took it at once.

The curve moves into kqrate.Meter, beside the demands it belongs to. A node that starts takes the figures of a home that is not young at once.

Ruled out: figures of a young home once it has heard of most entries. Its demands rise for half a second after that, and differ between entries.

--- a/core/kqrate/meter.go
+++ b/core/kqrate/meter.go
@@ -82,8 +82,10 @@
 	grant     Grant
 	grantedAt time.Duration
 	isGranted bool
-	// fairDemand is the demand that home has admitted with its last grant.
-	fairDemand float64
+	// fairDemand is the demand that a home has admitted at fairAt, if isDemandKnown is set.
+	fairDemand    float64
+	fairAt        time.Duration
+	isDemandKnown bool
 	// settled is the last fraction of a home that was not young, at settledAt, if
 	// isSettled is set.
 	settled   float32
@@ -135,6 +137,8 @@
 	// limited holds the teams that a home limits.
 	limited map[string]*teamMeter
 	states  map[string]*homeState
+	// curve is what a home has sent last that was not young.
+	curve []float32
 	// since is when homes has changed last.
 	since   time.Duration
 	sweptAt time.Duration
@@ -232,10 +236,20 @@
 // home has answered.
 func (m *Meter) Demand(now time.Duration, name string) (demand float64, age time.Duration, known bool) {
 	t := m.teams[name]
-	if t == nil || !t.isGranted {
+	if t == nil || !t.isDemandKnown {
 		return 0, 0, false
 	}
-	return t.fairDemand, now - t.grantedAt, true
+	return t.fairDemand, now - t.fairAt, true
+}
+
+// Curve returns the curve of all teams' demands that a home has sent last, or nil.
+func (m *Meter) Curve() []float32 {
+	return m.curve
+}
+
+// setDemand takes the demand of the last grant for the team's fair share.
+func (t *teamMeter) setDemand(now time.Duration) {
+	t.fairDemand, t.fairAt, t.isDemandKnown = t.grant.admitted(), now, true
 }
 
 // Add counts requests of a team that Take has not decided on: a further try of an
@@ -459,11 +473,16 @@
 	granted := make(map[string]bool, len(a.Grants))
 	for _, g := range a.Grants {
 		granted[g.Team] = true
-		m.receiveGrant(now, home, g, isYoung)
+		if t := m.receiveGrant(now, home, g, isYoung); t != nil && !a.Young {
+			t.setDemand(now)
+		}
+	}
+	if len(a.Curve) > 0 && !a.Young {
+		m.curve = a.Curve
 	}
 	for name, t := range m.limited {
 		if t.home == home && !granted[name] && (!isYoung || now-t.grantedAt >= maxReportTime) {
-			t.grant.Fraction, t.grantedAt = 1, now
+			t.grant.Fraction, t.grantedAt, t.fairAt = 1, now, now
 			t.settled, t.settledAt, t.isSettled = 1, now, true
 			delete(m.limited, name)
 		}
@@ -475,12 +494,13 @@
 	}
 }
 
-// receiveGrant takes what a home grants a team. A home that is young may only lower
-// what the one before it has granted.
-func (m *Meter) receiveGrant(now time.Duration, home string, g Grant, isYoung bool) {
+// receiveGrant takes what a home grants a team, and returns the team's meter, or nil if
+// the grant is not for this entry. A home that is young may only lower what the one
+// before it has granted.
+func (m *Meter) receiveGrant(now time.Duration, home string, g Grant, isYoung bool) *teamMeter {
 	t := m.teams[g.Team]
 	if t == nil && g.Fraction >= 1 || m.homes.Of(g.Team) != home {
-		return
+		return nil
 	}
 	t = m.team(now, g.Team)
 	if !isYoung {
@@ -488,7 +508,7 @@
 	} else if t.isSettled && now-t.settledAt < maxReportTime {
 		g.Fraction = min(g.Fraction, t.settled)
 	}
-	t.grant, t.grantedAt, t.isGranted, t.fairDemand = g, now, true, g.admitted()
+	t.grant, t.grantedAt, t.isGranted = g, now, true
 	share := 0.0
 	if g.Demand > 0 {
 		share = min(1, t.demand.rate(now)/float64(g.Demand))
@@ -501,6 +521,7 @@
 	if g.Fraction < 1 {
 		m.limited[g.Team] = t
 	}
+	return t
 }
 
 // Fail counts a report that was not answered. Its uses are reported again.
--- a/io/kqmesh/quota.go
+++ b/io/kqmesh/quota.go
@@ -26,14 +26,12 @@
 )
 
 // quotas holds teams to their quotas: at the entry for the callers of this node, and
-// as the home of some teams for all entries. mutex guards meter, home and curve.
+// as the home of some teams for all entries. mutex guards meter and home.
 type quotas struct {
 	node  *Node
 	mutex sync.Mutex
 	meter *kqrate.Meter
 	home  *kqrate.Home
-	// curve is what a home has sent last.
-	curve []float32
 	// table is the table by which quotaOf was made.
 	table  *kqroutes.Table
 	byName map[string]kqrate.Quota
@@ -104,7 +102,8 @@
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	demand, age, known := k.meter.Demand(k.node.clock(), team)
-	return teamDemand{curve: k.curve, requests: demand, age: age}, known || len(k.curve) > 0
+	curve := k.meter.Curve()
+	return teamDemand{curve: curve, requests: demand, age: age}, known || len(curve) > 0
 }
 
 // isCounted reports whether the call counts against the quota of a team.
@@ -211,9 +210,6 @@
 	k.node.metrics.Count(kqmetric.QuotaReports, resultDone)
 	k.mutex.Lock()
 	k.meter.Receive(k.node.clock(), home, r, a)
-	if len(a.Curve) > 0 {
-		k.curve = a.Curve
-	}
 	k.mutex.Unlock()
 	k.wakeUp()
 }
