Quotas: a request counts once for each server that may have run it

Cause: a further try was counted when it was allowed. It counted also when there was no further server, or no time, and when the server before it had refused the request unrun (BackendShed), and one that a gate refused after a first server had begun stayed counted. A team was so refused below its quota while servers failed. Found in review.

Change: the entry counts the tries that a server may have run, takes one in advance before each try that follows such a one, and settles the difference when the request has ended.

Ruled out: counting after the answer only, which would admit requests during long runs.

A case of several servers that all refuse was not shown to fail before in a test (trial); it is counted by the same code. go test -race ./io/kqmesh -run 'Quota|FurtherServer|ComesDuring' passes.

--- a/io/kqmesh/entry.go
+++ b/io/kqmesh/entry.go
@@ -56,8 +56,9 @@
 	tries []string
 	// detail is a remark on the answer for the log.
 	detail string
-	// attempts counts the failed tries that may have reached a backend server.
-	attempts int
+	// attempts counts the failed tries that may have reached a backend server, and begun
+	// all tries that one may have run. counted is how many the quota of the team counts.
+	attempts, begun, counted int
 	// demand is what was known of the demand of teams when the call was ordered, and
 	// fairShare how much of a team's was served in full then, or 0.
 	demand    teamDemand
@@ -99,9 +100,8 @@
 		end()
 		if o.head.End.Outcome != kqcall.OutcomeNotRun {
 			n.recentTimes.Record(n.clock(), q.head.Route, n.now().Sub(e.ReceivedAt))
-		} else {
-			n.quotas.add(q, -1)
 		}
+		n.quotas.settle(q, q.begun)
 	}
 	d := kqlog.Decision{
 		RequestID: q.head.RequestID, Root: q.head.Root, Class: q.head.Class, Service: q.head.Service, Decision: decisionAnswer,
@@ -126,7 +126,7 @@
 	n.shedder.shares.place(q)
 	o := n.shedder.refuseAtEntry(q)
 	if o != nil {
-		n.quotas.add(q, -1)
+		n.quotas.settle(q, 0)
 	}
 	return o
 }
--- a/io/kqmesh/place.go
+++ b/io/kqmesh/place.go
@@ -85,6 +85,7 @@
 		returned.record(u, o)
 		last = o
 		if o.head.End.Outcome != kqcall.OutcomeNotRun {
+			q.begun++
 			if lastBegun != nil {
 				lastBegun.discard()
 			}
@@ -238,7 +239,7 @@
 		return false
 	}
 	n.metrics.Count(kqmetric.Repeats, q.head.Service)
-	n.quotas.add(q, 1)
+	n.quotas.settle(q, q.begun+1)
 	q.head.Repeat = true
 	return true
 }
--- a/io/kqmesh/quota.go
+++ b/io/kqmesh/quota.go
@@ -80,6 +80,7 @@
 	}
 	switch {
 	case v.Admitted:
+		q.counted = 1
 		if q.team.IsLimited() {
 			k.node.metrics.Count(kqmetric.QuotaDecisions, quotaAdmitted)
 		}
@@ -113,15 +114,16 @@
 	return q.team != nil
 }
 
-// add counts further requests of the call that are sent to a server, or with a
-// negative number one that no server has run.
-func (k *quotas) add(q *call, count int) {
-	if !q.isCounted() {
+// settle has the quota count the call that many times: once for each server that may have
+// run it, or is about to.
+func (k *quotas) settle(q *call, count int) {
+	if !q.isCounted() || q.counted == count {
 		return
 	}
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	k.meter.Add(k.node.clock(), q.team.Name, count)
+	k.meter.Add(k.node.clock(), q.team.Name, count-q.counted)
+	q.counted = count
 }
 
 func (k *quotas) wakeUp() {
--- a/io/kqmesh/quota_test.go
+++ b/io/kqmesh/quota_test.go
@@ -17,13 +17,13 @@
 // maxQuotaRequests bounds the requests that a test sends until one is refused.
 const maxQuotaRequests = 4000
 
-// writeNamedTeams writes a route, and teams each of whose key is its name.
-func (f *fleet) writeNamedTeams(version int64, teams ...kqroutes.Team) {
+// writeNamedTeams writes the first routes, and teams each of whose key is its name.
+func (f *fleet) writeNamedTeams(teams ...kqroutes.Team) {
 	f.t.Helper()
 	for i := range teams {
 		teams[i].Keys = []string{teams[i].Name}
 	}
-	f.writeTeams(version, teams, route("/look/", "orders", false))
+	f.writeTeams(1, teams, route("/look/", "orders", false))
 }
 
 // requestAs sends a request with a key to the node.
@@ -59,7 +59,7 @@
 func TestTeamBeyondItsQuotaIsRefused(t *testing.T) {
 	f := newFleet(t)
 	first, second := f.add("orders-1", "orders"), f.add("orders-2", "orders")
-	f.writeNamedTeams(1, kqroutes.Team{Name: "limited", Rate: 1, Burst: 1}, kqroutes.Team{Name: "free"})
+	f.writeNamedTeams(kqroutes.Team{Name: "limited", Rate: 1, Burst: 1}, kqroutes.Team{Name: "free"})
 	f.serveAll(first, second)
 	checkRetryAfter(t, f.awaitRefusal(first, "limited", "first"))
 	checkRetryAfter(t, f.awaitRefusal(second, "limited", "second"))
@@ -78,7 +78,7 @@
 		f := newFleet(t)
 		f.add("orders-1", "orders")
 		f.add("orders-2", "orders")
-		f.writeNamedTeams(1, kqroutes.Team{Name: "limited", Rate: 1, Burst: 1})
+		f.writeNamedTeams(kqroutes.Team{Name: "limited", Rate: 1, Burst: 1})
 		f.serveAll(f.hosts["orders-1"], f.hosts["orders-2"])
 		left := f.hosts[[]string{"orders-2", "orders-1"}[i]]
 		f.hosts[stopped].node.Stop()
@@ -94,7 +94,7 @@
 	f := newFleet(t)
 	h := f.add("orders-1", "orders")
 	limited := kqroutes.Team{Name: "limited", Rate: 1, Burst: 1}
-	f.writeNamedTeams(1, limited)
+	f.writeNamedTeams(limited)
 	f.serveAll(h)
 	begun := time.Now()
 	ends, release := make(chan time.Time, 1), make(chan struct{})
@@ -126,6 +126,54 @@
 	}
 }
 
+// fail answers a request with status 500.
+func fail(c net.Conn, q *fasthttp.Request) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 500 Failed\r\nKumquatlink-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", q.Header.Peek(kqwire.HeaderRequestID))
+}
+
+// requestSteadily sends n requests of the team limited one after the other, at most 50 a second, and
+// returns at the first answer with another status.
+func (h *host) requestSteadily(id string, n, want int) (result, bool) {
+	h.t.Helper()
+	pause := time.NewTicker(20 * time.Millisecond)
+	defer pause.Stop()
+	for i := range n {
+		<-pause.C
+		if got := h.requestAs("limited", fmt.Sprintf("%s-%d", id, i)); got.status != want {
+			return got, false
+		}
+	}
+	return result{}, true
+}
+
+// awaitSteady sends requests of the team limited until a home that knows all entries admits them.
+func (h *host) awaitSteady() {
+	h.t.Helper()
+	for i, begun := 0, time.Now(); ; i++ {
+		got, ok := h.requestSteadily(fmt.Sprintf("first-%d", i), 50, fasthttp.StatusOK)
+		if ok {
+			return
+		}
+		if time.Since(begun) > testTimeout {
+			h.t.Fatalf("request within the quota: got %+v, want 200", got)
+		}
+	}
+}
+
+// TestRequestWithoutAFurtherServerIsCountedTwice sends requests that fail at the one server
+// there is.
+func TestRequestWithoutAFurtherServerIsCountedTwice(t *testing.T) {
+	f := newFleet(t)
+	h := f.add("orders-1", "orders")
+	f.writeNamedTeams(kqroutes.Team{Name: "limited", Rate: 70, Burst: 70})
+	f.serveAll(h)
+	h.awaitSteady()
+	h.setAnswer(fail)
+	if got, ok := h.requestSteadily("failed", 250, fasthttp.StatusInternalServerError); !ok {
+		t.Errorf("request within the quota that one server has run: got %+v, want 500", got)
+	}
+}
+
 // quotaBound returns how many requests of a team may run in a time.
 func quotaBound(team kqroutes.Team, d time.Duration) int {
 	return int((team.Rate*d.Seconds()+team.Burst)*1.1) + 20
