Quotas: an entry without its home follows its last grant no longer than that is valid

Cause: an entry that holds its own share applied the last fraction of the home as well, for as long as the home was away. Besides, the share was used up by requests that the fraction refused. Found in review.

Ruled out: leaving the fraction out at once: a debt of the last seconds would be forgotten.

--- a/core/kqrate/meter.go
+++ b/core/kqrate/meter.go
@@ -278,18 +278,21 @@
 	}
 	s := m.states[t.home]
 	t.isShare = m.keepsShare(now, t, s)
-	if t.isShare {
-		v.IsShare = true
+	v.IsShare = t.isShare
+	fraction := v.Fraction
+	if t.isShare && v.Age > shareTime {
+		// A home that is lost may have granted nothing.
+		fraction = 1
+	}
+	if fraction < 1 {
+		t.credit = min(t.credit, 1) + fraction
+		v.Admitted = t.credit >= 1
+	}
+	if t.isShare && v.Admitted {
 		v.Admitted, v.RetryAfter = m.takeShare(now, t, s)
 	}
-	if v.Fraction < 1 {
-		t.credit += v.Fraction
-		if t.credit < 1 {
-			v.Admitted = false
-		} else if v.Admitted {
-			t.credit--
-		}
-		t.credit = min(t.credit, 1)
+	if fraction < 1 && v.Admitted {
+		t.credit--
 	}
 	if v.Admitted && !t.takeOwn(now) {
 		v.Admitted, v.RetryAfter = false, min(time.Duration((1-t.ownTokens)/t.quota.Rate*float64(time.Second)), maxReportTime)
--- a/core/kqrate/meter_test.go
+++ b/core/kqrate/meter_test.go
@@ -106,3 +106,28 @@
 		t.Errorf("demand of the team that the home knows: got %.1f requests a second, want %.0f", got, want)
 	}
 }
+
+// TestEntryWithoutItsHomeHoldsItsShare cuts an entry off from its home, which has limited
+// the team to a small part of its requests. The entry must still send its own share.
+func TestEntryWithoutItsHomeHoldsItsShare(t *testing.T) {
+	q := kqrate.Quota{Rate: 100, Burst: 100}
+	for _, fraction := range []float32{0, 0.1, 1} {
+		m := kqrate.NewMeter("node-0", 1)
+		m.SetHosts(0, []string{"node-0", "node-1"})
+		home := kqrate.ChooseHomes([]string{"node-0", "node-1"}).Of("team")
+		r, _ := m.Report(time.Second, home)
+		m.Receive(time.Second, home, r, kqrate.Answer{IsHome: true, Grants: []kqrate.Grant{{Team: "team", Fraction: fraction, Demand: 1000}}})
+		const from, until = 6 * time.Second, 16 * time.Second
+		got := 0
+		for now := from; now < until; now += 2 * time.Millisecond {
+			if m.Take(now, "team", q).Admitted {
+				got++
+			}
+		}
+		// Half of an even share between two nodes.
+		want := 250
+		if got < want*9/10 || got > want*11/10 {
+			t.Errorf("requests admitted in 10 s without a home that granted %g: got %d, want about %d", fraction, got, want)
+		}
+	}
+}
