--- a/core/kqrate/demand_test.go
+++ b/core/kqrate/demand_test.go
@@ -53,7 +53,7 @@
 	m.Take(now, "hot", kqrate.Quota{Rate: rate})
 	receive := func(grants ...kqrate.Grant) {
 		now += time.Second
-		m.Receive(now, home, m.Report(now, home), kqrate.Answer{IsHome: true, Grants: grants})
+		m.Receive(now, home, reportTo(m, now, home), kqrate.Answer{IsHome: true, Grants: grants})
 	}
 	receive(kqrate.Grant{Team: "hot", Fraction: 0.2, Demand: 5 * rate})
 	receive()
