Explaining a pick, the next verdict of a quota and the fit before a stop, without taking them

Cause: operators want to know where a request would go now. The decisions could only be seen by sending one.

Change: Table.Explain makes trial picks with Table.Pick itself and random bits of its own, and gives each upstream that none took the reason, from passOver, the function that isEligible now is made of. Meter.Preview decides on a copy of what is kept of a team, and Recent.WouldFit on a copy of a route's times.

Ruled out: a trace inside Pick, which adds branches to code that each call runs; rules written anew for the explanation.

--- a/core/kqdrain/kqdrain.go
+++ b/core/kqdrain/kqdrain.go
@@ -83,7 +83,23 @@
 func (r *Recent) Fits(now time.Duration, route string, timeLeft, remaining time.Duration) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if s := r.routes[route]; s != nil {
+	return r.routes[route].fits(now, timeLeft, remaining)
+}
+
+// WouldFit reports what Fits would, and changes nothing.
+func (r *Recent) WouldFit(now time.Duration, route string, timeLeft, remaining time.Duration) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	s := r.routes[route]
+	if s != nil {
+		trial := *s
+		s = &trial
+	}
+	return s.fits(now, timeLeft, remaining)
+}
+
+func (s *slowest) fits(now, timeLeft, remaining time.Duration) bool {
+	if s != nil {
 		s.advance(now)
 		if longest := max(s.current, s.former); longest > 0 {
 			timeLeft = min(timeLeft, max(time.Duration(headroom*float64(longest)), longest+minHeadroom))
--- a/core/kqdrain/kqdrain_test.go
+++ b/core/kqdrain/kqdrain_test.go
@@ -50,3 +50,25 @@
 		t.Error("route recorded last: got it forgotten, want it known")
 	}
 }
+
+// TestWouldFitChangesNothing asks one of two records when a period is over, which would
+// begin the next one earlier.
+func TestWouldFitChangesNothing(t *testing.T) {
+	const second = time.Second
+	plain, asked := kqdrain.New(), kqdrain.New()
+	for _, r := range []*kqdrain.Recent{plain, asked} {
+		r.Record(0, "buy", 2*second)
+		for range 1000 {
+			if r == asked {
+				r.WouldFit(25*second, "buy", 6*second, 3*second)
+			}
+		}
+		r.Record(26*second, "buy", 2*second)
+	}
+	now := 45*second + second/2
+	preview := asked.WouldFit(now, "buy", 6*second, 3*second)
+	got, want := asked.Fits(now, "buy", 6*second, 3*second), plain.Fits(now, "buy", 6*second, 3*second)
+	if !want || got != want || preview != want {
+		t.Errorf("request of the record that was asked: got %t and foretold %t, want %t and true", got, preview, want)
+	}
+}
--- a/core/kqrate/meter.go
+++ b/core/kqrate/meter.go
@@ -247,13 +247,19 @@
 func (m *Meter) team(now time.Duration, name string) *teamMeter {
 	t := m.teams[name]
 	if t == nil {
-		t = &teamMeter{name: name, home: m.homes.Of(name), usedAt: now, shareFilledAt: now}
-		t.credit = float64(hashOf(name)^m.phase) / (1 << 64)
+		t = m.newTeam(now, name)
 		m.teams[name] = t
 	}
 	return t
 }
 
+// newTeam returns what the entry keeps of a team before its first request.
+func (m *Meter) newTeam(now time.Duration, name string) *teamMeter {
+	t := &teamMeter{name: name, home: m.homes.Of(name), usedAt: now, shareFilledAt: now}
+	t.credit = float64(hashOf(name)^m.phase) / (1 << 64)
+	return t
+}
+
 // count marks that a team has requests to report.
 func (m *Meter) count(now time.Duration, t *teamMeter) {
 	if m.pending[t.name] == nil {
--- a/core/kqroute/upstream.go
+++ b/core/kqroute/upstream.go
@@ -258,22 +258,32 @@
 
 // isEligible reports whether the call may be sent to the upstream.
 func (u *Upstream) isEligible(info *PickInfo, ignoreEjection bool) bool {
-	if info.Now.UnixNano() < u.drainingUntil.Load() || info.Tried.Has(u) || !u.passesWarmup(info) {
-		return false
-	}
-	if u.Distance == OtherRegion && !info.Bandwidth.Available(u.Record.Region, info.Now) {
-		return false
-	}
-	if info.Usable != nil && !info.Usable(u) {
-		return false
-	}
-	if info.maxFailures > 0 && u.failures.value(info.Now.UnixNano()) >= info.maxFailures {
-		return false
-	}
-	if info.strict && (u.isAvoided(info.Now) || info.Avoid != nil && info.Avoid(u)) {
-		return false
+	return u.passOver(info, ignoreEjection) == Eligible
+}
+
+// passOver returns why the call may not be sent to the upstream, or Eligible.
+func (u *Upstream) passOver(info *PickInfo, ignoreEjection bool) Reason {
+	switch {
+	case info.Now.UnixNano() < u.drainingUntil.Load():
+		return Leaving
+	case info.Tried.Has(u):
+		return AlreadyTried
+	case !u.passesWarmup(info):
+		return Warming
+	case u.Distance == OtherRegion && !info.Bandwidth.Available(u.Record.Region, info.Now):
+		return NoBandwidth
+	case info.Usable != nil && !info.Usable(u):
+		return Unusable
+	case info.maxFailures > 0 && u.failures.value(info.Now.UnixNano()) >= info.maxFailures:
+		return Failing
+	case info.strict && u.isAvoided(info.Now):
+		return Slow
+	case info.strict && info.Avoid != nil && info.Avoid(u):
+		return Avoided
+	case !ignoreEjection && u.isEjected(info.Now) && !u.probeDue(info):
+		return Ejected
 	}
-	return ignoreEjection || !u.isEjected(info.Now) || u.probeDue(info)
+	return Eligible
 }
 
 // passesWarmup reports whether a warming upstream takes the call. The share of
