kumquatlink where: tells where a request would go now, and why, without sending it

Cause: logs tell what became of a request, and nothing told what would become of one.

Change: a mesh node answers /where at the address of its metrics. The control goroutine gives the state and which servers are known to leave; the rest goes through the functions that requests run through, of which the parts that count are split off: pickInfo, unusableFor, shedder.refuses, refuseUnfit, retryAfterOf, becomeRoot. Dialer.Usable and HoldsRateLimits no longer make an entry for an address that they are asked about.

Not told: what a gate on another host decides, onward calls, requests that are refused for their content or for want of memory. Nodes of kumquatlink node don't answer it.

Tests of where and of kqcli pass under the race detector, TestWhereOfRunningNodes 15 times. Each of four mutants (a random number drawn, a request counted, a wrong Retry-After twice) fails a test.

--- a/io/kqcli/kqcli.go
+++ b/io/kqcli/kqcli.go
@@ -67,6 +67,7 @@
 	Soak     soakCommand     `cmd:"" help:"Run nodes as processes, inject faults and check the guarantees to callers and backend servers."`
 	Slopes   slopesCommand   `cmd:"" help:"Measure what a node spends on control as the fleet grows."`
 	Explain  explainCommand  `cmd:"" help:"Explain the outcome of a request from the recent decisions of nodes."`
+	Where    whereCommand    `cmd:"" help:"Tell where a request would go now, and why, without sending it."`
 	Settings settingsCommand `cmd:"" help:"Check settings files."`
 	Docs     docsCommand     `cmd:"" help:"Generate documentation pages from the code."`
 	Identity identityCommand `cmd:"" help:"Issue certificates for the nodes of a trial from a new authority."`
--- a/io/kqcli/mesh.go
+++ b/io/kqcli/mesh.go
@@ -43,7 +43,7 @@
 const collectShare = 0.7
 
 type meshCommand struct {
-	MetricsPort int    `placeholder:"PORT" help:"TCP port on the address of the host at which metrics are served, at /metrics."`
+	MetricsPort int    `placeholder:"PORT" help:"TCP port on the address of the host at which metrics are served, at /metrics, and kumquatlink where is answered."`
 	Settings    string `placeholder:"FILE" help:"Settings file of the node: JSON if the name ends in .json, otherwise in the format of the platform. By default, the file that the platform names."`
 }
 
--- a/io/kqmesh/entry.go
+++ b/io/kqmesh/entry.go
@@ -182,7 +182,7 @@
 // An onward call takes them from the call for which it is made; any other
 // request is a root of its own, with the class and rank of its route.
 func (n *Node) inheritParent(q *call, came, timeLeft time.Duration) {
-	q.head.Root, q.head.Class, q.head.Rank = q.head.RequestID, q.route.Name, q.state.Routes.Rank(q.team, q.route)
+	q.becomeRoot()
 	p, found := n.gate.runs.AssignParent(came, q.route.Name, timeLeft)
 	if !found {
 		return
@@ -192,6 +192,11 @@
 	q.head.Depth, q.head.Repeat = p.Depth+1, p.Repeat
 }
 
+// becomeRoot makes the call a root of its own, with the class and rank of its route.
+func (q *call) becomeRoot() {
+	q.head.Root, q.head.Class, q.head.Rank = q.head.RequestID, q.route.Name, q.state.Routes.Rank(q.team, q.route)
+}
+
 // parseTimeLeft parses the caller's time limit, in milliseconds. Without a valid
 // one it returns the largest value, which limits nothing.
 func parseTimeLeft(text string) time.Duration {
@@ -271,17 +276,25 @@
 	if id := e.Request.Header.Peek(n.dialect.Headers.RequestID); len(id) > 0 {
 		r.Header.SetBytesV(n.dialect.Headers.RequestID, id)
 	}
-	if end.Outcome == kqcall.OutcomeNotRun && (r.StatusCode() == fasthttp.StatusServiceUnavailable || r.StatusCode() == fasthttp.StatusTooManyRequests) {
-		after := end.RetryAfter
-		if after <= 0 {
-			after = defaultRetryAfter
-		}
+	if after := retryAfterOf(o.head); after > 0 {
 		r.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	}
 	r.Header.SetContentType("text/plain")
 	r.SetBodyString(string(end.Outcome) + ": " + string(end.Cause) + "\n")
 }
 
+// retryAfterOf returns the Retry-After time of an answer, or 0 if it has none.
+func retryAfterOf(h kqtrunk.AnswerHead) time.Duration {
+	status := statusOf(h)
+	if h.End.Outcome != kqcall.OutcomeNotRun || status != fasthttp.StatusServiceUnavailable && status != fasthttp.StatusTooManyRequests {
+		return 0
+	}
+	if h.End.RetryAfter <= 0 {
+		return defaultRetryAfter
+	}
+	return h.End.RetryAfter
+}
+
 // statusOf returns the HTTP status of an answer. Status 503 is given only to
 // requests that were not run.
 func statusOf(h kqtrunk.AnswerHead) int {
--- a/io/kqmesh/kqmesh.go
+++ b/io/kqmesh/kqmesh.go
@@ -197,6 +197,8 @@
 	stated   *statedServers
 	quotas   *quotas
 	even     evenRouting
+	// asking has a value while a question of an operator is answered.
+	asking chan struct{}
 	// recentTimes holds how long the requests of callers have taken lately.
 	recentTimes *kqdrain.Recent
 
@@ -277,6 +279,7 @@
 	n.quotas = newQuotas(n)
 	n.shedder.shares.demandOf = n.quotas.demandOf
 	n.recentTimes = kqdrain.New()
+	n.asking = make(chan struct{}, 1)
 	n.callsCtx, n.giveUpCalls = context.WithCancelCause(context.Background())
 	n.control = newControl(n)
 	return n, nil
--- a/io/kqmesh/observe.go
+++ b/io/kqmesh/observe.go
@@ -90,6 +90,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(metricsPath, n.metrics.Handler())
+	mux.HandleFunc(PathWhere, n.handleWhere)
 	n.metricsServer = &http.Server{Handler: mux, ReadHeaderTimeout: metricsHeaderTime, WriteTimeout: metricsAnswerTime}
 	go func() {
 		if err := n.metricsServer.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/io/kqmesh/place.go
+++ b/io/kqmesh/place.go
@@ -50,10 +50,9 @@
 		if table == nil {
 			break
 		}
-		u := table.Pick(kqroute.PickInfo{
-			Now: now, Random: n.random(), Tried: tried, AllowOtherRegion: true, AllowProbe: !q.head.RunOnce, Usable: n.isUsable, Avoid: avoid,
-			Even: n.even.on.Load(),
-		})
+		info := n.pickInfo(q, now)
+		info.Random, info.Tried, info.Avoid = n.random(), tried, avoid
+		u := table.Pick(info)
 		u, q.head.HandBack = returned.choose(u, n.mayHandBack(table, now))
 		if u == nil {
 			break
@@ -103,6 +102,12 @@
 	return last
 }
 
+// pickInfo describes the first try of the call to the choice of upstreams, apart from
+// its random bits.
+func (n *Node) pickInfo(q *call, now time.Time) kqroute.PickInfo {
+	return kqroute.PickInfo{Now: now, AllowOtherRegion: true, AllowProbe: !q.head.RunOnce, Usable: n.isUsable, Even: n.even.on.Load()}
+}
+
 // withLatestUpstreams returns the latest state, but with the routes of s, by
 // which the call was routed.
 func (n *Node) withLatestUpstreams(s *State) *State {
@@ -114,10 +119,18 @@
 // isUsable reports whether the upstream is this node or its connection can be
 // used, and what its server has stated does not exclude it.
 func (n *Node) isUsable(u *kqroute.Upstream) bool {
-	if n.stated.excludes(u) {
-		return false
+	return n.unusableFor(u) == ""
+}
+
+// unusableFor returns why the upstream is not usable, or an empty text.
+func (n *Node) unusableFor(u *kqroute.Upstream) kqroute.Reason {
+	if r := n.stated.excludes(u); r != "" {
+		return r
+	}
+	if u.Record.NodeID != n.settings.NodeID && !n.dialer.Usable(u.Record.Address) {
+		return reasonLinkDown
 	}
-	return u.Record.NodeID == n.settings.NodeID || n.dialer.Usable(u.Record.Address)
+	return ""
 }
 
 // sendTo runs the call at the upstream's gate, which may be this node's own.
--- a/io/kqmesh/shed.go
+++ b/io/kqmesh/shed.go
@@ -40,14 +40,9 @@
 	if q.head.Depth > 0 {
 		s.recordOnwardCall(q)
 	}
-	if q.head.RunOnce {
-		return nil
-	}
-	level := levelOf(q.head)
-	c := kqshed.Call{Service: q.head.Service, Class: q.head.Class, Upstreams: len(upstreamsOf(q.state, q.head.Service)), Level: level, OnwardLevel: level}
 	now := s.node.clock()
 	s.mutex.Lock()
-	reason, refuses := s.table.Refuses(now, c)
+	reason, refuses := s.refuses(now, q)
 	var stale []string
 	if refuses {
 		stale = s.table.StaleServices(now)
@@ -60,6 +55,18 @@
 	return refusal(q.head, kqcall.CauseShedEntry, reason)
 }
 
+// refuses reports whether the call is refused before it is sent, and for which
+// threshold. The mutex is held.
+func (s *shedder) refuses(now time.Duration, q *call) (kqshed.Reason, bool) {
+	if q.head.RunOnce {
+		return kqshed.Reason{}, false
+	}
+	level := levelOf(q.head)
+	return s.table.Refuses(now, kqshed.Call{
+		Service: q.head.Service, Class: q.head.Class, Upstreams: len(upstreamsOf(q.state, q.head.Service)), Level: level, OnwardLevel: level,
+	})
+}
+
 // recordRun records that the backend server begins a call of the class.
 func (s *shedder) recordRun(class string) {
 	s.mutex.Lock()
--- a/io/kqmesh/shutdown.go
+++ b/io/kqmesh/shutdown.go
@@ -125,12 +125,17 @@
 // refuseLate refuses a request of a caller that may still be running when the node
 // ends. An onward call is not refused, since its parent runs already.
 func (n *Node) refuseLate(q *call) *callAnswer {
+	return n.refuseUnfit(q, n.recentTimes.Fits)
+}
+
+// refuseUnfit does so for a request that does not fit.
+func (n *Node) refuseUnfit(q *call, fits func(now time.Duration, route string, timeLeft, remaining time.Duration) bool) *callAnswer {
 	if !q.state.Leaving || q.parent != nil {
 		return nil
 	}
 	now := n.clock()
 	remaining := time.Duration(n.endsAt.Load()) - now
-	if n.recentTimes.Fits(now, q.head.Route, q.deadline.Sub(n.now()), remaining) {
+	if fits(now, q.head.Route, q.deadline.Sub(n.now()), remaining) {
 		return nil
 	}
 	q.detail = "node ends in " + remaining.String() + ": the request may take longer"
--- a/io/kqmesh/stated.go
+++ b/io/kqmesh/stated.go
@@ -117,22 +117,25 @@
 	return s != nil && s.said.Limited
 }
 
-// excludes reports whether no call may be sent to the upstream now.
-func (k *statedServers) excludes(u *kqroute.Upstream) bool {
+// excludes returns why no call may be sent to the upstream now, or an empty text.
+func (k *statedServers) excludes(u *kqroute.Upstream) kqroute.Reason {
 	s := k.of(u)
 	if s == nil {
-		return false
+		return ""
 	}
 	now := k.node.clock()
 	if s.said.Leaving && now-s.saidAt < leavingMemory {
-		return true
+		return reasonServerLeaves
 	}
 	if !s.said.Limited || k.node.holdsRateLimits(u) {
-		return false
+		return ""
 	}
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	return !s.share.Ready(now, s.said.Limit, k.node.State().entryCount())
+	if !s.share.Ready(now, s.said.Limit, k.node.State().entryCount()) {
+		return reasonServerLimit
+	}
+	return ""
 }
 
 // take uses up a turn of the upstream if this entry has to hold its limit. It
--- a/io/kqtrunk/dialer.go
+++ b/io/kqtrunk/dialer.go
@@ -79,11 +79,21 @@
 	return r
 }
 
+// known returns the route to the peer, or nil if no call was ever sent there.
+func (d *Dialer) known(address string) *route {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.routes[address]
+}
+
 // Usable reports whether a call to the peer is worth trying: the peer is
 // connected, or dialing it has failed less than twice in a row and no pause
 // before the next attempt is left.
 func (d *Dialer) Usable(address string) bool {
-	r := d.route(address)
+	r := d.known(address)
+	if r == nil {
+		return true
+	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.trunk != nil && r.trunk.acceptsCalls() {
@@ -103,7 +113,10 @@
 // HoldsRateLimits reports whether the peer is known to be a node whose gate holds
 // the limit on requests a second that its backend server names.
 func (d *Dialer) HoldsRateLimits(address string) bool {
-	r := d.route(address)
+	r := d.known(address)
+	if r == nil {
+		return false
+	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	return r.trunk != nil && r.trunk.acceptsCalls() && r.trunk.version.Load() >= versionRateLimit
