Fair shares: a curve keeps up with reports that come together

All entries hear of a home at the same moment, when the store tells of its record, report at once, and then once a period: together. The demands that a home estimates so rise and fall by a factor of two in 0.57 s. A curve is up to 200 ms old, so that the answers of such a burst had a curve of its first report, at 0.46 of the demands, and demands of their own time, at 0.71.

The home keeps an estimate of the demand of all teams, and scales the curve by its change since the curve was computed. The test's bound is 0.05. Curves are computed as often as before (TestCurveIsComputedForEachReport).

Ruled out: reports at random phases, which spread the home's work as well.

--- a/core/kqrate/fairness_test.go
+++ b/core/kqrate/fairness_test.go
@@ -69,3 +69,22 @@
 		}
 	}
 }
+
+// TestSharesOfEntriesThatBeganTogether has all entries hear of the home at the same moment,
+// and checks what teams near the limit get.
+func TestSharesOfEntriesThatBeganTogether(t *testing.T) {
+	for seed := range uint64(3) {
+		w, r := newFairWorld(seed), rand.New(rand.NewPCG(seed, 12))
+		w.run(6 * time.Second)
+		var got, want float64
+		const steps = 20
+		for range steps {
+			w.run(w.now + 100*time.Millisecond)
+			g, x := w.shares(r, 3, 7)
+			got, want = got+g/steps, want+x/steps
+		}
+		if math.Abs(got-want) > 0.05 {
+			t.Errorf("seed %d: share of teams 3 to 7: got %.3f, want %.3f", seed, got, want)
+		}
+	}
+}
--- a/core/kqrate/quota.go
+++ b/core/kqrate/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -41,6 +42,9 @@
 	// curveTime is how long a curve of the teams' demands is sent before it is computed
 	// again.
 	curveTime = 200 * time.Millisecond
+	// curveTolerance is the part by which the demand of all teams may have changed
+	// since the curve was computed without a change of the curve.
+	curveTolerance = 0.01
 	// forgetTime is how long a team without requests is kept.
 	forgetTime = 30 * time.Second
 )
@@ -136,9 +140,12 @@
 	skipUntil  time.Duration
 	sweptAt    time.Duration
 	isBegun    bool
-	// curve is what CurveOf returned at curveAt, or nil.
-	curve   []float32
-	curveAt time.Duration
+	// total is the demand of all teams, and curveTotal what it was at curveAt, when CurveOf
+	// returned curve, or nil.
+	total      estimate
+	curve      []float32
+	curveAt    time.Duration
+	curveTotal float64
 }
 
 // LimitChange is the begin or the end of a time in which a team is limited.
@@ -191,7 +198,7 @@
 	if answer.Young {
 		share = min(share, youngShare)
 	}
-	reported := make(map[string]bool, len(r.Uses))
+	reported, asked := make(map[string]bool, len(r.Uses)), 0
 	for _, u := range r.Uses {
 		q, known := v.QuotaOf(u.Team)
 		if !known || !v.IsHomeOf(u.Team) {
@@ -208,6 +215,7 @@
 		a.usedAt = now
 		a.tokens = min(a.tokens-float64(u.Admitted), a.size(share))
 		a.demand.add(now, float64(max(u.Asked, 0)), period)
+		asked += max(u.Asked, 0)
 		reported[u.Team] = true
 		g := a.grant(now, u.Team, share)
 		h.noteLimit(now, a, g)
@@ -215,18 +223,30 @@
 	}
 	answer.Grants = append(answer.Grants, h.limited(now, v, share, reported)...)
 	if h.CurveOf != nil {
+		h.total.add(now, float64(asked), period)
 		answer.Curve = h.latestCurve(now, share)
 	}
 	return answer
 }
 
-// latestCurve returns the curve of the teams' demands, at most curveTime old. It takes
-// time in proportion to the number of teams, so it is not computed for each report.
+// latestCurve returns the curve of the teams' demands. It takes time in proportion to the
+// number of teams, so it is not computed for each report. Reports of many entries may
+// come together, so that all demands rise by much within curveTime; a curve rises with them.
 func (h *Home) latestCurve(now time.Duration, share float64) []float32 {
+	total := h.total.rate(now)
 	if h.curve == nil || now-h.curveAt >= curveTime {
-		h.curve, h.curveAt = h.CurveOf(h.demands(now, share)), now
+		h.curve, h.curveAt, h.curveTotal = h.CurveOf(h.demands(now, share)), now, total
+		return h.curve
 	}
-	return h.curve
+	ratio := total / h.curveTotal
+	if math.Abs(ratio-1) <= curveTolerance || h.curveTotal == 0 {
+		return h.curve
+	}
+	scaled := make([]float32, len(h.curve))
+	for i, x := range h.curve {
+		scaled[i] = x * float32(ratio)
+	}
+	return scaled
 }
 
 // begin forgets unused bursts, since another home may have granted them. The first
@@ -234,6 +254,7 @@
 func (h *Home) begin(now, period time.Duration) {
 	h.isBegun, h.begunAt = true, now
 	clear(h.heard)
+	h.total = estimate{}
 	for _, a := range h.accounts {
 		a.reset(now - period)
 	}
