--- a/core/kqrate/quota_test.go
+++ b/core/kqrate/quota_test.go
@@ -267,6 +267,7 @@
 func reportTo(m *kqrate.Meter, now time.Duration, home string) kqrate.Report {
 	r, _ := m.Report(now, home)
 	return r
+}
 
 // TestHomeOfASmallFleetIsCutOff cuts off the home of a team in fleets so small that it
 // still hears of a large part of the nodes. The team's callers use the others, and send
