Quotas: a node whose record is gone is no home in its own view either

The backend server beside licensing-3 was gone, so the others left the node out when they chose homes; it always counted itself, and granted its callers a quota of its own. All nodes now go by the same records.

--- a/io/kqmesh/export_test.go
+++ b/io/kqmesh/export_test.go
@@ -12,3 +12,6 @@
 func (n *Node) Queued() int {
 	return n.gate.load().Queued
 }
+
+// HomeHosts is homeHosts, for tests.
+var HomeHosts = homeHosts
--- a/io/kqmesh/quota.go
+++ b/io/kqmesh/quota.go
@@ -164,14 +164,8 @@
 // follow takes over the hosts and the configuration of a state. The mutex is held.
 func (k *quotas) follow(s *State) {
 	if k.byName == nil || s.HostsDigest != k.hostsDigest {
-		names := []string{k.node.settings.NodeID}
-		for name, h := range s.Hosts {
-			if h.Life != kqmember.LifeGone && name != k.node.settings.NodeID {
-				names = append(names, name)
-			}
-		}
 		k.hostsDigest = s.HostsDigest
-		k.meter.SetHosts(k.node.clock(), names)
+		k.meter.SetHosts(k.node.clock(), homeHosts(s.Hosts, k.node.settings.NodeID))
 	}
 	if k.byName != nil && k.table == s.Routes {
 		return
@@ -185,6 +179,22 @@
 	}
 }
 
+// homeHosts returns the node IDs of the hosts among which homes are chosen: those whose
+// records do not say Gone. A node goes by its own record as the others do, since two
+// homes would each grant the whole quota. A node that knows none has itself alone.
+func homeHosts(hosts map[string]HostRecord, self string) []string {
+	var names []string
+	for name, h := range hosts {
+		if h.Life != kqmember.LifeGone {
+			names = append(names, name)
+		}
+	}
+	if len(names) == 0 {
+		return []string{self}
+	}
+	return names
+}
+
 // report sends a report to a home in the background.
 func (k *quotas) report(home string) {
 	k.mutex.Lock()
--- a/io/kqmesh/quota_test.go
+++ b/io/kqmesh/quota_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"kumquatlink/core/kqmember"
 	"kumquatlink/core/kqroutes"
 	"kumquatlink/io/kqmesh"
 	"kumquatlink/io/kqwire"
@@ -178,3 +180,24 @@
 func quotaBound(team kqroutes.Team, d time.Duration) int {
 	return int((team.Rate*d.Seconds()+team.Burst)*1.1) + 20
 }
+
+// TestNodesChooseTheSameHomes checks the hosts among which nodes choose homes, that of a
+// node whose own record is gone or unknown as well.
+func TestNodesChooseTheSameHomes(t *testing.T) {
+	hosts := map[string]kqmesh.HostRecord{}
+	for name, life := range map[string]kqmember.Life{"a": kqmember.LifeServing, "b": kqmember.LifeDraining, "c": kqmember.LifeGone} {
+		r := kqmesh.HostRecord{NodeID: name}
+		r.Life = life
+		hosts[name] = r
+	}
+	for _, self := range []string{"a", "b", "c", "unknown"} {
+		got := kqmesh.HomeHosts(hosts, self)
+		slices.Sort(got)
+		if want := []string{"a", "b"}; !slices.Equal(got, want) {
+			t.Errorf("hosts among which %s chooses homes: got %v, want %v", self, got, want)
+		}
+	}
+	if got, want := kqmesh.HomeHosts(nil, "a"), []string{"a"}; !slices.Equal(got, want) {
+		t.Errorf("hosts among which a node that knows none chooses homes: got %v, want %v", got, want)
+	}
+}
