--- a/review/rig2/caller.go
+++ b/review/rig2/caller.go
@@ -17,7 +17,7 @@
 	Deadline string
 }
 
-// Head returns the bytes of the request.
+// Bytes returns the bytes of the request.
 func (r Request) Bytes() string {
 	lines := []string{r.Method + " " + r.Path + " HTTP/1.1", "Host: " + r.Host, Name("request") + ": " + r.ID, Name("deadline") + ": " + r.Deadline}
 	if r.Key != "" {
@@ -38,6 +38,7 @@
 	}
 	defer func() { _ = c.Close() }()
 	_ = c.SetDeadline(time.Now().Add(wait))
+	n.fleet.Record.Printf("caller at %s sends %s %s%s, %s", n.Name, r.Method, r.Host, r.Path, r.ID)
 	if _, err := io.WriteString(c, r.Bytes()); err != nil {
 		return 0, nil, nil
 	}
