Dial peers that calls want again after two failed attempts

Cause: Dialer.Usable was false for a peer that could not be dialed twice in a row, also after the pause; no call is sent to such a peer, and only a call dialed it. Watchers had the same gap: their updates use connections that something else has made.

Usable now dials such a peer in the background when the pause is over, and watchers dial the nodes that they send updates to. Only the first two failures in a row are logged, as a peer may stay away for long.

Ruled out: ejection of upstreams (ends after 10 s), the dialer's breaker (permits an attempt after 2 s at the latest, none was made), records (right).

--- a/io/kqmesh/news.go
+++ b/io/kqmesh/news.go
@@ -164,6 +164,11 @@
 		if h.FailureDomain != n.settings.FailureDomain || name == n.settings.NodeID {
 			continue
 		}
+		// Without this a peer that could not be dialed when its record changed would
+		// get no updates until its next change.
+		if h.Life != kqmember.LifeGone {
+			n.dialer.Warm(h.Address)
+		}
 		// A peer that is not connected, or does not read, gets no updates and
 		// starts to watch the store itself.
 		if err := n.pool.Submit(func() { _ = n.dialer.SendUpdate(h.Address, payload) }); err != nil {
--- a/io/kqmesh/quotafault_test.go
+++ b/io/kqmesh/quotafault_test.go
@@ -147,27 +147,35 @@
 	refused atomic.Int64
 }
 
+// addBehindLink starts a host that other nodes reach over a link.
+func (f *fleet) addBehindLink(name, service string) (*host, *link) {
+	f.t.Helper()
+	h := &host{backend: newBackend(f.t, "i-"+name), store: kqstore.NewHTTP(f.store.Address())}
+	l := newLink(f.t)
+	f.startOnFreeAddresses(h, func() {
+		h.settings = f.settingsOf(h, "south", name, service)
+		h.settings.PeerAddress = address(f.t)
+		h.settings.AdvertisedAddress = l.listener.Addr().String()
+		l.target.Store(h.settings.PeerAddress)
+	})
+	f.hosts[name] = h
+	return h, l
+}
+
 func startQuotaFleet(t *testing.T) *quotaFleet {
 	t.Helper()
 	f := &quotaFleet{fleet: newFleet(t), names: []string{"orders-1", "orders-2", "orders-3"}, links: map[string]*link{}}
 	f.team = kqroutes.Team{Name: "limited", Keys: []string{"limited"}, Rate: 60, Burst: 60}
 	var hosts []*host
 	for _, name := range f.names {
-		h := &host{backend: newBackend(t, "i-"+name), store: kqstore.NewHTTP(f.store.Address())}
-		l := newLink(t)
-		f.startOnFreeAddresses(h, func() {
-			h.settings = f.settingsOf(h, "south", name, "orders")
-			h.settings.PeerAddress = address(t)
-			h.settings.AdvertisedAddress = l.listener.Addr().String()
-			l.target.Store(h.settings.PeerAddress)
-		})
+		h, l := f.addBehindLink(name, "orders")
 		h.setAnswer(func(c net.Conn, q *fasthttp.Request) {
 			f.mutex.Lock()
 			f.runs = append(f.runs, time.Now())
 			f.mutex.Unlock()
 			echo(c, q)
 		})
-		f.hosts[name], f.links[name] = h, l
+		f.links[name] = l
 		hosts = append(hosts, h)
 	}
 	f.writeNamedTeams(f.team)
--- a/io/kqtrunk/dialer.go
+++ b/io/kqtrunk/dialer.go
@@ -15,6 +15,9 @@
 // redialBackoff bounds the pause between failed attempts to connect to a peer.
 var redialBackoff = kqbackoff.Pause{First: 200 * time.Millisecond, Max: 2 * time.Second}
 
+// reportedFailures is how many failed attempts in a row are reported.
+const reportedFailures = 2
+
 // Dialer makes and keeps the connections of this node to its peers. Peers are
 // named by their TCP address. It is safe for concurrent use.
 type Dialer struct {
@@ -88,7 +91,9 @@
 
 // Usable reports whether a call to the peer is worth trying: the peer is
 // connected, or dialing it has failed less than twice in a row and no pause
-// before the next attempt is left.
+// before the next attempt is left. Calls are not sent to a peer that is not
+// usable, so Usable itself has it dialed again, in the background, whenever the
+// pause is over.
 func (d *Dialer) Usable(address string) bool {
 	r := d.known(address)
 	if r == nil {
@@ -99,7 +104,11 @@
 	if r.trunk != nil && r.trunk.acceptsCalls() {
 		return true
 	}
-	return r.breaker.WaitTime(time.Now()) == 0 && r.breaker.Failures() < 2
+	if r.breaker.Failures() < 2 {
+		return r.breaker.WaitTime(time.Now()) == 0
+	}
+	d.warm(r)
+	return false
 }
 
 // Connected reports whether a connection to the peer is open and takes calls.
@@ -128,6 +137,11 @@
 	r := d.route(address)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	d.warm(r)
+}
+
+// warm is Warm for a route whose mutex the caller holds.
+func (d *Dialer) warm(r *route) {
 	if r.trunk != nil && r.trunk.acceptsCalls() || r.dialing != nil || r.breaker.WaitTime(time.Now()) > 0 {
 		return
 	}
@@ -155,7 +169,10 @@
 		r.failed = err
 		if err != nil {
 			r.breaker.RecordFailure(time.Now(), rand.Float64())
-			d.reportChange(r.address, false, err)
+			// A peer that stays away is dialed for as long as it is wanted.
+			if r.breaker.Failures() <= reportedFailures {
+				d.reportChange(r.address, false, err)
+			}
 			return
 		}
 		r.breaker.RecordSuccess()
