Put acknowledged routes in force whatever bound of ours they exceed

Cause: Document.Check called ranks over 255 a fault, and the node refused a document with any fault whole, after the operator had the acknowledgement. Each other bound of ours did the same: names and keys of teams, their numbers, timeouts, attempts, weights, services that aren't listed, and forms of numbers that a Go int does not take.

A table is made of any document now and has the nearest usable value where Check finds a fault. Ranks keep their order in the 256 that levels distinguish. A route without a service, and a team whose name no header field can hold, get 503.

Ruled out: watches and updates, since the same version with priority 200 is in force.

Tests changed: TestOlderAndInvalidRoutesAreRefused wanted the refusal that is the fault. In its place TestOlderAndUnreadableRoutesAreRefused wants the version in force and the fault logged; older and unreadable routes are refused as before.

--- a/core/kqroutes/kqroutes.go
+++ b/core/kqroutes/kqroutes.go
@@ -5,10 +5,12 @@
 // # Usage
 //
 // A [Document] is one version of everything that operators configure about routes.
-// [Document.Check] lists every fault of it, and [NewTable] turns a checked one
-// into the immutable [Table] that finds the route and the [Team] of a request:
+// [NewTable] turns it into the immutable [Table] that finds the route and the [Team]
+// of a request. [Document.Check] lists what the table can't apply as it is written;
+// such a part is replaced or refuses its requests, and never keeps the rest from being
+// in force:
 //
-//	if faults := document.Check(); len(faults) > 0 { ... }
+//	for _, fault := range document.Check() { ... }
 //	table := kqroutes.NewTable(document)
 //	route, found := table.Find("shop.example", "/voices/12")
 //	service := route.ServiceFor(requestID)
@@ -30,9 +32,14 @@
 	"kumquatlink/core/kqclass"
 )
 
-// maxRank is the largest rank of a route, which is also the largest that
-// kqadmit distinguishes.
-const maxRank = 255
+// Bounds of what a table takes from a document.
+const (
+	// unlimitedTimeout is the timeout of a route that names none. Callers' own
+	// deadlines are shorter.
+	unlimitedTimeout = kqclass.Duration(24 * time.Hour)
+	// maxWeight keeps the sum of the weights of a route from overflowing.
+	maxWeight = 1 << 40
+)
 
 // Part is a service and its share of a route's requests.
 type Part struct {
@@ -59,7 +66,7 @@
 	Target kqclass.Duration
 	// MaxAttempts is how many backend servers one request may be sent to.
 	MaxAttempts int
-	// Rank is the importance; 0 is the most important.
+	// Rank is the importance; 0 is the most important. There is no largest rank.
 	Rank int
 	// Public is set if requests need no key of a team.
 	Public bool `json:",omitempty"`
@@ -125,7 +132,8 @@
 	return d.Version > current
 }
 
-// Check returns every fault of the document.
+// Check returns every fault of the document: what a [Table] of it does not apply as it
+// is written.
 func (d Document) Check() []kqclass.Fault {
 	var faults []kqclass.Fault
 	services := map[string]bool{}
@@ -136,7 +144,7 @@
 	for i, r := range d.Routes {
 		field := fmt.Sprintf("Routes[%d]", i)
 		faults = append(faults, r.check(field, services)...)
-		key := [2]string{r.Host, r.Prefix}
+		key := [2]string{strings.ToLower(r.Host), r.Prefix}
 		if first, taken := indexes[key]; taken {
 			faults = append(faults, fault(field+".Prefix", r.Prefix, fmt.Sprintf("a host and prefix other than those of Routes[%d]", first)))
 			continue
@@ -163,8 +171,8 @@
 	if r.MaxAttempts < 1 {
 		faults = append(faults, fault(field+".MaxAttempts", r.MaxAttempts, "at least 1"))
 	}
-	if r.Rank < 0 || r.Rank > maxRank {
-		faults = append(faults, fault(field+".Rank", r.Rank, fmt.Sprintf("0 to %d", maxRank)))
+	if r.Rank < 0 {
+		faults = append(faults, fault(field+".Rank", r.Rank, "at least 0"))
 	}
 	if len(r.Parts) == 0 {
 		faults = append(faults, fault(field+".Parts", "empty", "at least one service"))
@@ -189,23 +197,54 @@
 	return kqclass.Fault{Field: field, Value: fmt.Sprintf("%q", fmt.Sprint(value)), Expect: expect}
 }
 
+// usable returns the route with values that requests can be handled by. A route
+// without a service stays, so that its requests are refused and not sent to the service
+// of a shorter prefix.
+func (r Route) usable() Route {
+	if r.Timeout <= 0 {
+		r.Timeout = unlimitedTimeout
+	}
+	r.Target, r.MaxAttempts, r.Rank = max(r.Target, 0), max(r.MaxAttempts, 1), max(r.Rank, 0)
+	r.Parts = slices.Clone(r.Parts)
+	total := 0
+	for i := range r.Parts {
+		r.Parts[i].Weight = min(max(r.Parts[i].Weight, 0), maxWeight)
+		total += r.Parts[i].Weight
+	}
+	if total == 0 {
+		r.Parts = []Part{{Weight: 1}}
+	}
+	return r
+}
+
+// usable returns the limits without negative ones, which bound nothing.
+func (l Limits) usable() Limits {
+	return Limits{HeaderBytes: max(l.HeaderBytes, 0), BodyBytes: max(l.BodyBytes, 0), HeaderTime: max(l.HeaderTime, 0), IdleTime: max(l.IdleTime, 0)}
+}
+
 // Table finds the route of a request. It is immutable.
 type Table struct {
 	document Document
 	hosts    map[string][]*Route
 	services map[string]Service
-	teams    teamIndex
+	teams    map[keyDigest]*Team
+	ranking  ranking
 }
 
-// NewTable returns a table of a document that Check found no fault in.
+// NewTable returns a table of a document. Where Check finds a fault, the table has the
+// nearest usable value: of two routes with the same host and prefix it uses the first,
+// and a route without a service refuses its requests.
 func NewTable(d Document) *Table {
-	t := &Table{document: d, hosts: map[string][]*Route{}, services: map[string]Service{}}
-	t.teams = newTeamIndex(&t.document)
+	d.Limits, d.Routes = d.Limits.usable(), slices.Clone(d.Routes)
+	t := &Table{hosts: map[string][]*Route{}, services: map[string]Service{}}
+	d.Teams, t.teams = indexTeams(d.Teams)
 	for i := range d.Routes {
+		d.Routes[i] = d.Routes[i].usable()
 		r := &d.Routes[i]
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
 	}
+	t.document, t.ranking = d, newRanking(d)
 	for _, list := range t.hosts {
 		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
@@ -215,7 +254,8 @@
 	return t
 }
 
-// Document returns the document of the table. The caller must not change it.
+// Document returns the document of the table, with the values that the table uses and
+// without keys. The caller must not change it.
 func (t *Table) Document() *Document { return &t.document }
 
 // Service returns the configuration of a service, and whether the document
--- a/core/kqroutes/team.go
+++ b/core/kqroutes/team.go
@@ -5,18 +5,11 @@
 	"fmt"
 	"math"
 	"slices"
+	"strings"
 
 	"kumquatlink/core/kqclass"
 )
 
-// Bounds of what a document may say about teams.
-const (
-	MaxTeams         = 20_000
-	MaxKeysOfTeam    = 1024
-	MaxKeyBytes      = 512
-	MaxTeamNameBytes = 128
-)
-
 // Team is a group of callers that share keys, an importance and a quota.
 type Team struct {
 	Name string
@@ -37,14 +30,20 @@
 	return t.Rate > 0
 }
 
+// CanBeNamed reports whether backend servers can be told the name of the team in a
+// header field. Otherwise its requests must not be sent to them.
+func (t *Team) CanBeNamed() bool {
+	return t.Name != "" && isFieldValue(t.Name)
+}
+
 // check returns the faults of a team, without those of its keys.
 func (t *Team) check(field string) []kqclass.Fault {
 	var faults []kqclass.Fault
-	if t.Name == "" || len(t.Name) > MaxTeamNameBytes || !isVisible(t.Name) {
-		faults = append(faults, fault(field+".Name", t.Name, fmt.Sprintf("1 to %d visible characters", MaxTeamNameBytes)))
+	if !t.CanBeNamed() {
+		faults = append(faults, fault(field+".Name", t.Name, "a name without control characters"))
 	}
-	if t.Rank < 0 || t.Rank > maxRank {
-		faults = append(faults, fault(field+".Rank", t.Rank, fmt.Sprintf("0 to %d", maxRank)))
+	if t.Rank < 0 {
+		faults = append(faults, fault(field+".Rank", t.Rank, "at least 0"))
 	}
 	if !isQuantity(t.Rate) {
 		faults = append(faults, fault(field+".Rate", t.Rate, "a number of at least 0"))
@@ -52,9 +51,6 @@
 	if !isQuantity(t.Burst) {
 		faults = append(faults, fault(field+".Burst", t.Burst, "a number of at least 0"))
 	}
-	if len(t.Keys) > MaxKeysOfTeam {
-		faults = append(faults, fault(field+".Keys", len(t.Keys), fmt.Sprintf("at most %d", MaxKeysOfTeam)))
-	}
 	return faults
 }
 
@@ -62,9 +58,6 @@
 // position, never the key.
 func (d Document) checkTeams() []kqclass.Fault {
 	var faults []kqclass.Fault
-	if len(d.Teams) > MaxTeams {
-		return []kqclass.Fault{fault("Teams", len(d.Teams), fmt.Sprintf("at most %d", MaxTeams))}
-	}
 	names, holders := map[string]int{}, map[string]int{}
 	for i := range d.Teams {
 		t := &d.Teams[i]
@@ -76,8 +69,8 @@
 		names[t.Name] = i
 		for j, key := range t.Keys {
 			keyField := fmt.Sprintf("%s.Keys[%d]", field, j)
-			if key == "" || len(key) > MaxKeyBytes || !isVisible(key) {
-				faults = append(faults, fault(keyField, fmt.Sprintf("%d bytes", len(key)), fmt.Sprintf("1 to %d visible characters", MaxKeyBytes)))
+			if trimBlanks(key) == "" || !isFieldValue(key) {
+				faults = append(faults, fault(keyField, fmt.Sprintf("%d bytes", len(key)), "a key without control characters"))
 				continue
 			}
 			if holder, taken := holders[key]; taken && holder != i {
@@ -89,10 +82,15 @@
 	return faults
 }
 
-// isVisible reports whether a text consists of visible ASCII characters, as the value
-// of a header field may.
-func isVisible(text string) bool {
-	return !slices.ContainsFunc([]byte(text), func(b byte) bool { return b <= ' ' || b > '~' })
+// isFieldValue reports whether a text can be the value of a header field, blanks around
+// it aside (RFC 9110, section 5.5).
+func isFieldValue(text string) bool {
+	return !slices.ContainsFunc([]byte(text), func(b byte) bool { return b < ' ' && b != '\t' || b == 0x7f })
+}
+
+// trimBlanks returns a key as readers of header fields return it.
+func trimBlanks(key string) string {
+	return strings.Trim(key, " \t")
 }
 
 // isQuantity reports whether a number is finite and not negative.
@@ -104,33 +102,34 @@
 // time that takes tells nothing about the keys that exist.
 type keyDigest [sha256.Size]byte
 
-// teamIndex finds teams by key, and ranks by team and route.
-type teamIndex struct {
-	byKey map[keyDigest]*Team
-	// teamRanks and routeRanks are the distinct ranks in use, in ascending order.
-	teamRanks  []int
-	routeRanks []int
-}
-
-// newTeamIndex indexes the teams of a document, and removes the keys from them.
-func newTeamIndex(d *Document) teamIndex {
-	x := teamIndex{byKey: map[keyDigest]*Team{}}
-	d.Teams = slices.Clone(d.Teams)
-	for i := range d.Teams {
-		t := &d.Teams[i]
-		for _, key := range t.Keys {
-			x.byKey[sha256.Sum256([]byte(key))] = t
+// indexTeams returns the teams without their keys, and the teams by key. Entries with the
+// same name are one team, the first of them, and a key belongs to the first team that
+// lists it.
+func indexTeams(teams []Team) ([]Team, map[keyDigest]*Team) {
+	teams = slices.Clone(teams)
+	byName, byKey := map[string]*Team{}, map[keyDigest]*Team{}
+	for i := range teams {
+		t := &teams[i]
+		keys := t.Keys
+		t.Keys, t.Rank = nil, max(t.Rank, 0)
+		if !isQuantity(t.Rate) {
+			t.Rate = 0
+		}
+		if !isQuantity(t.Burst) {
+			t.Burst = 0
+		}
+		if first, found := byName[t.Name]; found {
+			t = first
+		}
+		byName[t.Name] = t
+		for _, key := range keys {
+			digest := keyDigest(sha256.Sum256([]byte(trimBlanks(key))))
+			if _, taken := byKey[digest]; !taken && trimBlanks(key) != "" {
+				byKey[digest] = t
+			}
 		}
-		t.Keys = nil
-		x.teamRanks = append(x.teamRanks, t.Rank)
-	}
-	for _, r := range d.Routes {
-		x.routeRanks = append(x.routeRanks, r.Rank)
 	}
-	slices.Sort(x.teamRanks)
-	slices.Sort(x.routeRanks)
-	x.teamRanks, x.routeRanks = slices.Compact(x.teamRanks), slices.Compact(x.routeRanks)
-	return x
+	return teams, byKey
 }
 
 // HasTeams reports whether the document has teams, so that requests of routes that
@@ -142,22 +141,6 @@
 // Team returns the team that holds a key, and whether there is one. The team has no
 // keys; the caller must not change it.
 func (t *Table) Team(key []byte) (*Team, bool) {
-	team, found := t.teams.byKey[sha256.Sum256(key)]
+	team, found := t.teams[sha256.Sum256(key)]
 	return team, found
 }
-
-// Rank returns the importance of a request of a team on a route: first that of the
-// team, then that of the route. The team is nil for a request without one, which
-// counts as one of the most important team.
-func (t *Table) Rank(team *Team, route *Route) int {
-	if !t.HasTeams() {
-		return route.Rank
-	}
-	teamRank := t.teams.teamRanks[0]
-	if team != nil {
-		teamRank = team.Rank
-	}
-	i, _ := slices.BinarySearch(t.teams.teamRanks, teamRank)
-	j, _ := slices.BinarySearch(t.teams.routeRanks, route.Rank)
-	return min(i*len(t.teams.routeRanks)+j, maxRank)
-}
--- a/io/kqmesh/control.go
+++ b/io/kqmesh/control.go
@@ -208,7 +208,7 @@
 	if c.state.Routes != nil {
 		heldVersion = c.state.Routes.Document().Version
 	}
-	if !e.document.Newer(heldVersion) {
+	if c.state.Routes != nil && !e.document.Newer(heldVersion) {
 		if e.document.Version < heldVersion || !bytes.Equal(e.text, c.state.RoutesText) {
 			c.node.logEvent(eventRoutesRefused, fmt.Sprintf("routes of version %d from %s are refused: version %d is in force", e.document.Version, e.source, heldVersion), nil,
 				kqlog.Number(fieldRoutes, e.document.Version), kqlog.Number(fieldFormer, heldVersion), kqlog.Text(fieldSource, e.source))
@@ -217,6 +217,10 @@
 	}
 	c.state.Routes = kqroutes.NewTable(e.document)
 	c.state.RoutesText = e.text
+	if faults := e.document.Check(); len(faults) > 0 {
+		c.node.logEvent(eventRoutesFaulty, fmt.Sprintf("routes of version %d from %s are in force but for %d faults, the first: %s", e.document.Version, e.source, len(faults), faults[0]), nil,
+			kqlog.Number(fieldRoutes, e.document.Version), kqlog.Text(fieldSource, e.source), kqlog.Text("Detail", faults[0].String()))
+	}
 	if heldVersion > 0 {
 		c.announceRoutes(e.document.Version, e.source == sourceStore)
 	}
--- a/io/kqmesh/entry.go
+++ b/io/kqmesh/entry.go
@@ -154,6 +154,10 @@
 	if !q.identifyTeam(h.Peek(n.dialect.Headers.Key)) {
 		return q, endOnly(n.endOfUnknownKey())
 	}
+	if q.team != nil && !q.team.CanBeNamed() {
+		q.detail = "the name of the team can't be sent to backend servers"
+		return q, endOnly(kqcall.NotRun(kqcall.CauseNoConfiguration))
+	}
 	q.head.Service = route.ServiceFor(q.head.RequestID)
 	q.head.RunOnce = route.RunOnce
 	timeLeft := parseTimeLeft(string(h.Peek(n.dialect.Headers.Deadline)))
--- a/io/kqmesh/events.go
+++ b/io/kqmesh/events.go
@@ -122,7 +122,7 @@
 	eventRoutesAnnounced:     {Name: "RoutesAnnounced", Level: zerolog.InfoLevel, Description: "The node tells nodes of other failure domains, or of its own, that it has newer routes.", Fields: []string{fieldRoutes, fieldHosts}},
 	eventNotAnnounced:        {Name: "NotAnnounced", Level: zerolog.DebugLevel, Description: "A node could not be told of newer routes.", Fields: []string{fieldPeer, fieldRoutes}},
 	eventRoutesUnreadable:    {Name: "RoutesUnreadable", Level: zerolog.ErrorLevel, Description: "Routes that were offered can't be decoded.", Fields: []string{fieldSource}},
-	eventRoutesFaulty:        {Name: "RoutesFaulty", Level: zerolog.ErrorLevel, Description: "Routes that were offered are invalid; Detail holds the first fault.", Fields: []string{fieldSource, "Detail"}},
+	eventRoutesFaulty:        {Name: "RoutesFaulty", Level: zerolog.ErrorLevel, Description: "Routes that come into force have parts that can't be applied as written; Detail holds the first one.", Fields: []string{fieldRoutes, fieldSource, "Detail"}},
 	eventHostSeen:            {Name: "HostSeen", Level: zerolog.InfoLevel, Description: "The record of a node is new or has changed.", Fields: []string{fieldHost, fieldAddress, fieldState, fieldService, fieldServer, fieldIncarnation}},
 	eventHostRemoved:         {Name: "HostRemoved", Level: zerolog.InfoLevel, Description: "The record of a node was removed.", Fields: []string{fieldHost}},
 	eventHostIgnored:         {Name: "HostIgnored", Level: zerolog.WarnLevel, Description: "The record of a node can't be used.", Fields: []string{fieldHost}},
--- a/io/kqmesh/follow.go
+++ b/io/kqmesh/follow.go
@@ -126,18 +126,15 @@
 	})
 }
 
-// offerRoutes decodes and checks routes, hands valid ones to the control
-// goroutine and waits until they are in force or refused.
+// offerRoutes decodes routes, hands them to the control goroutine and waits until they
+// are in force or refused. Faults in them don't keep the rest from being in force: the
+// operator has the store's acknowledgement.
 func (n *Node) offerRoutes(text []byte, from string) {
 	document, err := n.dialect.ReadRoutes(text)
 	if err != nil {
 		n.logEvent(eventRoutesUnreadable, "routes from "+from+" can't be read", err, kqlog.Text(fieldSource, from))
 		return
 	}
-	if faults := document.Check(); len(faults) > 0 {
-		n.logEvent(eventRoutesFaulty, "routes from "+from+" have faults, the first: "+faults[0].String(), nil, kqlog.Text(fieldSource, from), kqlog.Text("Detail", faults[0].String()))
-		return
-	}
 	done := make(chan struct{})
 	n.control.send(routesEvent{document: document, text: text, source: from, done: done})
 	select {
--- a/io/kqmesh/kqmesh.go
+++ b/io/kqmesh/kqmesh.go
@@ -348,10 +348,9 @@
 	}
 }
 
-// OfferRoutes puts routes into force if they are valid and newer than the
-// current ones, as the node does with routes of the store and of its peers. It
-// returns once that is decided. Invalid and older routes are logged and are no
-// error.
+// OfferRoutes puts routes into force if they are newer than the current ones, as the
+// node does with routes of the store and of its peers. It returns once that is decided.
+// Older routes, and parts of routes that can't be applied, are logged and are no error.
 func (n *Node) OfferRoutes(d kqroutes.Document) error {
 	text, err := json.Marshal(d)
 	if err != nil {
