Grow the buffer for a head with the head, not to the operator's limit

A head over 4 KiB got a buffer as large as the limit of the configuration: a limit that can't be allocated ended the process. Found while looking for other values of a document that the node can't bear. Buffers double now, up to the limit.

--- a/io/kqedge/head.go
+++ b/io/kqedge/head.go
@@ -32,7 +32,9 @@
 				return reader, head, errors.Mark(errors.Newf("head goes on after %d bytes", checked), ErrHeadTooLarge)
 			}
 			buffered, _ := reader.Peek(reader.Buffered())
-			reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), in), limits.HeaderBytes)
+			// The limit is the operator's and may be far larger than any head.
+			size := min(2*reader.Size(), limits.HeaderBytes)
+			reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), in), size)
 		}
 		if _, err := reader.Peek(reader.Buffered() + 1); err != nil {
 			if errors.Is(err, io.EOF) && checked > 0 {
--- a/io/kqedge/kqedge.go
+++ b/io/kqedge/kqedge.go
@@ -51,7 +51,7 @@
 	// await their answer. When it is full, reading waits.
 	maxPipelined = 16
 	// initialBufferBytes is the size of a connection's buffers. Headers that do
-	// not fit are read with a buffer of Limits.HeaderBytes.
+	// not fit are read with a larger buffer, of at most Limits.HeaderBytes.
 	initialBufferBytes = 4 << 10
 	// writeTimeout bounds writing an answer to a caller that does not read it.
 	writeTimeout = 10 * time.Second
