Believe a ready notice after a restart only when the server confirms it

Cause: a node that was started again believed the first ready notice once the store or one other node had answered. The store had not taken the leaving, and the nodes that kept it had forgotten it; the notice was late, made before the leaving.

The node holds such notices back now until the server confirms: by a healthy answer to a probe that is sent after the restart, or by going on to send notices for longer than they are late, as health answers may be false. A health answer that says that the server leaves counts as its notice. The decision is kqserver.Confirmation.

Weighed: acknowledging only what the store has, which keeps servers from leaving in order in every outage.

Fail on: TestServerThatLeftIsUsedWhenAllNodesWereKilled (requests at the server that left), TestHealthyAnswerOfAServerThatLeavesIsBelieved. Servers of the tests answer health probes.

--- a/core/kqserver/kqserver.go
+++ b/core/kqserver/kqserver.go
@@ -121,6 +121,11 @@
 	return t.notice
 }
 
+// Knows reports whether the notice is of the start of the last accepted one.
+func (t *Tracker) Knows(n Notice) bool {
+	return t.hasNotice && t.sameStart(n)
+}
+
 // Observe applies a notice and returns how it was handled.
 func (t *Tracker) Observe(n Notice) Verdict {
 	if t.hasNotice && !t.sameStart(n) {
--- a/io/kqmesh/control.go
+++ b/io/kqmesh/control.go
@@ -28,9 +28,6 @@
 // long after it was last seen.
 const maxListAge = 10 * time.Second
 
-// maxHeldNotices bounds the notices that a restarted node holds back.
-const maxHeldNotices = 8
-
 // controlEvent is applied by the control goroutine. apply reports whether it
 // changed the state. An event may also have a method finish, which is called
 // after the changed state was published.
@@ -67,9 +64,11 @@
 	newestStored map[string]storedRecord
 	// departures holds which servers are known to leave.
 	departures *departures
-	// heldNotices are the notices of a ready server that came before the node knew
-	// what its former process knew.
-	heldNotices []kqserver.Notice
+	// confirmation holds notices back that the server is ready, if the node was started
+	// again.
+	confirmation kqserver.Confirmation
+	// noticeHeld has a value after a notice was held back.
+	noticeHeld chan struct{}
 
 	mutex        sync.Mutex
 	stateChanged chan struct{}
@@ -85,9 +84,12 @@
 		node: n, events: make(chan controlEvent, eventQueueLength), stopped: make(chan struct{}), life: kqserver.New(),
 		stateChanged: make(chan struct{}), removedRecords: map[string]bool{},
 		watch: kqwatch.New(n.clock(), n.settings.NodeID), divergedSince: map[string]time.Duration{}, lastRequest: -requestInterval, listedEra: kqstore.UnknownEra, newestStored: map[string]storedRecord{},
-		departures: newDepartures(),
+		departures: newDepartures(), noticeHeld: make(chan struct{}, 1),
+	}
+	if n.settings.FirstStart {
+		c.confirmation.Give("")
 	}
-	c.state = State{Hosts: map[string]HostRecord{}, Behind: map[string]string{}, Upstreams: map[string]*kqroute.Table{}, ServerState: kqserver.Unknown, Starting: true, Recalled: n.settings.FirstStart}
+	c.state = State{Hosts: map[string]HostRecord{}, Behind: map[string]string{}, Upstreams: map[string]*kqroute.Table{}, ServerState: kqserver.Unknown, Starting: true, Recalled: n.settings.FirstStart, Confirmed: n.settings.FirstStart}
 	c.publish()
 	return c
 }
@@ -439,19 +441,24 @@
 	if e.notice.ReceivedAt.IsZero() {
 		e.notice.ReceivedAt = c.node.now()
 	}
-	if !c.state.Recalled && e.notice.State == kqserver.Ready {
-		c.heldNotices = append(c.heldNotices[max(0, len(c.heldNotices)-maxHeldNotices+1):], e.notice)
+	if e.notice.State == kqserver.Ready && !c.life.Knows(e.notice) && c.confirmation.Hold(c.node.clock(), e.notice, c.state.Recalled) {
 		e.verdict = kqserver.Held
-		c.node.logEvent(eventNoticeIgnored, "notice of server "+e.notice.ServerID+" is held back: what the former process knew is not known yet", nil,
+		select {
+		case c.noticeHeld <- struct{}{}:
+		default:
+		}
+		c.node.logEvent(eventNoticeIgnored, "notice of server "+e.notice.ServerID+" is held back: it may be late, and the server has not confirmed it yet", nil,
 			kqlog.Text(fieldServer, e.notice.ServerID), kqlog.Number(fieldSequence, e.notice.Sequence), kqlog.Number(fieldIncarnation, e.notice.Born), kqlog.Text(fieldVerdict, string(e.verdict)))
 		return false
 	}
+	confirms := c.confirmation.IsGiven() && !c.state.Confirmed
+	c.state.Confirmed = c.confirmation.IsGiven()
 	verdict := c.life.Observe(e.notice)
 	e.verdict = verdict
 	if verdict != kqserver.Taken {
 		c.node.logEvent(eventNoticeIgnored, fmt.Sprintf("notice %d of server %s, started %d, is ignored: %s", e.notice.Sequence, e.notice.ServerID, e.notice.Born, verdict), nil,
 			kqlog.Text(fieldServer, e.notice.ServerID), kqlog.Number(fieldSequence, e.notice.Sequence), kqlog.Number(fieldIncarnation, e.notice.Born), kqlog.Text(fieldVerdict, string(verdict)))
-		return false
+		return confirms
 	}
 	if formerState == kqserver.Ready && !isSameStart(former, e.notice) {
 		// It tells other nodes, for which control must not wait.
@@ -465,7 +472,7 @@
 		c.node.logEvent(eventServerState, fmt.Sprintf("server %s is %s after notice %d, was %s", e.notice.ServerID, c.life.State(), e.notice.Sequence, formerState), nil,
 			kqlog.Text(fieldServer, e.notice.ServerID), kqlog.Text(fieldState, string(c.life.State())), kqlog.Text("FormerState", string(formerState)), kqlog.Number(fieldSequence, e.notice.Sequence))
 	}
-	return changed || former.Slots != e.notice.Slots || (former.Cold > 0) != (e.notice.Cold > 0)
+	return changed || confirms || former.Slots != e.notice.Slots || (former.Cold > 0) != (e.notice.Cold > 0)
 }
 
 // shutdownEvent marks the node as leaving. done is closed after that state was
--- a/io/kqmesh/departure.go
+++ b/io/kqmesh/departure.go
@@ -291,7 +291,8 @@
 // recallFormer learns from the store and from other nodes whether the node's former
 // process knew that the backend server leaves. Until then the control goroutine
 // holds back notices that the server is ready, which may be late. One answer is
-// enough: who knows more tells the node when it sees its record.
+// enough: who knows more tells the node when it sees its record, and if nobody is left
+// who does, the server itself has to confirm that it is ready.
 func (n *Node) recallFormer(ctx context.Context, w *recordWriter) {
 	if n.settings.FirstStart {
 		return
@@ -368,15 +369,11 @@
 	return slices.Concat(near[:min(recallPeers, len(near))], far[:min(recallPeers, len(far))])
 }
 
-// recalledEvent is the event that the node knows what its former process knew. The
-// notices that were held back are applied.
+// recalledEvent is the event that the node knows what its former process knew, as far
+// as the store and other nodes do.
 type recalledEvent struct{}
 
 func (recalledEvent) apply(c *control) bool {
-	held := c.heldNotices
-	c.state.Recalled, c.heldNotices = true, nil
-	for _, notice := range held {
-		(&noticeEvent{notice: notice}).apply(c)
-	}
+	c.state.Recalled = true
 	return true
 }
--- a/io/kqmesh/departure_test.go
+++ b/io/kqmesh/departure_test.go
@@ -61,6 +61,85 @@
 	}
 }
 
+// TestServerThatLeftIsUsedWhenAllNodesWereKilled guards against a leaving that the store
+// has not taken and that is forgotten with all nodes that keep it: a late notice, of before,
+// is the first that the next process hears of the server.
+func TestServerThatLeftIsUsedWhenAllNodesWereKilled(t *testing.T) {
+	for _, state := range []kqserver.State{kqserver.Draining, kqserver.Gone} {
+		t.Run(string(state), func(t *testing.T) {
+			f := newFleet(t)
+			entry, leaver := f.add("packs-1", "packs"), f.add("orders-1", "orders")
+			other, third := f.add("orders-2", "orders"), f.add("orders-3", "orders")
+			f.writeRoutes(1, route("/buy/", "orders", true))
+			f.serveAll(entry, leaver, other, third)
+			f.store.SetFaults(kqobject.Faults{Down: true})
+			leaver.health.Store(503)
+			if got := leaver.sendNotice(leaver.id, 1, 5, state); got != 200 {
+				t.Fatalf("notice of leaving while the store is away: got status %d, want 200, since the other nodes keep it", got)
+			}
+			for name, h := range f.hosts {
+				// A host keeps its address.
+				h.settings.PeerAddress = entry.node.State().Hosts[name].Address
+			}
+			for _, h := range f.hosts {
+				h.node.Stop()
+			}
+			for _, h := range f.hosts {
+				f.restart(h)
+			}
+			f.store.SetFaults(kqobject.Faults{})
+			f.awaitState(leaver, "what is left of the former process", func(s *kqmesh.State) bool { return s.Recalled && s.Routes != nil })
+			for sequence := range int64(3) {
+				if got := leaver.sendNotice(leaver.id, 1, sequence+2, kqserver.Ready); got != 200 {
+					t.Errorf("late notice: got status %d, want 200", got)
+				}
+			}
+			for _, h := range []*host{entry, other, third} {
+				h.reportState(kqserver.Ready)
+			}
+			f.awaitState(other, "its server", func(s *kqmesh.State) bool { return s.ServerState == kqserver.Ready })
+			f.awaitState(third, "its server", func(s *kqmesh.State) bool { return s.ServerState == kqserver.Ready })
+			f.awaitState(entry, "all nodes", func(s *kqmesh.State) bool {
+				return s.Routes != nil && s.Upstreams["orders"] != nil && len(s.Upstreams["orders"].Upstreams()) == 3
+			})
+			for i := range 20 {
+				id := fmt.Sprint("after-", i)
+				if got := entry.request("POST", "/buy/", id, ""); got.status != 200 {
+					t.Errorf("request beside a server that left: got %+v, want 200", got)
+				}
+				if got := leaver.runCount(id); got != 0 {
+					t.Errorf("runs at the server that left: got %d, want 0", got)
+				}
+			}
+			// The next server at that address takes over.
+			leaver.health.Store(200)
+			if got := leaver.sendNotice(leaver.id, 2, 1, kqserver.Ready); got != 200 {
+				t.Errorf("notice of the next start: got status %d, want 200", got)
+			}
+			f.awaitState(leaver, "its next server", func(s *kqmesh.State) bool { return s.ServerState == kqserver.Ready && s.Server.Born == 2 })
+		})
+	}
+}
+
+// TestHealthyAnswerOfAServerThatLeavesIsBelieved has a server that leaves answer to the
+// health probe of a restarted node that it is healthy and, as in all its answers, that it
+// leaves.
+func TestHealthyAnswerOfAServerThatLeavesIsBelieved(t *testing.T) {
+	f := newFleet(t)
+	h := f.add("orders-1", "orders")
+	f.writeRoutes(1, route("/buy/", "orders", true))
+	f.serveAll(h)
+	h.leaves.Store(true)
+	f.restart(h)
+	f.awaitState(h, "that the server leaves", func(s *kqmesh.State) bool { return s.ServerState == kqserver.Draining })
+	if got := h.sendNotice(h.id, 1, 9, kqserver.Ready); got != 200 {
+		t.Errorf("late notice: got status %d, want 200", got)
+	}
+	if got := h.node.State().ServerState; got != kqserver.Draining {
+		t.Errorf("server state after a late notice: got %s, want Draining", got)
+	}
+}
+
 // TestLeavingIsAcknowledgedThatNothingKeeps guards against an acknowledgement that
 // ends with the process: neither the store nor another node has heard of it.
 func TestLeavingIsAcknowledgedThatNothingKeeps(t *testing.T) {
--- a/io/kqmesh/fleet_test.go
+++ b/io/kqmesh/fleet_test.go
@@ -61,6 +61,10 @@
 	// answerEarly answers a request whose body has not been read, and ends the
 	// connection; if it is nil, the body is read first.
 	answerEarly func(c net.Conn, r *fasthttp.Request)
+	// health is the status of the answers to health probes, and leaves reports whether
+	// they say that the server leaves.
+	health atomic.Int64
+	leaves atomic.Bool
 	// begun gets the ID of each request that begins, and callersGone that of
 	// each whose connection was closed while holdAnswers held its answer.
 	begun       chan string
@@ -74,6 +78,7 @@
 		t.Fatal(err)
 	}
 	b := &backend{t: t, id: id, listener: l, runs: map[string]int{}, begun: make(chan string, 256), callersGone: make(chan string, 256)}
+	b.health.Store(fasthttp.StatusOK)
 	t.Cleanup(func() { _ = l.Close() })
 	go b.accept(l)
 	return b
@@ -109,6 +114,14 @@
 		if err := q.ContinueReadBody(r, 0); err != nil {
 			return
 		}
+		if string(q.Header.RequestURI()) == "/health" {
+			leaving := ""
+			if b.leaves.Load() {
+				leaving = "Kumquatlink-Leaving: 1\r\n"
+			}
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 %d Health\r\nKumquatlink-Server-Id: %s\r\n%sContent-Length: 0\r\n\r\n", b.health.Load(), b.id, leaving)
+			continue
+		}
 		id := string(q.Header.Peek("Kumquatlink-Request-Id"))
 		if expect := string(q.Header.Peek("Kumquatlink-Expect-Server")); expect != b.id {
 			_, _ = io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\nKumquatlink-Request-Id: "+id+"\r\nContent-Length: 0\r\n\r\n")
--- a/io/kqmesh/kqmesh.go
+++ b/io/kqmesh/kqmesh.go
@@ -146,8 +146,10 @@
 	// Leaving reports whether a shutdown of the node has begun.
 	Leaving bool
 	// Recalled reports whether the node knows what its former process, if there was
-	// one, knew of the backend server.
+	// one, knew of the backend server, as far as the store and other nodes do.
 	Recalled bool
+	// Confirmed reports whether notices that the backend server is ready are believed.
+	Confirmed bool
 	// HostsDigest is a hash of Hosts, by which nodes compare their lists.
 	HostsDigest uint64
 	// Watching reports whether the node watches the store on behalf of its
--- a/io/kqmesh/notice.go
+++ b/io/kqmesh/notice.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"kumquatlink/core/kqbackoff"
 	"kumquatlink/core/kqserver"
 	"kumquatlink/io/kqedge"
 	"kumquatlink/io/kqhttp"
@@ -20,11 +21,14 @@
 	noticeIdleTime = time.Minute
 )
 
-// Limits of the health probe of the backend server at the node's start.
-const (
-	healthTimeout  = time.Second
-	healthAttempts = 2
-)
+// healthTimeout bounds a health probe of the backend server after the node's start.
+const healthTimeout = time.Second
+
+// confirmTime is how long after its start a node probes a server that sends nothing.
+const confirmTime = 8 * time.Second
+
+// confirmBackoff bounds the pauses between these probes.
+var confirmBackoff = kqbackoff.Pause{First: 250 * time.Millisecond, Max: 2 * time.Second}
 
 // noticeLimits returns the limits of the notice and ready addresses.
 func noticeLimits() kqedge.Limits {
@@ -96,36 +100,46 @@
 	return notice.ServerID != "" && notice.Service == n.settings.Service && notice.Address == n.settings.BackendAddress
 }
 
-// probeServer probes the health of the backend server when the node starts and
-// the server may have been running before, so that the node need not wait for
-// the next notice. A server that drains does not answer that it is healthy.
+// probeServer asks the backend server of a node that was started again whether it is
+// ready, until it says so or its notices show it: at the start, since the server may have
+// been running before, and after each notice that is held back. Notices may be late,
+// but a server that drains does not answer that it is healthy.
 func (n *Node) probeServer(ctx context.Context) {
-	if n.settings.FirstStart || n.WaitFor(ctx, func(s *State) bool { return s.Recalled }) != nil {
+	if n.settings.FirstStart || n.WaitFor(ctx, func(s *State) bool { return s.Recalled && s.Routes != nil }) != nil {
 		return
 	}
-	for range healthAttempts {
-		routes := n.State().Routes
-		for routes == nil && ctx.Err() == nil && n.State().ServerState == kqserver.Unknown {
-			select {
-			case <-n.control.changed():
-			case <-ctx.Done():
-			}
-			routes = n.State().Routes
+	for probes := 0; ; probes++ {
+		// Nothing is to be asked of a server that leaves, by what the former process knew.
+		if probes > 0 || n.State().ServerState != kqserver.Unknown {
+			n.awaitProbe(ctx, probes)
 		}
-		if ctx.Err() != nil || n.State().ServerState != kqserver.Unknown {
+		if ctx.Err() != nil || n.State().Confirmed {
 			return
 		}
-		service, found := routes.Service(n.settings.Service)
-		if found && n.probeHealth(ctx, service.HealthPath) {
-			return
+		if service, found := n.State().Routes.Service(n.settings.Service); found && service.HealthPath != "" {
+			n.probeHealth(ctx, service.HealthPath)
 		}
-		sleep(ctx, healthTimeout)
 	}
 }
 
-// probeHealth sends one health probe. It returns true if the server is healthy
-// or has sent a notice in the meantime, so that no further probe is needed.
-func (n *Node) probeHealth(ctx context.Context, path string) bool {
+// awaitProbe waits until the server is to be probed after that many probes.
+func (n *Node) awaitProbe(ctx context.Context, probes int) {
+	if n.State().Confirmed {
+		return
+	}
+	var pause <-chan time.Time
+	if n.clock() < confirmTime && n.State().ServerState == kqserver.Unknown {
+		pause = time.After(confirmBackoff.After(probes, n.randomFraction()))
+	}
+	select {
+	case <-pause:
+	case <-n.control.noticeHeld:
+	case <-ctx.Done():
+	}
+}
+
+// probeHealth sends one health probe. A healthy answer confirms that the server is ready.
+func (n *Node) probeHealth(ctx context.Context, path string) {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
@@ -137,21 +151,53 @@
 	defer pool.Close()
 	if err := pool.Do(ctx, request, response); err != nil {
 		n.logEvent(eventHealthNotTold, "health probe of the backend server failed", err)
-		return false
+		return
+	}
+	notice := kqserver.Notice{
+		ServerID: string(response.Header.Peek(n.dialect.Headers.ServerID)), Service: n.settings.Service, Address: n.settings.BackendAddress, State: kqserver.Ready,
+		Slots: statedSlots(string(response.Header.Peek(n.dialect.Headers.Load))),
+	}
+	if said, err := n.parseStatement(&response.Header); err == nil && said.Leaving && notice.ServerID != "" {
+		notice.State = kqserver.Draining
+		n.logEvent(eventServerLeaves, "server "+notice.ServerID+" leaves, says its answer to a health probe: "+string(n.ApplyNotice(notice)), nil, kqlog.Text(fieldServer, notice.ServerID))
+		return
 	}
-	id := string(response.Header.Peek(n.dialect.Headers.ServerID))
-	if response.StatusCode() != fasthttp.StatusOK || id == "" {
+	if response.StatusCode() != fasthttp.StatusOK || notice.ServerID == "" {
 		n.logEvent(eventServerUnhealthy, "backend server is not healthy: status "+strconv.Itoa(response.StatusCode()), nil, kqlog.Number("Status", int64(response.StatusCode())))
-		return false
+		return
 	}
-	if n.State().ServerState != kqserver.Unknown {
-		return true
+	e := &confirmedEvent{healthy: notice, result: make(chan kqserver.Verdict, 1)}
+	n.control.send(e)
+	select {
+	case v := <-e.result:
+		n.logEvent(eventServerHealthy, "server "+notice.ServerID+" is healthy, verdict on a notice that says so: "+string(v), nil, kqlog.Text(fieldServer, notice.ServerID), kqlog.Text(fieldVerdict, string(v)))
+	case <-n.control.stopped:
 	}
-	v := n.ApplyNotice(kqserver.Notice{
-		ServerID: id, Service: n.settings.Service, Address: n.settings.BackendAddress, State: kqserver.Ready,
-		Slots: statedSlots(string(response.Header.Peek(n.dialect.Headers.Load))),
-	})
-	n.logEvent(eventServerHealthy, "server "+id+" is healthy, verdict on a notice that says so: "+string(v), nil, kqlog.Text(fieldServer, id), kqlog.Text(fieldVerdict, string(v)))
+}
+
+// confirmedEvent is the event that the backend server has answered that it is healthy.
+// The notices of that server that were held back are applied, or one with what the answer
+// says if there are none. The last verdict is sent on result after the resulting state was
+// published.
+type confirmedEvent struct {
+	healthy kqserver.Notice
+	verdict kqserver.Verdict
+	result  chan kqserver.Verdict
+}
+
+func (e *confirmedEvent) finish() { e.result <- e.verdict }
+
+func (e *confirmedEvent) apply(c *control) bool {
+	notices := c.confirmation.Give(e.healthy.ServerID)
+	if len(notices) == 0 && c.state.ServerState == kqserver.Unknown {
+		notices = append(notices, e.healthy)
+	}
+	for _, notice := range notices {
+		held := &noticeEvent{notice: notice}
+		held.apply(c)
+		e.verdict = held.verdict
+	}
+	c.state.Confirmed = true
 	return true
 }
 
