Tell callers of a deadly request apart by team, service and fields

Cause: the fingerprint had the Authorization and Cookie fields, but nothing else that tells callers apart: not the team, the service of the entry, or fields that only servers know.

A request has three fingerprints now, from wide to narrow, which are counted and cleared apart. The narrowest that three crashes have in common is convicted; the wider ones stay one crash short, since a conviction by them would refuse other callers too.

Ruled out: examinations of crashes and late reports, as the third crash convicts when the other tenant is silent.

TestAnswersToOthersKeepADeadlyRequestFromConviction fails on for team, service and own field: 5 servers crashed, 3 allowed. New with the decision: TestAnswersToAnotherCallerClearADeadlyRequest, TestDeadlyRequestInOneNameConvictsOthers.

--- a/core/kqsuspect/kqsuspect.go
+++ b/core/kqsuspect/kqsuspect.go
@@ -9,11 +9,17 @@
 //
 //	table := kqsuspect.New()
 //	table.RecordCrash(now, runs)        // a server has crashed while it ran these
-//	switch table.Judge(now, fingerprint).Verdict {
+//	switch table.Judge(now, fingerprints...).Verdict {
 //	case kqsuspect.Convicted:           // refuse
 //	case kqsuspect.Suspected:           // run, but only one suspect at a time
 //	}
-//	table.RecordAnswer(fingerprint)     // the server has answered: no suspect
+//	table.RecordAnswer(fingerprints...) // the server has answered: no suspect
+//
+// A request has one fingerprint or several, each with more of what tells its caller from
+// others. They are counted and cleared apart, so that answers to other callers don't clear
+// a request that is deadly in one caller's name alone. Of those that have come with the
+// crashes, the narrowest is convicted. The wider ones are one crash short then: the
+// request is convicted by them if it crashes another server in another name.
 //
 // All requests that a server runs when it crashes become suspects. A suspect that is
 // answered is cleared; one under which [ConvictingCrashes] servers have crashed one
@@ -31,6 +37,8 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -70,7 +78,10 @@
 
 // Run is a request that a server ran when it crashed.
 type Run struct {
+	// Fingerprint is the widest fingerprint of the request, and Narrower holds the others,
+	// from the wider to the narrower.
 	Fingerprint Fingerprint
+	Narrower    []Fingerprint `cbor:",omitempty"`
 	// Ran is how long it had run. Repeat reports whether it had been handed to a
 	// server before.
 	Ran    time.Duration
@@ -135,12 +146,14 @@
 func (t *Table) RecordCrash(now time.Duration, runs []Run) []Fingerprint {
 	latest := map[Fingerprint]Run{}
 	for _, r := range runs {
-		if held, found := latest[r.Fingerprint]; !found || r.Ran < held.Ran {
-			r.Repeat = r.Repeat || held.Repeat
-			latest[r.Fingerprint] = r
+		for _, f := range append([]Fingerprint{r.Fingerprint}, r.Narrower...) {
+			held, found := latest[f]
+			if !found || r.Ran < held.Ran {
+				latest[f] = Run{Ran: r.Ran, Repeat: r.Repeat || held.Repeat}
+			}
 		}
 	}
-	var convicted []Fingerprint
+	convicted := map[Fingerprint]bool{}
 	for f, r := range latest {
 		held, found := t.requests[f]
 		if !found {
@@ -153,22 +166,57 @@
 		held.crashes++
 		held.crashedAt, held.seenAt = now, now
 		if held.crashes == ConvictingCrashes {
-			convicted = append(convicted, f)
+			convicted[f] = true
+		}
+	}
+	for _, r := range runs {
+		t.spareWider(r, convicted)
+	}
+	return slices.Collect(maps.Keys(convicted))
+}
+
+// spareWider takes back convictions of fingerprints of a run that are wider than another
+// one that is convicted.
+func (t *Table) spareWider(r Run, convicted map[Fingerprint]bool) {
+	fingerprints := append([]Fingerprint{r.Fingerprint}, r.Narrower...)
+	narrowest := len(fingerprints) - 1
+	for narrowest > 0 && !convicted[fingerprints[narrowest]] {
+		narrowest--
+	}
+	for _, f := range fingerprints[:narrowest] {
+		if convicted[f] {
+			delete(convicted, f)
+			t.requests[f].crashes = ConvictingCrashes - 1
+		}
+	}
+}
+
+// RecordAnswer records that a server has answered the request with these fingerprints. It
+// returns those that were not cleared before.
+func (t *Table) RecordAnswer(fingerprints ...Fingerprint) []Fingerprint {
+	var cleared []Fingerprint
+	for _, f := range fingerprints {
+		if _, found := t.requests[f]; found {
+			cleared = append(cleared, f)
 		}
+		delete(t.requests, f)
 	}
-	return convicted
+	return cleared
 }
 
-// RecordAnswer records that a server has answered the request. It reports whether
-// the request was not cleared before.
-func (t *Table) RecordAnswer(f Fingerprint) bool {
-	_, found := t.requests[f]
-	delete(t.requests, f)
-	return found
+// Judge returns the judgement on a request that has come: that on the fingerprint under
+// which most servers have crashed.
+func (t *Table) Judge(now time.Duration, fingerprints ...Fingerprint) Judgement {
+	gravest := Judgement{Verdict: Cleared}
+	for _, f := range fingerprints {
+		if j := t.judge(now, f); j.Crashes > gravest.Crashes || gravest.Verdict == Cleared {
+			gravest = j
+		}
+	}
+	return gravest
 }
 
-// Judge returns the judgement on a request that has come.
-func (t *Table) Judge(now time.Duration, f Fingerprint) Judgement {
+func (t *Table) judge(now time.Duration, f Fingerprint) Judgement {
 	held, found := t.requests[f]
 	if !found || t.expired(now, held) {
 		delete(t.requests, f)
--- a/core/kqsuspect/kqsuspect_test.go
+++ b/core/kqsuspect/kqsuspect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -58,7 +59,7 @@
 	table := kqsuspect.New()
 	for i := range 10 {
 		table.RecordCrash(at(i), runs(0, "popular"))
-		if !table.RecordAnswer(fingerprint("popular")) {
+		if len(table.RecordAnswer(fingerprint("popular"))) == 0 {
 			t.Errorf("answer after crash %d: got no suspect cleared, want one", i)
 		}
 	}
@@ -137,3 +138,69 @@
 		}
 	}
 }
+
+// TestAnswersToAnotherCallerClearADeadlyRequest has a request come from one caller, with
+// a wide fingerprint that another caller's request shares and that its answers clear.
+func TestAnswersToAnotherCallerClearADeadlyRequest(t *testing.T) {
+	wide, deadly, other := fingerprint("wide"), fingerprint("deadly"), fingerprint("other")
+	table := kqsuspect.New()
+	for i := range kqsuspect.ConvictingCrashes {
+		now := time.Duration(i+1) * time.Second
+		if got := table.Judge(now, wide, deadly).Verdict; got == kqsuspect.Convicted {
+			t.Errorf("deadly request before crash %d: got %s, want it not convicted", i+1, got)
+		}
+		table.RecordCrash(now, []kqsuspect.Run{{Fingerprint: wide, Narrower: []kqsuspect.Fingerprint{deadly}, Ran: time.Millisecond}})
+		if got, want := table.RecordAnswer(wide, other), []kqsuspect.Fingerprint{wide}; !slices.Equal(got, want) {
+			t.Errorf("cleared by an answer to the other caller: got %v, want the wide fingerprint alone", got)
+		}
+	}
+	now := 10 * time.Second
+	if got := table.Judge(now, wide, deadly); got.Verdict != kqsuspect.Convicted || got.Crashes != kqsuspect.ConvictingCrashes {
+		t.Errorf("deadly request: got %+v, want it convicted", got)
+	}
+	if got := table.Judge(now, wide, other).Verdict; got != kqsuspect.Cleared {
+		t.Errorf("request of the other caller: got %s, want Cleared", got)
+	}
+}
+
+// TestDeadlyRequestInOneNameConvictsOthers guards against the refusal of other callers'
+// requests, which share a wide fingerprint with a deadly one. In another name the deadly
+// request may crash one more server for each wider fingerprint.
+func TestDeadlyRequestInOneNameConvictsOthers(t *testing.T) {
+	wide, byService, deadly := fingerprint("wide"), fingerprint("by service"), fingerprint("deadly")
+	otherFields, otherService := fingerprint("other fields"), fingerprint("other service")
+	table := kqsuspect.New()
+	crashUnder := func(second int, fingerprints ...kqsuspect.Fingerprint) []kqsuspect.Fingerprint {
+		run := kqsuspect.Run{Fingerprint: fingerprints[0], Narrower: fingerprints[1:], Ran: time.Millisecond}
+		return table.RecordCrash(time.Duration(second)*time.Second, []kqsuspect.Run{run})
+	}
+	var got []kqsuspect.Fingerprint
+	for i := range kqsuspect.ConvictingCrashes {
+		got = crashUnder(i+1, wide, byService, deadly)
+	}
+	if want := []kqsuspect.Fingerprint{deadly}; !slices.Equal(got, want) {
+		t.Errorf("convicted by crashes in one name: got %v, want the narrowest fingerprint", got)
+	}
+	now := 5 * time.Second
+	for name, c := range map[string]struct {
+		fingerprints []kqsuspect.Fingerprint
+		want         kqsuspect.Verdict
+	}{
+		"the deadly request": {[]kqsuspect.Fingerprint{wide, byService, deadly}, kqsuspect.Convicted},
+		"other fields":       {[]kqsuspect.Fingerprint{wide, byService, otherFields}, kqsuspect.Suspected},
+		"other service":      {[]kqsuspect.Fingerprint{wide, otherService}, kqsuspect.Suspected},
+	} {
+		if got := table.Judge(now, c.fingerprints...).Verdict; got != c.want {
+			t.Errorf("%s: got %s, want %s", name, got, c.want)
+		}
+	}
+	if got, want := crashUnder(6, wide, byService, otherFields), []kqsuspect.Fingerprint{byService}; !slices.Equal(got, want) {
+		t.Errorf("convicted by a crash with other fields: got %v, want the fingerprint by service", got)
+	}
+	if got, want := crashUnder(7, wide, otherService), []kqsuspect.Fingerprint{wide}; !slices.Equal(got, want) {
+		t.Errorf("convicted by a crash for another service: got %v, want the wide fingerprint", got)
+	}
+	if got := table.Judge(now, wide, fingerprint("third service")).Verdict; got != kqsuspect.Convicted {
+		t.Errorf("in a third name: got %s, want Convicted", got)
+	}
+}
--- a/io/kqmesh/deadly_test.go
+++ b/io/kqmesh/deadly_test.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"kumquatlink/core/kqmember"
+	"kumquatlink/core/kqroutes"
 	"kumquatlink/core/kqserver"
 	"kumquatlink/core/kqsuspect"
 	"kumquatlink/io/kqmesh"
@@ -37,6 +38,8 @@
 	crashes atomic.Int64
 	// isBackAtOnce keeps the address open while the server starts again.
 	isBackAtOnce bool
+	// isDeadly reports whether a request crashes the server.
+	isDeadly func(q *fasthttp.Request) bool
 	// closePause is the time between the ends of two of its connections in a crash.
 	closePause time.Duration
 }
@@ -44,6 +47,7 @@
 // newMortal makes the server of a host mortal.
 func newMortal(h *host) *mortal {
 	m := &mortal{host: h, open: map[net.Conn]bool{}, born: 1}
+	m.isDeadly = func(q *fasthttp.Request) bool { return string(q.Header.RequestURI()) == "/look/deadly" }
 	m.setAnswer(m.answer)
 	return m
 }
@@ -71,7 +75,7 @@
 	m.register(c)
 	// A run takes a moment, so that others are lost with the deadly one.
 	<-time.After(deadlyRunTime)
-	if string(q.Header.RequestURI()) == "/look/deadly" {
+	if m.isDeadly(q) {
 		m.crash()
 		return
 	}
@@ -193,6 +197,78 @@
 	}
 }
 
+// TestAnswersToOthersKeepADeadlyRequestFromConviction guards against a request that goes
+// on to crash servers since answers to other callers, who ask for the same, clear it. The
+// callers are told apart in one way at a time.
+func TestAnswersToOthersKeepADeadlyRequestFromConviction(t *testing.T) {
+	for name, c := range map[string]struct {
+		// field is the header field of servers that tells callers apart, and value what
+		// it says of the deadly one.
+		field, value string
+		// deadly and other are the fields of the callers' requests.
+		deadly, other string
+		// sameEntry is set if both callers use one node.
+		sameEntry bool
+	}{
+		"team":        {kqmesh.HeaderTeam, "north", kqmesh.HeaderTeamKey + ": north", kqmesh.HeaderTeamKey + ": south", true},
+		"service":     {kqmesh.HeaderCallerService, "voices", kqmesh.HeaderTeamKey + ": north", kqmesh.HeaderTeamKey + ": north", false},
+		"credentials": {fasthttp.HeaderAuthorization, "a", kqmesh.HeaderTeamKey + ": north\r\nAuthorization: a", kqmesh.HeaderTeamKey + ": north\r\nAuthorization: b", true},
+		"own field":   {"X-User", "a", kqmesh.HeaderTeamKey + ": north\r\nX-User: a", kqmesh.HeaderTeamKey + ": north\r\nX-User: b", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			hosts, servers := f.addMortals(3)
+			deadlyEntry, otherEntry := f.add("voices-1", "voices"), f.add("packs-1", "packs")
+			if c.sameEntry {
+				otherEntry = deadlyEntry
+			}
+			for _, m := range servers {
+				m.isDeadly = func(q *fasthttp.Request) bool { return string(q.Header.Peek(c.field)) == c.value }
+			}
+			teams := []kqroutes.Team{{Name: "north", Keys: []string{"north"}}, {Name: "south", Keys: []string{"south"}}}
+			f.writeTeams(1, teams, route("/look/", "orders", false))
+			f.serveAll(append(hosts, deadlyEntry, f.hosts["packs-1"])...)
+			stop := make(chan struct{})
+			var calling sync.WaitGroup
+			calling.Go(func() {
+				for i := 0; ; i++ {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					if got := otherEntry.requestWithHeaders("/look/list", fmt.Sprint("other-", i), c.other); strings.Contains(got.body, "CrashesServers") {
+						t.Errorf("request of the other caller: got %+v, want it not taken for the deadly one", got)
+					}
+				}
+			})
+			crashes := func() int64 {
+				total := int64(0)
+				for _, m := range servers {
+					total += m.crashes.Load()
+				}
+				return total
+			}
+			pause := time.NewTicker(2 * deadlyRunTime)
+			defer pause.Stop()
+			refused := 0
+			for i := 0; refused < 5; i++ {
+				<-pause.C
+				got := deadlyEntry.requestWithHeaders("/look/list", fmt.Sprint("deadly-", i), c.deadly)
+				if strings.Contains(got.body, "CrashesServers") {
+					refused++
+				}
+				if total := crashes(); total > kqsuspect.ConvictingCrashes {
+					t.Errorf("servers that crashed: got %d, want %d at most", total, kqsuspect.ConvictingCrashes)
+					break
+				}
+			}
+			close(stop)
+			calling.Wait()
+		})
+	}
+}
+
 // TestDeadlyRequestCrashesServersThatAreBackAtOnce sends the request to servers that take
 // connections again before their gates can tell that they had ended, as under a
 // supervisor that keeps the address open. Each such crash must count.
--- a/io/kqmesh/suspect.go
+++ b/io/kqmesh/suspect.go
@@ -45,19 +45,41 @@
 // part of what makes two requests the same.
 var callerHeaders = []string{fasthttp.HeaderAuthorization, fasthttp.HeaderCookie}
 
-// fingerprintOf returns the fingerprint of a request, whatever its ID.
-func fingerprintOf(head kqtrunk.CallHead, body []byte) kqsuspect.Fingerprint {
+// fingerprintsOf returns the fingerprints of a request, whatever its ID, from the widest
+// to the narrowest. The first one tells callers apart by team and credentials, the second
+// one also by the service beside the entry, and the last one by all header fields: nobody
+// but the servers knows what else tells one caller from another.
+func (n *Node) fingerprintsOf(head kqtrunk.CallHead, body []byte) []kqsuspect.Fingerprint {
 	parts := [][]byte{[]byte(head.Method), []byte(head.Host), []byte(head.Path), body}
 	for _, name := range callerHeaders {
-		value := ""
-		for _, f := range head.Headers {
-			if strings.EqualFold(f.Name, name) {
-				value += f.Value
-			}
+		parts = append(parts, []byte(fieldOf(head.Headers, name)))
+	}
+	if team := fieldOf(head.Headers, n.dialect.Headers.Team); team != "" {
+		parts = append(parts, []byte(team))
+	}
+	wide := kqsuspect.FingerprintOf(parts...)
+	byService := kqsuspect.FingerprintOf(wide[:], []byte(head.From))
+	fields := make([]string, 0, len(head.Headers))
+	for _, f := range head.Headers {
+		fields = append(fields, strings.ToLower(f.Name)+":"+f.Value)
+	}
+	slices.Sort(fields)
+	parts = [][]byte{byService[:]}
+	for _, f := range fields {
+		parts = append(parts, []byte(f))
+	}
+	return []kqsuspect.Fingerprint{wide, byService, kqsuspect.FingerprintOf(parts...)}
+}
+
+// fieldOf returns the values of a header field, joined, or an empty text.
+func fieldOf(headers []kqtrunk.Header, name string) string {
+	value := ""
+	for _, f := range headers {
+		if strings.EqualFold(f.Name, name) {
+			value += f.Value
 		}
-		parts = append(parts, []byte(value))
 	}
-	return kqsuspect.FingerprintOf(parts...)
+	return value
 }
 
 // suspects keeps a gate's backend server from requests that crash it. Which requests
@@ -97,11 +119,16 @@
 // lostRun is a call that was lost with a server that may have crashed. It does not
 // hold the call's body.
 type lostRun struct {
-	server      kqserver.Notice
-	fingerprint kqsuspect.Fingerprint
-	repeat      bool
-	begun       time.Duration
-	lostAt      time.Duration
+	server       kqserver.Notice
+	fingerprints []kqsuspect.Fingerprint
+	repeat       bool
+	begun        time.Duration
+	lostAt       time.Duration
+}
+
+// lostRunOf returns the run of a request with these fingerprints that was lost.
+func lostRunOf(fingerprints []kqsuspect.Fingerprint, ran time.Duration, isRepeat bool) kqsuspect.Run {
+	return kqsuspect.Run{Fingerprint: fingerprints[0], Narrower: fingerprints[1:], Ran: ran, Repeat: isRepeat}
 }
 
 // examination finds out whether a backend server has crashed. done is closed at its
@@ -124,13 +151,13 @@
 	if k.table.Empty() {
 		return nil, func() {}
 	}
-	fingerprint := fingerprintOf(head, body)
+	fingerprints := k.node.fingerprintsOf(head, body)
 	for {
 		stateChanged := k.node.control.changed()
 		if cause := k.node.gate.refusalCause(k.node.State(), head.Service); cause != "" {
 			return endOnly(kqcall.NotRun(cause)), nil
 		}
-		j := k.table.Judge(k.node.clock(), fingerprint)
+		j := k.table.Judge(k.node.clock(), fingerprints...)
 		switch {
 		case j.Verdict == kqsuspect.Cleared:
 			return nil, func() {}
@@ -214,17 +241,17 @@
 	if end.Outcome != kqcall.OutcomeRan || k.table.Empty() {
 		return
 	}
-	fingerprint := fingerprintOf(r.head, r.body)
-	if !k.table.RecordAnswer(fingerprint) {
+	cleared := k.table.RecordAnswer(k.node.fingerprintsOf(r.head, r.body)...)
+	if len(cleared) == 0 {
 		return
 	}
 	k.wake()
 	k.node.logEvent(eventSuspectCleared, "request "+r.head.RequestID+", lost with a server before, was answered: it is no suspect", nil,
-		kqlog.Text(fieldRequest, r.head.RequestID), kqlog.Text(fieldFingerprint, hex.EncodeToString(fingerprint[:])))
+		kqlog.Text(fieldRequest, r.head.RequestID), kqlog.Text(fieldFingerprint, hex.EncodeToString(cleared[0][:])))
 	if len(k.cleared) == 0 {
 		time.AfterFunc(clearDelay, k.tellCleared)
 	}
-	k.cleared = append(k.cleared, fingerprint)
+	k.cleared = append(k.cleared, cleared...)
 }
 
 // tellCleared tells the other gates of the service which requests are cleared.
@@ -267,7 +294,7 @@
 	var runs []kqsuspect.Run
 	for o := range k.running {
 		if o.server.ServerID == r.server.ServerID {
-			runs = append(runs, kqsuspect.Run{Fingerprint: fingerprintOf(o.head, o.body), Ran: now - o.begun, Repeat: o.head.Repeat})
+			runs = append(runs, lostRunOf(k.node.fingerprintsOf(o.head, o.body), now-o.begun, o.head.Repeat))
 		}
 	}
 	k.recordCrash(r.server, now, runs)
@@ -303,7 +330,7 @@
 	now := k.node.clock()
 	k.lost = slices.DeleteFunc(k.lost, func(l lostRun) bool { return now-l.lostAt > lostRunTime })
 	if len(k.lost) < maxLostRuns {
-		k.lost = append(k.lost, lostRun{server: r.server, fingerprint: fingerprintOf(r.head, r.body), repeat: r.head.Repeat, begun: r.begun, lostAt: now})
+		k.lost = append(k.lost, lostRun{server: r.server, fingerprints: k.node.fingerprintsOf(r.head, r.body), repeat: r.head.Repeat, begun: r.begun, lostAt: now})
 	}
 }
 
@@ -316,7 +343,7 @@
 	var runs []kqsuspect.Run
 	for _, l := range k.lost {
 		if isSameStart(l.server, former) && now-l.lostAt <= lostRunTime {
-			runs = append(runs, kqsuspect.Run{Fingerprint: l.fingerprint, Ran: now - l.begun, Repeat: l.repeat})
+			runs = append(runs, lostRunOf(l.fingerprints, now-l.begun, l.repeat))
 		}
 	}
 	if len(runs) == 0 || isSameStart(k.examined, former) {
