Queue interim answers with the answers to earlier requests

Cause: the goroutine that reads requests wrote the interim answer by itself, beside the one that writes answers in order. It goes through that one's queue now. The time for the body begins when the interim answer has been written.

--- a/io/kqedge/connection.go
+++ b/io/kqedge/connection.go
@@ -229,7 +229,14 @@
 		return reader, err
 	}
 	if e.Request.MayContinue() {
-		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+		// The caller may wait for the interim answer, which may wait for earlier answers.
+		_ = c.raw.SetReadDeadline(time.Time{})
+		if c.closing.Load() {
+			// The line above may have overwritten the deadline of closeGracefully.
+			_ = c.raw.SetReadDeadline(time.Now().Add(lingerTime))
+		}
+		c.answers <- newInterim(limits.IdleTime)
+		if _, err := reader.Peek(1); err != nil {
 			return reader, err
 		}
 	}
@@ -421,11 +428,37 @@
 	}
 }
 
+// newInterim returns an exchange that stands for the interim answer to a request in the
+// queue of answers. Once it is written, the body has to begin within bodyTime.
+func newInterim(bodyTime time.Duration) *Exchange {
+	return &Exchange{interim: bodyTime}
+}
+
+// writeInterim writes an interim answer and reports whether the connection stays open.
+func (c *connection) writeInterim(writer *bufio.Writer, e *Exchange) bool {
+	now := time.Now()
+	_ = c.raw.SetWriteDeadline(now.Add(writeTimeout))
+	_, err := writer.WriteString("HTTP/1.1 100 Continue\r\n\r\n")
+	if err != nil || writer.Flush() != nil {
+		return false
+	}
+	_ = c.raw.SetReadDeadline(now.Add(e.interim))
+	return true
+}
+
 // writeAnswers writes the answers in the order of their requests.
 func (c *connection) writeAnswers() {
 	writer := bufio.NewWriterSize(output{c}, initialBufferBytes)
 	ended := false
 	for e := range c.answers {
+		if e.interim > 0 {
+			if !ended && !c.writeInterim(writer, e) {
+				ended = true
+				c.cancelAll()
+				c.closeGracefully()
+			}
+			continue
+		}
 		<-e.done
 		if !ended && !c.writeAnswer(writer, e) {
 			ended = true
--- a/io/kqedge/kqedge.go
+++ b/io/kqedge/kqedge.go
@@ -146,6 +146,9 @@
 	Abort bool
 	// refused reports whether the request is answered without the handler.
 	refused bool
+	// interim is the time for the body of the request to which the interim answer is due
+	// that this exchange stands for, or 0.
+	interim time.Duration
 	// ReleaseBody gives the memory of the response's body back once it has been written.
 	// The handler may set it if that memory is counted already.
 	ReleaseBody func()
