Read on while a request that was sent ahead waits for the one before

Cause: the goroutine that reads requests waited for the end of the request before, and did not read the end of the connection. The request waits in a goroutine of its own now and is dropped if its caller leaves first. Starts and answers keep their order.

--- a/io/kqedge/connection.go
+++ b/io/kqedge/connection.go
@@ -122,7 +122,7 @@
 		}
 		limits = c.server.limits().WithDefaults()
 		e := &Exchange{
-			Request: fasthttp.AcquireRequest(), Response: fasthttp.AcquireResponse(), done: make(chan struct{}),
+			Request: fasthttp.AcquireRequest(), Response: fasthttp.AcquireResponse(), started: make(chan struct{}), done: make(chan struct{}),
 			releaseRequest: func() {}, releaseResponse: func() {},
 		}
 		e.ctx, e.cancel = context.WithCancel(context.Background())
@@ -146,13 +146,10 @@
 			return
 		}
 		c.endReading()
-		if previous != nil && !mayRunConcurrently(e) {
-			<-previous.done
-		}
-		previous = e
-		if !c.dispatch(e) {
+		if !c.dispatch(e, previous) {
 			return
 		}
+		previous = e
 	}
 	c.cancelAll()
 	if c.closing.Load() {
@@ -340,14 +337,66 @@
 	return true
 }
 
-// dispatch queues the exchange for its answer and runs the handler. It returns
-// false if no further request is read.
-func (c *connection) dispatch(e *Exchange) bool {
+// dispatch queues the exchange for its answer and runs the handler, now or after that of
+// the previous exchange. It returns false if no further request is read.
+func (c *connection) dispatch(e, previous *Exchange) bool {
 	isLast := e.Request.ConnectionClose()
 	if isLast {
 		c.closing.Store(true)
 	}
 	c.answers <- e
+	if earlier := mustAwait(e, previous); earlier != nil {
+		go c.startAfter(earlier, e)
+	} else if !c.start(e) {
+		return false
+	}
+	if isLast {
+		// No further request is read, but a disconnect must still cancel.
+		c.awaitDisconnect()
+		return false
+	}
+	return true
+}
+
+// mustAwait returns a channel that is closed when the handler of the request may run, or
+// nil if it may now.
+func mustAwait(e, previous *Exchange) <-chan struct{} {
+	if previous == nil {
+		return nil
+	}
+	earlier := previous.done
+	if mayRunConcurrently(e) {
+		earlier = previous.started
+	}
+	select {
+	case <-earlier:
+		return nil
+	default:
+		return earlier
+	}
+}
+
+// startAfter runs the handler once the channel is closed, unless the request is cancelled
+// before. The reading goroutine does not wait for that: it has to notice that the caller
+// disconnects.
+func (c *connection) startAfter(previous <-chan struct{}, e *Exchange) {
+	select {
+	case <-previous:
+	case <-e.ctx.Done():
+	}
+	if e.ctx.Err() != nil {
+		e.Abort = true
+		close(e.started)
+		close(e.done)
+		return
+	}
+	c.start(e)
+}
+
+// start runs the handler. It returns false if there is no room for it; the connection ends
+// then.
+func (c *connection) start(e *Exchange) bool {
+	defer close(e.started)
 	err := c.server.submit(func() {
 		defer close(e.done)
 		defer c.holdAnswer(e)
@@ -365,14 +414,8 @@
 	if err != nil {
 		e.Abort = true
 		close(e.done)
-		return false
-	}
-	if isLast {
-		// No further request is read, but a disconnect must still cancel.
-		c.awaitDisconnect()
-		return false
 	}
-	return true
+	return err == nil
 }
 
 // awaitDisconnect discards input until the caller closes its side, or until
--- a/io/kqedge/kqedge.go
+++ b/io/kqedge/kqedge.go
@@ -162,7 +162,9 @@
 
 	ctx    context.Context
 	cancel context.CancelFunc
-	done   chan struct{}
+	// started is closed when the handler runs or never will, and done at its end.
+	started chan struct{}
+	done    chan struct{}
 }
 
 // Server is an HTTP/1.1 server. Its methods are safe for concurrent use, except
