--- a/io/kqedge/continue_test.go
+++ b/io/kqedge/continue_test.go
@@ -69,6 +69,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer first.Body.Close()
 	got, err := io.ReadAll(first.Body)
 	if err != nil || !bytes.Equal(got, long) {
 		t.Fatalf("body of the long answer: got %d bytes, %v, want its %d bytes unchanged", len(got), err, len(long))
@@ -78,10 +79,12 @@
 	if err != nil || second.StatusCode != http.StatusContinue {
 		t.Fatalf("after the long answer: got %+v, %v, want status 100", second, err)
 	}
+	defer second.Body.Close()
 	last, err := http.ReadResponse(r, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer last.Body.Close()
 	if got, err := io.ReadAll(last.Body); err != nil || string(got) != "done body" {
 		t.Errorf("last answer: got %q, %v, want %q", got, err, "done body")
 	}
@@ -119,6 +122,7 @@
 			t.Fatalf("answer: got %+v, %v, want status %d", response, err, want)
 		}
 		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
 	}
 	if got, err := r.Peek(1); err == nil {
 		t.Errorf("without a body: got %q, want the connection closed", got)
