Test of withdrawn keys: keep the connection that is asked again

TestWithdrawnKeyIsAccepted failed with "use of closed network connection": awaitStatuses closed the connection after a 503, which it allows, and the next try wrote to the same one. It stays open now; what is allowed and wanted is as it was.

--- a/io/kqmesh/team_test.go
+++ b/io/kqmesh/team_test.go
@@ -82,7 +82,7 @@
 		if isSame {
 			return
 		}
-		_ = c.Close()
+		// The connection stays open: conn may return it again.
 		<-time.After(10 * time.Millisecond)
 	}
 	f.t.Fatalf("answers to %q: got 503, want 401 within the test timeout", text)
