--- a/core/kqserver/confirmation.go
+++ b/core/kqserver/confirmation.go
@@ -5,13 +5,12 @@
 	"time"
 )
 
-const (
-	// lateNoticeTime is how late a notice may arrive. A notice that a node receives
-	// later than that after its start was made after it.
-	lateNoticeTime = 8 * time.Second
-	// maxHeldNotices bounds the notices that are held back.
-	maxHeldNotices = 8
-)
+// LateNoticeTime is how late a notice may arrive. A notice that a node receives later than
+// that after its start was made after it.
+const LateNoticeTime = 8 * time.Second
+
+// maxHeldNotices bounds the notices that are held back.
+const maxHeldNotices = 8
 
 // Confirmation decides when a node that was started again believes notices that its
 // backend server is ready. The first one may be late, made before the server announced
@@ -45,7 +44,7 @@
 	if c.isGiven {
 		return false
 	}
-	if mayGive && age > lateNoticeTime && c.continues(n) {
+	if mayGive && age > LateNoticeTime && c.continues(n) {
 		c.Give(n.ServerID)
 		return false
 	}
--- a/io/kqmesh/notice.go
+++ b/io/kqmesh/notice.go
@@ -24,10 +24,8 @@
 // healthTimeout bounds a health probe of the backend server after the node's start.
 const healthTimeout = time.Second
 
-// confirmTime is how long after its start a node probes a server that sends nothing.
-const confirmTime = 8 * time.Second
-
-// confirmBackoff bounds the pauses between these probes.
+// confirmBackoff bounds the pauses between the probes of a server that sends nothing,
+// until notices of it would confirm themselves.
 var confirmBackoff = kqbackoff.Pause{First: 250 * time.Millisecond, Max: 2 * time.Second}
 
 // noticeLimits returns the limits of the notice and ready addresses.
@@ -128,7 +126,7 @@
 		return
 	}
 	var pause <-chan time.Time
-	if n.clock() < confirmTime && n.State().ServerState == kqserver.Unknown {
+	if n.clock() < kqserver.LateNoticeTime && n.State().ServerState == kqserver.Unknown {
 		pause = time.After(confirmBackoff.After(probes, n.randomFraction()))
 	}
 	select {
