Count the small bodies of requests that wait for the one before

Since requests that were sent ahead are read while they wait, a connection may hold 16 of them, with bodies of up to 64 KiB that counted nowhere. They count in the budget of memory now, so that callers are refused or closed before the node is over its memory.

--- a/io/kqedge/ahead_test.go
+++ b/io/kqedge/ahead_test.go
@@ -2,9 +2,15 @@
 
 import (
 	"fmt"
+	"runtime"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"kumquatlink/io/kqbody"
+	"kumquatlink/io/kqedge"
 )
 
 func post(path, body string) string {
@@ -61,3 +67,31 @@
 		}
 	}
 }
+
+// TestBodiesOfRequestsSentAheadAreNotCounted guards against memory that callers take with
+// small bodies of requests which wait for the one before on their connection.
+func TestBodiesOfRequestsSentAheadAreNotCounted(t *testing.T) {
+	const count, size = 12, 60_000
+	memory := kqbody.NewBudget(16 << 20)
+	s := newTestServer(t, kqedge.WithMemory(memory))
+	c, r := dial(t, s.address)
+	send(t, c, post("/wait", "")+strings.Repeat(post("/ahead", strings.Repeat("x", size)), count))
+	await := func(what string, condition func(inUse int) bool) {
+		t.Helper()
+		for begun := time.Now(); !condition(memory.InUse()); runtime.Gosched() {
+			if time.Since(begun) > testTimeout {
+				t.Fatalf("memory in use: got %d, want %s", memory.InUse(), what)
+			}
+		}
+	}
+	<-s.started
+	await("the bodies that wait", func(inUse int) bool { return inUse >= count*size })
+	s.release <- struct{}{}
+	for range count + 1 {
+		response := &fasthttp.Response{}
+		if err := response.Read(r); err != nil || response.StatusCode() != fasthttp.StatusOK {
+			t.Fatalf("answer: got %d, %v, want 200", response.StatusCode(), err)
+		}
+	}
+	await("none after the answers", func(inUse int) bool { return inUse == 0 })
+}
--- a/io/kqedge/connection.go
+++ b/io/kqedge/connection.go
@@ -346,6 +346,10 @@
 	}
 	c.answers <- e
 	if earlier := mustAwait(e, previous); earlier != nil {
+		if size := len(e.Request.Body()); size <= kqbody.SmallBytes {
+			// Of the requests that wait a connection may hold many.
+			e.releaseRequest = c.server.memory.Charge(size)
+		}
 		go c.startAfter(earlier, e)
 	} else if !c.start(e) {
 		return false
