Test of a server that left: its health check says so

Cause: since the servers of the tests answer health probes with 200, also this one, which is meant to answer 503 as it has left. The check is as it was.

--- a/io/kqmesh/path_test.go
+++ b/io/kqmesh/path_test.go
@@ -241,6 +241,7 @@
 	f.awaitConvergence(1, 1)
 	h.reportState(kqserver.Gone)
 	h.node.Stop()
+	h.health.Store(fasthttp.StatusServiceUnavailable)
 	h.setAnswer(func(c net.Conn, _ *fasthttp.Request) {
 		_, _ = io.WriteString(c, "HTTP/1.1 503 Leaving\r\nContent-Length: 0\r\n\r\n")
 	})
